build: add the skeleton, base modules and the design page

Errors, events, metrics, settings, hashes and random numbers are what every other module needs, so they come first, with the interface of a configuration version that routing, tickets and the daemon share.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,97 @@
+# Build: make [SAN=address|thread] [BUILD=dir]
+# Main targets: all, check, demo, bench, format, lint, clean.
+
+SAN ?=
+BUILD ?= build$(if $(SAN),-$(SAN))
+CC ?= gcc
+PKGS = liburcu-bp popt log4c glib-2.0 libtirpc libcurl jansson libxxhash \
+	libsodium openssl
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lcivetweb -lpthread -lm
+
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wvla -Wformat=2
+CPPFLAGS += -I. -D_GNU_SOURCE
+CFLAGS ?= -O2 -g
+CFLAGS += -std=gnu11 -pthread $(WARN)
+ifeq ($(SAN),address)
+SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+	-fno-omit-frame-pointer
+endif
+ifeq ($(SAN),thread)
+SANFLAGS = -fsanitize=thread
+endif
+
+GEN_SRC := $(wildcard process/peer_xdr.c)
+LIB_SRC := $(sort $(filter-out $(GEN_SRC),$(wildcard process/*.c \
+	connection/*.c version/*.c request/*.c)))
+CMD_SRC := $(sort $(wildcard cmd/*.c))
+PROG_SRC := $(filter cmd/amaranthvale%,$(CMD_SRC))
+CMD_LIB_SRC := $(filter-out $(PROG_SRC),$(CMD_SRC))
+STANDIN_SRC := $(sort $(wildcard t/standin-*.c t/fault-proxy.c))
+TESTLIB_SRC := $(sort $(wildcard t/lib/*.c))
+TEST_SRC := $(sort $(wildcard t/test-*.c))
+BENCH_SRC := $(sort $(wildcard t/bench-*.c))
+
+obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
+exe = $(patsubst %.c,$(BUILD)/%,$(1))
+
+LIB = $(BUILD)/libamaranthvale.a
+TESTLIB = $(BUILD)/t/libtest.a
+PROGS = $(patsubst cmd/%.c,$(BUILD)/%,$(PROG_SRC))
+TESTS = $(call exe,$(TEST_SRC))
+STANDINS = $(call exe,$(STANDIN_SRC))
+BENCHES = $(call exe,$(BENCH_SRC))
+HAND_SRC = $(LIB_SRC) $(CMD_SRC) $(STANDIN_SRC) $(TESTLIB_SRC) $(TEST_SRC) \
+	$(BENCH_SRC)
+HEADERS := $(filter-out process/peer_xdr.h,$(wildcard process/*.h \
+	connection/*.h version/*.h request/*.h cmd/*.h t/*.h t/lib/*.h))
+
+.PHONY: all progs check demo bench format check-format lint clean
+.SECONDARY:
+
+all: progs $(TESTS) $(BENCHES)
+
+progs: $(LIB) $(PROGS) $(STANDINS)
+
+$(LIB): $(call obj,$(LIB_SRC) $(GEN_SRC))
+	$(AR) rcs $@ $^
+
+$(TESTLIB): $(call obj,$(TESTLIB_SRC))
+	$(AR) rcs $@ $^
+
+# Generated XDR code is exempt from warnings.
+$(call obj,$(GEN_SRC)): WARN = -w
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(SANFLAGS) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
+
+$(PROGS): $(BUILD)/%: $(BUILD)/cmd/%.o $(call obj,$(CMD_LIB_SRC)) $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/t/%: $(BUILD)/t/%.o $(TESTLIB) $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(PKG_LIBS)
+
+check: all
+	BUILD=$(BUILD) t/run-tests.sh $(TESTS)
+
+demo: progs
+	BUILD=$(BUILD) t/demo.sh
+
+format:
+	clang-format -i $(HAND_SRC) $(HEADERS)
+
+check-format:
+	clang-format --dry-run -Werror $(HAND_SRC) $(HEADERS)
+
+# One clang-tidy process a file, so that the pass uses all cores.
+lint:
+	printf '%s\n' $(HAND_SRC) | xargs -P $$(nproc) -I{} \
+		clang-tidy --quiet {} -- $(CPPFLAGS) -std=gnu11 $(PKG_CFLAGS) \
+		2>/dev/null
+
+clean:
+	rm -rf build build-*
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/process/event.c
@@ -0,0 +1,124 @@
+#include "process/event.h"
+
+#include <log4c.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "process/error.h"
+
+/** Longest line of key=value pairs, bytes; longer ones are cut. */
+#define EVENT_TEXT_MAX_BYTES 1024
+
+#define EVENT(number, symbol, name, level, text) \
+	{ EVENT_##symbol, name, level, text },
+static const event_info_t catalogue[] = {
+#include "process/event_list.h"
+};
+#undef EVENT
+
+#define CATALOGUE_COUNT (sizeof(catalogue) / sizeof(catalogue[0]))
+
+static log4c_category_t *category;
+static const char *program_name = "amaranthvale";
+
+const event_info_t *event_catalogue(size_t *count)
+{
+	*count = CATALOGUE_COUNT;
+	return catalogue;
+}
+
+static int priority_of(event_level_t level)
+{
+	switch (level) {
+	case EVENT_DEBUG:
+		return LOG4C_PRIORITY_DEBUG;
+	case EVENT_INFO:
+		return LOG4C_PRIORITY_INFO;
+	case EVENT_WARN:
+		return LOG4C_PRIORITY_WARN;
+	case EVENT_ERROR:
+		return LOG4C_PRIORITY_ERROR;
+	}
+	return LOG4C_PRIORITY_ERROR;
+}
+
+static int append_to_stderr(log4c_appender_t *appender,
+			    const log4c_logging_event_t *event)
+{
+	char stamp[32];
+	struct timespec now;
+	struct tm parts;
+
+	(void)appender;
+	clock_gettime(CLOCK_REALTIME, &now);
+	gmtime_r(&now.tv_sec, &parts);
+	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
+	return fprintf(stderr, "%s.%03ldZ %s %s %s\n", stamp,
+		       now.tv_nsec / 1000000L,
+		       log4c_priority_to_string(event->evt_priority),
+		       program_name, event->evt_msg);
+}
+
+static const log4c_appender_type_t stderr_appender = {
+	.name = "event_stderr",
+	.append = append_to_stderr,
+};
+
+int event_open(const char *program, event_level_t level)
+{
+	log4c_appender_t *appender;
+
+	program_name = program;
+	/* log4c_init() would read settings files; settings are flags only. */
+	log4c_appender_type_set(&stderr_appender);
+	appender = log4c_appender_get("event_stderr");
+	category = log4c_category_get("amaranthvale");
+	if (!appender || !category)
+		return ERR_INTERNAL;
+	log4c_appender_set_type(appender, &stderr_appender);
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_priority(category, priority_of(level));
+	return 0;
+}
+
+static const event_info_t *find_event(event_id_t id)
+{
+	for (size_t i = 0; i < CATALOGUE_COUNT; i++) {
+		if (catalogue[i].id == id)
+			return &catalogue[i];
+	}
+	return NULL;
+}
+
+static void replace_control_characters(char *text)
+{
+	for (; *text; text++) {
+		if ((unsigned char)*text < 0x20 || *text == 0x7f)
+			*text = '?';
+	}
+}
+
+void event_log(event_id_t id, const char *fmt, ...)
+{
+	const event_info_t *info = find_event(id);
+	char text[EVENT_TEXT_MAX_BYTES] = "";
+	va_list args;
+
+	if (!category || !info)
+		return;
+	if (!log4c_category_is_priority_enabled(category,
+						priority_of(info->level)))
+		return;
+	if (fmt) {
+		va_start(args, fmt);
+		vsnprintf(text, sizeof(text), fmt, args);
+		va_end(args);
+		replace_control_characters(text);
+	}
+	log4c_category_log(category, priority_of(info->level),
+			   "event=%d name=%s%s%s", (int)id, info->name,
+			   *text ? " " : "", text);
+}
