peers: add membership, quarantine and authenticated messages

Instances must learn of each other, of leaving endpoints, of crashed requests and of new configuration positions without a coordination service and within 8 KB/s, and a request that crashes its engine must not reach more than two.

Suspected requests run one at a time with the permission of the fingerprint's home instance. Messages are ONC RPC envelopes with a MAC, a sequence window and a time limit.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 SANFLAGS = -fsanitize=thread
 endif
 
-GEN_SRC := $(wildcard process/peer_xdr.c)
+GEN_SRC := process/peer_proto_xdr.c
 LIB_SRC := $(sort $(filter-out $(GEN_SRC),$(wildcard process/*.c \
 	connection/*.c version/*.c request/*.c)))
 CMD_SRC := $(sort $(wildcard cmd/*.c))
@@ -44,10 +44,10 @@
 BENCHES = $(call exe,$(BENCH_SRC))
 HAND_SRC = $(LIB_SRC) $(CMD_SRC) $(STANDIN_SRC) $(TESTLIB_SRC) $(TEST_SRC) \
 	$(BENCH_SRC)
-HEADERS := $(filter-out process/peer_xdr.h,$(wildcard process/*.h \
+HEADERS := $(filter-out process/peer_proto.h,$(wildcard process/*.h \
 	connection/*.h version/*.h request/*.h cmd/*.h t/*.h t/lib/*.h))
 
-.PHONY: all progs check demo bench format check-format lint clean
+.PHONY: all progs check demo bench format check-format lint proto clean
 .SECONDARY:
 
 all: progs $(TESTS) $(BENCHES)
@@ -91,6 +91,12 @@
 		clang-tidy --quiet {} -- $(CPPFLAGS) -std=gnu11 $(PKG_CFLAGS) \
 		2>/dev/null
 
+# The generated files are committed; only this target needs rpcgen.
+proto:
+	cd process && rm -f peer_proto.h peer_proto_xdr.c && \
+		rpcgen -N -h -o peer_proto.h peer_proto.x && \
+		rpcgen -N -c -o peer_proto_xdr.c peer_proto.x
+
 clean:
 	rm -rf build build-*
 
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -19,3 +19,18 @@
       "Raise --stop-limit-ms or look for requests that never end.")
 EVENT(1005, START_FAILED, "start_failed", EVENT_ERROR,
       "The process cannot start; the text names the reason.")
+EVENT(1500, PEER_REJECTED, "peer_rejected", EVENT_WARN,
+      "A message was not authentic or was seen before. Check that all "
+      "instances have the same cluster name, secret and time.")
+EVENT(1501, MEMBER_FAILED, "member_failed", EVENT_WARN,
+      "Another instance did not answer and is taken as failed.")
+EVENT(1502, MEMBER_JOINED, "member_joined", EVENT_INFO,
+      "This instance learned the members from a peer.")
+EVENT(1503, JOIN_FAILED, "join_failed", EVENT_WARN,
+      "No known peer answered; the instance goes on alone and tries again.")
+EVENT(1510, CRASH_SUSPECT, "crash_suspect", EVENT_WARN,
+      "An engine died; a request that ran on it is a suspect.")
+EVENT(1511, CRASH_BLOCKED, "crash_blocked", EVENT_ERROR,
+      "A request crashed two engines and is refused for a time.")
+EVENT(1512, CRASH_CLEARED, "crash_cleared", EVENT_INFO,
+      "A suspected request completed and is no longer a suspect.")
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -23,3 +23,14 @@
 		 "Time to first token.")
 METRIC_HISTOGRAM(TTFT_DEFERRABLE, "amv_ttft_ms", "class=\"deferrable\"",
 		 "Time to first token.")
+METRIC_COUNTER(PEER_CALLS, "amv_peer_calls_total", "",
+	       "Messages sent to other instances.")
+METRIC_COUNTER(PEER_REJECTED, "amv_peer_rejected_total", "",
+	       "Messages from other instances that were not accepted.")
+METRIC_COUNTER(PEER_BYTES_SENT, "amv_peer_bytes_total", "direction=\"sent\"",
+	       "Payload bytes exchanged with other instances.")
+METRIC_COUNTER(PEER_BYTES_RECEIVED, "amv_peer_bytes_total",
+	       "direction=\"received\"",
+	       "Payload bytes exchanged with other instances.")
+METRIC_GAUGE(MEMBERS_LIVE, "amv_members_live", "",
+	     "Instances believed to be alive, with this one.")
--- /dev/null
+++ b/process/peer.c
@@ -0,0 +1,520 @@
+#include "process/peer.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <rpc/rpc.h>
+#include <rpc/rpc_com.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "process/cleanup.h"
+#include "process/clock.h"
+#include "process/error.h"
+#include "process/event.h"
+#include "process/metrics.h"
+#include "process/peer_auth.h"
+
+/** Descriptors the server thread waits for, and the stop signal. */
+#define PEER_POLL_MAX 1024
+#define PEER_LISTEN_BACKLOG 128
+
+/** A client connection. */
+typedef struct handle {
+	CLIENT *client; /**< NULL for a free place. */
+	char address[PEER_ADDRESS_BYTES];
+	uint16_t port;
+	uint64_t used; /**< Order of use, for the choice of what to close. */
+} handle_t;
+
+struct peer {
+	peer_settings_t settings;
+	pthread_mutex_t lock; /**< Guards `auth` and `handles`. */
+	peer_auth_t auth;
+	handle_t handles[PEER_HANDLES_MAX];
+	uint64_t use_count;
+	uint16_t port;
+	int stop_fd;
+	SVCXPRT *transport;
+	pthread_t thread;
+};
+
+/** The RPC library passes no context to the dispatch function. */
+static peer_t *serving;
+
+int peer_parse_address(const char *text, char address[PEER_ADDRESS_BYTES])
+{
+	static const unsigned char mapped[12] = { [10] = 0xff, [11] = 0xff };
+
+	if (inet_pton(AF_INET6, text, address) == 1)
+		return 0;
+	memcpy(address, mapped, sizeof(mapped));
+	if (inet_pton(AF_INET, text, address + sizeof(mapped)) == 1)
+		return 0;
+	return ERR_BAD_FIELD;
+}
+
+static struct sockaddr_in6 socket_address(const char *address, uint16_t port)
+{
+	struct sockaddr_in6 result = { .sin6_family = AF_INET6 };
+
+	memcpy(&result.sin6_addr, address, PEER_ADDRESS_BYTES);
+	result.sin6_port = htons(port);
+	return result;
+}
+
+void peer_message_free(peer_message_t *message)
+{
+	xdr_free((xdrproc_t)xdr_peer_message_t, (char *)message);
+	memset(message, 0, sizeof(*message));
+}
+
+/** Encodes a message into a buffer that the caller frees. */
+static int encode(const peer_message_t *message, peer_envelope_t *envelope)
+{
+	u_int size = (u_int)xdr_sizeof((xdrproc_t)xdr_peer_message_t,
+				       (void *)message);
+	char *buffer;
+	XDR xdr;
+	bool_t done;
+
+	if (!size)
+		return ERR_INTERNAL;
+	buffer = malloc(size);
+	if (!buffer)
+		return ERR_NO_MEMORY;
+	xdrmem_create(&xdr, buffer, size, XDR_ENCODE);
+	done = xdr_peer_message_t(&xdr, (peer_message_t *)message);
+	xdr_destroy(&xdr);
+	if (!done) {
+		free(buffer);
+		return ERR_INTERNAL;
+	}
+	envelope->payload.payload_val = buffer;
+	envelope->payload.payload_len = size;
+	return 0;
+}
+
+static int decode(const peer_envelope_t *envelope, peer_message_t *message)
+{
+	XDR xdr;
+	bool_t done;
+
+	memset(message, 0, sizeof(*message));
+	xdrmem_create(&xdr, envelope->payload.payload_val,
+		      envelope->payload.payload_len, XDR_DECODE);
+	done = xdr_peer_message_t(&xdr, message);
+	xdr_destroy(&xdr);
+	if (done)
+		return 0;
+	peer_message_free(message);
+	return ERR_PEER_AUTH;
+}
+
+static uint64_t seal(peer_t *peer, peer_envelope_t *envelope, uint64_t receiver,
+		     uint64_t reply_to)
+{
+	SCOPED_LOCK(guard, &peer->lock);
+
+	peer_auth_seal(&peer->auth, envelope, receiver, reply_to,
+		       clock_unix_ms());
+	return envelope->sequence;
+}
+
+static int check(peer_t *peer, const peer_envelope_t *envelope)
+{
+	SCOPED_LOCK(guard, &peer->lock);
+
+	return peer_auth_check(&peer->auth, envelope, clock_unix_ms());
+}
+
+/* Server side. */
+
+static void answer_envelope(peer_t *peer, const peer_envelope_t *request,
+			    peer_envelope_t *answer)
+{
+	peer_message_t question = { 0 };
+	peer_message_t reply = { 0 };
+	int err = check(peer, request);
+
+	if (!err)
+		err = decode(request, &question);
+	if (!err) {
+		peer->settings.handler(peer->settings.context, request->sender,
+				       &question, &reply);
+		peer_message_free(&question);
+	} else {
+		metrics_add(METRIC_PEER_REJECTED, 1);
+		event_log(EVENT_PEER_REJECTED, "sender=%016llx error=%s",
+			  (unsigned long long)request->sender, error_type(err));
+		reply.kind = PEER_ERROR_ANSWER;
+		reply.peer_message_t_u.error = err;
+	}
+	if (!encode(&reply, answer))
+		seal(peer, answer, request->sender, request->sequence);
+	metrics_add(METRIC_PEER_BYTES_RECEIVED, request->payload.payload_len);
+	metrics_add(METRIC_PEER_BYTES_SENT, answer->payload.payload_len);
+	peer_message_free(&reply);
+}
+
+static void dispatch(struct svc_req *call, SVCXPRT *transport)
+{
+	peer_envelope_t request = { 0 };
+	peer_envelope_t answer = { 0 };
+
+	if (call->rq_proc == NULLPROC) {
+		svc_sendreply(transport, (xdrproc_t)(void (*)(void))xdr_void,
+			      NULL);
+		return;
+	}
+	if (call->rq_proc != AMV_EXCHANGE) {
+		svcerr_noproc(transport);
+		return;
+	}
+	if (!svc_getargs(transport, (xdrproc_t)xdr_peer_envelope_t, &request)) {
+		svcerr_decode(transport);
+		return;
+	}
+	answer_envelope(serving, &request, &answer);
+	svc_sendreply(transport, (xdrproc_t)xdr_peer_envelope_t, &answer);
+	svc_freeargs(transport, (xdrproc_t)xdr_peer_envelope_t, &request);
+	free(answer.payload.payload_val);
+}
+
+/** The library's descriptors, then the stop signal. */
+static nfds_t collect_descriptors(const peer_t *peer, struct pollfd *fds)
+{
+	nfds_t count = 0;
+
+	for (int i = 0; i < svc_max_pollfd && count < PEER_POLL_MAX - 1; i++) {
+		if (svc_pollfd[i].fd >= 0)
+			fds[count++] = svc_pollfd[i];
+	}
+	fds[count].fd = peer->stop_fd;
+	fds[count].events = POLLIN;
+	return count;
+}
+
+static void *serve(void *context)
+{
+	peer_t *peer = context;
+	struct pollfd fds[PEER_POLL_MAX];
+
+	for (;;) {
+		nfds_t count = collect_descriptors(peer, fds);
+		int ready = poll(fds, count + 1, -1);
+
+		if (ready < 0 && errno != EINTR)
+			break;
+		if (ready <= 0)
+			continue;
+		if (fds[count].revents)
+			break;
+		svc_getreq_poll(fds, (int)count);
+	}
+	return NULL;
+}
+
+static int listen_on(const peer_settings_t *settings, uint16_t *port)
+{
+	char address[PEER_ADDRESS_BYTES];
+	struct sockaddr_in6 name;
+	socklen_t len = sizeof(name);
+	const int on = 1;
+	const int off = 0;
+	int fd;
+
+	if (peer_parse_address(settings->address, address) < 0)
+		return ERR_SETTING;
+	name = socket_address(address, settings->port);
+	fd = socket(AF_INET6, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return ERR_INTERNAL;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_IPV6, IPV6_V6ONLY, &off, sizeof(off));
+	if (bind(fd, (struct sockaddr *)&name, sizeof(name)) < 0 ||
+	    listen(fd, PEER_LISTEN_BACKLOG) < 0 ||
+	    getsockname(fd, (struct sockaddr *)&name, &len) < 0) {
+		close(fd);
+		return ERR_SETTING;
+	}
+	*port = ntohs(name.sin6_port);
+	return fd;
+}
+
+static int start_server(peer_t *peer)
+{
+	/* Also makes the library read without blocking on a slow sender. */
+	int record_max_bytes = PEER_PAYLOAD_MAX;
+	int fd = listen_on(&peer->settings, &peer->port);
+
+	if (fd < 0)
+		return fd;
+	rpc_control(RPC_SVC_CONNMAXREC_SET, &record_max_bytes);
+	peer->transport = svc_vc_create(fd, 0, 0);
+	if (!peer->transport) {
+		close(fd);
+		return ERR_INTERNAL;
+	}
+	serving = peer;
+	if (!svc_reg(peer->transport, AMV_PEER_PROGRAM, AMV_PEER_VERSION,
+		     dispatch, NULL))
+		return ERR_INTERNAL;
+	peer->stop_fd = eventfd(0, EFD_CLOEXEC);
+	if (peer->stop_fd < 0 ||
+	    pthread_create(&peer->thread, NULL, serve, peer))
+		return ERR_INTERNAL;
+	return 0;
+}
+
+int peer_open(const peer_settings_t *settings, peer_t **peer)
+{
+	peer_t *created = calloc(1, sizeof(*created));
+	int err;
+
+	if (!created)
+		return ERR_NO_MEMORY;
+	created->settings = *settings;
+	created->stop_fd = -1;
+	pthread_mutex_init(&created->lock, NULL);
+	peer_auth_init(&created->auth, settings->cluster, settings->secret,
+		       settings->id, settings->incarnation);
+	err = start_server(created);
+	if (err) {
+		free(created);
+		return err;
+	}
+	*peer = created;
+	return 0;
+}
+
+uint16_t peer_port(const peer_t *peer)
+{
+	return peer->port;
+}
+
+/** Closes the connections that the library accepted. */
+static void close_server(peer_t *peer)
+{
+	svc_unreg(AMV_PEER_PROGRAM, AMV_PEER_VERSION);
+	SVC_DESTROY(peer->transport);
+	svc_exit();
+	for (int i = 0; i < svc_max_pollfd; i++) {
+		if (svc_pollfd[i].fd >= 0)
+			shutdown(svc_pollfd[i].fd, SHUT_RDWR);
+	}
+}
+
+void peer_close(peer_t *peer)
+{
+	const uint64_t one = 1;
+
+	if (!peer)
+		return;
+	if (write(peer->stop_fd, &one, sizeof(one)) == sizeof(one))
+		pthread_join(peer->thread, NULL);
+	close_server(peer);
+	for (size_t i = 0; i < PEER_HANDLES_MAX; i++) {
+		if (peer->handles[i].client)
+			clnt_destroy(peer->handles[i].client);
+	}
+	close(peer->stop_fd);
+	pthread_mutex_destroy(&peer->lock);
+	free(peer);
+}
+
+/* Client side. */
+
+/** Connects with a time limit. @return a descriptor or an error. */
+static int connect_to(const struct sockaddr_in6 *name, uint32_t timeout_ms)
+{
+	int fd =
+		socket(AF_INET6, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	struct pollfd wait = { .fd = fd, .events = POLLOUT };
+	const int on = 1;
+	int failure = 0;
+	socklen_t len = sizeof(failure);
+
+	if (fd < 0)
+		return ERR_INTERNAL;
+	if (connect(fd, (const struct sockaddr *)name, sizeof(*name)) < 0 &&
+	    errno != EINPROGRESS)
+		goto refused;
+	if (poll(&wait, 1, (int)timeout_ms) != 1)
+		goto refused;
+	getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &len);
+	if (failure)
+		goto refused;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	/* The RPC library expects a blocking descriptor. */
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
+	return fd;
+refused:
+	close(fd);
+	return ERR_CONNECT;
+}
+
+static CLIENT *open_client(const char *address, uint16_t port,
+			   uint32_t timeout_ms)
+{
+	struct sockaddr_in6 name = socket_address(address, port);
+	struct netbuf buffer = { .maxlen = sizeof(name),
+				 .len = sizeof(name),
+				 .buf = &name };
+	int fd = connect_to(&name, timeout_ms);
+	CLIENT *client;
+
+	if (fd < 0)
+		return NULL;
+	client = clnt_vc_create(fd, &buffer, AMV_PEER_PROGRAM, AMV_PEER_VERSION,
+				0, 0);
+	if (!client) {
+		close(fd);
+		return NULL;
+	}
+	clnt_control(client, CLSET_FD_CLOSE, NULL);
+	return client;
+}
+
+/** Takes a kept connection out of the table, so that no other thread has it. */
+static CLIENT *take_handle(peer_t *peer, const char *address, uint16_t port)
+{
+	SCOPED_LOCK(guard, &peer->lock);
+
+	for (size_t i = 0; i < PEER_HANDLES_MAX; i++) {
+		handle_t *handle = &peer->handles[i];
+		CLIENT *client = handle->client;
+
+		if (!client || handle->port != port ||
+		    memcmp(handle->address, address, PEER_ADDRESS_BYTES) != 0)
+			continue;
+		handle->client = NULL;
+		return client;
+	}
+	return NULL;
+}
+
+static void keep_handle(peer_t *peer, const char *address, uint16_t port,
+			CLIENT *client)
+{
+	SCOPED_LOCK(guard, &peer->lock);
+	handle_t *place = &peer->handles[0];
+
+	for (size_t i = 0; i < PEER_HANDLES_MAX; i++) {
+		handle_t *handle = &peer->handles[i];
+
+		if (!handle->client) {
+			place = handle;
+			break;
+		}
+		if (handle->used < place->used)
+			place = handle;
+	}
+	if (place->client)
+		clnt_destroy(place->client);
+	place->client = client;
+	memcpy(place->address, address, PEER_ADDRESS_BYTES);
+	place->port = port;
+	place->used = ++peer->use_count;
+}
+
+static int exchange(CLIENT *client, const peer_envelope_t *request,
+		    peer_envelope_t *answer, uint32_t timeout_ms)
+{
+	struct timeval limit = { .tv_sec = timeout_ms / 1000,
+				 .tv_usec = timeout_ms % 1000 * 1000L };
+
+	switch (clnt_call(client, AMV_EXCHANGE, (xdrproc_t)xdr_peer_envelope_t,
+			  (char *)request, (xdrproc_t)xdr_peer_envelope_t,
+			  (char *)answer, limit)) {
+	case RPC_SUCCESS:
+		return 0;
+	case RPC_TIMEDOUT:
+		return ERR_TIMEOUT;
+	default:
+		return ERR_CONNECT;
+	}
+}
+
+/**
+ * Exchanges envelopes with a receiver. A kept connection may have been closed
+ * by the other side, so a failure on one is followed by one new connection;
+ * the receiver would reject a repeated sequence, so nothing is done twice.
+ */
+static int send_envelope(peer_t *peer, const char *address, uint16_t port,
+			 const peer_envelope_t *request,
+			 peer_envelope_t *answer, uint32_t timeout_ms)
+{
+	CLIENT *client = take_handle(peer, address, port);
+	int err = ERR_CONNECT;
+
+	if (client) {
+		err = exchange(client, request, answer, timeout_ms);
+		if (err)
+			clnt_destroy(client);
+	}
+	if (err == ERR_CONNECT) {
+		client = open_client(address, port, timeout_ms);
+		if (!client)
+			return ERR_CONNECT;
+		err = exchange(client, request, answer, timeout_ms);
+		if (err)
+			clnt_destroy(client);
+	}
+	if (!err)
+		keep_handle(peer, address, port, client);
+	return err;
+}
+
+static int take_answer(peer_t *peer, const peer_envelope_t *envelope,
+		       uint64_t sequence, uint64_t receiver,
+		       peer_message_t *answer)
+{
+	int err = check(peer, envelope);
+
+	if (err)
+		return err;
+	if (envelope->reply_to != sequence ||
+	    (receiver && envelope->sender != receiver))
+		return ERR_PEER_AUTH;
+	err = decode(envelope, answer);
+	if (err)
+		return err;
+	if (answer->kind == PEER_ERROR_ANSWER) {
+		err = answer->peer_message_t_u.error;
+		return err < 0 ? err : ERR_INTERNAL;
+	}
+	return 0;
+}
+
+int peer_call(peer_t *peer, const char address[PEER_ADDRESS_BYTES],
+	      uint16_t port, uint64_t receiver, const peer_message_t *request,
+	      peer_message_t *answer, uint32_t timeout_ms)
+{
+	peer_envelope_t envelope = { 0 };
+	peer_envelope_t reply = { 0 };
+	uint64_t sequence;
+	int err = encode(request, &envelope);
+
+	memset(answer, 0, sizeof(*answer));
+	if (err)
+		return err;
+	if (!timeout_ms)
+		timeout_ms = peer->settings.timeout_ms;
+	sequence = seal(peer, &envelope, receiver, 0);
+	err = send_envelope(peer, address, port, &envelope, &reply, timeout_ms);
+	if (!err)
+		err = take_answer(peer, &reply, sequence, receiver, answer);
+	metrics_add(METRIC_PEER_CALLS, 1);
+	metrics_add(METRIC_PEER_BYTES_SENT, envelope.payload.payload_len);
+	metrics_add(METRIC_PEER_BYTES_RECEIVED, reply.payload.payload_len);
+	free(envelope.payload.payload_val);
+	xdr_free((xdrproc_t)xdr_peer_envelope_t, (char *)&reply);
+	return err;
+}
--- /dev/null
+++ b/process/quarantine.c
@@ -0,0 +1,224 @@
+#include "process/quarantine.h"
+
+#include <string.h>
+
+void quarantine_init(quarantine_t *quarantine, uint64_t block_ms)
+{
+	memset(quarantine, 0, sizeof(*quarantine));
+	quarantine->block_ms = block_ms;
+}
+
+static bool is_blocked(const quarantine_entry_t *entry, uint64_t now_ms)
+{
+	return entry->blocked_until_ms > now_ms;
+}
+
+/** Whether an entry no longer says anything. */
+static bool is_expired(const quarantine_entry_t *entry, uint64_t now_ms)
+{
+	return !is_blocked(entry, now_ms) &&
+	       now_ms - entry->last_news_ms >= QUARANTINE_SUSPECT_MS;
+}
+
+static const quarantine_entry_t *find_entry(const quarantine_t *quarantine,
+					    uint64_t fingerprint)
+{
+	for (size_t i = 0; i < quarantine->count; i++) {
+		if (quarantine->entries[i].fingerprint == fingerprint)
+			return &quarantine->entries[i];
+	}
+	return NULL;
+}
+
+/** How readily an entry gives up its place: the lowest goes first. */
+static uint64_t keep_rank(const quarantine_entry_t *entry, uint64_t now_ms)
+{
+	if (is_expired(entry, now_ms))
+		return 0;
+	return entry->last_news_ms + 1 +
+	       (is_blocked(entry, now_ms) ? UINT64_MAX / 2 : 0);
+}
+
+static quarantine_entry_t *place_for_entry(quarantine_t *quarantine,
+					   uint64_t now_ms)
+{
+	quarantine_entry_t *place;
+
+	if (quarantine->count < QUARANTINE_MAX)
+		return &quarantine->entries[quarantine->count++];
+	place = &quarantine->entries[0];
+	for (size_t i = 1; i < QUARANTINE_MAX; i++) {
+		if (keep_rank(&quarantine->entries[i], now_ms) <
+		    keep_rank(place, now_ms))
+			place = &quarantine->entries[i];
+	}
+	return place;
+}
+
+static quarantine_entry_t *get_entry(quarantine_t *quarantine,
+				     uint64_t fingerprint, uint64_t now_ms)
+{
+	/* The table belongs to the caller and is not constant here. */
+	quarantine_entry_t *entry =
+		(quarantine_entry_t *)find_entry(quarantine, fingerprint);
+
+	if (entry && !is_expired(entry, now_ms))
+		return entry;
+	if (!entry)
+		entry = place_for_entry(quarantine, now_ms);
+	memset(entry, 0, sizeof(*entry));
+	entry->fingerprint = fingerprint;
+	entry->last_news_ms = now_ms;
+	return entry;
+}
+
+quarantine_status_t quarantine_check(const quarantine_t *quarantine,
+				     uint64_t fingerprint, uint64_t now_ms,
+				     uint64_t *wait_ms)
+{
+	const quarantine_entry_t *entry = find_entry(quarantine, fingerprint);
+
+	if (!entry || is_expired(entry, now_ms))
+		return QUARANTINE_FREE;
+	if (is_blocked(entry, now_ms)) {
+		if (wait_ms)
+			*wait_ms = entry->blocked_until_ms - now_ms;
+		return QUARANTINE_BLOCKED;
+	}
+	if (!entry->crash_count)
+		return QUARANTINE_FREE;
+	return QUARANTINE_SUSPECT;
+}
+
+static bool knows_crash(const quarantine_entry_t *entry, uint64_t crash)
+{
+	if (entry->cleared_crash == crash)
+		return true;
+	for (uint32_t i = 0; i < entry->crash_count; i++) {
+		if (entry->crashes[i] == crash)
+			return true;
+	}
+	return false;
+}
+
+bool quarantine_crash(quarantine_t *quarantine, uint64_t fingerprint,
+		      uint64_t crash, uint64_t now_ms)
+{
+	quarantine_entry_t *entry = get_entry(quarantine, fingerprint, now_ms);
+
+	if (knows_crash(entry, crash) ||
+	    entry->crash_count == QUARANTINE_CRASHES_MAX)
+		return false;
+	if (!entry->crash_count)
+		entry->first_crash_ms = now_ms;
+	entry->crashes[entry->crash_count++] = crash;
+	entry->last_news_ms = now_ms;
+	if (entry->crash_count == QUARANTINE_CRASHES_MAX)
+		entry->blocked_until_ms = now_ms + quarantine->block_ms;
+	return true;
+}
+
+bool quarantine_clear(quarantine_t *quarantine, uint64_t fingerprint,
+		      uint64_t now_ms)
+{
+	quarantine_entry_t *entry = get_entry(quarantine, fingerprint, now_ms);
+
+	if (!entry->crash_count || is_blocked(entry, now_ms))
+		return false;
+	entry->cleared_crash = entry->crashes[0];
+	entry->crash_count = 0;
+	entry->last_news_ms = now_ms;
+	return true;
+}
+
+static quarantine_run_t *find_run(quarantine_entry_t *entry, uint64_t run)
+{
+	for (size_t i = 0; i < QUARANTINE_RUNS_MAX; i++) {
+		if (entry->runs[i].run == run)
+			return &entry->runs[i];
+	}
+	return NULL;
+}
+
+static void expire_runs(quarantine_entry_t *entry, uint64_t now_ms)
+{
+	for (size_t i = 0; i < QUARANTINE_RUNS_MAX; i++) {
+		if (now_ms >= entry->runs[i].deadline_ms)
+			entry->runs[i].run = 0;
+	}
+}
+
+static bool has_other_run(const quarantine_entry_t *entry, uint64_t run)
+{
+	for (size_t i = 0; i < QUARANTINE_RUNS_MAX; i++) {
+		if (entry->runs[i].run && entry->runs[i].run != run)
+			return true;
+	}
+	return false;
+}
+
+static quarantine_decision_t decision(quarantine_decision_kind_t kind,
+				      uint64_t wait_ms)
+{
+	return (quarantine_decision_t){ .kind = kind, .wait_ms = wait_ms };
+}
+
+static void start_run(quarantine_entry_t *entry, uint64_t run,
+		      uint64_t deadline_ms)
+{
+	quarantine_run_t *place = find_run(entry, run);
+
+	if (!place)
+		place = find_run(entry, 0);
+	if (!place)
+		return;
+	place->run = run;
+	place->deadline_ms = deadline_ms;
+}
+
+quarantine_decision_t quarantine_claim(quarantine_t *quarantine,
+				       uint64_t fingerprint, uint64_t run,
+				       uint64_t run_ms, uint64_t now_ms)
+{
+	quarantine_entry_t *entry;
+	uint64_t wait_ms = 0;
+	uint64_t settled_ms;
+
+	switch (quarantine_check(quarantine, fingerprint, now_ms, &wait_ms)) {
+	case QUARANTINE_FREE:
+		return decision(QUARANTINE_GRANTED, 0);
+	case QUARANTINE_BLOCKED:
+		return decision(QUARANTINE_REFUSED, wait_ms);
+	case QUARANTINE_SUSPECT:
+		break;
+	}
+	entry = get_entry(quarantine, fingerprint, now_ms);
+	settled_ms = entry->first_crash_ms + QUARANTINE_SETTLE_MS;
+	if (now_ms < settled_ms)
+		return decision(QUARANTINE_WAIT, settled_ms - now_ms);
+	expire_runs(entry, now_ms);
+	if (has_other_run(entry, run))
+		return decision(QUARANTINE_WAIT, QUARANTINE_RETRY_MS);
+	start_run(entry, run, now_ms + run_ms);
+	return decision(QUARANTINE_GRANTED, 0);
+}
+
+void quarantine_running(quarantine_t *quarantine, uint64_t fingerprint,
+			uint64_t run, uint64_t run_ms, uint64_t now_ms)
+{
+	quarantine_entry_t *entry = get_entry(quarantine, fingerprint, now_ms);
+
+	expire_runs(entry, now_ms);
+	start_run(entry, run, now_ms + run_ms);
+}
+
+void quarantine_release(quarantine_t *quarantine, uint64_t fingerprint,
+			uint64_t run)
+{
+	quarantine_entry_t *entry =
+		(quarantine_entry_t *)find_entry(quarantine, fingerprint);
+	quarantine_run_t *place = entry ? find_run(entry, run) : NULL;
+
+	if (place)
+		place->run = 0;
+}
