t: print the seed of a schedule that fails

An assertion ends the program without passing through the log handler, so the seed was lost. It is now printed with the assertion's text: with the refutation removed on a trial copy, test-membership names the seed.

--- a/t/lib/seeds.c
+++ b/t/lib/seeds.c
@@ -1,31 +1,28 @@
 #include "t/lib/seeds.h"
 
 #include <glib.h>
+#include <stdio.h>
 #include <stdlib.h>
 
-/** Printed by the handler when an assertion ends the program. */
+/** Printed together with the text of an assertion that fails. */
 static uint64_t current_seed;
 
-static void print_seed(const char *domain, GLogLevelFlags level,
-		       const char *text, void *context)
+static void print_with_seed(const char *text)
 {
-	(void)domain;
-	(void)level;
-	(void)context;
-	g_printerr("%s\nreplay with AMV_TEST_SEED=%" G_GUINT64_FORMAT "\n",
-		   text, current_seed);
+	fprintf(stderr, "%sreplay with AMV_TEST_SEED=%" G_GUINT64_FORMAT "\n",
+		text, current_seed);
 }
 
 void seeds_run(uint64_t count, void (*schedule)(uint64_t seed))
 {
 	const char *only = g_getenv("AMV_TEST_SEED");
+	uint64_t first = only ? strtoull(only, NULL, 10) : 1;
+	uint64_t last = only ? first : count;
+	GPrintFunc previous = g_set_printerr_handler(print_with_seed);
 
-	g_log_set_default_handler(print_seed, NULL);
-	if (only) {
-		schedule(strtoull(only, NULL, 10));
-		return;
-	}
-	for (current_seed = 1; current_seed <= count; current_seed++)
+	for (current_seed = first; current_seed <= last; current_seed++)
 		schedule(current_seed);
-	g_test_message("seeds 1 to %" G_GUINT64_FORMAT, count);
+	g_set_printerr_handler(previous);
+	g_test_message("seeds %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT,
+		       first, last);
 }
