membership: do not spread members that were known from the list

Cause: an instance that starts knows the others from the platform's list, with incarnation 0. The first message that named a real incarnation counted as news, so every start queued one rumor for each member, sent 27 times each.

Change: such a member is updated and not spread; news are pushed to 1 near and 2 far members in place of 2 and 2.

--- a/process/membership.c
+++ b/process/membership.c
@@ -136,6 +136,15 @@
 	}
 	if (!overrides(news, &member->wire))
 		return;
+	/*
+	 * A member that was known from a list only is no news: others have
+	 * the list too. Spreading it cost more than all other gossip.
+	 */
+	if (!member->wire.incarnation && news->state == PEER_MEMBER_ALIVE) {
+		member->wire = *news;
+		member->state_since_ms = now_ms;
+		return;
+	}
 	member->wire = *news;
 	set_state(membership, member, news->state, now_ms);
 }
--- a/process/membership.h
+++ b/process/membership.h
@@ -36,7 +36,7 @@
 	/** Members asked to probe on one's behalf. */
 	MEMBERSHIP_INDIRECT_COUNT = 2,
 	/** Members that news are pushed to at once, near and far. */
-	MEMBERSHIP_PUSH_NEAR = 2,
+	MEMBERSHIP_PUSH_NEAR = 1,
 	MEMBERSHIP_PUSH_FAR = 2,
 	/** Most actions that one call returns. */
 	MEMBERSHIP_ACTIONS_MAX = 8,
--- a/t/test-membership.c
+++ b/t/test-membership.c
@@ -6,250 +6,19 @@
 #include "process/error.h"
 #include "process/membership.h"
 #include "process/peer_auth.h"
-#include "process/rng.h"
+#include "t/lib/fake_net.h"
 #include "t/lib/seeds.h"
 
 enum {
 	NODES = 9,
 	DOMAINS = 3,
-	TICK_MS = 100,
-	CALL_LIMIT_MS = 300,
-	MESSAGES_MAX = 4096,
 	/** Fault phase, and the time after it to agree again. */
 	FAULTS_MS = 20000,
 	QUIET_MS = 60000,
 };
 
-typedef enum message_kind {
-	MESSAGE_REQUEST,
-	MESSAGE_ANSWER,
-	MESSAGE_TIMEOUT, /**< Reported to the sender of a lost probe. */
-} message_kind_t;
-
-typedef struct message {
-	message_kind_t kind;
-	peer_kind_t request;
-	uint64_t at_ms;
-	size_t from;
-	size_t to;
-	size_t subject;	  /**< Of an indirect probe; NODES for none. */
-	size_t requester; /**< Of a probe on another's behalf, or NODES. */
-	peer_gossip_t gossip;
-	peer_rumor_t rumors[PEER_RUMORS_MAX];
-} message_t;
-
-typedef struct net {
-	membership_t nodes[NODES];
-	bool up[NODES];
-	uint64_t starts[NODES];
-	uint32_t side[NODES]; /**< Nodes on different sides are cut off. */
-	message_t messages[MESSAGES_MAX];
-	size_t count;
-	rng_t rng;
-	uint64_t now_ms;
-	uint32_t loss_percent;
-	uint64_t bytes; /**< Payload bytes of gossip, all nodes. */
-} net_t;
-
-static void start_node(net_t *net, size_t i)
-{
-	peer_member_t self = {
-		.id = i + 1,
-		.incarnation = 1000 * ++net->starts[i] + net->now_ms * 1000,
-		.domain = i % DOMAINS,
-	};
-
-	membership_init(&net->nodes[i], &self, rng_next(&net->rng),
-			net->now_ms);
-	/* The platform's list names all others, alive or not. */
-	for (size_t j = 0; j < NODES; j++) {
-		peer_member_t other = { .id = j + 1, .domain = j % DOMAINS };
-
-		membership_learn(&net->nodes[i], &other, net->now_ms);
-	}
-	net->up[i] = true;
-}
-
-static bool is_cut(const net_t *net, size_t a, size_t b)
-{
-	return net->side[a] != net->side[b];
-}
-
-/** Queues a message, which may be lost; a lost call ends with its limit. */
-static void post(net_t *net, message_t *message)
-{
-	bool lost = is_cut(net, message->from, message->to) ||
-		    rng_below(&net->rng, 100) < net->loss_percent;
-
-	g_assert_cmpuint(net->count, <, MESSAGES_MAX);
-	message->at_ms = net->now_ms + 1 + rng_below(&net->rng, 40);
-	if (lost) {
-		bool answer = message->kind == MESSAGE_ANSWER;
-		size_t caller = answer ? message->to : message->from;
-		size_t called = answer ? message->from : message->to;
-
-		message->kind = MESSAGE_TIMEOUT;
-		message->from = called;
-		message->to = caller;
-		message->at_ms = net->now_ms + CALL_LIMIT_MS;
-	}
-	net->messages[net->count++] = *message;
-}
-
-static void send_request(net_t *net, peer_kind_t request, size_t from,
-			 size_t to, size_t subject, size_t requester)
-{
-	message_t message = { .kind = MESSAGE_REQUEST,
-			      .request = request,
-			      .from = from,
-			      .to = to,
-			      .subject = subject,
-			      .requester = requester };
-
-	membership_fill(&net->nodes[from], to + 1, &message.gossip,
-			message.rumors);
-	net->bytes += 64 + 52ULL * message.gossip.rumors.rumors_len;
-	post(net, &message);
-}
-
-static void perform(net_t *net, size_t node, const membership_action_t *actions,
-		    size_t count)
-{
-	for (size_t i = 0; i < count; i++) {
-		size_t target = actions[i].target.id - 1;
-
-		switch (actions[i].kind) {
-		case MEMBERSHIP_SEND_PROBE:
-			send_request(net, PEER_PROBE, node, target, NODES,
-				     NODES);
-			break;
-		case MEMBERSHIP_SEND_PUSH:
-			send_request(net, PEER_PUSH, node, target, NODES,
-				     NODES);
-			break;
-		case MEMBERSHIP_SEND_INDIRECT:
-			send_request(net, PEER_INDIRECT, node, target,
-				     actions[i].subject.id - 1, NODES);
-			break;
-		case MEMBERSHIP_FAILED:
-			break;
-		}
-	}
-}
-
-static void receive(net_t *net, message_t *message)
-{
-	peer_rumor_t news[PEER_RUMORS_MAX];
-
-	message->gossip.rumors.rumors_val = message->rumors;
-	membership_receive(&net->nodes[message->to], &message->gossip,
-			   net->now_ms, news);
-}
-
-static void deliver_request(net_t *net, message_t *message)
-{
-	message_t answer = *message;
-
-	receive(net, message);
-	if (message->request == PEER_INDIRECT)
-		send_request(net, PEER_PROBE, message->to, message->subject,
-			     NODES, message->from);
-	if (message->request == PEER_INDIRECT_ACK)
-		membership_indirect_ack(
-			&net->nodes[message->to], message->subject + 1,
-			net->nodes[message->subject].self.incarnation,
-			net->now_ms);
-	answer.kind = MESSAGE_ANSWER;
-	answer.from = message->to;
-	answer.to = message->from;
-	membership_fill(&net->nodes[answer.from], answer.to + 1, &answer.gossip,
-			answer.rumors);
-	post(net, &answer);
-}
-
-static void deliver(net_t *net, message_t *message)
-{
-	membership_action_t actions[MEMBERSHIP_ACTIONS_MAX];
-	size_t to = message->to;
-
-	/* A process that is down does not answer: the caller's limit passes. */
-	if (!net->up[to]) {
-		if (message->kind != MESSAGE_REQUEST || !net->up[message->from])
-			return;
-		message->kind = MESSAGE_TIMEOUT;
-		message->to = message->from;
-		message->from = to;
-		message->at_ms = net->now_ms + CALL_LIMIT_MS;
-		net->messages[net->count++] = *message;
-		return;
-	}
-	switch (message->kind) {
-	case MESSAGE_REQUEST:
-		deliver_request(net, message);
-		break;
-	case MESSAGE_ANSWER:
-		receive(net, message);
-		if (message->requester != NODES)
-			send_request(net, PEER_INDIRECT_ACK, to,
-				     message->requester, message->from, NODES);
-		break;
-	case MESSAGE_TIMEOUT:
-		if (message->request == PEER_PROBE &&
-		    message->requester == NODES)
-			perform(net, to, actions,
-				membership_probe_failed(&net->nodes[to],
-							message->from + 1,
-							net->now_ms, actions));
-		break;
-	}
-}
-
-static void deliver_due(net_t *net)
-{
-	size_t i = 0;
-
-	while (i < net->count) {
-		message_t message;
-
-		if (net->messages[i].at_ms > net->now_ms) {
-			i++;
-			continue;
-		}
-		message = net->messages[i];
-		net->messages[i] = net->messages[--net->count];
-		deliver(net, &message);
-	}
-}
-
-static void run_until(net_t *net, uint64_t until_ms)
-{
-	membership_action_t actions[MEMBERSHIP_ACTIONS_MAX];
-
-	for (; net->now_ms < until_ms; net->now_ms += 10) {
-		deliver_due(net);
-		if (net->now_ms % TICK_MS)
-			continue;
-		for (size_t i = 0; i < NODES; i++) {
-			if (!net->up[i])
-				continue;
-			perform(net, i, actions,
-				membership_tick(&net->nodes[i], net->now_ms,
-						actions));
-		}
-	}
-}
-
-static net_t *new_net(uint64_t seed)
-{
-	net_t *net = g_new0(net_t, 1);
-
-	rng_init(&net->rng, seed);
-	for (size_t i = 0; i < NODES; i++)
-		start_node(net, i);
-	return net;
-}
-
-static const membership_member_t *view(const net_t *net, size_t of, size_t at)
+static const membership_member_t *view(const fake_net_t *net, size_t of,
+				       size_t at)
 {
 	for (size_t i = 0; i < net->nodes[at].count; i++) {
 		if (net->nodes[at].members[i].wire.id == of + 1)
@@ -258,7 +27,7 @@
 	return NULL;
 }
 
-static bool believed_live(const net_t *net, size_t of, size_t at)
+static bool believed_live(const fake_net_t *net, size_t of, size_t at)
 {
 	const membership_member_t *member = view(net, of, at);
 
@@ -266,7 +35,7 @@
 			  member->wire.state == PEER_MEMBER_SUSPECT);
 }
 
-static void random_fault(net_t *net)
+static void random_fault(fake_net_t *net)
 {
 	size_t node = rng_below(&net->rng, NODES);
 
@@ -275,14 +44,14 @@
 		net->up[node] = false;
 		break;
 	case 1:
-		start_node(net, node);
+		fake_net_start(net, node);
 		break;
 	case 2:
 		for (size_t i = 0; i < NODES; i++)
 			net->side[i] = (i % DOMAINS) == node % DOMAINS;
 		break;
 	default:
-		memset(net->side, 0, sizeof(net->side));
+		memset(net->side, 0, NODES * sizeof(*net->side));
 		break;
 	}
 }
@@ -290,16 +59,17 @@
 /* Kills, restarts, cuts and losses; then all must agree with the truth. */
 static void run_faults(uint64_t seed)
 {
-	net_t *net = new_net(seed);
+	fake_net_t *net = fake_net_new(NODES, DOMAINS, seed);
 
 	net->loss_percent = (uint32_t)rng_below(&net->rng, 20);
 	while (net->now_ms < FAULTS_MS) {
-		run_until(net, net->now_ms + 500 + rng_below(&net->rng, 3000));
+		fake_net_run(net,
+			     net->now_ms + 500 + rng_below(&net->rng, 3000));
 		random_fault(net);
 	}
-	memset(net->side, 0, sizeof(net->side));
+	memset(net->side, 0, NODES * sizeof(*net->side));
 	net->loss_percent = 0;
-	run_until(net, net->now_ms + QUIET_MS);
+	fake_net_run(net, net->now_ms + QUIET_MS);
 	for (size_t at = 0; at < NODES; at++) {
 		for (size_t of = 0; of < NODES; of++) {
 			if (at == of || !net->up[at])
@@ -308,7 +78,7 @@
 					net->up[of]);
 		}
 	}
-	g_free(net);
+	fake_net_free(net);
 }
 
 static void test_views_agree_after_faults(void)
@@ -319,18 +89,18 @@
 /* News of a new position must be everywhere well within the 4 s allowed. */
 static void run_spread(uint64_t seed)
 {
-	net_t *net = new_net(seed);
+	fake_net_t *net = fake_net_new(NODES, DOMAINS, seed);
 	peer_rumor_t rumor = { .kind = PEER_RUMOR_CRASH };
 
 	net->loss_percent = 5;
-	run_until(net, 3000);
+	fake_net_run(net, 3000);
 	rumor.peer_rumor_t_u.crash.fingerprint = 77;
 	rumor.peer_rumor_t_u.crash.crash = 1;
 	membership_spread(&net->nodes[0], &rumor);
-	run_until(net, net->now_ms + 3000);
+	fake_net_run(net, net->now_ms + 3000);
 	for (size_t i = 0; i < NODES; i++)
 		g_assert_false(membership_spread(&net->nodes[i], &rumor));
-	g_free(net);
+	fake_net_free(net);
 }
 
 static void test_rumor_reaches_all(void)
@@ -341,25 +111,26 @@
 /* A member that leaves on purpose must not be reported as failed. */
 static void test_leave(void)
 {
-	net_t *net = new_net(3);
+	fake_net_t *net = fake_net_new(NODES, DOMAINS, 3);
 	membership_action_t actions[MEMBERSHIP_ACTIONS_MAX];
 
-	run_until(net, 3000);
-	perform(net, 0, actions, membership_leave(&net->nodes[0], actions));
-	run_until(net, net->now_ms + 200);
+	fake_net_run(net, 3000);
+	fake_net_perform(net, 0, actions,
+			 membership_leave(&net->nodes[0], actions));
+	fake_net_run(net, net->now_ms + 200);
 	net->up[0] = false;
-	run_until(net, net->now_ms + 5000);
+	fake_net_run(net, net->now_ms + 5000);
 	for (size_t at = 1; at < NODES; at++)
 		g_assert_cmpint(view(net, 0, at)->wire.state, ==,
 				PEER_MEMBER_LEFT);
-	g_free(net);
+	fake_net_free(net);
 }
 
 static void test_home_is_the_same_everywhere(void)
 {
-	net_t *net = new_net(4);
+	fake_net_t *net = fake_net_new(NODES, DOMAINS, 4);
 
-	run_until(net, 3000);
+	fake_net_run(net, 3000);
 	for (uint64_t key = 0; key < 50; key++) {
 		uint64_t home = membership_home(&net->nodes[0], key).id;
 
@@ -368,7 +139,7 @@
 				membership_home(&net->nodes[i], key).id, ==,
 				home);
 	}
-	g_free(net);
+	fake_net_free(net);
 }
 
 /** Changes made to a sealed envelope, and how it must be received. */
