--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 exe = $(patsubst %.c,$(BUILD)/%,$(1))
 
 LIB = $(BUILD)/libamaranthvale.a
+CMDLIB = $(BUILD)/cmd/libcmd.a
 TESTLIB = $(BUILD)/t/libtest.a
 PROGS = $(patsubst cmd/%.c,$(BUILD)/%,$(PROG_SRC))
 TESTS = $(call exe,$(TEST_SRC))
@@ -67,7 +68,11 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(SANFLAGS) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
-$(PROGS): $(BUILD)/%: $(BUILD)/cmd/%.o $(call obj,$(CMD_LIB_SRC)) $(LIB)
+# An archive, so that each program takes only the parts it uses.
+$(CMDLIB): $(call obj,$(CMD_LIB_SRC))
+	$(AR) rcs $@ $^
+
+$(PROGS): $(BUILD)/%: $(BUILD)/cmd/%.o $(CMDLIB) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/t/%: $(BUILD)/t/%.o $(TESTLIB) $(LIB)
