--- /dev/null
+++ b/t/lib/clock.c
@@ -0,0 +1,45 @@
+#include "t/lib/clock.h"
+
+#include <errno.h>
+#include <time.h>
+
+uint64_t clock_now_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
+void clock_sleep_us(uint64_t duration_us)
+{
+	struct timespec rest = {
+		.tv_sec = (time_t)(duration_us / 1000000),
+		.tv_nsec = (long)(duration_us % 1000000) * 1000,
+	};
+
+	while (clock_nanosleep(CLOCK_MONOTONIC, 0, &rest, &rest) == EINTR)
+		;
+}
+
+void clock_cond_init(pthread_cond_t *cond)
+{
+	pthread_condattr_t attributes;
+
+	pthread_condattr_init(&attributes);
+	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+	pthread_cond_init(cond, &attributes);
+	pthread_condattr_destroy(&attributes);
+}
+
+void clock_cond_wait(pthread_cond_t *cond, pthread_mutex_t *lock,
+		     uint64_t timeout_ms)
+{
+	uint64_t until_ms = clock_now_ms() + timeout_ms;
+	struct timespec until = {
+		.tv_sec = (time_t)(until_ms / 1000),
+		.tv_nsec = (long)(until_ms % 1000) * 1000000,
+	};
+
+	pthread_cond_timedwait(cond, lock, &until);
+}
--- /dev/null
+++ b/t/standin-plain.c
@@ -0,0 +1,172 @@
+/*
+ * Stand-in for a plain service (section 7 of docs/design.md). Every call that
+ * is not refused counts as an execution; nothing is deduplicated.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "process/cleanup.h"
+#include "t/lib/clock.h"
+#include "t/lib/http_server.h"
+
+#define NOT_RUN "X-Not-Run: 1\r\n"
+
+enum {
+	EXIT_CRASH = 86,
+};
+
+static bool check_fencing;
+static bool service_wide;
+static http_server_t server;
+
+static struct {
+	pthread_mutex_t lock;
+	bool leaving;
+	uint64_t delay_ms;	  /**< Before the execution. */
+	uint64_t lose_answers;	  /**< Executions still to end so. */
+	uint64_t answer_delay_ms; /**< Between execution and answer. */
+	json_t *fencing;	  /**< Highest number seen, by key. */
+	json_t *totals;
+	json_t *by_key;
+	json_t *by_path;
+} service = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+/** Remembers the highest number; returns whether the given one is older. */
+static bool is_fenced(const char *key, const char *number_text)
+{
+	json_int_t number = (json_int_t)strtoull(number_text, NULL, 10);
+	json_int_t highest;
+
+	if (!check_fencing || !*number_text)
+		return false;
+	key = service_wide ? "" : key;
+	highest = json_integer_value(json_object_get(service.fencing, key));
+	if (number > highest)
+		json_object_set_new(service.fencing, key, json_integer(number));
+	return number < highest;
+}
+
+/** Status of a call; 200 if it was executed. */
+static int execute(const http_request_t *request, const char **headers,
+		   bool *answer_lost)
+{
+	const char *key = http_header(request, "Idempotency-Key", "-");
+	const char *number = http_header(request, "X-Fencing-Number", "");
+	SCOPED_LOCK(held, &service.lock);
+
+	*headers = NOT_RUN "X-Leaving: 1\r\n";
+	if (service.leaving) {
+		json_count(service.totals, "refused", 1);
+		return 503;
+	}
+	*headers = NOT_RUN;
+	if (is_fenced(key, number)) {
+		json_count(service.totals, "fenced", 1);
+		return 409;
+	}
+	*headers = "";
+	json_count(service.totals, "executed", 1);
+	json_count(service.by_key, key, 1);
+	json_count(service.by_path, request->path, 1);
+	*answer_lost = service.lose_answers > 0;
+	service.lose_answers -= *answer_lost;
+	return 200;
+}
+
+static void read_delays(uint64_t *before_ms, uint64_t *after_ms)
+{
+	SCOPED_LOCK(held, &service.lock);
+
+	*before_ms = service.delay_ms;
+	*after_ms = service.answer_delay_ms;
+}
+
+static void handle_call(http_request_t *request)
+{
+	const char *headers;
+	bool answer_lost = false;
+	uint64_t before_ms;
+	uint64_t after_ms;
+	int status;
+
+	read_delays(&before_ms, &after_ms);
+	clock_sleep_us(before_ms * 1000);
+	status = execute(request, &headers, &answer_lost);
+	clock_sleep_us(after_ms * 1000);
+	if (answer_lost)
+		http_close(request);
+	else if (status != 200)
+		http_send_error(request, status, headers, "not run");
+	else
+		http_send_json(
+			request, 200, headers,
+			json_pack("{s:s,s:s,s:s,s:s}", "method",
+				  request->method, "path", request->path, "key",
+				  http_header(request, "Idempotency-Key", "-"),
+				  "body", request->body));
+}
+
+static void handle_control(http_request_t *request)
+{
+	if (http_body_flag(request, "crash", false))
+		_exit(EXIT_CRASH);
+	pthread_mutex_lock(&service.lock);
+	service.leaving = http_body_flag(request, "leaving", service.leaving);
+	service.delay_ms =
+		http_body_number(request, "delay_ms", service.delay_ms);
+	service.answer_delay_ms = http_body_number(request, "answer_delay_ms",
+						   service.answer_delay_ms);
+	service.lose_answers =
+		http_body_number(request, "lose_answers", service.lose_answers);
+	pthread_mutex_unlock(&service.lock);
+	http_send_json(request, 200, "", json_object());
+}
+
+static void handle_executions(http_request_t *request)
+{
+	json_t *report;
+
+	pthread_mutex_lock(&service.lock);
+	report = json_deep_copy(service.totals);
+	json_object_set_new(report, "by_key", json_deep_copy(service.by_key));
+	json_object_set_new(report, "by_path", json_deep_copy(service.by_path));
+	pthread_mutex_unlock(&service.lock);
+	http_send_json(request, 200, "", report);
+}
+
+static const http_route_t routes[] = {
+	{ "POST", "/control", handle_control },
+	{ "GET", "/control/executions", handle_executions },
+	{ NULL, "*", handle_call },
+	{ 0 },
+};
+
+static const setting_t rows[] = {
+	HTTP_SERVER_SETTINGS(server, "port", "64"),
+	{ .flag = "check-fencing",
+	  .type = SETTING_SWITCH,
+	  .value = &check_fencing,
+	  .text = "refuse a call with an old fencing number for its key" },
+	{ .flag = "fencing-service-wide",
+	  .type = SETTING_SWITCH,
+	  .value = &service_wide,
+	  .text = "compare fencing numbers over all keys" },
+	{ 0 },
+};
+
+static void start(void)
+{
+	service.fencing = json_object();
+	service.totals = json_object();
+	service.by_key = json_object();
+	service.by_path = json_object();
+}
+
+static http_server_t server = { .routes = routes, .start = start };
+
+int main(int argc, char **argv)
+{
+	return http_server_main(argc, argv, rows, &server);
+}
