--- /dev/null
+++ b/t/fault-proxy.c
@@ -0,0 +1,417 @@
+/*
+ * TCP proxy on loopback with faults on demand: one listening port, one target
+ * port, and `POST /control` on a second port.
+ *
+ * A single thread moves the data in a poll loop. Each direction of a
+ * connection is a queue of chunks with the time at which they are due.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "process/cleanup.h"
+#include "t/lib/clock.h"
+#include "t/lib/http_server.h"
+
+enum {
+	CHUNK_BYTES = 16384,
+	/** A direction that holds more stops reading. */
+	QUEUE_MAX_CHUNKS = 64,
+	/** Bounds how late the loop sees a control call. */
+	POLL_MS = 5,
+	CONNECTIONS_MAX = 1024,
+};
+
+typedef struct chunk {
+	uint64_t due_ms;
+	size_t len;
+	size_t sent;
+	char data[CHUNK_BYTES];
+} chunk_t;
+
+/** One direction of a connection. */
+typedef struct pipe {
+	int from;
+	int to;
+	bool ended;  /**< `from` will send nothing more. */
+	bool closed; /**< The end was passed on to `to`. */
+	bool is_answer;
+	GQueue chunks;
+	uint64_t moved_bytes;
+} pipe_t;
+
+typedef struct connection {
+	int client;
+	int target; /**< -1 if the proxy swallows everything. */
+	pipe_t request;
+	pipe_t answer;
+	bool broken;
+} connection_t;
+
+static uint32_t listen_port;
+static uint32_t target_port;
+static http_server_t server;
+
+static struct {
+	pthread_mutex_t lock;
+	pthread_t thread;
+	bool stopping;
+	int listener; /**< -1 while connections are refused. */
+	uint64_t delay_ms;
+	bool refuse;
+	bool blackhole;
+	bool limits_answers;
+	uint64_t answer_limit_bytes;
+	uint64_t accepted;
+	GPtrArray *connections;
+} proxy = { .lock = PTHREAD_MUTEX_INITIALIZER, .listener = -1 };
+
+static struct sockaddr_in loopback(uint32_t port)
+{
+	return (struct sockaddr_in){
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+}
+
+/** Listens; a port of 0 is replaced by the one that was picked. */
+static void open_listener(void)
+{
+	struct sockaddr_in address = loopback(listen_port);
+	socklen_t len = sizeof(address);
+	int on = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&address, len) != 0 ||
+	    listen(fd, SOMAXCONN) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &len) != 0)
+		g_error("cannot listen on port %u: %s", listen_port,
+			g_strerror(errno));
+	listen_port = ntohs(address.sin_port);
+	proxy.listener = fd;
+}
+
+static void close_listener(void)
+{
+	if (proxy.listener < 0)
+		return;
+	/* close() alone leaves the port open while the loop polls it. */
+	shutdown(proxy.listener, SHUT_RDWR);
+	close(proxy.listener);
+	proxy.listener = -1;
+}
+
+static int connect_target(void)
+{
+	struct sockaddr_in address = loopback(target_port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	/* On loopback a connection is made or refused at once. */
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+		close(fd);
+		return -1;
+	}
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	return fd;
+}
+
+/** Closes at once; the peer gets a reset if `abort_it` is set. */
+static void close_socket(int fd, bool abort_it)
+{
+	struct linger linger = { .l_onoff = abort_it };
+
+	if (fd < 0)
+		return;
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+}
+
+static void free_connection(void *data)
+{
+	connection_t *connection = data;
+
+	close_socket(connection->client, connection->broken);
+	close_socket(connection->target, connection->broken);
+	g_queue_clear_full(&connection->request.chunks, g_free);
+	g_queue_clear_full(&connection->answer.chunks, g_free);
+	g_free(connection);
+}
+
+static void accept_connection(void)
+{
+	int client = accept4(proxy.listener, NULL, NULL,
+			     SOCK_CLOEXEC | SOCK_NONBLOCK);
+	connection_t *connection;
+	int target;
+
+	if (client < 0)
+		return;
+	target = proxy.blackhole ? -1 : connect_target();
+	if (target < 0 && !proxy.blackhole) {
+		close_socket(client, true);
+		return;
+	}
+	proxy.accepted++;
+	connection = g_new0(connection_t, 1);
+	connection->client = client;
+	connection->target = target;
+	connection->request = (pipe_t){ .from = client, .to = target };
+	connection->answer =
+		(pipe_t){ .from = target, .to = client, .is_answer = true };
+	g_ptr_array_add(proxy.connections, connection);
+}
+
+/** Reads one chunk; returns false if the connection is broken. */
+static bool read_chunk(pipe_t *pipe)
+{
+	chunk_t *chunk = g_new(chunk_t, 1);
+	ssize_t got = read(pipe->from, chunk->data, CHUNK_BYTES);
+
+	if (got <= 0) {
+		g_free(chunk);
+		pipe->ended = got == 0;
+		return got == 0 || errno == EAGAIN;
+	}
+	chunk->due_ms = clock_now_ms() + proxy.delay_ms;
+	chunk->len = (size_t)got;
+	chunk->sent = 0;
+	g_queue_push_tail(&pipe->chunks, chunk);
+	return true;
+}
+
+/** Bytes of a chunk that may still be passed on; the rest is dropped. */
+static size_t allowed_bytes(const pipe_t *pipe, size_t wanted)
+{
+	if (!pipe->is_answer || !proxy.limits_answers)
+		return wanted;
+	if (pipe->moved_bytes >= proxy.answer_limit_bytes)
+		return 0;
+	return MIN(wanted, proxy.answer_limit_bytes - pipe->moved_bytes);
+}
+
+/** Passes on what is due; returns false if the connection is broken. */
+static bool write_chunks(pipe_t *pipe, uint64_t now_ms)
+{
+	chunk_t *chunk;
+
+	while ((chunk = g_queue_peek_head(&pipe->chunks)) &&
+	       chunk->due_ms <= now_ms) {
+		size_t left = chunk->len - chunk->sent;
+		size_t allowed = allowed_bytes(pipe, left);
+		ssize_t put = 0;
+
+		if (allowed)
+			put = send(pipe->to, chunk->data + chunk->sent, allowed,
+				   MSG_NOSIGNAL);
+		if (put < 0)
+			return errno == EAGAIN;
+		pipe->moved_bytes += (uint64_t)put;
+		chunk->sent += (size_t)put;
+		if (chunk->sent < chunk->len && allowed == left)
+			return true;
+		if (chunk->sent < chunk->len && put)
+			continue;
+		g_free(g_queue_pop_head(&pipe->chunks));
+	}
+	if (pipe->ended && !chunk && !pipe->closed) {
+		shutdown(pipe->to, SHUT_WR);
+		pipe->closed = true;
+	}
+	return true;
+}
+
+static bool wants_data(const pipe_t *pipe)
+{
+	return pipe->from >= 0 && !pipe->ended &&
+	       pipe->chunks.length < QUEUE_MAX_CHUNKS;
+}
+
+static void add_poll(GArray *fds, const pipe_t *pipe)
+{
+	struct pollfd entry = { .fd = wants_data(pipe) ? pipe->from : -1,
+				.events = POLLIN };
+
+	g_array_append_val(fds, entry);
+}
+
+/** Waits for input; the lock is released meanwhile. */
+static void wait_for_input(GArray *fds)
+{
+	struct pollfd listener = { .fd = proxy.listener, .events = POLLIN };
+
+	g_array_set_size(fds, 0);
+	if (proxy.connections->len >= CONNECTIONS_MAX)
+		listener.fd = -1;
+	g_array_append_val(fds, listener);
+	for (guint i = 0; !proxy.blackhole && i < proxy.connections->len; i++) {
+		connection_t *connection =
+			g_ptr_array_index(proxy.connections, i);
+
+		add_poll(fds, &connection->request);
+		add_poll(fds, &connection->answer);
+	}
+	pthread_mutex_unlock(&proxy.lock);
+	poll((struct pollfd *)(void *)fds->data, fds->len, POLL_MS);
+	pthread_mutex_lock(&proxy.lock);
+}
+
+/** Moves data in one direction; returns false if the connection is broken. */
+static bool move(pipe_t *pipe, const struct pollfd *ready, uint64_t now_ms)
+{
+	if (pipe->from < 0 || pipe->to < 0)
+		return true;
+	if (ready->revents && !read_chunk(pipe))
+		return false;
+	return write_chunks(pipe, now_ms);
+}
+
+static void move_all(const GArray *fds)
+{
+	uint64_t now_ms = clock_now_ms();
+
+	/* Backwards, as finished connections are removed. */
+	for (guint i = (fds->len - 1) / 2; i > 0; i--) {
+		connection_t *connection =
+			g_ptr_array_index(proxy.connections, i - 1);
+		const struct pollfd *ready =
+			&g_array_index(fds, struct pollfd, 2 * i - 1);
+
+		if (!move(&connection->request, &ready[0], now_ms) ||
+		    !move(&connection->answer, &ready[1], now_ms))
+			connection->broken = true;
+		if (connection->broken ||
+		    (connection->request.closed && connection->answer.closed))
+			g_ptr_array_remove_index(proxy.connections, i - 1);
+	}
+}
+
+static void *run(void *unused)
+{
+	g_autoptr(GArray) fds =
+		g_array_new(FALSE, FALSE, sizeof(struct pollfd));
+	SCOPED_LOCK(held, &proxy.lock);
+
+	(void)unused;
+	while (!proxy.stopping) {
+		wait_for_input(fds);
+		/* A control call may have changed the connections. */
+		if (fds->len == 1 + 2 * proxy.connections->len &&
+		    !proxy.blackhole)
+			move_all(fds);
+		if (proxy.listener >= 0 &&
+		    g_array_index(fds, struct pollfd, 0).revents)
+			accept_connection();
+	}
+	return NULL;
+}
+
+static void cut_all(void)
+{
+	for (guint i = 0; i < proxy.connections->len; i++) {
+		connection_t *connection =
+			g_ptr_array_index(proxy.connections, i);
+
+		connection->broken = true;
+	}
+	g_ptr_array_set_size(proxy.connections, 0);
+}
+
+static void apply_control(const http_request_t *request)
+{
+	json_t *limit = json_object_get(request->json, "answer_limit_bytes");
+	SCOPED_LOCK(held, &proxy.lock);
+
+	proxy.delay_ms = http_body_number(request, "delay_ms", proxy.delay_ms);
+	proxy.blackhole = http_body_flag(request, "blackhole", proxy.blackhole);
+	proxy.refuse = http_body_flag(request, "refuse", proxy.refuse);
+	if (limit) {
+		proxy.limits_answers = json_is_integer(limit);
+		proxy.answer_limit_bytes = (uint64_t)json_integer_value(limit);
+	}
+	if (proxy.refuse)
+		close_listener();
+	else if (proxy.listener < 0)
+		open_listener();
+	if (http_body_flag(request, "cut", false))
+		cut_all();
+}
+
+static void handle_control(http_request_t *request)
+{
+	apply_control(request);
+	http_send_json(request, 200, "", json_object());
+}
+
+static void handle_stats(http_request_t *request)
+{
+	json_t *stats;
+
+	pthread_mutex_lock(&proxy.lock);
+	stats = json_pack("{s:I,s:i}", "accepted", (json_int_t)proxy.accepted,
+			  "open", (int)proxy.connections->len);
+	pthread_mutex_unlock(&proxy.lock);
+	http_send_json(request, 200, "", stats);
+}
+
+static const http_route_t routes[] = {
+	{ "POST", "/control", handle_control },
+	{ "GET", "/control/stats", handle_stats },
+	{ 0 },
+};
+
+static const setting_t rows[] = {
+	HTTP_SERVER_SETTINGS(server, "control-port", "8"),
+	{ .flag = "port",
+	  .type = SETTING_NUMBER,
+	  .value = &listen_port,
+	  .text = "loopback port to listen on; 0 picks a free one",
+	  .fallback = "0",
+	  .max = 65535 },
+	{ .flag = "target-port",
+	  .type = SETTING_NUMBER,
+	  .value = &target_port,
+	  .text = "loopback port to forward to",
+	  .min = 1,
+	  .max = 65535,
+	  .required = true },
+	{ 0 },
+};
+
+static void start(void)
+{
+	proxy.connections = g_ptr_array_new_with_free_func(free_connection);
+	open_listener();
+	printf("port=%u\n", listen_port);
+	if (pthread_create(&proxy.thread, NULL, run, NULL) != 0)
+		g_error("cannot start the proxy thread");
+}
+
+static void stop(void)
+{
+	pthread_mutex_lock(&proxy.lock);
+	proxy.stopping = true;
+	pthread_mutex_unlock(&proxy.lock);
+	pthread_join(proxy.thread, NULL);
+	close_listener();
+	g_ptr_array_set_size(proxy.connections, 0);
+}
+
+static http_server_t server = {
+	.routes = routes,
+	.start = start,
+	.stop = stop,
+	.port_label = "control",
+};
+
+int main(int argc, char **argv)
+{
+	return http_server_main(argc, argv, rows, &server);
+}
--- a/t/lib/http_server.c
+++ b/t/lib/http_server.c
@@ -1,17 +1,21 @@
 #include "t/lib/http_server.h"
 
+#include <arpa/inet.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "process/cleanup.h"
+#include "t/lib/clock.h"
 
 enum {
 	BODY_MAX_BYTES = 16 << 20,
 	READ_BYTES = 1 << 14,
 	EXIT_SETTINGS = 2,
+	STOP_POLL_US = 5000,
 };
 
 static bool route_matches(const http_route_t *route, const char *method,
@@ -99,6 +103,38 @@
 	return context;
 }
 
+static void *stop_civetweb(void *context)
+{
+	mg_stop(context);
+	return NULL;
+}
+
+/**
+ * Stops the server at once. CivetWeb's accept thread sees the stop only when
+ * its 2 s poll ends, so connections are made until it does.
+ */
+static void stop_server(struct mg_context *context, int port)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	pthread_t stopper;
+
+	if (pthread_create(&stopper, NULL, stop_civetweb, context) != 0) {
+		mg_stop(context);
+		return;
+	}
+	while (pthread_tryjoin_np(stopper, NULL) != 0) {
+		CLEANUP_FD int fd =
+			socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+		(void)connect(fd, (struct sockaddr *)&address, sizeof(address));
+		clock_sleep_us(STOP_POLL_US);
+	}
+}
+
 static int serve(http_server_t *server, const sigset_t *signals)
 {
 	struct mg_server_port bound = { 0 };
@@ -118,7 +154,7 @@
 	sigwait(signals, &received);
 	if (server->stop)
 		server->stop();
-	mg_stop(context);
+	stop_server(context, bound.port);
 	return EXIT_SUCCESS;
 }
 
--- a/t/standin-store.c
+++ b/t/standin-store.c
@@ -61,7 +61,8 @@
 	GTree *objects;
 	uint64_t revision;
 	GQueue history; /**< `change_t *`, oldest first. */
-	json_t *calls;
+	json_t *calls;	/**< By method and first segment of the key. */
+	json_t *totals;
 	bucket_t reads;
 	bucket_t writes;
 	uint64_t down_until_ms;
@@ -87,15 +88,20 @@
 	return true;
 }
 
-/** Counts a call as "METHOD first-segment/". */
+/** Counts a call by method and by the first segment of its key. */
 static void count_call(const char *method, const char *key)
 {
 	const char *slash = strchr(key, '/');
-	int len = slash ? (int)(slash - key) + 1 : (int)strlen(key);
-	char name[KEY_MAX_BYTES];
-
-	snprintf(name, sizeof(name), "%s %.*s", method, len, key);
-	json_count(store.calls, name, 1);
+	g_autofree char *prefix =
+		slash ? g_strndup(key, (gsize)(slash - key) + 1)
+		      : g_strdup(key);
+	json_t *counters = json_object_get(store.calls, method);
+
+	if (!counters) {
+		counters = json_object();
+		json_object_set_new(store.calls, method, counters);
+	}
+	json_count(counters, prefix, 1);
 }
 
 static bool is_down(void)
@@ -117,7 +123,7 @@
 	down = is_down();
 	allowed = down || take_token(bucket, clock_now_ms());
 	if (!allowed)
-		json_count(store.calls, "rate_limited", 1);
+		json_count(store.totals, "rate_limited", 1);
 	pthread_mutex_unlock(&store.lock);
 	clock_sleep_us(delay_ms * 1000);
 	if (down)
@@ -227,7 +233,7 @@
 	    !g_str_has_prefix(key, store.drop_prefix))
 		return false;
 	store.drop_write_answers--;
-	json_count(store.calls, "answers_dropped", 1);
+	json_count(store.totals, "answers_dropped", 1);
 	return true;
 }
 
@@ -465,8 +471,8 @@
 	json_t *stats;
 
 	pthread_mutex_lock(&store.lock);
-	stats = json_pack("{s:o,s:I}", "calls", json_deep_copy(store.calls),
-			  "revision", (json_int_t)store.revision);
+	stats = json_deep_copy(store.totals);
+	json_object_set_new(stats, "calls", json_deep_copy(store.calls));
 	pthread_mutex_unlock(&store.lock);
 	http_send_json(request, 200, "", stats);
 }
@@ -517,6 +523,7 @@
 	clock_cond_init(&store.changed);
 	store.objects = g_tree_new((GCompareFunc)strcmp);
 	store.calls = json_object();
+	store.totals = json_object();
 	store.writes.tokens = store.writes.per_s;
 	store.reads.tokens = store.reads.per_s;
 	store.writes.at_ms = store.reads.at_ms = clock_now_ms();
--- /dev/null
+++ b/t/test-it-standins.c
@@ -0,0 +1,692 @@
+/* The stand-ins behave as sections 6 to 8 of docs/design.md say. */
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "process/cleanup.h"
+#include "process/hash.h"
+#include "t/lib/generate.h"
+#include "t/lib/harness.h"
+
+enum {
+	EXIT_CRASH = 86,
+	BLOCK_TOKENS = 10,
+};
+
+/** Request body with a prompt of some blocks and an answer of 6 tokens. */
+#define CHAT_BODY                                                         \
+	"{\"model\":\"m1\",\"stream\":true,\"max_tokens\":6,"             \
+	"\"messages\":[{\"role\":\"system\",\"content\":\"manual manual " \
+	"manual manual manual manual manual manual manual\"},"            \
+	"{\"role\":\"user\",\"content\":\"pump 7\"}]}"
+#define MARKED_BODY                                                      \
+	"{\"model\":\"m1\",\"stream\":true,\"max_tokens\":6,\"prompt\":" \
+	"\"please CRASH now\"}"
+#define LONG_BODY                                                            \
+	"{\"model\":\"m1\",\"stream\":true,\"max_tokens\":400,\"prompt\":\"" \
+	"long\"}"
+
+static http_stream_t *open_path(uint16_t port, const char *method,
+				const char *path, const char *const *headers,
+				const char *body)
+{
+	g_autofree char *url =
+		g_strdup_printf("http://127.0.0.1:%u%s", port, path);
+
+	return http_stream_open(method, url, headers, body);
+}
+
+static http_stream_t *open_chat(uint16_t port, const char *body,
+				const char *attempt, const char *extra)
+{
+	g_autofree char *attempt_header =
+		g_strconcat("X-Attempt: ", attempt, NULL);
+	const char *headers[] = { attempt_header, extra, NULL };
+
+	return open_path(port, "POST", "/v1/chat/completions", headers, body);
+}
+
+static long call_status(const char *method, uint16_t port, const char *path,
+			const char *header, const char *body)
+{
+	const char *headers[] = { header, NULL };
+	g_autoptr(http_answer_t) answer =
+		http_local(method, port, path, headers, body);
+
+	return answer->curl_result ? -answer->curl_result : answer->status;
+}
+
+/* A caller must be able to compute the exact answer it has to receive. */
+static void test_engine_answer(void)
+{
+	g_autoptr(program_t) engine =
+		standin_start("standin-engine", "--token-ms=2", NULL);
+	g_autoptr(http_stream_t) stream =
+		open_chat(program_main_port(engine), CHAT_BODY, "r1.1", NULL);
+	const http_answer_t *answer = http_stream_wait(stream);
+	g_autofree char *echo = http_answer_header(answer, "X-Attempt");
+	g_autofree char *text = http_stream_text(stream);
+	g_autofree char *expected = generate_answer(CHAT_BODY);
+
+	g_assert_cmpint(answer->status, ==, 200);
+	g_assert_cmpstr(echo, ==, "r1.1");
+	g_assert_cmpstr(text, ==, expected);
+	g_assert_true(http_stream_is_done(stream));
+	/* One prefill event, 6 tokens, the end and [DONE]. */
+	g_assert_cmpuint(http_stream_count(stream), ==, 9);
+	g_assert_cmpstr(http_stream_event(stream, 6)->id, ==, "5");
+	g_assert_cmpint(http_local_number(program_main_port(engine),
+					  "/control/stats", "attempts r1.1"),
+			==, 1);
+	g_assert_cmpint(program_stop(engine), ==, 0);
+}
+
+static int64_t cached_tokens(http_stream_t *stream)
+{
+	CLEANUP_JSON json_t *prefill = NULL;
+
+	http_stream_wait(stream);
+	prefill = json_loads(http_stream_event(stream, 0)->data, 0, NULL);
+	return json_integer_value(json_object_get(prefill, "cached_tokens"));
+}
+
+/* A customer must never profit from another customer's cache entries. */
+static void test_engine_cache(void)
+{
+	static const struct {
+		const char *salt;
+		int64_t cached;
+	} cases[] = {
+		{ "X-Cache-Salt: a", 0 },
+		{ "X-Cache-Salt: a", 2 * BLOCK_TOKENS },
+		{ "X-Cache-Salt: b", 0 },
+		{ "X-Cache-Salt: a", 2 * BLOCK_TOKENS },
+	};
+	g_autoptr(program_t) engine =
+		standin_start("standin-engine", "--token-ms=2",
+			      "--block-tokens=10", "--event-delay-ms=0", NULL);
+	uint16_t port = program_main_port(engine);
+	uint64_t key = hash_chain_start("a", "m1", "", "1");
+	CLEANUP_JSON json_t *body = json_loads(CHAT_BODY, 0, NULL);
+	g_autofree char *prompt = generate_render(body);
+	g_autoptr(http_answer_t) events = NULL;
+	char hex[HASH_KEY_HEX_BYTES];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(http_stream_t) stream =
+			open_chat(port, CHAT_BODY, "r.1", cases[i].salt);
+
+		g_assert_cmpint(cached_tokens(stream), ==, cases[i].cached);
+	}
+	events = http_local("GET", port, "/engine/events?since=0&max=9", NULL,
+			    NULL);
+	hash_key_to_hex(
+		hash_chain(key, prompt, BLOCK_TOKENS * GENERATE_TOKEN_BYTES),
+		hex);
+	g_assert_nonnull(strstr(events->body, hex));
+}
+
+static bool has_events(uint16_t port, size_t count)
+{
+	g_autoptr(http_answer_t) events =
+		http_local("GET", port, "/engine/events?since=0", NULL, NULL);
+
+	return json_array_size(json_object_get(events->json, "events")) ==
+	       count;
+}
+
+/* A reader must be able to see a gap by the sequence numbers. */
+static void test_engine_event_gap(void)
+{
+	g_autoptr(program_t) engine = standin_start(
+		"standin-engine", "--token-ms=2", "--block-tokens=10",
+		"--event-delay-ms=300", NULL);
+	uint16_t port = program_main_port(engine);
+	g_autoptr(http_stream_t) stream = NULL;
+	g_autoptr(http_answer_t) events = NULL;
+	json_int_t seq = 0;
+
+	standin_control(port, "{\"drop_events\":1}");
+	stream = open_chat(port, CHAT_BODY, "r.1", NULL);
+	http_stream_wait(stream);
+	g_assert_true(has_events(port, 0));
+	g_assert_true(WAIT_UNTIL(has_events(port, 1), HARNESS_WAIT_MS));
+	events = http_local("GET", port, "/engine/events?since=0", NULL, NULL);
+	g_assert_cmpint(
+		json_unpack(events->json, "{s:[{s:I}]}", "events", "seq", &seq),
+		==, 0);
+	g_assert_cmpint(seq, ==, 2);
+}
+
+/* A resumed stream must continue without a gap and only from true tokens. */
+static void test_engine_resume(void)
+{
+	static const struct {
+		uint32_t from;
+		bool true_text;
+		long status;
+	} cases[] = {
+		{ 0, true, 200 },
+		{ 4, true, 200 },
+		{ 4, false, 400 },
+		{ 7, true, 400 },
+	};
+	g_autoptr(program_t) engine =
+		standin_start("standin-engine", "--token-ms=2", NULL);
+	g_autofree char *whole = generate_answer(CHAT_BODY);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		CLEANUP_JSON json_t *body = json_loads(CHAT_BODY, 0, NULL);
+		g_autofree char *prompt = generate_render(body);
+		g_autofree char *before = generate_text(prompt, cases[i].from);
+		g_autofree char *header =
+			g_strdup_printf("X-Resume-From: %u", cases[i].from);
+		CLEANUP_FREE char *text = NULL;
+		g_autoptr(http_stream_t) stream = NULL;
+		g_autofree char *rest = NULL;
+
+		json_object_set_new(
+			body, "resume_text",
+			json_string(cases[i].true_text ? before : "other"));
+		text = json_dumps(body, 0);
+		stream = open_chat(program_main_port(engine), text, "r.2",
+				   header);
+		g_assert_cmpint(http_stream_wait(stream)->status, ==,
+				cases[i].status);
+		if (cases[i].status != 200)
+			continue;
+		rest = http_stream_text(stream);
+		g_assert_cmpstr(rest, ==, whole + strlen(before));
+	}
+}
+
+/* A stream whose connection is lost can be followed again from any token. */
+static void test_engine_replay(void)
+{
+	g_autoptr(program_t) engine =
+		standin_start("standin-engine", "--token-ms=2", NULL);
+	uint16_t port = program_main_port(engine);
+	g_autoptr(http_stream_t) first = NULL;
+	g_autoptr(http_stream_t) second = NULL;
+	g_autofree char *start = NULL;
+	g_autofree char *rest = NULL;
+	g_autofree char *both = NULL;
+	g_autofree char *whole = generate_answer(CHAT_BODY);
+
+	standin_control(port, "{\"close_streams\":1,\"close_after_tokens\":2}");
+	first = open_chat(port, CHAT_BODY, "r.1", NULL);
+	g_assert_cmpint(http_stream_wait(first)->curl_result, !=, 0);
+	g_assert_false(http_stream_is_done(first));
+	second = open_path(port, "GET", "/engine/stream?id=s1&from=2", NULL,
+			   NULL);
+	http_stream_wait(second);
+	start = http_stream_text(first);
+	rest = http_stream_text(second);
+	both = g_strconcat(start, rest, NULL);
+	g_assert_cmpstr(both, ==, whole);
+	g_assert_true(http_stream_is_done(second));
+	g_assert_cmpint(call_status("GET", port, "/engine/stream?id=s9&from=0",
+				    NULL, NULL),
+			==, 404);
+}
+
+/* The crash must come at the chosen token and look like a lost engine. */
+static void test_engine_crash_marker(void)
+{
+	static const char *const flags[] = { "--crash-after-tokens=0",
+					     "--crash-after-tokens=2" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(flags); i++) {
+		g_autoptr(program_t) engine =
+			standin_start("standin-engine", "--token-ms=2",
+				      "--crash-marker=CRASH", flags[i], NULL);
+		g_autoptr(http_stream_t) good = open_chat(
+			program_main_port(engine), CHAT_BODY, "r.1", NULL);
+		g_autoptr(http_stream_t) bad = NULL;
+		g_autofree char *text = NULL;
+
+		http_stream_wait(good);
+		g_assert_true(http_stream_is_done(good));
+		bad = open_chat(program_main_port(engine), MARKED_BODY, "r.2",
+				NULL);
+		g_assert_cmpint(http_stream_wait(bad)->curl_result, !=, 0);
+		text = http_stream_text(bad);
+		g_assert_cmpuint(strlen(text), ==,
+				 2 * i * GENERATE_TOKEN_BYTES);
+		g_assert_cmpint(program_wait(engine, HARNESS_WAIT_MS), ==,
+				EXIT_CRASH);
+	}
+}
+
+static bool engine_shows(uint16_t port, const char *member, int64_t value)
+{
+	return http_local_number(port, "/engine/load", member) == value;
+}
+
+static uint64_t first_token_ms(http_stream_t *stream)
+{
+	http_stream_wait(stream);
+	return http_stream_event(stream, 1)->at_ms;
+}
+
+/* An urgent request must not wait behind less urgent ones. */
+static void test_engine_priority(void)
+{
+	g_autoptr(program_t) engine =
+		standin_start("standin-engine", "--token-ms=10",
+			      "--streams-max=1", "--load-lag-ms=0", NULL);
+	uint16_t port = program_main_port(engine);
+	g_autoptr(http_stream_t) running =
+		open_chat(port, LONG_BODY, "r.1", "X-Priority: 9");
+	g_autoptr(http_stream_t) later = NULL;
+	g_autoptr(http_stream_t) urgent = NULL;
+
+	g_assert_true(
+		WAIT_UNTIL(http_stream_count(running) > 1, HARNESS_WAIT_MS));
+	later = open_chat(port, CHAT_BODY, "r.2", "X-Priority: 9");
+	g_assert_true(
+		WAIT_UNTIL(engine_shows(port, "queued", 1), HARNESS_WAIT_MS));
+	urgent = open_chat(port, CHAT_BODY, "r.3", "X-Priority: 0");
+	g_assert_true(
+		WAIT_UNTIL(engine_shows(port, "queued", 2), HARNESS_WAIT_MS));
+	g_assert_cmpint(call_status("POST", port, "/engine/cancel", NULL,
+				    "{\"stream_id\":\"s1\"}"),
+			==, 200);
+	g_assert_cmpuint(first_token_ms(urgent), <, first_token_ms(later));
+	http_stream_wait(running);
+	g_assert_false(http_stream_is_done(running));
+	g_assert_cmpint(http_local_number(port, "/control/stats", "cancelled"),
+			==, 1);
+}
+
+/* Work left behind by a lost caller must end and free its place. */
+static void test_engine_lost_caller(void)
+{
+	g_autoptr(program_t) engine =
+		standin_start("standin-engine", "--token-ms=10",
+			      "--hold-ms=100", "--load-lag-ms=200", NULL);
+	uint16_t port = program_main_port(engine);
+	g_autoptr(http_stream_t) stream =
+		open_chat(port, LONG_BODY, "r.1", NULL);
+
+	g_assert_true(
+		WAIT_UNTIL(engine_shows(port, "running", 1), HARNESS_WAIT_MS));
+	g_assert_cmpint(http_local_number(port, "/engine/load", "age_ms"), >=,
+			100);
+	http_stream_cancel(stream);
+	g_assert_true(
+		WAIT_UNTIL(engine_shows(port, "running", 0), HARNESS_WAIT_MS));
+	g_assert_cmpint(http_local_number(port, "/control/stats", "expired"),
+			==, 1);
+}
+
+static void test_engine_faults(void)
+{
+	g_autoptr(program_t) engine =
+		standin_start("standin-engine", "--token-ms=2", NULL);
+	uint16_t port = program_main_port(engine);
+	g_autoptr(http_stream_t) wrong = NULL;
+	g_autoptr(http_stream_t) refused = NULL;
+	g_autoptr(http_stream_t) stalled = NULL;
+	g_autofree char *echo = NULL;
+	g_autofree char *leaving = NULL;
+	uint64_t begin_ms = clock_now_ms();
+
+	standin_control(port, "{\"wrong_attempts\":1}");
+	wrong = open_chat(port, CHAT_BODY, "r.1", NULL);
+	echo = http_answer_header(http_stream_wait(wrong), "X-Attempt");
+	g_assert_cmpstr(echo, !=, "r.1");
+	standin_control(port, "{\"stall_ms\":400}");
+	stalled = open_chat(port, CHAT_BODY, "r.2", NULL);
+	g_assert_cmpuint(first_token_ms(stalled), >=, begin_ms + 400);
+	standin_control(port, "{\"leaving\":true}");
+	refused = open_chat(port, CHAT_BODY, "r.3", NULL);
+	g_assert_cmpint(http_stream_wait(refused)->status, ==, 503);
+	leaving = http_answer_header(http_stream_wait(refused), "X-Leaving");
+	g_assert_cmpstr(leaving, ==, "1");
+	g_assert_cmpint(
+		http_local_number(port, "/control/stats", "requests_run"), ==,
+		2);
+}
+
+/* One engine refuses an old fencing number, another one ignores it. */
+static void test_engine_orders(void)
+{
+	static const struct {
+		const char *flag;
+		long old_status;
+	} cases[] = { { "--check-fencing", 409 }, { NULL, 200 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(program_t) engine = standin_start(
+			"standin-engine", "--load-ms=50", cases[i].flag, NULL);
+		uint16_t port = program_main_port(engine);
+
+		g_assert_cmpint(call_status("POST", port, "/engine/order", NULL,
+					    "{\"order_id\":\"a\",\"kind\":"
+					    "\"load_model\",\"version\":\"2\","
+					    "\"fencing\":5}"),
+				==, 200);
+		g_assert_cmpint(
+			http_local_number(port, "/engine/state", "fencing"), ==,
+			5);
+		g_assert_cmpint(call_status("POST", port, "/engine/order", NULL,
+					    "{\"order_id\":\"b\",\"kind\":"
+					    "\"set_role\",\"role\":\"x\","
+					    "\"fencing\":4}"),
+				==, cases[i].old_status);
+	}
+}
+
+/* Loads at the same time must slow each other down. */
+static void test_weight_store_limit(void)
+{
+	static const char order[] =
+		"{\"order_id\":\"a\",\"kind\":\"load_model\","
+		"\"version\":\"2\",\"fencing\":1}";
+	g_autoptr(program_t) weights =
+		standin_start("standin-weights", "--transfers-max=1", NULL);
+	uint16_t weights_port = program_main_port(weights);
+	g_autofree char *flag = g_strdup_printf(
+		"--weights-url=http://127.0.0.1:%u", weights_port);
+	g_autoptr(program_t) a =
+		standin_start("standin-engine", "--load-ms=200", flag, NULL);
+	g_autoptr(program_t) b =
+		standin_start("standin-engine", "--load-ms=200", flag, NULL);
+	uint64_t begin_ms = clock_now_ms();
+	g_autoptr(http_stream_t) first = open_path(
+		program_main_port(a), "POST", "/engine/order", NULL, order);
+	g_autoptr(http_stream_t) second = open_path(
+		program_main_port(b), "POST", "/engine/order", NULL, order);
+
+	g_assert_cmpint(http_stream_wait(first)->status, ==, 200);
+	g_assert_cmpint(http_stream_wait(second)->status, ==, 200);
+	g_assert_cmpuint(clock_now_ms() - begin_ms, >=, 400);
+	g_assert_cmpint(http_local_number(weights_port, "/control/stats",
+					  "running_max"),
+			==, 1);
+	g_assert_cmpint(
+		http_local_number(weights_port, "/control/stats", "open_max"),
+		==, 2);
+}
+
+/* Blocks moved over the KV store must count as cached on the other engine. */
+static void test_kv_transfer(void)
+{
+	g_autoptr(program_t) kv =
+		standin_start("standin-weights", "--role=kv", NULL);
+	g_autofree char *flag = g_strdup_printf("--kv-url=http://127.0.0.1:%u",
+						program_main_port(kv));
+	g_autoptr(program_t) a = standin_start(
+		"standin-engine", "--token-ms=2", "--block-tokens=10",
+		"--event-delay-ms=0", flag, NULL);
+	g_autoptr(program_t) b = standin_start("standin-engine", "--token-ms=2",
+					       "--block-tokens=10", flag, NULL);
+	g_autoptr(http_stream_t) first =
+		open_chat(program_main_port(a), CHAT_BODY, "r.1", NULL);
+	g_autoptr(http_stream_t) second = NULL;
+	g_autoptr(http_answer_t) events = NULL;
+	const char *keys[2];
+	g_autofree char *body = NULL;
+
+	g_assert_cmpint(cached_tokens(first), ==, 0);
+	events = http_local("GET", program_main_port(a),
+			    "/engine/events?since=0", NULL, NULL);
+	g_assert_cmpint(json_unpack(events->json, "{s:[{s:s},{s:s}]}", "events",
+				    "key", &keys[0], "key", &keys[1]),
+			==, 0);
+	body = g_strdup_printf("{\"keys\":[\"%s\",\"%s\"]}", keys[0], keys[1]);
+	g_assert_cmpint(call_status("POST", program_main_port(a),
+				    "/engine/kv/export", NULL, body),
+			==, 200);
+	g_assert_cmpint(call_status("POST", program_main_port(b),
+				    "/engine/kv/import", NULL, body),
+			==, 200);
+	second = open_chat(program_main_port(b), CHAT_BODY, "r.1", NULL);
+	g_assert_cmpint(cached_tokens(second), ==, 2 * BLOCK_TOKENS);
+}
+
+/* Only a write whose condition holds may take effect. */
+static void test_store_conditions(void)
+{
+	static const struct {
+		const char *method;
+		const char *condition;
+		const char *body;
+		long status;
+	} cases[] = {
+		{ "GET", NULL, NULL, 404 },
+		{ "PUT", "If-Match: \"1\"", "{}", 412 },
+		{ "PUT", NULL, "{}", 428 },
+		{ "PUT", "If-None-Match: *", "{broken", 400 },
+		{ "PUT", "If-None-Match: *", "{\"a\":1}", 201 },
+		{ "PUT", "If-None-Match: *", "{\"a\":2}", 412 },
+		{ "PUT", "If-Match: \"1\"", "{\"a\":3}", 200 },
+		{ "PUT", "If-Match: \"1\"", "{\"a\":4}", 412 },
+		{ "GET", NULL, NULL, 200 },
+		{ "DELETE", "If-Match: \"1\"", NULL, 412 },
+		{ "DELETE", "If-Match: \"2\"", NULL, 200 },
+		{ "GET", NULL, NULL, 404 },
+		{ "PUT", "If-None-Match: *", "{\"a\":5}", 201 },
+	};
+	g_autoptr(program_t) store = standin_start("standin-store", NULL);
+	uint16_t port = program_main_port(store);
+	g_autofree char *large = g_strnfill((1 << 20) + 1, '1');
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_cmpint(call_status(cases[i].method, port,
+					    "/objects/order/a",
+					    cases[i].condition, cases[i].body),
+				==, cases[i].status);
+	g_assert_cmpint(call_status("PUT", port, "/objects/order/b",
+				    "If-None-Match: *", large),
+			==, 413);
+	g_assert_cmpint(
+		http_local_number(port, "/control/stats", "calls PUT order/"),
+		==, 9);
+	g_assert_cmpint(http_local_number(port, "/objects/order/a", "a"), ==,
+			5);
+	g_assert_cmpint(program_stop(store), ==, 0);
+}
+
+static long create(uint16_t port, const char *path)
+{
+	return call_status("PUT", port, path, "If-None-Match: *", "{\"a\":1}");
+}
+
+static void test_store_list_and_watch(void)
+{
+	g_autoptr(program_t) store =
+		standin_start("standin-store", "--history=2", NULL);
+	uint16_t port = program_main_port(store);
+	g_autoptr(http_answer_t) list = NULL;
+	g_autoptr(http_stream_t) watch = NULL;
+	const char *key;
+	int more;
+
+	create(port, "/objects/p/a");
+	create(port, "/objects/p/b");
+	create(port, "/objects/q");
+	list = http_local("GET", port, "/objects?prefix=p/&after=p/a&limit=1",
+			  NULL, NULL);
+	g_assert_cmpint(json_unpack(list->json, "{s:[{s:s}!],s:b}", "items",
+				    "key", &key, "more", &more),
+			==, 0);
+	g_assert_cmpstr(key, ==, "p/b");
+	g_assert_false(more);
+	g_assert_cmpint(call_status("GET", port, "/watch?prefix=p/&after=0",
+				    NULL, NULL),
+			==, 410);
+	watch = open_path(port, "GET", "/watch?prefix=p/&after=3", NULL, NULL);
+	g_assert_true(WAIT_UNTIL(http_local_number(port, "/control/stats",
+						   "calls WATCH p/") == 2,
+				 HARNESS_WAIT_MS));
+	create(port, "/objects/other");
+	g_assert_false(http_stream_ended(watch));
+	create(port, "/objects/p/c");
+	g_assert_nonnull(strstr(http_stream_wait(watch)->body, "\"p/c\""));
+	g_assert_null(strstr(http_stream_wait(watch)->body, "other"));
+}
+
+/* A lost answer, an outage and a rate limit must each look different. */
+static void test_store_faults(void)
+{
+	g_autoptr(program_t) store = standin_start(
+		"standin-store", "--writes-per-s=3", "--latency-ms=0", NULL);
+	uint16_t port = program_main_port(store);
+	int limited = 0;
+
+	standin_control(port, "{\"drop_write_answers\":1,"
+			      "\"drop_prefix\":\"order/\"}");
+	g_assert_cmpint(create(port, "/objects/status/a"), ==, 201);
+	g_assert_cmpint(create(port, "/objects/order/a"), ==,
+			-CURLE_GOT_NOTHING);
+	g_assert_cmpint(http_local_number(port, "/objects/order/a", "a"), ==,
+			1);
+	standin_control(port, "{\"stale_ms\":60000}");
+	g_assert_cmpint(
+		call_status("GET", port, "/objects/order/a", NULL, NULL), ==,
+		404);
+	standin_control(port, "{\"stale_ms\":0,\"outage_ms\":-1}");
+	g_assert_cmpint(create(port, "/objects/order/b"), ==, 503);
+	standin_control(port, "{\"outage_ms\":0}");
+	g_assert_cmpint(
+		call_status("GET", port, "/objects/order/b", NULL, NULL), ==,
+		404);
+	for (int i = 0; i < 20; i++)
+		limited += create(port, "/objects/order/a") == 429;
+	g_assert_cmpint(limited, >, 0);
+	g_assert_cmpint(
+		http_local_number(port, "/control/stats", "rate_limited"), ==,
+		limited);
+}
+
+static bool lists_instance(uint16_t port, const char *id)
+{
+	g_autoptr(http_answer_t) answer =
+		http_local("GET", port, "/instances", NULL, NULL);
+
+	return strstr(answer->body, id) != NULL;
+}
+
+static void test_instance_list_lags(void)
+{
+	g_autoptr(program_t) store = standin_start("standin-store", NULL);
+	uint16_t port = program_main_port(store);
+
+	standin_control(port, "{\"instances\":[{\"id\":\"r1\"}]}");
+	g_assert_true(lists_instance(port, "r1"));
+	standin_control(port, "{\"instances_lag_ms\":300,"
+			      "\"instances\":[{\"id\":\"r2\"}]}");
+	g_assert_true(lists_instance(port, "r1"));
+	g_assert_true(WAIT_UNTIL(lists_instance(port, "r2"), HARNESS_WAIT_MS));
+}
+
+/* Duplicate and lost orders are counted here, so the count must be exact. */
+static void test_plain_executions(void)
+{
+	static const struct {
+		const char *fencing;
+		const char *control;
+		long status;
+		int64_t executed;
+	} cases[] = {
+		{ "X-Fencing-Number: 5", "{}", 200, 1 },
+		{ "X-Fencing-Number: 5", "{}", 200, 2 },
+		{ "X-Fencing-Number: 4", "{}", 409, 2 },
+		{ "X-Fencing-Number: 6", "{\"lose_answers\":1}",
+		  -CURLE_GOT_NOTHING, 3 },
+		{ NULL, "{\"delay_ms\":20}", 200, 4 },
+		{ NULL, "{\"leaving\":true}", 503, 4 },
+	};
+	g_autoptr(program_t) plain =
+		standin_start("standin-plain", "--check-fencing", NULL);
+	uint16_t port = program_main_port(plain);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *headers[] = { "Idempotency-Key: k",
+					  cases[i].fencing, NULL };
+		g_autoptr(http_answer_t) answer = NULL;
+
+		standin_control(port, cases[i].control);
+		answer = http_local("POST", port, "/dispatch", headers, "{}");
+		g_assert_cmpint(answer->curl_result ? -answer->curl_result
+						    : answer->status,
+				==, cases[i].status);
+		g_assert_cmpint(http_local_number(port, "/control/executions",
+						  "by_key k"),
+				==, cases[i].executed);
+	}
+	g_assert_cmpint(http_local_number(port, "/control/executions",
+					  "by_path /dispatch"),
+			==, 4);
+	g_assert_cmpint(program_stop(plain), ==, 0);
+}
+
+/* Each fault must reach the client as the kind of failure it stands for. */
+static void test_proxy(void)
+{
+	g_autoptr(program_t) plain = standin_start("standin-plain", NULL);
+	g_autofree char *target =
+		g_strdup_printf("--target-port=%u", program_main_port(plain));
+	g_autoptr(program_t) proxy = standin_start("fault-proxy", target, NULL);
+	uint16_t port = program_main_port(proxy);
+	uint16_t control = program_port(proxy, "control");
+	g_autoptr(http_stream_t) swallowed = NULL;
+	g_autoptr(http_stream_t) truncated = NULL;
+	uint64_t begin_ms;
+
+	g_assert_cmpint(call_status("POST", port, "/a", NULL, "{}"), ==, 200);
+	standin_control(control, "{\"delay_ms\":100}");
+	begin_ms = clock_now_ms();
+	g_assert_cmpint(call_status("POST", port, "/a", NULL, "{}"), ==, 200);
+	g_assert_cmpuint(clock_now_ms() - begin_ms, >=, 200);
+	standin_control(control, "{\"delay_ms\":0,\"refuse\":true}");
+	g_assert_cmpint(call_status("POST", port, "/a", NULL, "{}"), ==,
+			-CURLE_COULDNT_CONNECT);
+	standin_control(control, "{\"refuse\":false,\"blackhole\":true}");
+	swallowed = open_path(port, "POST", "/b", NULL, "{}");
+	g_assert_true(WAIT_UNTIL(
+		http_local_number(control, "/control/stats", "accepted") == 3,
+		HARNESS_WAIT_MS));
+	g_assert_false(http_stream_ended(swallowed));
+	standin_control(control, "{\"blackhole\":false,\"cut\":true}");
+	g_assert_cmpint(http_stream_wait(swallowed)->curl_result, !=, 0);
+	standin_control(control, "{\"answer_limit_bytes\":20}");
+	truncated = open_path(port, "POST", "/c", NULL, "{}");
+	g_assert_true(WAIT_UNTIL(http_local_number(program_main_port(plain),
+						   "/control/executions",
+						   "by_path /c") == 1,
+				 HARNESS_WAIT_MS));
+	standin_control(control, "{\"cut\":true}");
+	g_assert_cmpint(http_stream_wait(truncated)->curl_result, !=, 0);
+	g_assert_cmpint(http_local_number(program_main_port(plain),
+					  "/control/executions", "by_path /b"),
+			==, 0);
+	g_assert_cmpint(program_stop(proxy), ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/engine/answer", test_engine_answer);
+	g_test_add_func("/engine/cache", test_engine_cache);
+	g_test_add_func("/engine/event-gap", test_engine_event_gap);
+	g_test_add_func("/engine/resume", test_engine_resume);
+	g_test_add_func("/engine/replay", test_engine_replay);
+	g_test_add_func("/engine/crash-marker", test_engine_crash_marker);
+	g_test_add_func("/engine/priority", test_engine_priority);
+	g_test_add_func("/engine/lost-caller", test_engine_lost_caller);
+	g_test_add_func("/engine/faults", test_engine_faults);
+	g_test_add_func("/engine/orders", test_engine_orders);
+	g_test_add_func("/weights/limit", test_weight_store_limit);
+	g_test_add_func("/kv/transfer", test_kv_transfer);
+	g_test_add_func("/store/conditions", test_store_conditions);
+	g_test_add_func("/store/list-and-watch", test_store_list_and_watch);
+	g_test_add_func("/store/faults", test_store_faults);
+	g_test_add_func("/store/instances", test_instance_list_lags);
+	g_test_add_func("/plain/executions", test_plain_executions);
+	g_test_add_func("/proxy/faults", test_proxy);
+	return g_test_run();
+}
