t: test the harness on kills, aborts and slow readers

The harness promises that an aborted test leaves no program behind and that a killed program can be started again on its port; nothing checked this.

--- a/t/test-it-standins.c
+++ b/t/test-it-standins.c
@@ -1,7 +1,9 @@
 /* The stand-ins behave as sections 6 to 8 of docs/design.md say. */
 #include <curl/curl.h>
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "process/cleanup.h"
@@ -647,6 +649,79 @@
 	g_assert_cmpint(program_stop(proxy), ==, 0);
 }
 
+static program_t *start_store_on(uint16_t port)
+{
+	g_autofree char *flag = g_strdup_printf("--port=%u", port);
+	const char *args[] = { flag, NULL };
+	program_t *store = program_start_args("standin-store", args);
+
+	g_assert_true(WAIT_UNTIL(port_accepts(port), HARNESS_WAIT_MS));
+	return store;
+}
+
+/* A killed program must be seen as such, and its port must be usable again. */
+static void test_harness_restart(void)
+{
+	uint16_t port = harness_free_port();
+	g_autofree char *url =
+		g_strdup_printf("http://127.0.0.1:%u/instances", port);
+	g_autoptr(program_t) first = start_store_on(port);
+	g_autoptr(program_t) second = NULL;
+
+	program_signal(first, SIGKILL);
+	g_assert_cmpint(program_wait(first, HARNESS_WAIT_MS), ==,
+			128 + SIGKILL);
+	g_assert_false(url_answers(url));
+	second = start_store_on(port);
+	g_assert_true(program_is_running(second));
+	g_assert_true(WAIT_UNTIL(url_answers(url), HARNESS_WAIT_MS));
+}
+
+/* A failed assertion must not leave programs behind. */
+static void test_harness_abort(void)
+{
+	g_autofree char *port_text = NULL;
+	uint16_t port;
+
+	if (g_test_subprocess()) {
+		start_store_on((uint16_t)atoi(g_getenv("TEST_PORT")));
+		printf("store is running\n");
+		fflush(stdout);
+		abort();
+	}
+	port = harness_free_port();
+	port_text = g_strdup_printf("%u", port);
+	g_setenv("TEST_PORT", port_text, TRUE);
+	g_test_trap_subprocess(NULL, 0, 0);
+	g_test_trap_assert_failed();
+	g_test_trap_assert_stdout("*store is running*");
+	g_assert_true(WAIT_UNTIL(!port_accepts(port), HARNESS_WAIT_MS));
+}
+
+/* A caller that stops reading must get the whole stream when it goes on. */
+static void test_slow_reader(void)
+{
+	g_autoptr(program_t) engine =
+		standin_start("standin-engine", "--token-ms=2", NULL);
+	g_autoptr(http_stream_t) stream =
+		open_chat(program_main_port(engine), CHAT_BODY, "r.1", NULL);
+	g_autofree char *expected = generate_answer(CHAT_BODY);
+	g_autofree char *text = NULL;
+	size_t count;
+
+	http_stream_pause(stream, true);
+	count = http_stream_count(stream);
+	g_assert_true(WAIT_UNTIL(http_local_number(program_main_port(engine),
+						   "/control/stats",
+						   "generated_tokens") == 6,
+				 HARNESS_WAIT_MS));
+	g_assert_cmpuint(http_stream_count(stream), ==, count);
+	http_stream_pause(stream, false);
+	http_stream_wait(stream);
+	text = http_stream_text(stream);
+	g_assert_cmpstr(text, ==, expected);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -660,6 +735,7 @@
 	g_test_add_func("/engine/lost-caller", test_engine_lost_caller);
 	g_test_add_func("/engine/faults", test_engine_faults);
 	g_test_add_func("/engine/orders", test_engine_orders);
+	g_test_add_func("/engine/slow-reader", test_slow_reader);
 	g_test_add_func("/weights/limit", test_weight_store_limit);
 	g_test_add_func("/kv/transfer", test_kv_transfer);
 	g_test_add_func("/store/conditions", test_store_conditions);
@@ -668,5 +744,7 @@
 	g_test_add_func("/store/instances", test_instance_list_lags);
 	g_test_add_func("/plain/executions", test_plain_executions);
 	g_test_add_func("/proxy/faults", test_proxy);
+	g_test_add_func("/harness/restart", test_harness_restart);
+	g_test_add_func("/harness/abort", test_harness_abort);
 	return g_test_run();
 }
