--- /dev/null
+++ b/t/standin-plain.c
@@ -0,0 +1,159 @@
+/*
+ * Stand-in for a plain service (section 7 of docs/design.md). Every call that
+ * is not refused counts as an execution; nothing is deduplicated.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "process/cleanup.h"
+#include "t/lib/clock.h"
+#include "t/lib/http_server.h"
+
+#define NOT_RUN "X-Not-Run: 1\r\n"
+
+enum {
+	EXIT_CRASH = 86,
+};
+
+static bool check_fencing;
+static http_server_t server;
+
+static struct {
+	pthread_mutex_t lock;
+	uint64_t leaving;
+	uint64_t delay_ms;	  /**< Before the execution. */
+	uint64_t lose_answers;	  /**< Executions still to end so. */
+	uint64_t answer_delay_ms; /**< Between execution and answer. */
+	json_t *fencing;	  /**< Highest number seen, by key. */
+	json_t *totals;
+	json_t *by_key;
+	json_t *by_path;
+} service = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+/** Remembers the highest number; returns whether the given one is older. */
+static bool is_fenced(const char *key, const char *number_text)
+{
+	json_int_t number = (json_int_t)strtoull(number_text, NULL, 10);
+	json_int_t highest;
+
+	if (!check_fencing || !*number_text)
+		return false;
+	highest = json_integer_value(json_object_get(service.fencing, key));
+	if (number > highest)
+		json_object_set_new(service.fencing, key, json_integer(number));
+	return number < highest;
+}
+
+/** Status of a call; 200 if it was executed. */
+static int execute(const http_request_t *request, const char **headers,
+		   bool *answer_lost)
+{
+	const char *key = http_header(request, "Idempotency-Key", "-");
+	const char *number = http_header(request, "X-Fencing-Number", "");
+	SCOPED_LOCK(held, &service.lock);
+
+	*headers = NOT_RUN "X-Leaving: 1\r\n";
+	if (service.leaving) {
+		json_count(service.totals, "refused", 1);
+		return 503;
+	}
+	*headers = NOT_RUN;
+	if (is_fenced(key, number)) {
+		json_count(service.totals, "fenced", 1);
+		return 409;
+	}
+	*headers = "";
+	json_count(service.totals, "executed", 1);
+	json_count(service.by_key, key, 1);
+	json_count(service.by_path, request->path, 1);
+	*answer_lost = service.lose_answers > 0;
+	service.lose_answers -= *answer_lost;
+	return 200;
+}
+
+static void wait_ms(const uint64_t *delay_ms)
+{
+	uint64_t duration_ms;
+
+	pthread_mutex_lock(&service.lock);
+	duration_ms = *delay_ms;
+	pthread_mutex_unlock(&service.lock);
+	clock_sleep_us(duration_ms * 1000);
+}
+
+static void handle_call(http_request_t *request)
+{
+	const char *headers;
+	bool answer_lost = false;
+	int status;
+
+	wait_ms(&service.delay_ms);
+	status = execute(request, &headers, &answer_lost);
+	wait_ms(&service.answer_delay_ms);
+	if (answer_lost)
+		http_close(request);
+	else if (status != 200)
+		http_send_error(request, status, headers, "not run");
+	else
+		http_send_json(
+			request, 200, headers,
+			json_pack("{s:s,s:s,s:s,s:s}", "method",
+				  request->method, "path", request->path, "key",
+				  http_header(request, "Idempotency-Key", "-"),
+				  "body", request->body));
+}
+
+static void handle_control(http_request_t *request)
+{
+	SCOPED_LOCK(held, &service.lock);
+
+	if (http_body_number(request, "crash", 0))
+		_exit(EXIT_CRASH);
+	http_take_number(request, "leaving", &service.leaving);
+	http_take_number(request, "delay_ms", &service.delay_ms);
+	http_take_number(request, "answer_delay_ms", &service.answer_delay_ms);
+	http_take_number(request, "lose_answers", &service.lose_answers);
+	http_send_ok(request);
+}
+
+static void handle_executions(http_request_t *request)
+{
+	json_t *report;
+	SCOPED_LOCK(held, &service.lock);
+
+	report = json_deep_copy(service.totals);
+	json_object_set(report, "by_key", service.by_key);
+	json_object_set(report, "by_path", service.by_path);
+	http_send_json(request, 200, "", report);
+}
+
+static const http_route_t routes[] = {
+	{ "POST", "/control", handle_control },
+	{ "GET", "/control/executions", handle_executions },
+	{ NULL, "*", handle_call },
+	{ 0 },
+};
+
+static const setting_t rows[] = {
+	SERVER_ROWS(server, "port", "64"),
+	SWITCH_ROW("check-fencing", check_fencing,
+		   "refuse a call with an old fencing number for its key"),
+	{ 0 },
+};
+
+static void start(void)
+{
+	service.fencing = json_object();
+	service.totals = json_object();
+	service.by_key = json_object();
+	service.by_path = json_object();
+}
+
+static http_server_t server = { .routes = routes, .start = start };
+
+int main(int argc, char **argv)
+{
+	return http_server_main(argc, argv, rows, &server);
+}
