--- a/version/config.h
+++ b/version/config.h
@@ -113,6 +113,7 @@
 	char id[CONFIG_ID_MAX_BYTES];
 	char time_zone[CONFIG_ID_MAX_BYTES]; /**< IANA name. */
 	urgency_class_t fallback;
+	struct _GTimeZone *zone; /**< Loaded when the version is built. */
 	config_urgency_rule_t *rules;
 	size_t rule_count;
 } config_urgency_t;
@@ -193,6 +194,7 @@
 int32_t config_find_pool(const config_t *config, const char *id);
 int32_t config_find_model(const config_t *config, const char *id);
 int32_t config_find_route(const config_t *config, const char *id);
+int32_t config_find_urgency(const config_t *config, const char *id);
 
 /** Customer with this API key, or CONFIG_NONE. */
 int32_t config_find_key(const config_t *config, const char *api_key);
