--- a/process/event_list.h
+++ b/process/event_list.h
@@ -19,3 +19,24 @@
       "Raise --stop-limit-ms or look for requests that never end.")
 EVENT(1005, START_FAILED, "start_failed", EVENT_ERROR,
       "The process cannot start; the text names the reason.")
+EVENT(1100, TICKET_DECIDED, "ticket_decided", EVENT_INFO,
+      "A ticket was accepted or refused; the outcome is in the text.")
+EVENT(1101, CONFIG_IN_FORCE, "config_in_force", EVENT_INFO,
+      "A higher configuration position was published.")
+EVENT(1102, CONFIG_REJECTED, "config_rejected", EVENT_ERROR,
+      "A configuration that was read failed validation; the previous one "
+      "stays in force. Correct the named object with a new ticket.")
+EVENT(1103, CONFIG_FETCH_FAILED, "config_fetch_failed", EVENT_WARN,
+      "A configuration could not be fetched from the named source; another "
+      "source is tried.")
+EVENT(1104, CONFIG_WATCH, "config_watch", EVENT_INFO,
+      "The instance began or ended to watch the configuration head.")
+EVENT(1105, CONFIG_COMPACTED, "config_compacted", EVENT_INFO,
+      "The ticket log was compacted into snapshot shards.")
+EVENT(1600, STORE_OUTAGE, "store_outage", EVENT_WARN,
+      "Consecutive calls to the object API failed. Routing continues; "
+      "orders and tickets are refused as not run.")
+EVENT(1601, STORE_RECOVERED, "store_recovered", EVENT_INFO,
+      "The object API answers again.")
+EVENT(1602, AUDIT_DROPPED, "audit_dropped", EVENT_WARN,
+      "The queue of audit entries is full; the oldest were dropped.")
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -17,6 +17,69 @@
 	     "Model requests in progress.")
 METRIC_GAUGE(CONFIG_POSITION, "amv_config_position", "",
 	     "Position of the configuration in force.")
+METRIC_COUNTER(STORE_CALLS_ORDER, "amv_store_calls_total", "purpose=\"order\"",
+	       "Calls to the object API.")
+METRIC_COUNTER(STORE_CALLS_LEASE, "amv_store_calls_total", "purpose=\"lease\"",
+	       "Calls to the object API.")
+METRIC_COUNTER(STORE_CALLS_TICKET, "amv_store_calls_total",
+	       "purpose=\"ticket\"", "Calls to the object API.")
+METRIC_COUNTER(STORE_CALLS_CONFIG, "amv_store_calls_total",
+	       "purpose=\"config\"", "Calls to the object API.")
+METRIC_COUNTER(STORE_CALLS_AUDIT, "amv_store_calls_total", "purpose=\"audit\"",
+	       "Calls to the object API.")
+METRIC_COUNTER(STORE_CALLS_MEMBERSHIP, "amv_store_calls_total",
+	       "purpose=\"membership\"", "Calls to the object API.")
+METRIC_COUNTER(STORE_CALLS_STATUS, "amv_store_calls_total",
+	       "purpose=\"status\"", "Calls to the object API.")
+METRIC_COUNTER(STORE_FAILURES_ORDER, "amv_store_failures_total",
+	       "purpose=\"order\"",
+	       "Calls to the object API without a usable answer.")
+METRIC_COUNTER(STORE_FAILURES_LEASE, "amv_store_failures_total",
+	       "purpose=\"lease\"",
+	       "Calls to the object API without a usable answer.")
+METRIC_COUNTER(STORE_FAILURES_TICKET, "amv_store_failures_total",
+	       "purpose=\"ticket\"",
+	       "Calls to the object API without a usable answer.")
+METRIC_COUNTER(STORE_FAILURES_CONFIG, "amv_store_failures_total",
+	       "purpose=\"config\"",
+	       "Calls to the object API without a usable answer.")
+METRIC_COUNTER(STORE_FAILURES_AUDIT, "amv_store_failures_total",
+	       "purpose=\"audit\"",
+	       "Calls to the object API without a usable answer.")
+METRIC_COUNTER(STORE_FAILURES_MEMBERSHIP, "amv_store_failures_total",
+	       "purpose=\"membership\"",
+	       "Calls to the object API without a usable answer.")
+METRIC_COUNTER(STORE_FAILURES_STATUS, "amv_store_failures_total",
+	       "purpose=\"status\"",
+	       "Calls to the object API without a usable answer.")
+METRIC_COUNTER(STORE_BYTES_ORDER, "amv_store_bytes_total", "purpose=\"order\"",
+	       "Bytes sent to and received from the object API.")
+METRIC_COUNTER(STORE_BYTES_LEASE, "amv_store_bytes_total", "purpose=\"lease\"",
+	       "Bytes sent to and received from the object API.")
+METRIC_COUNTER(STORE_BYTES_TICKET, "amv_store_bytes_total",
+	       "purpose=\"ticket\"",
+	       "Bytes sent to and received from the object API.")
+METRIC_COUNTER(STORE_BYTES_CONFIG, "amv_store_bytes_total",
+	       "purpose=\"config\"",
+	       "Bytes sent to and received from the object API.")
+METRIC_COUNTER(STORE_BYTES_AUDIT, "amv_store_bytes_total", "purpose=\"audit\"",
+	       "Bytes sent to and received from the object API.")
+METRIC_COUNTER(STORE_BYTES_MEMBERSHIP, "amv_store_bytes_total",
+	       "purpose=\"membership\"",
+	       "Bytes sent to and received from the object API.")
+METRIC_COUNTER(STORE_BYTES_STATUS, "amv_store_bytes_total",
+	       "purpose=\"status\"",
+	       "Bytes sent to and received from the object API.")
+METRIC_COUNTER(STORE_REFUSED, "amv_store_refused_total", "",
+	       "Calls to the object API refused by the own budget.")
+METRIC_GAUGE(CONFIG_AGE_MS, "amv_config_age_ms", "",
+	     "Time since the configuration was last known to be current.")
+METRIC_COUNTER(TICKETS_ACCEPTED, "amv_tickets_total", "outcome=\"accepted\"",
+	       "Tickets decided here.")
+METRIC_COUNTER(TICKETS_REFUSED, "amv_tickets_total", "outcome=\"refused\"",
+	       "Tickets decided here.")
+METRIC_COUNTER(AUDIT_DROPPED, "amv_audit_dropped_total", "",
+	       "Audit entries dropped because the queue was full.")
 METRIC_HISTOGRAM(TTFT_URGENT, "amv_ttft_ms", "class=\"urgent\"",
 		 "Time to first token.")
 METRIC_HISTOGRAM(TTFT_NORMAL, "amv_ttft_ms", "class=\"normal\"",
--- a/t/test-config.c
+++ b/t/test-config.c
@@ -157,6 +157,7 @@
 		{ "{'machine/x':{}}", "machine/x", "" },
 		{ "{'model/a b':{}}", "model/a b", "" },
 		{ "{'model/':{}}", "model/", "" },
+		{ "{'model/..':{}}", "model/..", "" },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/version/config_build.c
+++ b/version/config_build.c
@@ -193,7 +193,8 @@
 {
 	size_t len = strlen(text);
 
-	return len && len < CONFIG_ID_MAX_BYTES &&
+	/* A leading dot would make ".." an id, which HTTP paths collapse. */
+	return len && len < CONFIG_ID_MAX_BYTES && text[0] != '.' &&
 	       strspn(text, "abcdefghijklmnopqrstuvwxyz"
 			    "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-") == len;
 }
@@ -665,7 +666,7 @@
 		if (!is_id(builder->object + strlen(kind->name) + 1))
 			return report(builder, "",
 				      "give an id of 1 to %d letters, digits "
-				      "or the characters . _ -",
+				      "or . _ -, not starting with a dot",
 				      CONFIG_ID_MAX_BYTES - 1);
 		count = count_of(builder->config, kind);
 		if (++*count > OBJECTS_MAX)
