--- a/process/event_list.h
+++ b/process/event_list.h
@@ -19,3 +19,39 @@
       "Raise --stop-limit-ms or look for requests that never end.")
 EVENT(1005, START_FAILED, "start_failed", EVENT_ERROR,
       "The process cannot start; the text names the reason.")
+EVENT(1300, ORDER_CLAIM_LOST, "order_claim_lost", EVENT_WARN,
+      "The answer to a claim was lost; the record is read back.")
+EVENT(1301, ORDER_CLOSED, "order_closed", EVENT_WARN,
+      "An open claim past its deadline was closed without running it. Ask the "
+      "plain service whether the order ran.")
+EVENT(1302, ORDER_UNKNOWN, "order_unknown", EVENT_ERROR,
+      "An order was sent and its outcome is not known. Ask the plain service "
+      "before repeating it under another key.")
+EVENT(1303, ORDER_RECORD_RETRY, "order_record_retry", EVENT_WARN,
+      "The outcome record could not be written; it is retried.")
+EVENT(1304, ORDER_RECORD_FAILED, "order_record_failed", EVENT_ERROR,
+      "The outcome record was given up. A repeat of the key is answered "
+      "unknown although the caller got the endpoint's answer.")
+EVENT(1305, ORDER_KEY_REUSED, "order_key_reused", EVENT_WARN,
+      "A customer used one idempotency key for two bodies.")
+EVENT(1306, ORDER_SWEEP, "order_sweep", EVENT_DEBUG,
+      "Records past their retention were removed.")
+EVENT(1400, LEASE_ACQUIRED, "lease_acquired", EVENT_INFO,
+      "This instance holds the lease under the given fencing number.")
+EVENT(1401, LEASE_LOST, "lease_lost", EVENT_WARN,
+      "The lease ended before it was released; look for pauses or a slow "
+      "store.")
+EVENT(1402, LEASE_RELEASED, "lease_released", EVENT_INFO,
+      "The lease was released or handed over.")
+EVENT(1410, ENGINE_ORDER, "engine_order", EVENT_INFO,
+      "An order was issued to an engine.")
+EVENT(1411, ENGINE_ORDER_RESULT, "engine_order_result", EVENT_INFO,
+      "An engine answered an order.")
+EVENT(1412, ENGINE_ORDER_UNKNOWN, "engine_order_unknown", EVENT_WARN,
+      "An engine order has no known outcome; its slot is kept until the "
+      "engine reports or the longest duration has passed.")
+EVENT(1413, READY_MIN_BLOCKS, "ready_min_blocks", EVENT_WARN,
+      "A roll-out waits because too few engines are in service. Add engines "
+      "or lower ready_min.")
+EVENT(1414, SLOT_EXPIRED, "slot_expired", EVENT_WARN,
+      "A load slot of another pool was freed after its longest duration.")
