--- a/process/controller.h
+++ b/process/controller.h
@@ -91,6 +91,8 @@
 	uint32_t engine_retry_ms;
 	/** Delay after a store call that failed. */
 	uint32_t store_retry_ms;
+	/** Delay after all slots were found taken. */
+	uint32_t slot_retry_ms;
 } controller_settings_t;
 
 extern const controller_settings_t controller_default_settings;
@@ -152,7 +154,9 @@
 	uint64_t slot_seen_ms[CONTROLLER_LOADS_MAX];
 	/** Load that waits for its slot; engine empty if there is none. */
 	controller_order_t wanted;
-	uint64_t wanted_slot_ms; /**< Before its slot was written. */
+	/** Before its slot was first written; 0: not yet. */
+	uint64_t wanted_slot_ms;
+	uint64_t next_id; /**< Never falls, whatever the status says. */
 
 	controller_engine_t engines[CONTROLLER_ENGINES_MAX];
 	size_t engine_count;
--- /dev/null
+++ b/process/lease.c
@@ -0,0 +1,342 @@
+#include "process/lease.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "process/error.h"
+
+_Static_assert(sizeof(lease_t) <= LEASE_SIZE_BYTES, "lease_t has grown");
+
+/** The holder uses this share of the duration; others wait all of it. */
+#define VALID_NUMERATOR 2
+#define VALID_DENOMINATOR 3
+/** Renewals start after this share of the duration. */
+#define RENEW_DENOMINATOR 3
+/** Delay between failed store calls, as a share of the duration. */
+#define RETRY_DENOMINATOR 20
+/** Random part of the takeover time, as a share of the duration. */
+#define SPREAD_DENOMINATOR 10
+
+static lease_action_t *add(lease_t *lease, lease_actions_t *actions,
+			   lease_action_kind_t kind)
+{
+	lease_action_t *action = &actions->items[actions->count++];
+
+	memset(action, 0, sizeof(*action));
+	action->kind = kind;
+	action->call = lease->call;
+	return action;
+}
+
+static lease_action_t *add_call(lease_t *lease, lease_actions_t *actions,
+				lease_action_kind_t kind)
+{
+	lease->call++;
+	return add(lease, actions, kind);
+}
+
+static void read_record(lease_t *lease, lease_actions_t *actions,
+			lease_phase_t phase)
+{
+	lease->phase = phase;
+	add_call(lease, actions, LEASE_ACTION_READ);
+}
+
+static void wait_until(lease_t *lease, lease_actions_t *actions,
+		       uint64_t until_ms)
+{
+	add_call(lease, actions, LEASE_ACTION_WAIT)->until_ms = until_ms;
+}
+
+static void write_record(lease_t *lease, lease_actions_t *actions,
+			 lease_phase_t phase, uint64_t now_ms)
+{
+	lease_action_t *action = add_call(lease, actions, LEASE_ACTION_WRITE);
+
+	lease->phase = phase;
+	lease->written_at_ms = now_ms;
+	/*
+	 * With equal values a late write could be taken for a newer one, and
+	 * the lease would be counted from the wrong moment.
+	 */
+	lease->written.write_id = ++lease->last_write_id;
+	action->write.if_version = lease->have_record ? lease->version : 0;
+	action->write.record = lease->written;
+}
+
+static uint64_t retry_at(lease_t *lease, uint64_t now_ms)
+{
+	uint64_t step_ms = lease->duration_ms / RETRY_DENOMINATOR + 1;
+
+	return now_ms + step_ms + rng_below(lease->rng, step_ms);
+}
+
+void lease_begin(lease_t *lease, const char *self, uint64_t nonce,
+		 uint32_t duration_ms, rng_t *rng, lease_actions_t *actions)
+{
+	memset(lease, 0, sizeof(*lease));
+	actions->count = 0;
+	snprintf(lease->self, sizeof(lease->self), "%s", self);
+	lease->nonce = nonce;
+	lease->duration_ms = duration_ms;
+	lease->rng = rng;
+	read_record(lease, actions, LEASE_PHASE_READING);
+}
+
+/** Whether a record is exactly the last value we tried to write. */
+static bool is_our_write(const lease_t *lease, const lease_record_t *record)
+{
+	return record->nonce == lease->written.nonce &&
+	       record->fencing == lease->written.fencing &&
+	       record->write_id == lease->written.write_id &&
+	       strcmp(record->holder, lease->written.holder) == 0;
+}
+
+/** Whether a record was written by this process as the current holder. */
+static bool is_our_term(const lease_t *lease, const lease_record_t *record)
+{
+	return record->nonce == lease->nonce && record->holder[0] &&
+	       record->fencing == lease->record.fencing;
+}
+
+static void try_acquire(lease_t *lease, lease_actions_t *actions,
+			uint64_t now_ms)
+{
+	lease_record_t *record = &lease->written;
+	uint64_t last = lease->have_record ? lease->record.fencing : 0;
+
+	memset(record, 0, sizeof(*record));
+	memcpy(record->holder, lease->self, sizeof(record->holder));
+	record->nonce = lease->nonce;
+	record->fencing = last + 1;
+	record->duration_ms = lease->duration_ms;
+	lease->acquiring = true;
+	write_record(lease, actions, LEASE_PHASE_ACQUIRING, now_ms);
+}
+
+static void lose(lease_t *lease, lease_actions_t *actions)
+{
+	if (lease->valid_until_ms)
+		add(lease, actions, LEASE_ACTION_LOST);
+	lease->valid_until_ms = 0;
+}
+
+/** Our write is in the store; time counts from before it was issued. */
+static void hold(lease_t *lease, lease_actions_t *actions, uint64_t version,
+		 uint64_t now_ms)
+{
+	bool is_new = lease->acquiring;
+	uint64_t until_ms = lease->written_at_ms +
+			    (uint64_t)lease->duration_ms * VALID_NUMERATOR /
+				    VALID_DENOMINATOR;
+
+	lease->have_record = true;
+	lease->record = lease->written;
+	lease->version = version;
+	/* A term that ended is not continued under its old number. */
+	if (now_ms >= until_ms || (!is_new && !lease->valid_until_ms)) {
+		lose(lease, actions);
+		try_acquire(lease, actions, now_ms);
+		return;
+	}
+	lease->acquiring = false;
+	lease->phase = LEASE_PHASE_HELD;
+	lease->valid_until_ms = until_ms;
+	lease->renew_at_ms =
+		lease->written_at_ms + lease->duration_ms / RENEW_DENOMINATOR;
+	if (is_new)
+		add(lease, actions, LEASE_ACTION_ACQUIRED)->fencing =
+			lease->record.fencing;
+	wait_until(lease, actions, lease->renew_at_ms);
+}
+
+static void renew(lease_t *lease, lease_actions_t *actions, uint64_t now_ms)
+{
+	lease->written = lease->record;
+	write_record(lease, actions, LEASE_PHASE_RENEWING, now_ms);
+}
+
+static bool may_take_released(const lease_t *lease)
+{
+	const lease_record_t *record = &lease->record;
+
+	return !record->successor[0] ||
+	       strcmp(record->successor, lease->self) == 0;
+}
+
+/** Decides after a read while not the holder. */
+static void look(lease_t *lease, lease_actions_t *actions, uint64_t now_ms)
+{
+	uint64_t expiry_ms = lease->observed_at_ms + lease->record.duration_ms;
+
+	if (!lease->have_record ||
+	    (!lease->record.holder[0] && may_take_released(lease)) ||
+	    /* Nobody else may have taken our own lapsed record. */
+	    lease->record.nonce == lease->nonce || now_ms >= expiry_ms) {
+		try_acquire(lease, actions, now_ms);
+		return;
+	}
+	lease->phase = LEASE_PHASE_WATCHING;
+	wait_until(
+		lease, actions,
+		expiry_ms +
+			rng_below(lease->rng,
+				  lease->duration_ms / SPREAD_DENOMINATOR + 1));
+}
+
+static void note_record(lease_t *lease, const lease_event_t *event,
+			uint64_t now_ms)
+{
+	if (event->read.result == ERR_NOT_FOUND) {
+		lease->have_record = false;
+		lease->version = 0;
+		return;
+	}
+	/*
+	 * The age counts from the answer of the first read that showed this
+	 * version: the version was written before that.
+	 */
+	if (!lease->have_record || lease->version != event->read.version)
+		lease->observed_at_ms = now_ms;
+	lease->have_record = true;
+	lease->version = event->read.version;
+	lease->record = *event->read.record;
+}
+
+static void on_read(lease_t *lease, const lease_event_t *event, uint64_t now_ms,
+		    lease_actions_t *actions)
+{
+	int result = event->read.result;
+
+	if (lease->valid_until_ms && !lease_is_valid(lease, now_ms))
+		lose(lease, actions);
+	if (result != 0 && result != ERR_NOT_FOUND) {
+		wait_until(lease, actions, retry_at(lease, now_ms));
+		return;
+	}
+	if (lease->phase == LEASE_PHASE_CHECKING && result == 0) {
+		if (is_our_write(lease, event->read.record)) {
+			hold(lease, actions, event->read.version, now_ms);
+			return;
+		}
+		if (lease->valid_until_ms &&
+		    is_our_term(lease, event->read.record)) {
+			lease->version = event->read.version;
+			renew(lease, actions, now_ms);
+			return;
+		}
+	}
+	lose(lease, actions);
+	note_record(lease, event, now_ms);
+	look(lease, actions, now_ms);
+}
+
+static void on_release_written(lease_t *lease, int result, uint64_t now_ms,
+			       lease_actions_t *actions)
+{
+	/* A release that is not known to have worked expires by itself. */
+	if (result == 0 || result == ERR_STORE_CONDITION ||
+	    ++lease->failures > 2) {
+		lease->phase = LEASE_PHASE_STOPPED;
+		add(lease, actions, LEASE_ACTION_STOPPED);
+		return;
+	}
+	wait_until(lease, actions, retry_at(lease, now_ms));
+}
+
+static void on_written(lease_t *lease, const lease_event_t *event,
+		       uint64_t now_ms, lease_actions_t *actions)
+{
+	int result = event->written.result;
+
+	if (lease->phase == LEASE_PHASE_RELEASING) {
+		on_release_written(lease, result, now_ms, actions);
+		return;
+	}
+	if (result == 0) {
+		hold(lease, actions, event->written.version, now_ms);
+		return;
+	}
+	if (lease->valid_until_ms && !lease_is_valid(lease, now_ms))
+		lose(lease, actions);
+	if (result == ERR_STORE_DOWN || result == ERR_STORE_BUDGET) {
+		wait_until(lease, actions, retry_at(lease, now_ms));
+		return;
+	}
+	/* Also after a failed condition: our own lost write may be there. */
+	read_record(lease, actions, LEASE_PHASE_CHECKING);
+}
+
+static void on_timer(lease_t *lease, uint64_t now_ms, lease_actions_t *actions)
+{
+	if (lease->phase == LEASE_PHASE_RELEASING) {
+		write_record(lease, actions, LEASE_PHASE_RELEASING, now_ms);
+		return;
+	}
+	if (lease->valid_until_ms && !lease_is_valid(lease, now_ms))
+		lose(lease, actions);
+	switch (lease->phase) {
+	case LEASE_PHASE_HELD:
+	case LEASE_PHASE_RENEWING:
+		if (lease->valid_until_ms)
+			renew(lease, actions, now_ms);
+		else
+			read_record(lease, actions, LEASE_PHASE_READING);
+		return;
+	case LEASE_PHASE_CHECKING:
+		read_record(lease, actions, LEASE_PHASE_CHECKING);
+		return;
+	default:
+		read_record(lease, actions, LEASE_PHASE_READING);
+		return;
+	}
+}
+
+static void release(lease_t *lease, const char *successor, uint64_t now_ms,
+		    lease_actions_t *actions)
+{
+	bool was_valid = lease_is_valid(lease, now_ms);
+
+	/* Validity ends before the write, so nobody acts beside us. */
+	lose(lease, actions);
+	if (!was_valid || !lease->have_record) {
+		lease->phase = LEASE_PHASE_STOPPED;
+		lease->call++;
+		add(lease, actions, LEASE_ACTION_STOPPED);
+		return;
+	}
+	lease->written = lease->record;
+	lease->written.holder[0] = '\0';
+	snprintf(lease->written.successor, sizeof(lease->written.successor),
+		 "%s", successor ? successor : "");
+	write_record(lease, actions, LEASE_PHASE_RELEASING, now_ms);
+}
+
+void lease_step(lease_t *lease, const lease_event_t *event, uint64_t now_ms,
+		lease_actions_t *actions)
+{
+	actions->count = 0;
+	if (lease->phase == LEASE_PHASE_STOPPED)
+		return;
+	if (event->kind == LEASE_EVENT_RELEASE) {
+		if (lease->phase != LEASE_PHASE_RELEASING)
+			release(lease, event->release.successor, now_ms,
+				actions);
+		return;
+	}
+	if (event->call != lease->call)
+		return;
+	switch (event->kind) {
+	case LEASE_EVENT_READ:
+		on_read(lease, event, now_ms, actions);
+		return;
+	case LEASE_EVENT_WRITTEN:
+		on_written(lease, event, now_ms, actions);
+		return;
+	case LEASE_EVENT_TIMER:
+		on_timer(lease, now_ms, actions);
+		return;
+	case LEASE_EVENT_RELEASE:
+		return;
+	}
+}
--- a/process/lease.h
+++ b/process/lease.h
@@ -6,7 +6,7 @@
  * A holder counts its time from before it issued the write, and only two
  * thirds of the lease's duration; others wait a whole duration on their own
  * monotonic clock during which the record did not change. Wall clocks are not
- * used.
+ * used. The record is never deleted, because its number would start again.
  */
 #ifndef PROCESS_LEASE_H
 #define PROCESS_LEASE_H
@@ -32,7 +32,7 @@
 	char successor[LEASE_ID_MAX_BYTES];
 	uint64_t nonce;	   /**< Of the holding process, random. */
 	uint64_t fencing;  /**< Only rises. */
-	uint64_t renewals; /**< Makes every renewal a new value. */
+	uint64_t write_id; /**< Differs in every write of one nonce. */
 	uint32_t duration_ms;
 } lease_record_t;
 
@@ -53,6 +53,8 @@
 	rng_t *rng;
 	uint32_t call;
 	uint32_t failures;
+	bool acquiring; /**< `written` would make us the holder. */
+	uint64_t last_write_id;
 	char self[LEASE_ID_MAX_BYTES];
 	uint64_t nonce;
 	uint32_t duration_ms;
--- /dev/null
+++ b/process/order.c
@@ -0,0 +1,706 @@
+#include "process/order.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "process/error.h"
+
+_Static_assert(sizeof(order_t) <= ORDER_SIZE_BYTES, "order_t has grown");
+_Static_assert(sizeof(order_sweep_t) <= ORDER_SWEEP_SIZE_BYTES,
+	       "order_sweep_t has grown");
+
+/** Store calls that may fail before a repeat is told to come back. */
+#define REPEAT_ATTEMPTS_MAX 4
+
+const order_settings_t order_default_settings = {
+	.send_window_ms = 2000,
+	.endpoint_timeout_ms = 30000,
+	.clock_skew_ms = 2000,
+	.retry_ms = 50,
+	.retry_max_ms = 5000,
+	.record_retry_ms = 600000,
+	.retention_ms = 24LL * 3600 * 1000,
+};
+
+static order_action_t *add(order_actions_t *actions, order_action_kind_t kind)
+{
+	order_action_t *action = &actions->items[actions->count++];
+
+	memset(action, 0, sizeof(*action));
+	action->kind = kind;
+	return action;
+}
+
+/** Adds an action whose result comes back with a call number of its own. */
+static order_action_t *add_call(order_t *order, order_actions_t *actions,
+				order_action_kind_t kind, order_phase_t phase)
+{
+	order_action_t *action = add(actions, kind);
+
+	action->call = ++order->call;
+	order->phase = phase;
+	return action;
+}
+
+static void add_write(order_t *order, order_actions_t *actions,
+		      const order_record_t *record, order_phase_t phase)
+{
+	order_action_t *action =
+		add_call(order, actions, ORDER_ACTION_WRITE, phase);
+
+	action->write.if_version = order->version;
+	action->write.record = *record;
+}
+
+static void add_wait(order_t *order, order_actions_t *actions,
+		     order_phase_t phase, uint64_t now_ms)
+{
+	uint64_t delay_ms = order->settings->retry_ms;
+
+	for (uint32_t i = 1; i < order->attempts; i++) {
+		delay_ms *= 2;
+		if (delay_ms >= order->settings->retry_max_ms)
+			break;
+	}
+	if (delay_ms > order->settings->retry_max_ms)
+		delay_ms = order->settings->retry_max_ms;
+	add_call(order, actions, ORDER_ACTION_WAIT, phase)->wait.until_ms =
+		now_ms + delay_ms;
+}
+
+static void finish(order_t *order, order_actions_t *actions, bool recorded)
+{
+	order->phase = ORDER_PHASE_FINISHED;
+	add(actions, ORDER_ACTION_FINISH)->finish.recorded = recorded;
+}
+
+static void reply(order_t *order, order_actions_t *actions, int err,
+		  const order_answer_t *answer, bool from_record)
+{
+	order_action_t *action;
+
+	if (order->replied)
+		return;
+	order->replied = true;
+	action = add(actions, ORDER_ACTION_REPLY);
+	action->reply.err = err;
+	action->reply.answer = answer;
+	action->reply.from_record = from_record;
+}
+
+/** Ends an order that has no record of its own. */
+static void refuse(order_t *order, order_actions_t *actions, int err)
+{
+	reply(order, actions, err, NULL, false);
+	finish(order, actions, true);
+}
+
+static void start_recording(order_t *order, order_actions_t *actions,
+			    uint64_t now_ms)
+{
+	order->attempts = 0;
+	order->record_until_ms = now_ms + order->settings->record_retry_ms;
+	add_write(order, actions, &order->target, ORDER_PHASE_RECORD_WRITE);
+}
+
+/**
+ * Ends our own claim without sending. No path leads from the recording phases
+ * back to a send, so "not run" holds whether or not the claim was written. The
+ * record written here also makes a claim fail that is still on its way.
+ */
+static void abandon(order_t *order, order_actions_t *actions, int err,
+		    uint64_t now_ms)
+{
+	reply(order, actions, err, NULL, false);
+	order->target = order->claim;
+	order->target.state = ORDER_STATE_NOT_RUN;
+	start_recording(order, actions, now_ms);
+}
+
+static void connect_next(order_t *order, order_actions_t *actions)
+{
+	order_action_t *action = add_call(order, actions, ORDER_ACTION_CONNECT,
+					  ORDER_PHASE_CONNECTING);
+
+	action->connect.endpoint = order->claim.endpoints[order->endpoint];
+	action->connect.send_by_ms = order->send_by_ms;
+}
+
+/** The record with our nonce is in the store. */
+static void claimed(order_t *order, order_actions_t *actions, uint64_t version,
+		    uint64_t now_ms)
+{
+	order->version = version;
+	order->attempts = 0;
+	if (now_ms >= order->send_by_ms) {
+		abandon(order, actions, ERR_ORDER_NOT_RUN, now_ms);
+		return;
+	}
+	connect_next(order, actions);
+}
+
+static void write_claim(order_t *order, order_actions_t *actions)
+{
+	add_write(order, actions, &order->claim, ORDER_PHASE_CLAIM_WRITE);
+}
+
+static void read_claim(order_t *order, order_actions_t *actions)
+{
+	add_call(order, actions, ORDER_ACTION_READ, ORDER_PHASE_CLAIM_READ);
+}
+
+static int check_request(const order_request_t *request)
+{
+	if (!request->key || !*request->key)
+		return ERR_KEY_MISSING;
+	if (strlen(request->key) > ORDER_KEY_MAX_BYTES ||
+	    strlen(request->customer) >= ORDER_ID_MAX_BYTES)
+		return ERR_BAD_FIELD;
+	if (!request->endpoint_count)
+		return ERR_NO_ENDPOINT;
+	return 0;
+}
+
+static void build_claim(order_t *order, const order_request_t *request)
+{
+	const order_settings_t *settings = order->settings;
+	order_record_t *claim = &order->claim;
+	char key_hash[HASH_DIGEST_HEX_BYTES];
+
+	hash_digest_hex(request->key, strlen(request->key), key_hash);
+	snprintf(order->path, sizeof(order->path), "order/%s/%s",
+		 request->customer, key_hash);
+	claim->state = ORDER_STATE_OPEN;
+	claim->nonce = request->nonce;
+	claim->claim_fencing = 1;
+	claim->fencing = 1;
+	claim->created_unix_ms = request->unix_ms;
+	claim->deadline_unix_ms = request->unix_ms + settings->send_window_ms +
+				  settings->endpoint_timeout_ms +
+				  settings->clock_skew_ms;
+	snprintf(claim->digest, sizeof(claim->digest), "%s", request->digest);
+	snprintf(claim->owner, sizeof(claim->owner), "%s", request->owner);
+	claim->provable = request->endpoints_check_fencing;
+	for (size_t i = 0;
+	     i < request->endpoint_count && i < ORDER_ENDPOINTS_MAX; i++)
+		snprintf(claim->endpoints[claim->endpoint_count++],
+			 ORDER_ID_MAX_BYTES, "%s", request->endpoints[i]);
+}
+
+void order_begin(order_t *order, const order_settings_t *settings,
+		 const order_request_t *request, uint64_t now_ms,
+		 order_actions_t *actions)
+{
+	int err = check_request(request);
+
+	memset(order, 0, sizeof(*order));
+	actions->count = 0;
+	order->settings = settings;
+	if (err < 0) {
+		refuse(order, actions, err);
+		return;
+	}
+	/* Counted from before the claim is issued, so it ends first here. */
+	order->send_by_ms = now_ms + settings->send_window_ms;
+	build_claim(order, request);
+	write_claim(order, actions);
+}
+
+static bool is_closed(const order_record_t *record)
+{
+	return record->fencing > record->claim_fencing;
+}
+
+static void ask_endpoint(order_t *order, order_actions_t *actions)
+{
+	order_action_t *action =
+		add_call(order, actions, ORDER_ACTION_ASK, ORDER_PHASE_ASKING);
+
+	action->ask.endpoint = order->target.endpoints[order->endpoint];
+	action->ask.fencing = order->target.fencing;
+}
+
+static void start_asking(order_t *order, order_actions_t *actions)
+{
+	order->endpoint = 0;
+	ask_endpoint(order, actions);
+}
+
+/** Closes the claim in `record`, ours or another's; it is not run again. */
+static void close_claim(order_t *order, order_actions_t *actions,
+			const order_record_t *record)
+{
+	order->target = *record;
+	order->target.state = ORDER_STATE_UNKNOWN;
+	if (record->provable)
+		order->target.fencing++;
+	add_write(order, actions, &order->target, ORDER_PHASE_CLOSE_WRITE);
+}
+
+/** A key whose last claim did not run is claimed again. */
+static void claim_again(order_t *order, order_actions_t *actions,
+			const order_record_t *record, uint64_t now_ms)
+{
+	if (now_ms >= order->send_by_ms) {
+		refuse(order, actions, ERR_ORDER_NOT_RUN);
+		return;
+	}
+	order->other_seen = false;
+	order->closing = false;
+	order->claim.claim_fencing = record->fencing + 1;
+	order->claim.fencing = record->fencing + 1;
+	write_claim(order, actions);
+}
+
+/** The key has a record of another request. */
+static void found_other(order_t *order, order_actions_t *actions,
+			const order_event_t *event, uint64_t now_ms)
+{
+	const order_record_t *record = event->read.record;
+
+	/* From here on no "not run" record may replace this version. */
+	order->version = event->read.version;
+	order->closing = true;
+	if (strcmp(record->digest, order->claim.digest) != 0) {
+		refuse(order, actions, ERR_KEY_REUSED);
+		return;
+	}
+	switch (record->state) {
+	case ORDER_STATE_DONE:
+		reply(order, actions, 0, record->answer, true);
+		finish(order, actions, true);
+		return;
+	case ORDER_STATE_NOT_RUN:
+		claim_again(order, actions, record, now_ms);
+		return;
+	case ORDER_STATE_UNKNOWN:
+		if (!record->provable || !is_closed(record)) {
+			refuse(order, actions, ERR_ORDER_UNKNOWN);
+			return;
+		}
+		order->target = *record;
+		start_asking(order, actions);
+		return;
+	case ORDER_STATE_OPEN:
+		if (event->read.unix_ms <= record->deadline_unix_ms)
+			refuse(order, actions, ERR_ORDER_IN_PROGRESS);
+		else
+			close_claim(order, actions, record);
+		return;
+	}
+}
+
+/** Tries the claim or its read again, or gives the claim up. */
+static void retry_claim(order_t *order, order_actions_t *actions,
+			uint64_t now_ms)
+{
+	bool known_key = order->other_seen || order->closing;
+
+	order->attempts++;
+	if (now_ms < order->send_by_ms &&
+	    !(known_key && order->attempts >= REPEAT_ATTEMPTS_MAX)) {
+		add_wait(order, actions, ORDER_PHASE_CLAIM_WAIT, now_ms);
+		return;
+	}
+	if (order->closing || (known_key && !order->claim_lost))
+		refuse(order, actions, ERR_ORDER_IN_PROGRESS);
+	else if (known_key)
+		abandon(order, actions, ERR_ORDER_IN_PROGRESS, now_ms);
+	else
+		abandon(order, actions, ERR_ORDER_NOT_RUN, now_ms);
+}
+
+static void claim_written(order_t *order, const order_event_t *event,
+			  uint64_t now_ms, order_actions_t *actions)
+{
+	switch (event->written.result) {
+	case 0:
+		claimed(order, actions, event->written.version, now_ms);
+		return;
+	case ERR_STORE_CONDITION:
+		order->other_seen = true;
+		read_claim(order, actions);
+		return;
+	case ERR_STORE_DOWN:
+	case ERR_STORE_BUDGET:
+		/* An earlier write of this claim may still be on its way. */
+		if (order->claim_lost)
+			abandon(order, actions, ERR_STORE_DOWN, now_ms);
+		else
+			refuse(order, actions, ERR_STORE_DOWN);
+		return;
+	default:
+		order->claim_lost = true;
+		order->attempts++;
+		read_claim(order, actions);
+		return;
+	}
+}
+
+static void claim_read(order_t *order, const order_event_t *event,
+		       uint64_t now_ms, order_actions_t *actions)
+{
+	const order_record_t *record = event->read.record;
+
+	if (event->read.result == ERR_NOT_FOUND) {
+		order->other_seen = false;
+		order->closing = false;
+		order->version = 0;
+		if (now_ms >= order->send_by_ms)
+			abandon(order, actions, ERR_ORDER_NOT_RUN, now_ms);
+		else
+			write_claim(order, actions);
+		return;
+	}
+	if (event->read.result != 0) {
+		retry_claim(order, actions, now_ms);
+		return;
+	}
+	if (record->nonce != order->claim.nonce) {
+		found_other(order, actions, event, now_ms);
+		return;
+	}
+	if (record->state == ORDER_STATE_OPEN) {
+		claimed(order, actions, event->read.version, now_ms);
+		return;
+	}
+	/* Closed by another while its answer was lost; we never sent. */
+	order->version = event->read.version;
+	/* A number that another raised must not fall. */
+	order->claim.fencing = record->fencing;
+	abandon(order, actions, ERR_ORDER_NOT_RUN, now_ms);
+}
+
+static void connected(order_t *order, uint64_t now_ms, order_actions_t *actions)
+{
+	if (now_ms >= order->send_by_ms) {
+		add(actions, ORDER_ACTION_CLOSE);
+		abandon(order, actions, ERR_ORDER_NOT_RUN, now_ms);
+		return;
+	}
+	order->sent = true;
+	order->phase = ORDER_PHASE_SENT;
+	add(actions, ORDER_ACTION_SEND)->send.fencing =
+		order->claim.claim_fencing;
+}
+
+static void connect_failed(order_t *order, uint64_t now_ms,
+			   order_actions_t *actions)
+{
+	order->endpoint++;
+	if (order->endpoint >= order->claim.endpoint_count)
+		abandon(order, actions, ERR_CONNECT, now_ms);
+	else if (now_ms >= order->send_by_ms)
+		abandon(order, actions, ERR_ORDER_NOT_RUN, now_ms);
+	else
+		connect_next(order, actions);
+}
+
+static void answered(order_t *order, const order_event_t *event,
+		     uint64_t now_ms, order_actions_t *actions)
+{
+	const order_answer_t *answer = event->answered.answer;
+
+	order->target = order->claim;
+	if (event->answered.not_run) {
+		order->target.state = ORDER_STATE_NOT_RUN;
+		reply(order, actions, ERR_ORDER_NOT_RUN, NULL, false);
+		start_recording(order, actions, now_ms);
+		return;
+	}
+	order->target.state = ORDER_STATE_DONE;
+	order->target.answer = answer;
+	if (answer->body_bytes > ORDER_BODY_MAX_BYTES) {
+		order->kept = *answer;
+		order->kept.body = NULL;
+		order->kept.body_bytes = 0;
+		order->kept.body_omitted = true;
+		order->target.answer = &order->kept;
+	}
+	reply(order, actions, 0, answer, false);
+	start_recording(order, actions, now_ms);
+}
+
+static void answer_lost(order_t *order, uint64_t now_ms,
+			order_actions_t *actions)
+{
+	order->target = order->claim;
+	order->target.state = ORDER_STATE_UNKNOWN;
+	if (order->claim.provable) {
+		close_claim(order, actions, &order->claim);
+		return;
+	}
+	reply(order, actions, ERR_ORDER_UNKNOWN, NULL, false);
+	start_recording(order, actions, now_ms);
+}
+
+static void close_written(order_t *order, const order_event_t *event,
+			  uint64_t now_ms, order_actions_t *actions)
+{
+	if (event->written.result == 0) {
+		order->version = event->written.version;
+		if (order->target.provable)
+			start_asking(order, actions);
+		else
+			refuse(order, actions, ERR_ORDER_UNKNOWN);
+		return;
+	}
+	if (order->sent) {
+		/* The raised number may not be in the store: prove nothing. */
+		reply(order, actions, ERR_ORDER_UNKNOWN, NULL, false);
+		order->target.fencing = order->claim.fencing;
+		start_recording(order, actions, now_ms);
+		return;
+	}
+	/* Another closes it too, or the answer was lost: look again. */
+	if (++order->attempts >= REPEAT_ATTEMPTS_MAX)
+		refuse(order, actions, ERR_ORDER_UNKNOWN);
+	else
+		add_wait(order, actions, ORDER_PHASE_CLAIM_WAIT, now_ms);
+}
+
+static void asked(order_t *order, const order_event_t *event, uint64_t now_ms,
+		  order_actions_t *actions)
+{
+	if (event->asked.proof != ORDER_PROOF_NOT_RUN) {
+		refuse(order, actions, ERR_ORDER_UNKNOWN);
+		return;
+	}
+	if (++order->endpoint < order->target.endpoint_count) {
+		ask_endpoint(order, actions);
+		return;
+	}
+	order->target.state = ORDER_STATE_NOT_RUN;
+	reply(order, actions, ERR_ORDER_NOT_RUN, NULL, false);
+	start_recording(order, actions, now_ms);
+}
+
+static void retry_record(order_t *order, order_actions_t *actions,
+			 uint64_t now_ms)
+{
+	order->attempts++;
+	if (now_ms >= order->record_until_ms)
+		finish(order, actions, false);
+	else
+		add_wait(order, actions, ORDER_PHASE_RECORD_WAIT, now_ms);
+}
+
+static void record_written(order_t *order, const order_event_t *event,
+			   uint64_t now_ms, order_actions_t *actions)
+{
+	switch (event->written.result) {
+	case 0:
+		finish(order, actions, true);
+		return;
+	case ERR_STORE_CONDITION:
+		add_call(order, actions, ORDER_ACTION_READ,
+			 ORDER_PHASE_RECORD_READ);
+		return;
+	default:
+		retry_record(order, actions, now_ms);
+		return;
+	}
+}
+
+/** Whether the outcome we know is better than the one that is recorded. */
+static bool improves(const order_record_t *target, const order_record_t *found)
+{
+	if (found->state == ORDER_STATE_OPEN)
+		return true;
+	return found->state == ORDER_STATE_UNKNOWN &&
+	       target->state != ORDER_STATE_UNKNOWN;
+}
+
+static void record_read(order_t *order, const order_event_t *event,
+			uint64_t now_ms, order_actions_t *actions)
+{
+	const order_record_t *record = event->read.record;
+
+	if (event->read.result == ERR_NOT_FOUND) {
+		/* Only a claim that was perhaps never written is missing. */
+		if (order->target.state == ORDER_STATE_NOT_RUN &&
+		    !order->version)
+			add_write(order, actions, &order->target,
+				  ORDER_PHASE_RECORD_WRITE);
+		else
+			finish(order, actions, false);
+		return;
+	}
+	if (event->read.result != 0) {
+		retry_record(order, actions, now_ms);
+		return;
+	}
+	if (record->nonce != order->target.nonce) {
+		/*
+		 * A key claimed again after "not run" may still hold the
+		 * earlier record: a lost claim of ours would replace it.
+		 */
+		if (record->state == ORDER_STATE_NOT_RUN &&
+		    order->target.state == ORDER_STATE_NOT_RUN &&
+		    order->version == event->read.version &&
+		    order->target.fencing > record->fencing)
+			add_write(order, actions, &order->target,
+				  ORDER_PHASE_RECORD_WRITE);
+		else
+			finish(order, actions, true);
+		return;
+	}
+	if (!improves(&order->target, record)) {
+		finish(order, actions, true);
+		return;
+	}
+	order->version = event->read.version;
+	/* A number that another raised must not fall. */
+	if (order->target.fencing < record->fencing)
+		order->target.fencing = record->fencing;
+	add_write(order, actions, &order->target, ORDER_PHASE_RECORD_WRITE);
+}
+
+static void on_written(order_t *order, const order_event_t *event,
+		       uint64_t now_ms, order_actions_t *actions)
+{
+	switch (order->phase) {
+	case ORDER_PHASE_CLAIM_WRITE:
+		claim_written(order, event, now_ms, actions);
+		return;
+	case ORDER_PHASE_CLOSE_WRITE:
+		close_written(order, event, now_ms, actions);
+		return;
+	case ORDER_PHASE_RECORD_WRITE:
+		record_written(order, event, now_ms, actions);
+		return;
+	default:
+		return;
+	}
+}
+
+static void on_read(order_t *order, const order_event_t *event, uint64_t now_ms,
+		    order_actions_t *actions)
+{
+	if (order->phase == ORDER_PHASE_CLAIM_READ)
+		claim_read(order, event, now_ms, actions);
+	else if (order->phase == ORDER_PHASE_RECORD_READ)
+		record_read(order, event, now_ms, actions);
+}
+
+static void on_timer(order_t *order, order_actions_t *actions)
+{
+	if (order->phase == ORDER_PHASE_CLAIM_WAIT)
+		read_claim(order, actions);
+	else if (order->phase == ORDER_PHASE_RECORD_WAIT)
+		add_call(order, actions, ORDER_ACTION_READ,
+			 ORDER_PHASE_RECORD_READ);
+}
+
+void order_step(order_t *order, const order_event_t *event, uint64_t now_ms,
+		order_actions_t *actions)
+{
+	actions->count = 0;
+	if (event->call != order->call)
+		return;
+	switch (event->kind) {
+	case ORDER_EVENT_WRITTEN:
+		on_written(order, event, now_ms, actions);
+		return;
+	case ORDER_EVENT_READ:
+		on_read(order, event, now_ms, actions);
+		return;
+	case ORDER_EVENT_TIMER:
+		on_timer(order, actions);
+		return;
+	case ORDER_EVENT_CONNECTED:
+		if (order->phase == ORDER_PHASE_CONNECTING)
+			connected(order, now_ms, actions);
+		return;
+	case ORDER_EVENT_CONNECT_FAILED:
+		if (order->phase == ORDER_PHASE_CONNECTING)
+			connect_failed(order, now_ms, actions);
+		return;
+	case ORDER_EVENT_ANSWERED:
+		if (order->phase == ORDER_PHASE_SENT)
+			answered(order, event, now_ms, actions);
+		return;
+	case ORDER_EVENT_LOST:
+		if (order->phase == ORDER_PHASE_SENT)
+			answer_lost(order, now_ms, actions);
+		return;
+	case ORDER_EVENT_ASKED:
+		if (order->phase == ORDER_PHASE_ASKING)
+			asked(order, event, now_ms, actions);
+		return;
+	}
+}
+
+static uint64_t next_sweep(const order_sweep_t *sweep, uint64_t now_ms)
+{
+	uint64_t mean_ms = (uint64_t)sweep->interval_ms * sweep->member_count;
+
+	return now_ms + mean_ms / 2 + rng_below(sweep->rng, mean_ms + 1);
+}
+
+void order_sweep_init(order_sweep_t *sweep, const order_settings_t *settings,
+		      rng_t *rng, uint32_t interval_ms, uint32_t member_count,
+		      uint64_t now_ms)
+{
+	memset(sweep, 0, sizeof(*sweep));
+	sweep->settings = settings;
+	sweep->rng = rng;
+	sweep->interval_ms = interval_ms;
+	sweep->member_count = member_count ? member_count : 1;
+	sweep->next_ms = now_ms + rng_below(rng, (uint64_t)interval_ms *
+							 sweep->member_count);
+}
+
+order_sweep_action_t order_sweep_step(order_sweep_t *sweep, uint64_t now_ms)
+{
+	order_sweep_action_t action = { .kind = ORDER_SWEEP_NONE };
+
+	if (sweep->pending_count) {
+		size_t i = --sweep->pending_count;
+
+		action.kind = ORDER_SWEEP_DELETE;
+		action.path = sweep->pending[i];
+		action.version = sweep->pending_version[i];
+		return action;
+	}
+	if (sweep->reading || (!sweep->more && now_ms < sweep->next_ms))
+		return action;
+	if (!sweep->more) {
+		sweep->after[0] = '\0';
+		sweep->next_ms = next_sweep(sweep, now_ms);
+	}
+	sweep->reading = true;
+	action.kind = ORDER_SWEEP_LIST;
+	action.call = ++sweep->call;
+	action.path = sweep->after;
+	return action;
+}
+
+void order_sweep_page(order_sweep_t *sweep, uint32_t call, int result,
+		      const order_sweep_item_t *items, size_t count, bool more,
+		      int64_t unix_ms)
+{
+	if (!sweep->reading || call != sweep->call)
+		return;
+	sweep->reading = false;
+	sweep->more = result == 0 && more && count > 0;
+	if (result != 0)
+		return;
+	if (count > ORDER_SWEEP_PAGE) {
+		count = ORDER_SWEEP_PAGE;
+		sweep->more = true;
+	}
+	for (size_t i = 0; i < count; i++) {
+		size_t n = sweep->pending_count;
+
+		snprintf(sweep->after, sizeof(sweep->after), "%s",
+			 items[i].path);
+		if (unix_ms - items[i].created_unix_ms <
+		    sweep->settings->retention_ms)
+			continue;
+		snprintf(sweep->pending[n], sizeof(sweep->pending[n]), "%s",
+			 items[i].path);
+		sweep->pending_version[n] = items[i].version;
+		sweep->pending_count++;
+	}
+}
--- a/process/order.h
+++ b/process/order.h
@@ -245,9 +245,12 @@
 	char path[ORDER_PATH_MAX_BYTES];
 	order_record_t claim;  /**< Our claim as it is written. */
 	order_record_t target; /**< Record to be written when closing. */
+	order_answer_t kept;   /**< Answer without a body over the limit. */
 	uint64_t version;      /**< Version that the next write replaces. */
 	uint8_t endpoint;      /**< Being connected to or asked. */
+	bool claim_lost;       /**< A claim write may still take effect. */
 	bool other_seen;       /**< A record existed when claiming. */
+	bool closing;	       /**< `version` is of another's open claim. */
 	bool sent;
 	bool replied;
 } order_t;
