--- /dev/null
+++ b/process/prefix_stats.h
@@ -0,0 +1,104 @@
+/**
+ * @file
+ * Demand for the level prefixes of one pool, and the placement plan that
+ * follows from it.
+ *
+ * Each level prefix has a decayed request count. Its share of the pool's
+ * requests gives the number of endpoints that have to carry it (its replicas).
+ * A plan goes down the levels of a prompt: each step narrows the endpoints to
+ * as many as the level's demand needs, chosen by rendezvous hashing on the
+ * level's key among those of the step above, and ends at the level that one
+ * endpoint can carry: the placement level. A prefix therefore stands on as
+ * many endpoints as its demand needs and no more, and prompts that share a
+ * longer prefix meet on the same one of them. Two instances whose counts
+ * differ a little still agree on most endpoints, because the first k endpoints
+ * of a rendezvous order are among the first k + 1.
+ *
+ * Size: 4,096 levels of 48 bytes, 196,608 bytes, and a few counters. A full
+ * set replaces the entry with the lowest count. A level is entered once the
+ * one above it was seen before, so unique prompt ends take one entry each.
+ */
+#ifndef PROCESS_PREFIX_STATS_H
+#define PROCESS_PREFIX_STATS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum {
+	PREFIX_STATS_SETS = 512,
+	PREFIX_STATS_WAYS = 8,
+	/** Narrowing steps of a plan; a plan ends earlier in practice. */
+	PREFIX_PLAN_STEPS_MAX = 6,
+	/** Time in which a count without new requests falls to 1/e, ms. */
+	PREFIX_STATS_DECAY_MS = 10000,
+};
+
+/** A position in a prompt: key of all that stands before it. */
+typedef struct prefix_level {
+	uint64_t key;
+	uint32_t tokens; /**< Prompt tokens before it, rounded up. */
+} prefix_level_t;
+
+typedef struct prefix_stat {
+	uint64_t key; /**< 0 when free. */
+	uint64_t updated_ms;
+	double count; /**< Requests, decayed to `updated_ms`. */
+	/** Requests that leave the most frequent way on, decayed likewise. */
+	double diverged;
+	/** Share of answers whose cached tokens cover this level. */
+	float cached_share;
+	uint32_t next;	   /**< Low bits of the most frequent next level. */
+	uint16_t replicas; /**< Endpoints in force; 0 before the first plan. */
+	uint16_t tokens_k; /**< Prefix length in 1,024 tokens, rounded up. */
+} prefix_stat_t;
+
+typedef struct prefix_stats {
+	prefix_stat_t sets[PREFIX_STATS_SETS][PREFIX_STATS_WAYS];
+	double total; /**< Requests of the pool, decayed. */
+	uint64_t total_updated_ms;
+} prefix_stats_t;
+
+/** One narrowing step. */
+typedef struct prefix_plan_step {
+	uint64_t key;
+	uint32_t tokens;
+	uint16_t replicas;
+} prefix_plan_step_t;
+
+/** Placement of one prompt; the last step is the placement level. */
+typedef struct prefix_plan {
+	uint32_t step_count;
+	prefix_plan_step_t steps[PREFIX_PLAN_STEPS_MAX];
+} prefix_plan_t;
+
+void prefix_stats_init(prefix_stats_t *stats);
+
+/** Counts a request. @param levels in ascending order of tokens */
+void prefix_stats_request(prefix_stats_t *stats, const prefix_level_t *levels,
+			  size_t level_count, uint64_t now_ms);
+
+/** Counts the cached tokens that an answer reports. */
+void prefix_stats_answer(prefix_stats_t *stats, const prefix_level_t *levels,
+			 size_t level_count, uint32_t cached_tokens);
+
+/**
+ * Plans the placement of a prompt over `endpoint_count` endpoints.
+ * Replica counts rise at once with demand and fall only when demand is well
+ * below what the next lower count carries.
+ */
+void prefix_stats_plan(prefix_stats_t *stats, const prefix_level_t *levels,
+		       size_t level_count, uint32_t endpoint_count,
+		       uint64_t now_ms, prefix_plan_t *plan);
+
+/**
+ * Share of answers that found a level cached, from 0 to 1; `unknown` if the
+ * level is not in the table or has no answer yet.
+ */
+double prefix_stats_cached_share(const prefix_stats_t *stats, uint64_t key,
+				 double unknown);
+
+/** Whether several prompts share a level, so that a belief is worth keeping. */
+bool prefix_stats_is_shared(const prefix_stats_t *stats, uint64_t key);
+
+#endif
--- /dev/null
+++ b/request/prefix.h
@@ -0,0 +1,76 @@
+/**
+ * @file
+ * Prefix keys of a prompt: block keys as the engines compute them, and level
+ * keys that placement chooses from.
+ *
+ * A level is a position in the rendered prompt. Levels stand at message
+ * boundaries and on a fixed grid of block boundaries: every block up to 16,
+ * then every 2nd up to 32, every 4th up to 64, and so on. The grid depends on
+ * the position alone, so that prompts with a common start have the same levels
+ * whatever follows, and a manual, its section and the notes are told apart
+ * even when all of them stand in one message.
+ */
+#ifndef REQUEST_PREFIX_H
+#define REQUEST_PREFIX_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "process/prefix_stats.h"
+
+enum {
+	/** Block keys kept; the blocks of a longer prompt have no key. */
+	PREFIX_BLOCKS_MAX = 512,
+	/** Message boundaries kept as levels, counted from the start. */
+	PREFIX_MESSAGE_LEVELS_MAX = 8,
+	/** Levels of a prompt: message boundaries and the block grid. */
+	PREFIX_LEVELS_MAX = 64,
+};
+
+/** One message; nothing is copied. */
+typedef struct prefix_message {
+	const char *role;    /**< NUL-terminated. */
+	const char *content; /**< `content_bytes` bytes, any values. */
+	size_t content_bytes;
+} prefix_message_t;
+
+/** What must be equal for two prompts to share cache entries. */
+typedef struct prefix_identity {
+	const char *salt;
+	const char *model;
+	const char *adapter;
+	const char *weights_version;
+	uint32_t block_tokens; /**< >= 1 */
+	uint32_t token_bytes;  /**< >= 1 */
+} prefix_identity_t;
+
+/** Keys of one prompt; about 5.2 KB. */
+typedef struct prefix {
+	uint64_t root_key; /**< hash_chain_start() of the identity. */
+	/** Key of the whole prompt including its last partial block. */
+	uint64_t whole_key;
+	/**
+	 * Hash of salt, model and content. Adapter and weights version are
+	 * left out, so that a request that crashes engines keeps its
+	 * fingerprint across a roll-out.
+	 */
+	uint64_t fingerprint;
+	uint32_t prompt_tokens; /**< Whole prompt, rounded up. */
+	uint32_t block_tokens;
+	uint32_t block_count; /**< Full blocks with a key. */
+	uint32_t level_count;
+	uint64_t blocks[PREFIX_BLOCKS_MAX];
+	/** Ascending token counts; the last is never past the prompt. */
+	prefix_level_t levels[PREFIX_LEVELS_MAX];
+} prefix_t;
+
+/**
+ * Computes all keys of a prompt in one pass without rendering a copy.
+ * @return 0, or ERR_BAD_FIELD if `block_tokens` or `token_bytes` is 0 or the
+ *         prompt has 2^32 tokens or more
+ */
+int prefix_compute(const prefix_identity_t *identity,
+		   const prefix_message_t *messages, size_t message_count,
+		   prefix_t *prefix);
+
+#endif
