routing: add decision modules and a policy experiment

Cause: placement and overload need decisions free of clocks and sockets. Change: prefix, endpoint, belief, prefix_stats, routing, admission; fake fleet on virtual time in t/lib/fleet_sim and t/bench-policies. New against the first headers: prefix_level_t.full_tokens, routing_request_t.again, admission_put_off().

--- a/process/admission.h
+++ b/process/admission.h
@@ -16,7 +16,9 @@
  *
  * Use: admission_submit() for a new request; then, after every call that
  * changes something and when admission_timer_ms() has passed,
- * admission_next() until it returns false.
+ * admission_next() until it returns false. After each ADMISSION_START, send
+ * the request and call admission_set_pool() before the next call, so that one
+ * low reading does not release a whole queue at once.
  */
 #ifndef PROCESS_ADMISSION_H
 #define PROCESS_ADMISSION_H
@@ -29,6 +31,8 @@
 enum {
 	ADMISSION_CLASSES = 3,
 	ADMISSION_WAITING_MAX = 1024,
+	/** Places that only preempted requests may take. */
+	ADMISSION_WAITING_RESERVE = 64,
 	ADMISSION_RUNNING_MAX = 2048,
 	/** Open addressing; the size to design for has 620 customers. */
 	ADMISSION_CUSTOMERS_MAX = 1024,
@@ -40,6 +44,8 @@
 	ADMISSION_RETRY_BURST = 10,
 	ADMISSION_RETRY_AFTER_MIN_MS = 100,
 	ADMISSION_RETRY_AFTER_MAX_MS = 60000,
+	/** Time for which admission_put_off() keeps a request back. */
+	ADMISSION_PUT_OFF_MS = 200,
 };
 
 /** Limits of one customer, from the configuration. */
@@ -47,7 +53,7 @@
 	uint64_t id_hash;	  /**< Not 0. */
 	uint32_t weight;	  /**< >= 1 */
 	uint32_t rate_per_s;	  /**< 0 for no limit. */
-	uint32_t concurrency_max; /**< 0 for no limit. */
+	uint32_t concurrency_max; /**< Waiting and running; 0: no limit. */
 } admission_customer_t;
 
 typedef struct admission_request {
@@ -93,18 +99,19 @@
 	};
 } admission_action_t;
 
-/** A waiting request; 88 bytes. */
+/** A waiting request; 96 bytes. */
 typedef struct admission_waiting {
 	admission_request_t request; /**< id 0 when free. */
 	double tag;		     /**< Virtual finish in the fair queue. */
 	uint64_t since_ms;
-	bool preempting; /**< A stream is being cancelled for it. */
-	bool resumed;	 /**< Was running before; its rate was counted. */
+	uint64_t not_before_ms; /**< Put off until then. */
+	bool resumed;		/**< Was running before; never shed. */
 } admission_waiting_t;
 
 typedef struct admission_running {
 	admission_request_t request; /**< id 0 when free. */
 	uint64_t started_ms;
+	double tag;	 /**< Its place, if it is put off. */
 	bool preempting; /**< Told to be cancelled. */
 } admission_running_t;
 
@@ -121,9 +128,11 @@
 	uint32_t wait_ms;     /**< Expected wait at the endpoints. */
 	uint32_t streams_max; /**< Streams of this instance; 0: no limit. */
 	uint32_t running;
+	uint32_t preempting; /**< Of these, told to be cancelled. */
 	double run_ms;	     /**< Mean time a request runs, smoothed. */
-	double start_gap_ms; /**< Mean time between starts, smoothed. */
-	uint64_t last_start_ms;
+	/** Mean time between ends of a class, smoothed, and the last end. */
+	double end_gap_ms[ADMISSION_CLASSES];
+	uint64_t last_end_ms[ADMISSION_CLASSES];
 	bool held[ADMISSION_CLASSES];
 } admission_pool_t;
 
@@ -131,7 +140,8 @@
 	uint32_t queue_max;
 	uint32_t waiting_count;
 	uint32_t running_count;
-	double retry_share; /**< Retries for each request, 0 to 1. */
+	uint32_t preempting_count; /**< Preemptions not yet answered. */
+	double retry_share;	   /**< Retries for each request, 0 to 1. */
 	double retry_credit;
 	double virtual_time[ADMISSION_CLASSES];
 	/** Request pushed out of a full queue, not yet reported. */
@@ -144,7 +154,8 @@
 } admission_t;
 
 /**
- * @param queue_max waiting requests; cut to ADMISSION_WAITING_MAX
+ * @param queue_max waiting requests; at most ADMISSION_WAITING_MAX less the
+ *        reserve
  * @param retry_budget_percent retries a hundred requests
  */
 void admission_init(admission_t *admission, uint32_t queue_max,
@@ -177,7 +188,10 @@
 bool admission_next(admission_t *admission, uint64_t now_ms,
 		    admission_action_t *action);
 
-/** Milliseconds until a waiting request expires; UINT32_MAX if none can. */
+/**
+ * Milliseconds until a waiting request expires or a put-off one is due;
+ * UINT32_MAX if there is none.
+ */
 uint32_t admission_timer_ms(const admission_t *admission, uint64_t now_ms);
 
 /** A started request ended, or a waiting one's caller went away. */
@@ -190,6 +204,18 @@
  */
 void admission_preempted(admission_t *admission, uint64_t id, uint64_t now_ms);
 
+/**
+ * Takes back the start of a request because the endpoint that routing_choose()
+ * names has too long a queue for its class, though the pool as a whole has
+ * not: without this, non-urgent requests for a hot prefix delay the urgent
+ * ones at its endpoint. Nothing was sent. The request keeps its place and is
+ * started again after ADMISSION_PUT_OFF_MS.
+ * @param endpoint_wait_ms expected wait at the chosen endpoint
+ * @return false if the request goes ahead: the class tolerates the wait
+ */
+bool admission_put_off(admission_t *admission, uint64_t id,
+		       uint32_t endpoint_wait_ms, uint64_t now_ms);
+
 /**
  * Asks for one retry out of the budget.
  * @param wait_ms expected wait of the retry
--- a/process/belief.h
+++ b/process/belief.h
@@ -30,7 +30,8 @@
 typedef struct belief_entry {
 	uint64_t tag; /**< Hash of source and key; 0 when free. */
 	uint64_t confirmed_ms;
-	uint32_t tokens; /**< Tokens cached up to this key; 0 if evicted. */
+	uint32_t tokens; /**< Tokens cached up to this key. */
+	bool evicted;	 /**< An event said so; kept to notice its return. */
 } belief_entry_t;
 
 typedef struct belief {
--- /dev/null
+++ b/process/endpoint.c
@@ -0,0 +1,378 @@
+#include "process/endpoint.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "process/belief.h"
+#include "process/hash.h"
+
+/** Weight of a new sample in smoothed values. */
+static const double SAMPLE_WEIGHT = 0.3;
+static const double SLOW_START_MIN_SHARE = 0.1;
+/** Added to both sides of the slowness ratio, so short times weigh little. */
+static const double SLOWNESS_OFFSET_MS = 50;
+static const double SLOWNESS_MAX = 20;
+/** A queue wait seen longer ago says nothing about the queue now. */
+static const uint64_t SEEN_MAX_AGE_MS = 2000;
+
+static void update_source(endpoint_t *endpoint)
+{
+	uint64_t key = hash_string(endpoint->weights_version);
+
+	key = hash_rendezvous(key, endpoint->id_hash);
+	key = hash_rendezvous(key, endpoint->incarnation);
+	endpoint->belief_source =
+		hash_rendezvous(key, endpoint->event_generation);
+}
+
+void endpoint_init(endpoint_t *endpoint, uint64_t id_hash)
+{
+	memset(endpoint, 0, sizeof(*endpoint));
+	endpoint->id_hash = id_hash;
+	endpoint->slowness = 1;
+	endpoint->belief_expiry_ms = BELIEF_EXPIRY_START_MS;
+	update_source(endpoint);
+}
+
+/** @return whether the stored text changed */
+static bool set_name(char name[ENDPOINT_NAME_MAX_BYTES], const char *value)
+{
+	if (!value || !strncmp(name, value, ENDPOINT_NAME_MAX_BYTES - 1))
+		return false;
+	snprintf(name, ENDPOINT_NAME_MAX_BYTES, "%s", value);
+	return true;
+}
+
+/** Forgets what only held for the process that ran before. */
+static void begin_incarnation(endpoint_t *endpoint, uint64_t incarnation,
+			      uint64_t now_ms)
+{
+	bool restarted = endpoint->incarnation != 0;
+
+	endpoint->incarnation = incarnation;
+	endpoint->event_seq = 0;
+	if (!restarted)
+		return;
+	endpoint->report_at_ms = 0;
+	endpoint->report_seq = 0;
+	endpoint->report_tokens = 0;
+	memset(endpoint->sent_tokens, 0, sizeof(endpoint->sent_tokens));
+	memset(endpoint->seen_at_ms, 0, sizeof(endpoint->seen_at_ms));
+	endpoint->slowness = 1;
+	endpoint->failures = 0;
+	endpoint->ejected_until_ms = 0;
+	endpoint->isolated_until_ms = 0;
+	endpoint->leaving_itself = false;
+	endpoint->slow_start_until_ms = now_ms + ENDPOINT_SLOW_START_MS;
+}
+
+bool endpoint_identity(endpoint_t *endpoint, uint64_t incarnation,
+		       const char *weights_version, uint64_t now_ms)
+{
+	bool changed = set_name(endpoint->weights_version, weights_version);
+
+	if (incarnation != endpoint->incarnation) {
+		begin_incarnation(endpoint, incarnation, now_ms);
+		changed = true;
+	}
+	if (changed)
+		update_source(endpoint);
+	return changed;
+}
+
+void endpoint_role(endpoint_t *endpoint, const char *model, const char *adapter,
+		   const char *role)
+{
+	set_name(endpoint->model, model);
+	set_name(endpoint->adapter, adapter);
+	set_name(endpoint->role, role);
+}
+
+static void report_leaving(endpoint_t *endpoint, bool leaving, uint64_t at_ms)
+{
+	/* A lagging report must not undo what a later answer said. */
+	if (at_ms < endpoint->leaving_itself_at_ms)
+		return;
+	endpoint->leaving_itself = leaving;
+	endpoint->leaving_itself_at_ms = at_ms;
+}
+
+void endpoint_report(endpoint_t *endpoint, const endpoint_load_t *load,
+		     uint64_t now_ms)
+{
+	uint64_t at_ms = now_ms > load->age_ms ? now_ms - load->age_ms : 1;
+
+	if (load->incarnation == endpoint->incarnation &&
+	    load->seq < endpoint->report_seq)
+		return;
+	endpoint_identity(endpoint, load->incarnation, load->weights_version,
+			  now_ms);
+	endpoint_role(endpoint, load->model, load->adapter, NULL);
+	endpoint->report_seq = load->seq;
+	endpoint->report_at_ms = at_ms;
+	endpoint->report_running = load->running;
+	endpoint->report_queued = load->queued;
+	endpoint->report_tokens = (double)load->queued_tokens;
+	endpoint->kv_used_blocks = load->kv_used_blocks;
+	endpoint->kv_total_blocks = load->kv_total_blocks;
+	report_leaving(endpoint, load->leaving, at_ms);
+}
+
+bool endpoint_events(endpoint_t *endpoint, uint64_t incarnation,
+		     uint64_t first_seq, uint64_t next_seq, uint64_t now_ms)
+{
+	bool first;
+	bool follows;
+
+	endpoint_identity(endpoint, incarnation, NULL, now_ms);
+	first = endpoint->event_seq == 0;
+	follows = first || first_seq <= endpoint->event_seq;
+	endpoint->event_seq = next_seq;
+	if (follows)
+		return true;
+	endpoint->event_generation++;
+	update_source(endpoint);
+	return false;
+}
+
+/** Moves the ring of sent tokens on to the current time. */
+static void advance_buckets(endpoint_t *endpoint, uint64_t now_ms)
+{
+	uint64_t bucket = now_ms / ENDPOINT_SENT_BUCKET_MS;
+
+	if (bucket >= endpoint->sent_bucket + ENDPOINT_SENT_BUCKETS) {
+		memset(endpoint->sent_tokens, 0, sizeof(endpoint->sent_tokens));
+		endpoint->sent_bucket = bucket;
+	}
+	while (endpoint->sent_bucket < bucket) {
+		endpoint->sent_bucket++;
+		endpoint->sent_tokens[endpoint->sent_bucket %
+				      ENDPOINT_SENT_BUCKETS] = 0;
+	}
+}
+
+void endpoint_sent(endpoint_t *endpoint, uint32_t tokens, uint64_t now_ms)
+{
+	advance_buckets(endpoint, now_ms);
+	endpoint->sent_tokens[endpoint->sent_bucket % ENDPOINT_SENT_BUCKETS] +=
+		tokens;
+	endpoint->running++;
+	if (!endpoint->waiting++)
+		endpoint->waiting_since_ms = now_ms;
+}
+
+static double smooth(double old, double sample)
+{
+	return old + SAMPLE_WEIGHT * (sample - old);
+}
+
+static void see_wait(endpoint_t *endpoint, uint32_t urgency, uint32_t queue_ms,
+		     uint64_t now_ms)
+{
+	double *seen = &endpoint->seen_wait_ms[urgency];
+	uint64_t *at = &endpoint->seen_at_ms[urgency];
+
+	if (!*at || now_ms - *at > SEEN_MAX_AGE_MS)
+		*seen = queue_ms;
+	else
+		*seen = smooth(*seen, queue_ms);
+	*at = now_ms;
+}
+
+void endpoint_first_token(endpoint_t *endpoint, uint32_t urgency,
+			  uint32_t queue_ms, uint32_t compute_ms,
+			  uint32_t expected_ms, uint64_t now_ms)
+{
+	double ratio = (compute_ms + SLOWNESS_OFFSET_MS) /
+		       (expected_ms + SLOWNESS_OFFSET_MS);
+
+	if (endpoint->waiting)
+		endpoint->waiting--;
+	endpoint->waiting_since_ms = now_ms;
+	endpoint->failures = 0;
+	endpoint->slowness =
+		smooth(endpoint->slowness, fmin(ratio, SLOWNESS_MAX));
+	if (urgency < ENDPOINT_URGENCY_COUNT)
+		see_wait(endpoint, urgency, queue_ms, now_ms);
+}
+
+static void eject(endpoint_t *endpoint, rng_t *rng, uint64_t now_ms)
+{
+	double eject_ms = ENDPOINT_EJECT_MIN_MS;
+
+	/* Requests that fail together are one reason to eject. */
+	if (now_ms < endpoint->ejected_until_ms)
+		return;
+	eject_ms = fmin(ldexp(eject_ms, (int)endpoint->ejections),
+			ENDPOINT_EJECT_MAX_MS);
+	if (endpoint->ejections < 16)
+		endpoint->ejections++;
+	eject_ms *= 0.75 + 0.5 * rng_unit(rng);
+	endpoint->ejected_until_ms = now_ms + (uint64_t)eject_ms;
+	endpoint->slow_start_until_ms =
+		endpoint->ejected_until_ms + ENDPOINT_SLOW_START_MS;
+	endpoint->failures = 0;
+}
+
+static void end_well(endpoint_t *endpoint, uint64_t now_ms)
+{
+	endpoint->failures = 0;
+	if (now_ms >= endpoint->slow_start_until_ms)
+		endpoint->ejections = 0;
+}
+
+void endpoint_ended(endpoint_t *endpoint, endpoint_outcome_t outcome,
+		    bool had_first_token, rng_t *rng, uint64_t now_ms)
+{
+	if (endpoint->running)
+		endpoint->running--;
+	if (!had_first_token && endpoint->waiting)
+		endpoint->waiting--;
+	switch (outcome) {
+	case ENDPOINT_DONE:
+		end_well(endpoint, now_ms);
+		break;
+	case ENDPOINT_CANCELLED:
+		break;
+	case ENDPOINT_REFUSED:
+		report_leaving(endpoint, true, now_ms);
+		break;
+	case ENDPOINT_FAILED:
+		if (++endpoint->failures >= ENDPOINT_FAILURES_MAX)
+			eject(endpoint, rng, now_ms);
+		break;
+	case ENDPOINT_LOST:
+		/* A broken stream most often means that the process died. */
+		eject(endpoint, rng, now_ms);
+		break;
+	}
+}
+
+void endpoint_set_leaving(endpoint_t *endpoint, bool leaving)
+{
+	endpoint->leaving = leaving;
+}
+
+void endpoint_isolate(endpoint_t *endpoint, uint64_t now_ms)
+{
+	endpoint->isolated_until_ms = now_ms + ENDPOINT_ISOLATION_MAX_MS;
+}
+
+void endpoint_isolation_end(endpoint_t *endpoint)
+{
+	endpoint->isolated_until_ms = 0;
+}
+
+endpoint_state_t endpoint_state(const endpoint_t *endpoint, uint64_t now_ms)
+{
+	if (endpoint->leaving || endpoint->leaving_itself)
+		return ENDPOINT_LEAVING;
+	if (now_ms < endpoint->ejected_until_ms)
+		return ENDPOINT_EJECTED;
+	if (now_ms < endpoint->isolated_until_ms)
+		return ENDPOINT_ISOLATED;
+	if (now_ms < endpoint->slow_start_until_ms)
+		return ENDPOINT_SLOW_START;
+	return ENDPOINT_USABLE;
+}
+
+double endpoint_slow_start_share(const endpoint_t *endpoint, uint64_t now_ms)
+{
+	double left;
+
+	if (now_ms >= endpoint->slow_start_until_ms)
+		return 1;
+	left = (double)(endpoint->slow_start_until_ms - now_ms);
+	return fmax(SLOW_START_MIN_SHARE, 1 - left / ENDPOINT_SLOW_START_MS);
+}
+
+static bool has_report(const endpoint_t *endpoint, uint64_t now_ms)
+{
+	return endpoint->report_at_ms &&
+	       now_ms - endpoint->report_at_ms <= ENDPOINT_REPORT_MAX_AGE_MS;
+}
+
+bool endpoint_is_idle(const endpoint_t *endpoint, uint64_t now_ms)
+{
+	if (endpoint->running)
+		return false;
+	return !has_report(endpoint, now_ms) ||
+	       (!endpoint->report_running && !endpoint->report_queued);
+}
+
+/** Own tokens sent after `since_ms`. */
+static double sent_since(const endpoint_t *endpoint, uint64_t since_ms)
+{
+	double tokens = 0;
+
+	for (uint64_t i = 0; i < ENDPOINT_SENT_BUCKETS; i++) {
+		uint64_t bucket = endpoint->sent_bucket - i;
+
+		if (i > endpoint->sent_bucket ||
+		    (bucket + 1) * ENDPOINT_SENT_BUCKET_MS <= since_ms)
+			break;
+		tokens += endpoint->sent_tokens[bucket % ENDPOINT_SENT_BUCKETS];
+	}
+	return tokens;
+}
+
+static double backlog_ms(const endpoint_t *endpoint, double tokens_per_ms,
+			 uint64_t now_ms)
+{
+	uint64_t since = now_ms > ENDPOINT_REPORT_MAX_AGE_MS
+				 ? now_ms - ENDPOINT_REPORT_MAX_AGE_MS
+				 : 0;
+	double tokens = 0;
+
+	if (tokens_per_ms <= 0)
+		return 0;
+	if (has_report(endpoint, now_ms)) {
+		since = endpoint->report_at_ms;
+		tokens = endpoint->report_tokens;
+	}
+	tokens += sent_since(endpoint, since);
+	return fmax(0, tokens / tokens_per_ms - (double)(now_ms - since));
+}
+
+double endpoint_expected_wait_ms(const endpoint_t *endpoint, uint32_t urgency,
+				 uint32_t prefill_tokens_per_s, uint64_t now_ms)
+{
+	double wait =
+		backlog_ms(endpoint, prefill_tokens_per_s / 1000.0, now_ms);
+	uint64_t seen_at = urgency < ENDPOINT_URGENCY_COUNT
+				   ? endpoint->seen_at_ms[urgency]
+				   : 0;
+
+	if (seen_at && seen_at > endpoint->report_at_ms &&
+	    now_ms - seen_at <= SEEN_MAX_AGE_MS) {
+		double seen = endpoint->seen_wait_ms[urgency] -
+			      (double)(now_ms - seen_at);
+
+		wait = (wait + fmax(0, seen)) / 2;
+	}
+	if (endpoint->slowness > 1)
+		wait *= endpoint->slowness;
+	if (endpoint->waiting &&
+	    now_ms > endpoint->waiting_since_ms + ENDPOINT_STALL_MS)
+		wait = fmax(wait,
+			    (double)(now_ms - endpoint->waiting_since_ms));
+	return wait;
+}
+
+const char *endpoint_state_name(endpoint_state_t state)
+{
+	switch (state) {
+	case ENDPOINT_USABLE:
+		return "usable";
+	case ENDPOINT_SLOW_START:
+		return "slow_start";
+	case ENDPOINT_EJECTED:
+		return "ejected";
+	case ENDPOINT_LEAVING:
+		return "leaving";
+	case ENDPOINT_ISOLATED:
+		return "isolated";
+	}
+	return "unknown";
+}
--- a/process/endpoint.h
+++ b/process/endpoint.h
@@ -4,8 +4,8 @@
  * own requests since the last report, waits seen, failures, leaving.
  *
  * No clock and no lock: the caller passes `now_ms` (monotonic) and serialises
- * calls. One endpoint_t takes about 500 bytes: 35 endpoints 17 KB, a pool of
- * 800 endpoints 0.4 MB.
+ * calls. One endpoint_t takes about 570 bytes: 35 endpoints 20 KB, a pool of
+ * 800 endpoints 0.46 MB.
  *
  * Calls for each request sent: endpoint_sent(), at most one
  * endpoint_first_token(), and exactly one endpoint_ended().
@@ -31,6 +31,11 @@
 	ENDPOINT_ISOLATION_MAX_MS = 120000,
 	/** Without a report for this long, reported load no longer counts. */
 	ENDPOINT_REPORT_MAX_AGE_MS = 10000,
+	/** Own requests are remembered by time to match a lagging report. */
+	ENDPOINT_SENT_BUCKETS = 16,
+	ENDPOINT_SENT_BUCKET_MS = 250,
+	/** Own requests without progress for longer show a stalled endpoint. */
+	ENDPOINT_STALL_MS = 5000,
 };
 
 /** Contents of `GET /engine/load`; strings may be NULL if absent. */
@@ -91,10 +96,11 @@
 	uint32_t kv_total_blocks;
 	double report_tokens;
 	/* Own requests. */
-	double sent_tokens; /**< To be computed, sent since the report. */
-	uint32_t sent_requests;
-	uint32_t running; /**< Own requests not ended, waiting ones too. */
-	uint32_t waiting; /**< Own requests without a first token. */
+	/** Tokens to be computed, by the time they were sent. */
+	uint32_t sent_tokens[ENDPOINT_SENT_BUCKETS];
+	uint64_t sent_bucket; /**< Latest one, now / ENDPOINT_SENT_BUCKET_MS. */
+	uint32_t running;     /**< Own requests not ended, waiting ones too. */
+	uint32_t waiting;     /**< Own requests without a first token. */
 	uint64_t waiting_since_ms; /**< Last progress while any waits. */
 	/** Queue waits seen in answers, smoothed, and the time of the last. */
 	double seen_wait_ms[ENDPOINT_URGENCY_COUNT];
@@ -107,7 +113,9 @@
 	uint64_t ejected_until_ms;
 	uint64_t slow_start_until_ms;
 	uint64_t isolated_until_ms; /**< 0 when not isolated. */
-	bool leaving;
+	bool leaving;		    /**< By list, gossip or configuration. */
+	bool leaving_itself;	    /**< By its own report or answer. */
+	uint64_t leaving_itself_at_ms;
 } endpoint_t;
 
 /** Starts with nothing known: usable, idle, identity unknown. */
@@ -116,7 +124,7 @@
 /**
  * Takes over the identity an answer or report shows. A new incarnation or
  * weights version ends all beliefs; a new incarnation also ends ejection,
- * leaving and isolation and begins a slow start.
+ * isolation and what the old one said about leaving, and begins a slow start.
  * @param weights_version NULL if not shown
  * @return whether incarnation or weights version changed
  */
--- a/process/prefix_stats.h
+++ b/process/prefix_stats.h
@@ -14,9 +14,9 @@
  * differ a little still agree on most endpoints, because the first k endpoints
  * of a rendezvous order are among the first k + 1.
  *
- * Size: 4,096 levels of 48 bytes, 196,608 bytes, and a few counters. A full
- * set replaces the entry with the lowest count. A level is entered once the
- * one above it was seen before, so unique prompt ends take one entry each.
+ * Size: 4,096 levels of 40 bytes, 163,840 bytes, and a few counters. A full
+ * set replaces the entry with the lowest count. One request enters at most
+ * PREFIX_STATS_NEW_MAX levels, so unique prompts cannot flood the table.
  */
 #ifndef PROCESS_PREFIX_STATS_H
 #define PROCESS_PREFIX_STATS_H
@@ -28,34 +28,44 @@
 enum {
 	PREFIX_STATS_SETS = 512,
 	PREFIX_STATS_WAYS = 8,
-	/** Narrowing steps of a plan; a plan ends earlier in practice. */
-	PREFIX_PLAN_STEPS_MAX = 6,
-	/** Time in which a count without new requests falls to 1/e, ms. */
-	PREFIX_STATS_DECAY_MS = 10000,
+	/** Narrowing steps of a plan: enough for 1,024 endpoints. */
+	PREFIX_PLAN_STEPS_MAX = 12,
+	/** Levels entered for one request. */
+	PREFIX_STATS_NEW_MAX = 16,
+	/**
+	 * Times in which counts without new requests fall to 1/e. An instance
+	 * may see less than one request a second, so shares come from the slow
+	 * counts; the fast ones follow a storm.
+	 */
+	PREFIX_STATS_FAST_MS = 5000,
+	PREFIX_STATS_SLOW_MS = 30000,
 };
 
 /** A position in a prompt: key of all that stands before it. */
 typedef struct prefix_level {
 	uint64_t key;
 	uint32_t tokens; /**< Prompt tokens before it, rounded up. */
+	/** Of these, tokens in full blocks: what an engine can cache. */
+	uint32_t full_tokens;
 } prefix_level_t;
 
 typedef struct prefix_stat {
 	uint64_t key; /**< 0 when free. */
 	uint64_t updated_ms;
-	double count; /**< Requests, decayed to `updated_ms`. */
-	/** Requests that leave the most frequent way on, decayed likewise. */
-	double diverged;
-	/** Share of answers whose cached tokens cover this level. */
-	float cached_share;
-	uint32_t next;	   /**< Low bits of the most frequent next level. */
+	/** Requests, decayed to `updated_ms`. */
+	float fast;
+	float slow;
+	/** Answers, and those whose cached tokens cover this level; decayed. */
+	float answers;
+	float cached;
+	uint32_t tokens;
 	uint16_t replicas; /**< Endpoints in force; 0 before the first plan. */
-	uint16_t tokens_k; /**< Prefix length in 1,024 tokens, rounded up. */
 } prefix_stat_t;
 
 typedef struct prefix_stats {
 	prefix_stat_t sets[PREFIX_STATS_SETS][PREFIX_STATS_WAYS];
-	double total; /**< Requests of the pool, decayed. */
+	float total_fast; /**< Requests of the pool, decayed. */
+	float total_slow;
 	uint64_t total_updated_ms;
 } prefix_stats_t;
 
--- a/process/routing.h
+++ b/process/routing.h
@@ -7,7 +7,7 @@
  * depends on the size of the fleet outside the pool. docs/routing.md has the
  * measured time at 35 and at 800 endpoints a pool.
  *
- * One routing_t per pool, about 0.4 MB (prefix statistics and beliefs). The
+ * One routing_t per pool, about 0.36 MB (prefix statistics and beliefs). The
  * caller owns it and the endpoints and serialises all calls for one pool.
  *
  * Calls for each attempt: routing_choose(), routing_sent() when the request is
@@ -35,6 +35,9 @@
 	 * threshold, adds recomputation under overload and feeds itself.
 	 */
 	ROUTING_LEAVE_FACTOR = 4,
+	/** The median wait of a pool is found to the step of these classes. */
+	ROUTING_WAIT_CLASS_MS = 50,
+	ROUTING_WAIT_CLASSES = 1024,
 };
 
 /** Policies; all but `prefix` are baselines for comparison. */
@@ -71,6 +74,8 @@
 	size_t excluded_count;
 	/** Suspect: the endpoint must be idle and gets no other work. */
 	bool isolated;
+	/** Was chosen for before: not counted again as demand. */
+	bool again;
 	/** Prompt tokens whose blocks the KV cache store holds; 0 if none. */
 	uint32_t kv_store_tokens;
 	/**
@@ -125,7 +130,7 @@
 
 /**
  * Chooses an endpoint. Counts the request in the prefix statistics unless
- * endpoints are excluded (a retry).
+ * it was chosen for before (`again`).
  * @param endpoints the pool, in the same order for all requests
  * @param explanation filled in on success and on ERR_NO_ENDPOINT
  * @return index into `endpoints`; ERR_NO_ENDPOINT if none may get the request;
--- /dev/null
+++ b/t/lib/fleet_sim.c
@@ -0,0 +1,790 @@
+#include "t/lib/fleet_sim.h"
+
+#include <glib.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/admission.h"
+#include "process/hash.h"
+#include "request/prefix.h"
+
+enum {
+	MANUALS = 20,
+	SECTIONS = 20,
+	NOTES = 6,
+	MANUAL_BLOCKS = 10,
+	SECTION_BLOCKS = 4,
+	NOTES_BLOCKS = 2,
+	PROMPT_BLOCKS = MANUAL_BLOCKS + SECTION_BLOCKS + NOTES_BLOCKS,
+	TOKEN_BYTES = 4,
+	BLOCK_BYTES = SIM_BLOCK_TOKENS * TOKEN_BYTES,
+	LEVELS_MAX = PROMPT_BLOCKS + 3,
+	SNAPSHOT_MS = 100,
+	SNAPSHOTS = 64,
+	POLL_MS = 500,
+	ADMISSION_TICK_MS = 50,
+	NETWORK_MS = 1,
+	OVERHEAD_MS = 20,
+	BLOCK_MS = SIM_BLOCK_TOKENS * 1000 / SIM_PREFILL_TOKENS_PER_S,
+	CACHE_MAX = 1024,
+	CUSTOMERS = 8,
+};
+
+static const double UNIQUE_NOTES = 0.5;
+/**
+ * Blocks a request computes at the target hit rate: 0.9 of the unbounded
+ * cache, which has about 0.88 of all blocks.
+ */
+static const double TARGET_UNCACHED_BLOCKS = 3.3;
+static const double CLASS_SHARE[SIM_CLASSES] = { 0.3, 0.3, 0.4 };
+static const uint32_t DEADLINE_MS[SIM_CLASSES] = { 60000, 60000, 120000 };
+
+typedef enum sim_event_kind {
+	SIM_ARRIVAL,
+	SIM_AT_ENGINE,
+	SIM_COMPUTED,
+	SIM_FIRST_TOKEN,
+	SIM_SNAPSHOT,
+	SIM_POLL,
+	SIM_TICK,
+	SIM_RESHUFFLE,
+} sim_event_kind_t;
+
+typedef struct sim_event {
+	uint64_t at_ms;
+	uint64_t seq; /* Equal times keep their order. */
+	sim_event_kind_t kind;
+	uint32_t index;
+} sim_event_t;
+
+typedef struct sim_request {
+	uint64_t blocks[PROMPT_BLOCKS];
+	prefix_level_t levels[LEVELS_MAX];
+	uint32_t level_count;
+	uint64_t whole_key;
+	uint32_t prompt_tokens;
+	uint32_t urgency;
+	uint32_t router;
+	uint32_t engine;
+	uint32_t customer;
+	uint32_t queued_tokens;
+	uint32_t cached_blocks;
+	uint64_t arrived_ms;
+	uint64_t sent_ms;
+	uint64_t at_engine_ms;
+	uint64_t begun_ms;
+	bool routed;
+	routing_explanation_t explanation;
+} sim_request_t;
+
+typedef struct sim_snapshot {
+	uint64_t at_ms;
+	uint32_t queued;
+	uint32_t running;
+	uint64_t tokens;
+} sim_snapshot_t;
+
+typedef struct sim_engine {
+	uint64_t keys[CACHE_MAX]; /* Most recently used first. */
+	uint32_t key_count;
+	GQueue queues[SIM_CLASSES];
+	uint64_t queued_tokens;
+	int64_t running; /* Request index, or -1. */
+	uint64_t done_ms;
+	uint32_t served;
+	uint64_t snapshot_count;
+	sim_snapshot_t snapshots[SNAPSHOTS];
+} sim_engine_t;
+
+typedef struct sim_router {
+	routing_t routing;
+	admission_t admission;
+	endpoint_t endpoints[64];
+	endpoint_t *pool[64];
+	rng_t rng;
+} sim_router_t;
+
+typedef struct sim {
+	const sim_options_t *options;
+	uint64_t now_ms;
+	uint64_t seq;
+	rng_t rng;
+	GArray *heap;
+	GPtrArray *requests;
+	sim_engine_t *engines;
+	sim_router_t *routers;
+	GHashTable *unbounded;
+	uint32_t manual_rank[MANUALS];
+	uint32_t section_rank[MANUALS][SECTIONS];
+	double gap_ms;
+	uint64_t prompt_blocks;
+	uint64_t cached_blocks;
+	uint64_t unbounded_blocks;
+	uint64_t wasted_blocks;
+	uint32_t shed;
+	GArray *ttft[SIM_CLASSES];
+} sim_t;
+
+sim_options_t sim_defaults(uint64_t seed)
+{
+	return (sim_options_t){
+		.seed = seed,
+		.policy = ROUTING_PREFIX,
+		.engines = 20,
+		.routers = 14,
+		.cache_blocks = 160,
+		.report_lag_ms = 1000,
+		.reshuffle_ms = 60000,
+		.duration_ms = 180000,
+		.warm_up_ms = 20000,
+		.load = 0.5,
+	};
+}
+
+static bool is_before(const sim_event_t *a, const sim_event_t *b)
+{
+	if (a->at_ms != b->at_ms)
+		return a->at_ms < b->at_ms;
+	return a->seq < b->seq;
+}
+
+static sim_event_t *event_at(const sim_t *sim, guint i)
+{
+	return &g_array_index(sim->heap, sim_event_t, i);
+}
+
+static void swap_events(const sim_t *sim, guint a, guint b)
+{
+	sim_event_t event = *event_at(sim, a);
+
+	*event_at(sim, a) = *event_at(sim, b);
+	*event_at(sim, b) = event;
+}
+
+static void push(sim_t *sim, uint64_t at_ms, sim_event_kind_t kind,
+		 uint32_t index)
+{
+	sim_event_t event = { at_ms, sim->seq++, kind, index };
+	guint i = sim->heap->len;
+
+	g_array_append_val(sim->heap, event);
+	while (i && is_before(event_at(sim, i), event_at(sim, (i - 1) / 2))) {
+		swap_events(sim, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+}
+
+static sim_event_t pop(sim_t *sim)
+{
+	sim_event_t first = *event_at(sim, 0);
+	guint last = sim->heap->len - 1;
+	guint i = 0;
+
+	swap_events(sim, 0, last);
+	g_array_set_size(sim->heap, last);
+	for (;;) {
+		guint child = 2 * i + 1;
+
+		if (child >= last)
+			return first;
+		if (child + 1 < last &&
+		    is_before(event_at(sim, child + 1), event_at(sim, child)))
+			child++;
+		if (!is_before(event_at(sim, child), event_at(sim, i)))
+			return first;
+		swap_events(sim, i, child);
+		i = child;
+	}
+}
+
+static void shuffle(rng_t *rng, uint32_t *ranks, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		ranks[i] = i;
+	for (uint32_t i = count; i > 1; i--) {
+		uint32_t j = (uint32_t)rng_below(rng, i);
+		uint32_t rank = ranks[i - 1];
+
+		ranks[i - 1] = ranks[j];
+		ranks[j] = rank;
+	}
+}
+
+static void reshuffle(sim_t *sim)
+{
+	shuffle(&sim->rng, sim->manual_rank, MANUALS);
+	for (uint32_t i = 0; i < MANUALS; i++)
+		shuffle(&sim->rng, sim->section_rank[i], SECTIONS);
+}
+
+/** Rank with exponential popularity, cut at `count`. */
+static uint32_t draw_rank(rng_t *rng, double mean, uint32_t count)
+{
+	for (;;) {
+		double rank = rng_exponential(rng, mean);
+
+		if (rank < count)
+			return (uint32_t)rank;
+	}
+}
+
+/** Fills `len` bytes with text that depends on `key` alone. */
+static void fill_text(char *text, size_t len, uint64_t key)
+{
+	rng_t rng;
+
+	rng_init(&rng, key);
+	for (size_t i = 0; i < len; i++)
+		text[i] = (char)('a' + rng_below(&rng, 26));
+}
+
+/** Keys of a prompt in three messages or in one. */
+static void compute_keys(const sim_t *sim, sim_request_t *request,
+			 const uint64_t parts[3])
+{
+	static const uint32_t blocks[3] = { MANUAL_BLOCKS, SECTION_BLOCKS,
+					    NOTES_BLOCKS };
+	static const char *const role = "user";
+	/* The role and two line ends are part of the rendered text. */
+	const size_t frame = strlen(role) + 2;
+	const prefix_identity_t identity = {
+		.salt = "subsol",
+		.model = "inspect",
+		.adapter = "",
+		.weights_version = "1",
+		.block_tokens = SIM_BLOCK_TOKENS,
+		.token_bytes = TOKEN_BYTES,
+	};
+	char text[PROMPT_BLOCKS * BLOCK_BYTES];
+	prefix_message_t messages[3];
+	prefix_t prefix;
+	size_t at = 0;
+
+	for (int i = 0; i < 3; i++) {
+		size_t len = (size_t)blocks[i] * BLOCK_BYTES;
+
+		fill_text(text + at, len, parts[i]);
+		messages[i] =
+			(prefix_message_t){ role, text + at, len - frame };
+		at += len;
+	}
+	if (sim->options->single_message)
+		messages[0].content_bytes = at - frame;
+	g_assert_cmpint(prefix_compute(&identity, messages,
+				       sim->options->single_message ? 1 : 3,
+				       &prefix),
+			==, 0);
+	g_assert_cmpuint(prefix.block_count, ==, PROMPT_BLOCKS);
+	g_assert_cmpuint(prefix.level_count, <=, LEVELS_MAX);
+	memcpy(request->blocks, prefix.blocks, sizeof(request->blocks));
+	memcpy(request->levels, prefix.levels, sizeof(request->levels));
+	request->level_count = prefix.level_count;
+	request->whole_key = prefix.whole_key;
+	request->prompt_tokens = prefix.prompt_tokens;
+}
+
+static uint32_t draw_class(rng_t *rng)
+{
+	double unit = rng_unit(rng);
+	uint32_t urgency = 0;
+
+	while (urgency + 1 < SIM_CLASSES && unit >= CLASS_SHARE[urgency])
+		unit -= CLASS_SHARE[urgency++];
+	return urgency;
+}
+
+static sim_request_t *new_request(sim_t *sim)
+{
+	sim_request_t *request = g_new0(sim_request_t, 1);
+	rng_t *rng = &sim->rng;
+	uint32_t manual = sim->manual_rank[draw_rank(rng, 4, MANUALS)];
+	uint32_t section =
+		sim->section_rank[manual][draw_rank(rng, 4, SECTIONS)];
+	uint64_t notes = draw_rank(rng, 2, NOTES);
+	uint64_t parts[3];
+
+	if (rng_unit(rng) < UNIQUE_NOTES)
+		notes = NOTES + sim->requests->len;
+	parts[0] = hash_rendezvous(1, manual);
+	parts[1] = hash_rendezvous(parts[0], section);
+	parts[2] = hash_rendezvous(parts[1], notes);
+	compute_keys(sim, request, parts);
+	request->urgency = draw_class(rng);
+	request->router = (uint32_t)rng_below(rng, sim->options->routers);
+	request->customer = (uint32_t)rng_below(rng, CUSTOMERS);
+	request->arrived_ms = sim->now_ms;
+	return request;
+}
+
+static sim_request_t *request_at(const sim_t *sim, uint32_t index)
+{
+	return g_ptr_array_index(sim->requests, index);
+}
+
+static int64_t find_key(const sim_engine_t *engine, uint64_t key)
+{
+	for (uint32_t i = 0; i < engine->key_count; i++) {
+		if (engine->keys[i] == key)
+			return i;
+	}
+	return -1;
+}
+
+static uint32_t cached_prefix(const sim_engine_t *engine,
+			      const sim_request_t *request)
+{
+	uint32_t blocks = 0;
+
+	while (blocks < PROMPT_BLOCKS &&
+	       find_key(engine, request->blocks[blocks]) >= 0)
+		blocks++;
+	return blocks;
+}
+
+/** Makes a key the most recently used one and evicts the oldest. */
+static void touch_key(sim_engine_t *engine, uint64_t key, uint32_t capacity)
+{
+	int64_t place = find_key(engine, key);
+
+	if (place < 0) {
+		if (engine->key_count < capacity)
+			engine->key_count++;
+		place = engine->key_count - 1;
+	}
+	memmove(engine->keys + 1, engine->keys,
+		(size_t)place * sizeof(engine->keys[0]));
+	engine->keys[0] = key;
+}
+
+/** Touches from the end, so that the start of a prompt is evicted last. */
+static void touch_prompt(const sim_t *sim, sim_engine_t *engine,
+			 const sim_request_t *request)
+{
+	for (uint32_t i = PROMPT_BLOCKS; i > 0; i--)
+		touch_key(engine, request->blocks[i - 1],
+			  sim->options->cache_blocks);
+}
+
+static bool is_measured(const sim_t *sim, const sim_request_t *request)
+{
+	return request->arrived_ms >= sim->options->warm_up_ms;
+}
+
+static uint32_t unbounded_prefix(const sim_t *sim, const sim_request_t *request)
+{
+	uint32_t blocks = 0;
+
+	while (blocks < PROMPT_BLOCKS &&
+	       g_hash_table_contains(sim->unbounded, &request->blocks[blocks]))
+		blocks++;
+	return blocks;
+}
+
+static void count_blocks(sim_t *sim, const sim_request_t *request)
+{
+	uint32_t best = 0;
+
+	for (uint32_t i = 0; i < sim->options->engines; i++) {
+		uint32_t blocks = cached_prefix(&sim->engines[i], request);
+
+		if (blocks > best)
+			best = blocks;
+	}
+	sim->prompt_blocks += PROMPT_BLOCKS;
+	sim->cached_blocks += request->cached_blocks;
+	sim->wasted_blocks += best - request->cached_blocks;
+	sim->unbounded_blocks += unbounded_prefix(sim, request);
+}
+
+/** Begins the most urgent queued request if the engine computes nothing. */
+static void begin_next(sim_t *sim, uint32_t index)
+{
+	sim_engine_t *engine = &sim->engines[index];
+	sim_request_t *request;
+	uint32_t urgency = 0;
+
+	if (engine->running >= 0)
+		return;
+	while (urgency < SIM_CLASSES &&
+	       g_queue_is_empty(&engine->queues[urgency]))
+		urgency++;
+	if (urgency == SIM_CLASSES)
+		return;
+	engine->running =
+		GPOINTER_TO_UINT(g_queue_pop_head(&engine->queues[urgency]));
+	request = request_at(sim, (uint32_t)engine->running);
+	engine->queued_tokens -= request->queued_tokens;
+	request->begun_ms = sim->now_ms;
+	request->cached_blocks = cached_prefix(engine, request);
+	if (is_measured(sim, request))
+		count_blocks(sim, request);
+	for (uint32_t i = 0; i < PROMPT_BLOCKS; i++)
+		g_hash_table_add(sim->unbounded, &request->blocks[i]);
+	engine->served++;
+	engine->done_ms = sim->now_ms + OVERHEAD_MS +
+			  (PROMPT_BLOCKS - request->cached_blocks) * BLOCK_MS;
+	push(sim, engine->done_ms, SIM_COMPUTED, index);
+}
+
+static void at_engine(sim_t *sim, uint32_t index)
+{
+	sim_request_t *request = request_at(sim, index);
+	sim_engine_t *engine = &sim->engines[request->engine];
+
+	request->at_engine_ms = sim->now_ms;
+	request->queued_tokens =
+		(PROMPT_BLOCKS - cached_prefix(engine, request)) *
+		SIM_BLOCK_TOKENS;
+	engine->queued_tokens += request->queued_tokens;
+	g_queue_push_tail(&engine->queues[request->urgency],
+			  GUINT_TO_POINTER(index));
+	begin_next(sim, request->engine);
+}
+
+static void computed(sim_t *sim, uint32_t index)
+{
+	sim_engine_t *engine = &sim->engines[index];
+	uint32_t request = (uint32_t)engine->running;
+
+	touch_prompt(sim, engine, request_at(sim, request));
+	engine->running = -1;
+	push(sim, sim->now_ms + NETWORK_MS, SIM_FIRST_TOKEN, request);
+	begin_next(sim, index);
+}
+
+static routing_request_t describe(const sim_request_t *request)
+{
+	return (routing_request_t){
+		.levels = request->levels,
+		.level_count = request->level_count,
+		.whole_key = request->whole_key,
+		.prompt_tokens = request->prompt_tokens,
+		.urgency = request->urgency,
+		.again = request->routed,
+	};
+}
+
+/** Routes a request and sends it, unless its start is put off. */
+static void send_request(sim_t *sim, uint32_t index)
+{
+	sim_request_t *request = request_at(sim, index);
+	sim_router_t *router = &sim->routers[request->router];
+	routing_request_t wanted = describe(request);
+	int chosen = routing_choose(&router->routing, router->pool,
+				    sim->options->engines, &wanted, sim->now_ms,
+				    &router->rng, &request->explanation);
+
+	g_assert_cmpint(chosen, >=, 0);
+	request->routed = true;
+	if (sim->options->admission &&
+	    admission_put_off(
+		    &router->admission, index + 1,
+		    request->explanation.candidates[request->explanation.chosen]
+			    .wait_ms,
+		    sim->now_ms))
+		return;
+	request->engine = (uint32_t)chosen;
+	request->sent_ms = sim->now_ms;
+	routing_sent(&router->routing, router->pool[chosen], &wanted,
+		     &request->explanation, sim->now_ms);
+	push(sim, sim->now_ms + NETWORK_MS, SIM_AT_ENGINE, index);
+}
+
+static void update_load(const sim_t *sim, sim_router_t *router)
+{
+	admission_set_pool(&router->admission, 0,
+			   routing_pool_wait_ms(&router->routing, router->pool,
+						sim->options->engines,
+						sim->now_ms),
+			   0);
+}
+
+/** Carries out all actions that are due at a router. */
+static void run_admission(sim_t *sim, uint32_t index)
+{
+	sim_router_t *router = &sim->routers[index];
+	admission_action_t action;
+
+	update_load(sim, router);
+	while (admission_next(&router->admission, sim->now_ms, &action)) {
+		switch (action.kind) {
+		case ADMISSION_START:
+			send_request(sim, (uint32_t)action.id - 1);
+			update_load(sim, router);
+			break;
+		case ADMISSION_SHED:
+			sim->shed++;
+			break;
+		case ADMISSION_WAIT:
+		case ADMISSION_PREEMPT:
+			g_assert_not_reached();
+		}
+	}
+}
+
+static void submit(sim_t *sim, uint32_t index)
+{
+	const sim_request_t *request = request_at(sim, index);
+	sim_router_t *router = &sim->routers[request->router];
+	admission_request_t wanted = {
+		.id = index + 1,
+		.customer = { .id_hash = request->customer + 1, .weight = 1 },
+		.urgency = request->urgency,
+		.tokens = request->prompt_tokens,
+		.deadline_at_ms = sim->now_ms + DEADLINE_MS[request->urgency],
+	};
+	admission_action_t action;
+
+	update_load(sim, router);
+	action = admission_submit(&router->admission, &wanted, sim->now_ms);
+	if (action.kind == ADMISSION_START)
+		send_request(sim, index);
+	else if (action.kind == ADMISSION_SHED)
+		sim->shed++;
+	run_admission(sim, request->router);
+}
+
+static void arrive(sim_t *sim)
+{
+	uint32_t index = sim->requests->len;
+
+	g_ptr_array_add(sim->requests, new_request(sim));
+	if (sim->options->admission)
+		submit(sim, index);
+	else
+		send_request(sim, index);
+	push(sim,
+	     sim->now_ms +
+		     (uint64_t)(rng_exponential(&sim->rng, sim->gap_ms) + 0.5),
+	     SIM_ARRIVAL, 0);
+}
+
+static void first_token(sim_t *sim, uint32_t index)
+{
+	const sim_request_t *request = request_at(sim, index);
+	sim_router_t *router = &sim->routers[request->router];
+	endpoint_t *endpoint = router->pool[request->engine];
+	routing_request_t wanted = describe(request);
+	double ttft = (double)(sim->now_ms - request->arrived_ms);
+
+	routing_first_token(
+		&router->routing, endpoint, &wanted,
+		request->cached_blocks * SIM_BLOCK_TOKENS,
+		(uint32_t)(request->begun_ms - request->at_engine_ms),
+		request->sent_ms, sim->now_ms);
+	routing_ended(endpoint, &wanted, ENDPOINT_DONE, true, &router->rng,
+		      sim->now_ms);
+	if (is_measured(sim, request))
+		g_array_append_val(sim->ttft[request->urgency], ttft);
+	if (!sim->options->admission)
+		return;
+	admission_finished(&router->admission, index + 1, sim->now_ms);
+	run_admission(sim, request->router);
+}
+
+static void take_snapshots(sim_t *sim)
+{
+	for (uint32_t i = 0; i < sim->options->engines; i++) {
+		sim_engine_t *engine = &sim->engines[i];
+		uint32_t queued = 0;
+		uint64_t left = 0;
+
+		for (int j = 0; j < SIM_CLASSES; j++)
+			queued += g_queue_get_length(&engine->queues[j]);
+		if (engine->running >= 0)
+			left = (engine->done_ms - sim->now_ms) *
+			       SIM_PREFILL_TOKENS_PER_S / 1000;
+		engine->snapshots[engine->snapshot_count++ % SNAPSHOTS] =
+			(sim_snapshot_t){
+				.at_ms = sim->now_ms,
+				.queued = queued,
+				.running = engine->running >= 0,
+				.tokens = engine->queued_tokens + left,
+			};
+	}
+	push(sim, sim->now_ms + SNAPSHOT_MS, SIM_SNAPSHOT, 0);
+}
+
+static void poll_engine(const sim_t *sim, const sim_engine_t *engine,
+			endpoint_t *endpoint)
+{
+	uint64_t lag = sim->options->report_lag_ms / SNAPSHOT_MS;
+	const sim_snapshot_t *snapshot;
+	endpoint_load_t load = { .incarnation = 1 };
+
+	if (engine->snapshot_count <= lag)
+		return;
+	load.seq = engine->snapshot_count - 1 - lag;
+	snapshot = &engine->snapshots[load.seq % SNAPSHOTS];
+	load.age_ms = (uint32_t)(sim->now_ms - snapshot->at_ms);
+	load.running = snapshot->running;
+	load.queued = snapshot->queued;
+	load.queued_tokens = snapshot->tokens;
+	endpoint_report(endpoint, &load, sim->now_ms);
+}
+
+static void poll_engines(sim_t *sim, uint32_t index)
+{
+	for (uint32_t i = 0; i < sim->options->engines; i++)
+		poll_engine(sim, &sim->engines[i],
+			    &sim->routers[index].endpoints[i]);
+	push(sim, sim->now_ms + POLL_MS, SIM_POLL, index);
+}
+
+static void handle(sim_t *sim, const sim_event_t *event)
+{
+	switch (event->kind) {
+	case SIM_ARRIVAL:
+		arrive(sim);
+		break;
+	case SIM_AT_ENGINE:
+		at_engine(sim, event->index);
+		break;
+	case SIM_COMPUTED:
+		computed(sim, event->index);
+		break;
+	case SIM_FIRST_TOKEN:
+		first_token(sim, event->index);
+		break;
+	case SIM_SNAPSHOT:
+		take_snapshots(sim);
+		break;
+	case SIM_POLL:
+		poll_engines(sim, event->index);
+		break;
+	case SIM_TICK:
+		run_admission(sim, event->index);
+		push(sim, sim->now_ms + ADMISSION_TICK_MS, SIM_TICK,
+		     event->index);
+		break;
+	case SIM_RESHUFFLE:
+		reshuffle(sim);
+		push(sim, sim->now_ms + sim->options->reshuffle_ms,
+		     SIM_RESHUFFLE, 0);
+		break;
+	}
+}
+
+static void init_routers(sim_t *sim)
+{
+	const sim_options_t *options = sim->options;
+
+	sim->routers = g_new0(sim_router_t, options->routers);
+	for (uint32_t i = 0; i < options->routers; i++) {
+		sim_router_t *router = &sim->routers[i];
+
+		routing_init(&router->routing, options->policy,
+			     SIM_PREFILL_TOKENS_PER_S);
+		router->routing.round_robin = i;
+		admission_init(&router->admission, 256, 10);
+		rng_init(&router->rng, options->seed * 1000 + i);
+		for (uint32_t j = 0; j < options->engines; j++) {
+			endpoint_init(&router->endpoints[j],
+				      hash_rendezvous(7, j));
+			router->pool[j] = &router->endpoints[j];
+		}
+		push(sim, i * POLL_MS / options->routers, SIM_POLL, i);
+		if (options->admission)
+			push(sim, i, SIM_TICK, i);
+	}
+}
+
+static void init_engines(sim_t *sim)
+{
+	sim->engines = g_new0(sim_engine_t, sim->options->engines);
+	for (uint32_t i = 0; i < sim->options->engines; i++) {
+		sim->engines[i].running = -1;
+		for (int j = 0; j < SIM_CLASSES; j++)
+			g_queue_init(&sim->engines[i].queues[j]);
+	}
+}
+
+static int compare_doubles(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static double percentile(const GArray *sorted, double share)
+{
+	if (!sorted->len)
+		return 0;
+	return g_array_index(sorted, double,
+			     (guint)(share * (sorted->len - 1)));
+}
+
+static void summarise(sim_t *sim, sim_result_t *result)
+{
+	uint32_t busiest = 0;
+	uint32_t served = 0;
+
+	for (int i = 0; i < SIM_CLASSES; i++) {
+		g_array_sort(sim->ttft[i], compare_doubles);
+		result->p50_ms[i] = percentile(sim->ttft[i], 0.5);
+		result->p95_ms[i] = percentile(sim->ttft[i], 0.95);
+		result->p99_ms[i] = percentile(sim->ttft[i], 0.99);
+		result->class_requests[i] = sim->ttft[i]->len;
+		result->requests += sim->ttft[i]->len;
+	}
+	for (uint32_t i = 0; i < sim->options->engines; i++) {
+		served += sim->engines[i].served;
+		if (sim->engines[i].served > busiest)
+			busiest = sim->engines[i].served;
+	}
+	result->imbalance = (double)busiest * sim->options->engines / served;
+	result->shed = sim->shed;
+	result->hit_rate = (double)sim->cached_blocks / sim->prompt_blocks;
+	result->unbounded_hit =
+		(double)sim->unbounded_blocks / sim->prompt_blocks;
+	result->relative_hit = result->hit_rate / result->unbounded_hit;
+	result->wasted = (double)sim->wasted_blocks / sim->prompt_blocks;
+}
+
+static void release(sim_t *sim)
+{
+	for (uint32_t i = 0; i < sim->options->engines; i++) {
+		for (int j = 0; j < SIM_CLASSES; j++)
+			g_queue_clear(&sim->engines[i].queues[j]);
+	}
+	for (int i = 0; i < SIM_CLASSES; i++)
+		g_array_unref(sim->ttft[i]);
+	g_hash_table_destroy(sim->unbounded);
+	g_ptr_array_unref(sim->requests);
+	g_array_unref(sim->heap);
+	g_free(sim->engines);
+	g_free(sim->routers);
+}
+
+sim_result_t sim_run(const sim_options_t *options)
+{
+	sim_t sim = { .options = options };
+	sim_result_t result = { 0 };
+	double target_ms = OVERHEAD_MS + TARGET_UNCACHED_BLOCKS * BLOCK_MS;
+
+	g_assert_cmpuint(options->engines, <=, 64);
+	g_assert_cmpuint(options->cache_blocks, <=, CACHE_MAX);
+	rng_init(&sim.rng, options->seed);
+	sim.gap_ms = target_ms / options->engines / options->load;
+	sim.heap = g_array_new(FALSE, FALSE, sizeof(sim_event_t));
+	sim.requests = g_ptr_array_new_with_free_func(g_free);
+	sim.unbounded = g_hash_table_new(g_int64_hash, g_int64_equal);
+	for (int i = 0; i < SIM_CLASSES; i++)
+		sim.ttft[i] = g_array_new(FALSE, FALSE, sizeof(double));
+	init_engines(&sim);
+	init_routers(&sim);
+	push(&sim, 0, SIM_RESHUFFLE, 0);
+	push(&sim, 0, SIM_SNAPSHOT, 0);
+	push(&sim, 1, SIM_ARRIVAL, 0);
+	while (event_at(&sim, 0)->at_ms < options->duration_ms) {
+		sim_event_t event = pop(&sim);
+
+		sim.now_ms = event.at_ms;
+		handle(&sim, &event);
+	}
+	summarise(&sim, &result);
+	release(&sim);
+	return result;
+}
