--- a/process/belief.c
+++ b/process/belief.c
@@ -63,10 +63,8 @@
 	for (size_t i = 0; i < BELIEF_WAYS; i++) {
 		if (set[i].tag == tag)
 			return &set[i];
-		if (!set[i].tag)
-			oldest = &set[i];
-		else if (oldest->tag &&
-			 set[i].confirmed_ms < oldest->confirmed_ms)
+		/* Free entries have the time 0. */
+		if (set[i].confirmed_ms < oldest->confirmed_ms)
 			oldest = &set[i];
 	}
 	return oldest;
--- a/process/endpoint.c
+++ b/process/endpoint.c
@@ -293,6 +293,13 @@
 	       now_ms - endpoint->report_at_ms <= ENDPOINT_REPORT_MAX_AGE_MS;
 }
 
+bool endpoint_is_busy(const endpoint_t *endpoint, uint64_t now_ms)
+{
+	if (!has_report(endpoint, now_ms))
+		return endpoint->waiting != 0;
+	return endpoint->report_queued || endpoint->report_tokens > 0;
+}
+
 bool endpoint_is_idle(const endpoint_t *endpoint, uint64_t now_ms)
 {
 	if (endpoint->running)
--- a/process/endpoint.h
+++ b/process/endpoint.h
@@ -185,6 +185,9 @@
 /** Share of its usual traffic during a slow start, 0.1 to 1. */
 double endpoint_slow_start_share(const endpoint_t *endpoint, uint64_t now_ms);
 
+/** Whether requests wait or compute a prompt here, by report or own count. */
+bool endpoint_is_busy(const endpoint_t *endpoint, uint64_t now_ms);
+
 /** Whether neither the last report nor this instance has work here. */
 bool endpoint_is_idle(const endpoint_t *endpoint, uint64_t now_ms);
 
--- a/process/prefix_stats.c
+++ b/process/prefix_stats.c
@@ -5,8 +5,8 @@
 
 #include "process/hash.h"
 
-/** Endpoints given to a level for each endpoint's share of all requests. */
-static const double SPREAD = 0.7;
+/** Part of one endpoint's time that the prompts of a level may take. */
+static const double TARGET_USE = 0.8;
 /** Replicas fall when demand is below this part of the next lower count. */
 static const double FALL_SHARE = 0.7;
 /** A level with a lower count is not known to be shared. */
@@ -138,7 +138,7 @@
 /** Share of the requests that a count shows with some certainty. */
 static double share_of(float count, float total, double errors)
 {
-	double certain = count - errors * sqrt(count);
+	double certain = count - errors * sqrt((double)count);
 
 	if (certain <= 0 || total <= 0)
 		return 0;
@@ -147,12 +147,12 @@
 
 /** Endpoints that a level's demand needs. */
 static double wanted(const prefix_stats_t *stats, const prefix_stat_t *stat,
-		     uint32_t endpoint_count)
+		     double busy_endpoints)
 {
 	double fast = share_of(stat->fast, stats->total_fast, FAST_ERRORS);
 	double slow = share_of(stat->slow, stats->total_slow, SLOW_ERRORS);
 
-	return fmax(fast, slow) * endpoint_count * SPREAD;
+	return fmax(fast, slow) * busy_endpoints / TARGET_USE;
 }
 
 static uint16_t replicas_for(double want, uint32_t endpoint_count)
@@ -169,13 +169,14 @@
 /** Brings a level's replica count up to date, with hysteresis on the way down.
  */
 static void update_replicas(const prefix_stats_t *stats, prefix_stat_t *stat,
-			    uint32_t endpoint_count, uint64_t now_ms)
+			    uint32_t endpoint_count, double busy_share,
+			    uint64_t now_ms)
 {
 	double want;
 	uint16_t now;
 
 	update_stat(stat, now_ms);
-	want = wanted(stats, stat, endpoint_count);
+	want = wanted(stats, stat, busy_share * endpoint_count);
 	now = replicas_for(want, endpoint_count);
 
 	if (now >= stat->replicas || want < FALL_SHARE * (stat->replicas - 1))
@@ -199,7 +200,7 @@
 
 void prefix_stats_plan(prefix_stats_t *stats, const prefix_level_t *levels,
 		       size_t level_count, uint32_t endpoint_count,
-		       uint64_t now_ms, prefix_plan_t *plan)
+		       double busy_share, uint64_t now_ms, prefix_plan_t *plan)
 {
 	uint32_t width = endpoint_count;
 
@@ -210,7 +211,8 @@
 		uint16_t replicas = 1;
 
 		if (stat) {
-			update_replicas(stats, stat, endpoint_count, now_ms);
+			update_replicas(stats, stat, endpoint_count, busy_share,
+					now_ms);
 			replicas = stat->replicas;
 		}
 		/* A step that narrows little costs a hash pass for nothing. */
--- a/process/prefix_stats.h
+++ b/process/prefix_stats.h
@@ -94,12 +94,14 @@
 
 /**
  * Plans the placement of a prompt over `endpoint_count` endpoints.
+ * @param busy_share share of the endpoints that are busy, 0 to 1: with it, a
+ *        level's share of the requests gives the endpoints it keeps busy
  * Replica counts rise at once with demand and fall only when demand is well
  * below what the next lower count carries.
  */
 void prefix_stats_plan(prefix_stats_t *stats, const prefix_level_t *levels,
 		       size_t level_count, uint32_t endpoint_count,
-		       uint64_t now_ms, prefix_plan_t *plan);
+		       double busy_share, uint64_t now_ms, prefix_plan_t *plan);
 
 /**
  * Share of answers that found a level cached, from 0 to 1; `unknown` if the
--- a/process/routing.c
+++ b/process/routing.c
@@ -10,6 +10,8 @@
 static const double EQUAL_WAIT_MS = 20;
 /** A smaller gain never moves a request from its first choice. */
 static const double GAIN_MIN_MS = 50;
+/** Time over which the share of busy endpoints is averaged. */
+static const double BUSY_AVERAGE_MS = 5000;
 
 /** Endpoints that a choice is made from, as indices into the pool. */
 typedef struct routing_set {
@@ -36,6 +38,8 @@
 	routing->prefill_tokens_per_s = prefill_tokens_per_s;
 	routing->import_tokens_per_s = 0;
 	routing->round_robin = 0;
+	routing->busy_share = 0;
+	routing->busy_updated_ms = 0;
 	prefix_stats_init(&routing->stats);
 	belief_init(&routing->beliefs);
 }
@@ -70,16 +74,31 @@
 	return !request->isolated || endpoint_is_idle(endpoint, now_ms);
 }
 
+static void average_busy(routing_t *routing, double share, uint64_t now_ms)
+{
+	double age = (double)(now_ms - routing->busy_updated_ms);
+	double weight = 1 - exp(-age / BUSY_AVERAGE_MS);
+
+	routing->busy_share += weight * (share - routing->busy_share);
+	routing->busy_updated_ms = now_ms;
+}
+
 static void collect_usable(routing_choice_t *choice, size_t endpoint_count)
 {
 	routing_set_t *set = &choice->set;
+	uint32_t busy = 0;
 
 	set->count = 0;
 	for (size_t i = 0; i < endpoint_count; i++) {
-		if (is_allowed(choice->request, choice->endpoints[i],
-			       choice->now_ms))
+		const endpoint_t *endpoint = choice->endpoints[i];
+
+		busy += endpoint_is_busy(endpoint, choice->now_ms);
+		if (is_allowed(choice->request, endpoint, choice->now_ms))
 			set->members[set->count++] = (uint16_t)i;
 	}
+	if (endpoint_count)
+		average_busy(choice->routing, (double)busy / endpoint_count,
+			     choice->now_ms);
 }
 
 static double wait_of(const routing_choice_t *choice, uint32_t index)
@@ -197,10 +216,11 @@
 }
 
 /**
- * Cached tokens expected at the first choice, where the other instances send
- * the same prefixes too: what answers showed for each level.
+ * Cached tokens expected where the other instances send the same prefixes too:
+ * what answers showed for each level below `limit_tokens`.
  */
-static uint32_t usual_tokens(const routing_choice_t *choice)
+static uint32_t usual_tokens(const routing_choice_t *choice,
+			     uint32_t limit_tokens)
 {
 	const routing_request_t *request = choice->request;
 	double tokens = 0;
@@ -208,8 +228,12 @@
 
 	for (size_t i = 0; i < request->level_count; i++) {
 		const prefix_level_t *level = &request->levels[i];
-		double share = prefix_stats_cached_share(
-			&choice->routing->stats, level->key, 0);
+		double share;
+
+		if (level->tokens >= limit_tokens)
+			break;
+		share = prefix_stats_cached_share(&choice->routing->stats,
+						  level->key, 0);
 
 		tokens += share * (level->full_tokens - before);
 		before = level->full_tokens;
@@ -281,22 +305,14 @@
 	return candidate->recompute_ms;
 }
 
-/**
- * Whether to leave the first choice for the second. Past the threshold the
- * probability rises with the gain, so that instances that see the same lagging
- * report do not all move at once.
- */
-static bool leaves_first(const routing_choice_t *choice,
-			 const routing_candidate_t *first,
+/** Whether to leave the first choice for the second. */
+static bool leaves_first(const routing_candidate_t *first,
 			 const routing_candidate_t *second)
 {
 	double gain = (double)first->wait_ms - second->wait_ms;
 	double caused = fmax(0, fill_ms(second) - fill_ms(first));
-	double needed = fmax(GAIN_MIN_MS, ROUTING_LEAVE_FACTOR * caused);
 
-	if (gain < needed)
-		return false;
-	return rng_unit(choice->rng) < gain / (2 * needed);
+	return gain >= fmax(GAIN_MIN_MS, ROUTING_LEAVE_FACTOR * caused);
 }
 
 static bool passes_slow_start(const routing_choice_t *choice, uint32_t index)
@@ -349,11 +365,12 @@
 	const routing_candidate_t *first;
 	const routing_candidate_t *second;
 	prefix_plan_t plan;
-	uint32_t usual = usual_tokens(choice);
+	uint32_t usual = usual_tokens(choice, UINT32_MAX);
+	uint32_t usual_second = 0;
 
 	prefix_stats_plan(&choice->routing->stats, request->levels,
 			  request->level_count, (uint32_t)endpoint_count,
-			  choice->now_ms, &plan);
+			  choice->routing->busy_share, choice->now_ms, &plan);
 	out->replicas = 1;
 	out->reason = is_unusable_first(choice, &plan, endpoint_count)
 			      ? ROUTING_REASON_FIRST_UNUSABLE
@@ -364,14 +381,19 @@
 		out->level_tokens = plan.steps[plan.step_count - 1].tokens;
 		out->replicas = plan.steps[plan.step_count - 1].replicas;
 	}
+	/* The other members of the set carry what the prompts share above the
+	 * placement level, or all of it if they are replicas of that level. */
+	if (out->replicas > 1)
+		usual_second = usual;
+	else if (plan.step_count > 1)
+		usual_second = usual_tokens(choice, out->level_tokens);
 	if (out->replicas > 1)
 		draw_two(choice);
 	first = add_candidate(choice, choice->set.members[0], usual);
 	if (choice->set.count < 2)
 		return;
-	second = add_candidate(choice, choice->set.members[1],
-			       out->replicas > 1 ? usual : 0);
-	if (leaves_first(choice, first, second)) {
+	second = add_candidate(choice, choice->set.members[1], usual_second);
+	if (leaves_first(first, second)) {
 		out->chosen = 1;
 		out->reason = ROUTING_REASON_SECOND_CHOICE;
 	} else if (!passes_slow_start(choice, first->endpoint)) {
--- a/process/routing.h
+++ b/process/routing.h
@@ -58,6 +58,8 @@
 	/** KV import speed; 0 if the pool has no KV cache store. */
 	uint32_t import_tokens_per_s;
 	uint32_t round_robin;
+	double busy_share; /**< Of the endpoints, smoothed. */
+	uint64_t busy_updated_ms;
 	prefix_stats_t stats;
 	belief_t beliefs;
 } routing_t;
--- a/t/bench-policies.c
+++ b/t/bench-policies.c
@@ -1,10 +1,13 @@
 /*
- * Compares the placement policies in one run on virtual time and prints a
- * table: bench-policies [--seed=N] [--duration-s=N].
+ * Compares the placement policies in one run on virtual time, and prints a
+ * table and the processor time of one choice: bench-policies [--seed=N]
+ * [--duration-s=N].
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
 
+#include "process/hash.h"
 #include "process/settings.h"
 #include "t/lib/fleet_sim.h"
 
@@ -31,19 +34,19 @@
 /** One block of the table: all policies under the same conditions. */
 typedef struct bench_case {
 	const char *name;
-	uint32_t cache_blocks;
 	double load;
+	uint32_t cache_blocks;
 	bool single_message;
 	bool admission;
 } bench_case_t;
 
 static const bench_case_t cases[] = {
-	{ "cache 160, load 0.5", 160, 0.5, false, false },
-	{ "cache 160, load 0.5, one message", 160, 0.5, true, false },
-	{ "cache 160, load 1.0", 160, 1.0, false, false },
-	{ "cache 80, load 0.5", 80, 0.5, false, false },
-	{ "cache 160, load 0.5, admission", 160, 0.5, false, true },
-	{ "cache 160, load 1.5, admission", 160, 1.5, false, true },
+	{ "cache 160, load 0.5", 0.5, 160, false, false },
+	{ "cache 160, load 0.5, one message", 0.5, 160, true, false },
+	{ "cache 160, load 1.0", 1.0, 160, false, false },
+	{ "cache 80, load 0.5", 0.5, 80, false, false },
+	{ "cache 160, load 0.5, admission", 0.5, 160, false, true },
+	{ "cache 160, load 1.5, admission", 1.5, 160, false, true },
 };
 
 static void print_row(const char *name, const sim_result_t *result)
@@ -76,6 +79,59 @@
 	}
 }
 
+enum {
+	COST_LEVELS = 56,
+	COST_CHOICES = 20000,
+};
+
+static double cpu_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+	return (double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3;
+}
+
+/** Mean processor time of routing_choose() for a prompt with all levels. */
+static double choice_us(uint32_t endpoint_count)
+{
+	routing_t *routing = calloc(1, sizeof(*routing));
+	endpoint_t *endpoints = calloc(endpoint_count, sizeof(*endpoints));
+	endpoint_t **pool = calloc(endpoint_count, sizeof(endpoint_t *));
+	prefix_level_t levels[COST_LEVELS];
+	routing_request_t request = { .levels = levels,
+				      .level_count = COST_LEVELS,
+				      .prompt_tokens = 100000 };
+	routing_explanation_t why;
+	double begin;
+	rng_t rng;
+
+	rng_init(&rng, seed);
+	routing_init(routing, ROUTING_PREFIX, 8000);
+	for (uint32_t i = 0; i < endpoint_count; i++) {
+		endpoint_init(&endpoints[i], hash_rendezvous(1, i));
+		pool[i] = &endpoints[i];
+	}
+	begin = cpu_us();
+	for (uint64_t i = 0; i < COST_CHOICES; i++) {
+		uint64_t prompt = rng_below(&rng, 100);
+
+		for (uint32_t j = 0; j < COST_LEVELS; j++)
+			levels[j] = (prefix_level_t){
+				hash_rendezvous(j,
+						j < 10 ? prompt / 10 : prompt),
+				(j + 1) * 1000, (j + 1) * 1000
+			};
+		routing_choose(routing, pool, endpoint_count, &request,
+			       1000 + i * 29, &rng, &why);
+	}
+	begin = cpu_us() - begin;
+	free(pool);
+	free(endpoints);
+	free(routing);
+	return begin / COST_CHOICES;
+}
+
 int main(int argc, char **argv)
 {
 	int outcome = settings_read(argc, (const char **)argv, rows, "", NULL);
@@ -87,5 +143,8 @@
 	       seed, duration_s);
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
 		run_case(&cases[i]);
+	printf("\nprocessor time of one choice, %d levels: 35 endpoints %.1f us, "
+	       "800 endpoints %.1f us\n",
+	       COST_LEVELS, choice_us(35), choice_us(800));
 	return EXIT_SUCCESS;
 }
--- /dev/null
+++ b/t/test-admission.c
@@ -0,0 +1,382 @@
+/* Admission: urgency, fair shares, limits, deadlines, preemption, retries. */
+#include <glib.h>
+
+#include "process/admission.h"
+#include "process/rng.h"
+
+typedef enum step_kind {
+	END,
+	LOAD,	   /* Pool wait `a` ms, `b` streams at most. */
+	SUBMIT,	   /* Request `id`; `a` ms to the deadline, 0 for none. */
+	NEXT,	   /* The next due action. */
+	FINISH,	   /* Request `id` ended. */
+	PREEMPTED, /* The stream of `id` was cancelled. */
+	PUT_OFF,   /* Endpoint wait `a`; `want` tells whether it was. */
+	WAIT,	   /* `a` ms pass. */
+} step_kind_t;
+
+enum {
+	NONE = 100, /* No action is due. */
+	QUEUE_MAX = 3,
+};
+
+typedef struct step {
+	step_kind_t kind;
+	uint64_t id;
+	uint32_t urgency;
+	uint32_t a;
+	uint32_t b;
+	int want;     /* admission_kind_t, NONE, or a flag. */
+	int want_err; /* Of a shed request. */
+} step_t;
+
+typedef struct script {
+	const char *guards; /* The failure this script guards against. */
+	uint32_t rate_per_s;
+	uint32_t concurrency_max;
+	step_t steps[14];
+} script_t;
+
+static const script_t scripts[] = {
+	{ .guards = "an idle system delays a request of any class",
+	  .steps = { { SUBMIT, 1, 0, .want = ADMISSION_START },
+		     { SUBMIT, 2, 1, .want = ADMISSION_START },
+		     { SUBMIT, 3, 2, .want = ADMISSION_START },
+		     { NEXT, .want = NONE } } },
+	{ .guards = "overload delays urgent work, or normal before deferrable",
+	  .steps = { { LOAD, .a = ADMISSION_DEFERRABLE_HOLD_MS + 1 },
+		     { SUBMIT, 1, 2, .want = ADMISSION_WAIT },
+		     { SUBMIT, 2, 1, .want = ADMISSION_START },
+		     { LOAD, .a = ADMISSION_NORMAL_HOLD_MS + 1 },
+		     { SUBMIT, 3, 1, .want = ADMISSION_WAIT },
+		     { SUBMIT, 4, 0, .want = ADMISSION_START },
+		     { NEXT, .want = NONE },
+		     { LOAD, .a = 0 },
+		     { NEXT, 3, .want = ADMISSION_START },
+		     { NEXT, 1, .want = ADMISSION_START },
+		     { NEXT, .want = NONE } } },
+	{ .guards = "a held class flaps around its limit",
+	  .steps = { { LOAD, .a = ADMISSION_DEFERRABLE_HOLD_MS + 1 },
+		     { SUBMIT, 1, 2, .want = ADMISSION_WAIT },
+		     { LOAD, .a = ADMISSION_DEFERRABLE_HOLD_MS - 1 },
+		     { NEXT, .want = NONE },
+		     { LOAD, .a = ADMISSION_DEFERRABLE_HOLD_MS / 2 },
+		     { NEXT, 1, .want = ADMISSION_START } } },
+	{ .guards = "a full queue sheds urgent work or grows",
+	  .steps = { { LOAD, .a = 0, .b = 1 },
+		     { SUBMIT, 1, 0, .want = ADMISSION_START },
+		     { SUBMIT, 2, 2, .want = ADMISSION_WAIT },
+		     { SUBMIT, 3, 1, .want = ADMISSION_WAIT },
+		     { SUBMIT, 4, 2, .want = ADMISSION_WAIT },
+		     { SUBMIT, 5, 2, .want = ADMISSION_SHED,
+		       .want_err = ERR_OVERLOADED },
+		     { SUBMIT, 6, 0, .want = ADMISSION_WAIT },
+		     { NEXT, 4, .want = ADMISSION_SHED,
+		       .want_err = ERR_OVERLOADED },
+		     { NEXT, .want = NONE },
+		     { FINISH, 1 },
+		     { NEXT, 6, .want = ADMISSION_START },
+		     { FINISH, 6 },
+		     { NEXT, 3, .want = ADMISSION_START } } },
+	{ .guards = "a request starts after its deadline",
+	  .steps = { { LOAD, .a = 0, .b = 1 },
+		     { SUBMIT, 1, 0, .want = ADMISSION_START },
+		     { SUBMIT, 2, 0, .a = 500, .want = ADMISSION_WAIT },
+		     { SUBMIT, 3, 0, .want = ADMISSION_WAIT },
+		     { WAIT, .a = 499 },
+		     { NEXT, .want = NONE },
+		     { WAIT, .a = 1 },
+		     { NEXT, 2, .want = ADMISSION_SHED,
+		       .want_err = ERR_DEADLINE },
+		     { FINISH, 1 },
+		     { NEXT, 3, .want = ADMISSION_START } } },
+	{ .guards = "a request waits that cannot meet its deadline",
+	  .steps = { { LOAD, .a = 600 },
+		     { SUBMIT, 1, 0, .a = 500, .want = ADMISSION_SHED,
+		       .want_err = ERR_DEADLINE },
+		     { SUBMIT, 2, 0, .a = 700, .want = ADMISSION_START } } },
+	{ .guards = "a customer exceeds its rate, or loses it for good",
+	  .rate_per_s = 2,
+	  .steps = { { SUBMIT, 1, 0, .want = ADMISSION_START },
+		     { SUBMIT, 2, 0, .want = ADMISSION_START },
+		     { SUBMIT, 3, 0, .want = ADMISSION_SHED,
+		       .want_err = ERR_RATE_LIMITED },
+		     { WAIT, .a = 500 },
+		     { SUBMIT, 4, 0, .want = ADMISSION_START },
+		     { SUBMIT, 5, 0, .want = ADMISSION_SHED,
+		       .want_err = ERR_RATE_LIMITED } } },
+	{ .guards = "a customer has too many open requests",
+	  .concurrency_max = 1,
+	  .steps = { { SUBMIT, 1, 0, .want = ADMISSION_START },
+		     { SUBMIT, 2, 0, .want = ADMISSION_SHED,
+		       .want_err = ERR_CONCURRENCY_LIMITED },
+		     { FINISH, 1 },
+		     { SUBMIT, 3, 0, .want = ADMISSION_START } } },
+	{ .guards = "an urgent request waits behind a deferrable stream, or "
+		    "the cancelled stream is lost",
+	  .steps = { { LOAD, .a = 0, .b = 2 },
+		     { SUBMIT, 1, 2, .want = ADMISSION_START },
+		     { SUBMIT, 2, 1, .want = ADMISSION_START },
+		     { SUBMIT, 3, 0, .want = ADMISSION_WAIT },
+		     { NEXT, 1, .want = ADMISSION_PREEMPT },
+		     { NEXT, .want = NONE },
+		     { PREEMPTED, 1 },
+		     { NEXT, 3, .want = ADMISSION_START },
+		     { NEXT, .want = NONE },
+		     { FINISH, 2 },
+		     { NEXT, 1, .want = ADMISSION_START },
+		     { NEXT, .want = NONE } } },
+	{ .guards = "a stream that ends before its cancel is run again",
+	  .steps = { { LOAD, .a = 0, .b = 1 },
+		     { SUBMIT, 1, 2, .want = ADMISSION_START },
+		     { SUBMIT, 2, 0, .want = ADMISSION_WAIT },
+		     { NEXT, 1, .want = ADMISSION_PREEMPT },
+		     { FINISH, 1 },
+		     { PREEMPTED, 1 },
+		     { NEXT, 2, .want = ADMISSION_START },
+		     { FINISH, 2 },
+		     { NEXT, .want = NONE } } },
+	{ .guards = "a put-off request is lost, repeated at once, or urgent",
+	  .steps = { { SUBMIT, 1, 2, .want = ADMISSION_START },
+		     { PUT_OFF, 1, .a = ADMISSION_DEFERRABLE_HOLD_MS + 1,
+		       .want = true },
+		     { NEXT, .want = NONE },
+		     { WAIT, .a = ADMISSION_PUT_OFF_MS },
+		     { NEXT, 1, .want = ADMISSION_START },
+		     { PUT_OFF, 1, .a = ADMISSION_DEFERRABLE_HOLD_MS,
+		       .want = false },
+		     { SUBMIT, 2, 0, .want = ADMISSION_START },
+		     { PUT_OFF, 2, .a = 30000, .want = false } } },
+};
+
+static admission_request_t make_request(const script_t *script,
+					const step_t *step, uint64_t now_ms)
+{
+	return (admission_request_t){
+		.id = step->id,
+		.customer = { .id_hash = 9,
+			      .weight = 1,
+			      .rate_per_s = script->rate_per_s,
+			      .concurrency_max = script->concurrency_max },
+		.urgency = step->urgency,
+		.tokens = 100,
+		.deadline_at_ms = step->a ? now_ms + step->a : 0,
+		.preemptible = step->urgency == 2,
+	};
+}
+
+static void check_action(const step_t *step, const admission_action_t *action)
+{
+	g_assert_cmpint(action->kind, ==, step->want);
+	g_assert_cmpuint(action->id, ==, step->id);
+	if (action->kind != ADMISSION_SHED)
+		return;
+	g_assert_cmpint(action->shed.err, ==, step->want_err);
+	g_assert_cmpuint(action->shed.retry_after_ms, >=,
+			 ADMISSION_RETRY_AFTER_MIN_MS);
+}
+
+static void run_step(admission_t *admission, const script_t *script,
+		     const step_t *step, uint64_t *now_ms)
+{
+	admission_request_t request = make_request(script, step, *now_ms);
+	admission_action_t action = { 0 };
+
+	switch (step->kind) {
+	case LOAD:
+		admission_set_pool(admission, 0, step->a, step->b);
+		break;
+	case SUBMIT:
+		action = admission_submit(admission, &request, *now_ms);
+		check_action(step, &action);
+		break;
+	case NEXT:
+		if (!admission_next(admission, *now_ms, &action))
+			g_assert_cmpint(step->want, ==, NONE);
+		else
+			check_action(step, &action);
+		break;
+	case FINISH:
+		admission_finished(admission, step->id, *now_ms);
+		break;
+	case PREEMPTED:
+		admission_preempted(admission, step->id, *now_ms);
+		break;
+	case PUT_OFF:
+		g_assert_cmpint(admission_put_off(admission, step->id, step->a,
+						  *now_ms),
+				==, step->want);
+		break;
+	case WAIT:
+		*now_ms += step->a;
+		break;
+	case END:
+		break;
+	}
+}
+
+static void test_scripts(void)
+{
+	g_autofree admission_t *admission = g_new0(admission_t, 1);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+		uint64_t now_ms = 1000;
+
+		g_test_message("guards against: %s", scripts[i].guards);
+		admission_init(admission, QUEUE_MAX, 10);
+		for (size_t j = 0; j < G_N_ELEMENTS(scripts[i].steps); j++)
+			run_step(admission, &scripts[i], &scripts[i].steps[j],
+				 &now_ms);
+	}
+}
+
+/* A large customer must not take more than its weight from small ones. */
+static void test_fair_shares(void)
+{
+	static const uint32_t weights[3] = { 1, 1, 2 };
+	g_autofree admission_t *admission = g_new0(admission_t, 1);
+	admission_action_t action;
+	uint32_t started[3] = { 0 };
+	uint64_t id = 1;
+
+	admission_init(admission, 600, 10);
+	admission_set_pool(admission, 0, ADMISSION_NORMAL_HOLD_MS + 1, 1);
+	/* Customer 0 comes first and has eight times as many requests. */
+	for (uint32_t i = 0; i < 500; i++) {
+		uint32_t customer = i < 400 ? 0 : 1 + i % 2;
+		admission_request_t request = {
+			.id = id++,
+			.customer = { .id_hash = customer + 1,
+				      .weight = weights[customer] },
+			.urgency = 1,
+			.tokens = 1000,
+		};
+
+		action = admission_submit(admission, &request, 1);
+		g_assert_cmpint(action.kind, ==, ADMISSION_WAIT);
+	}
+	admission_set_pool(admission, 0, 0, 1);
+	for (uint32_t i = 0; i < 80; i++) {
+		g_assert_true(admission_next(admission, 1, &action));
+		g_assert_cmpint(action.kind, ==, ADMISSION_START);
+		started[action.id <= 400 ? 0 : 1 + (action.id - 1) % 2]++;
+		admission_finished(admission, action.id, 1);
+	}
+	g_assert_cmpuint(started[0], >=, 19);
+	g_assert_cmpuint(started[0], <=, 21);
+	g_assert_cmpuint(started[1], >=, 19);
+	g_assert_cmpuint(started[2], >=, 38);
+}
+
+/* Retries without a budget multiply the load of a failing fleet. */
+static void test_retry_budget(void)
+{
+	g_autofree admission_t *admission = g_new0(admission_t, 1);
+	uint32_t allowed = 0;
+
+	admission_init(admission, 100, 10);
+	for (uint64_t id = 1; id <= 1000; id++) {
+		admission_request_t request = {
+			.id = id, .customer = { .id_hash = 1, .weight = 1 }
+		};
+
+		admission_submit(admission, &request, 1);
+		admission_finished(admission, id, 1);
+		allowed += admission_retry(admission, 0, 0, 1) == 0;
+	}
+	g_assert_cmpuint(allowed, >=, 100);
+	g_assert_cmpuint(allowed, <=, 100 + ADMISSION_RETRY_BURST);
+	g_assert_cmpint(admission_retry(admission, 500, 1000, 501), ==,
+			ERR_DEADLINE);
+}
+
+/* A retry time that is too short makes callers come back in vain. */
+static void test_retry_after_is_honest(void)
+{
+	g_autofree admission_t *admission = g_new0(admission_t, 1);
+	admission_request_t request = {
+		.id = 1,
+		.customer = { .id_hash = 1, .weight = 1, .rate_per_s = 4 },
+	};
+	admission_action_t action;
+	uint64_t now_ms = 1000;
+
+	admission_init(admission, 100, 10);
+	for (; request.id <= 4; request.id++)
+		admission_submit(admission, &request, now_ms);
+	action = admission_submit(admission, &request, now_ms);
+	g_assert_cmpint(action.kind, ==, ADMISSION_SHED);
+	now_ms += action.shed.retry_after_ms;
+	action = admission_submit(admission, &request, now_ms);
+	g_assert_cmpint(action.kind, ==, ADMISSION_START);
+}
+
+/* Random calls must not lose or repeat a request or leak a place. */
+static void test_random_calls(void)
+{
+	g_autofree admission_t *admission = g_new0(admission_t, 1);
+	g_autofree uint8_t *state = g_new0(uint8_t, 20001);
+	enum { UNSEEN, WAITING, RUNNING, GONE };
+	uint64_t now_ms = 1;
+	rng_t rng;
+
+	rng_init(&rng, 5);
+	admission_init(admission, 50, 10);
+	for (uint64_t id = 1; id <= 20000; id++) {
+		admission_request_t request = {
+			.id = id,
+			.customer = { .id_hash = 1 + rng_below(&rng, 2000),
+				      .weight = 1 },
+			.urgency = (uint32_t)rng_below(&rng, 3),
+			.deadline_at_ms = now_ms + rng_below(&rng, 2000),
+			.tokens = 10,
+			.preemptible = true,
+		};
+		admission_action_t action;
+		uint64_t other = 1 + rng_below(&rng, id);
+
+		now_ms += rng_below(&rng, 20);
+		admission_set_pool(admission, 0,
+				   (uint32_t)rng_below(&rng, 1500), 8);
+		action = admission_submit(admission, &request, now_ms);
+		state[id] = action.kind == ADMISSION_START  ? RUNNING
+			    : action.kind == ADMISSION_WAIT ? WAITING
+							    : GONE;
+		while (admission_next(admission, now_ms, &action)) {
+			uint8_t *at = &state[action.id];
+
+			if (action.kind == ADMISSION_PREEMPT) {
+				g_assert_cmpint(*at, ==, RUNNING);
+				admission_preempted(admission, action.id,
+						    now_ms);
+				*at = WAITING;
+				continue;
+			}
+			g_assert_cmpint(*at, ==, WAITING);
+			*at = action.kind == ADMISSION_START ? RUNNING : GONE;
+		}
+		admission_finished(admission, other, now_ms);
+		state[other] = GONE;
+		g_assert_cmpuint(admission->pools[0].running, <=, 8);
+	}
+	for (uint64_t id = 1; id <= 20000; id++)
+		admission_finished(admission, id, now_ms);
+	g_assert_cmpuint(admission->waiting_count, ==, 0);
+	g_assert_cmpuint(admission->running_count, ==, 0);
+	g_assert_cmpuint(admission->preempting_count, ==, 0);
+	for (size_t i = 0; i < ADMISSION_CUSTOMERS_MAX; i++) {
+		g_assert_cmpuint(admission->customers[i].running, ==, 0);
+		g_assert_cmpuint(admission->customers[i].waiting, ==, 0);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/admission/scripts", test_scripts);
+	g_test_add_func("/admission/fair-shares", test_fair_shares);
+	g_test_add_func("/admission/retry-budget", test_retry_budget);
+	g_test_add_func("/admission/retry-after", test_retry_after_is_honest);
+	g_test_add_func("/admission/random-calls", test_random_calls);
+	return g_test_run();
+}
