--- /dev/null
+++ b/process/prefix_stats.h
@@ -0,0 +1,116 @@
+/**
+ * @file
+ * Demand for the level prefixes of one pool, and the placement plan that
+ * follows from it.
+ *
+ * Each level prefix has a decayed request count. Its share of the pool's
+ * requests gives the number of endpoints that have to carry it (its replicas).
+ * A plan goes down the levels of a prompt: each step narrows the endpoints to
+ * as many as the level's demand needs, chosen by rendezvous hashing on the
+ * level's key among those of the step above, and ends at the level that one
+ * endpoint can carry: the placement level. A prefix therefore stands on as
+ * many endpoints as its demand needs and no more, and prompts that share a
+ * longer prefix meet on the same one of them. Two instances whose counts
+ * differ a little still agree on most endpoints, because the first k endpoints
+ * of a rendezvous order are among the first k + 1.
+ *
+ * Size: 4,096 levels of 40 bytes, 163,840 bytes, and a few counters. A full
+ * set replaces the entry with the lowest count. One request enters at most
+ * PREFIX_STATS_NEW_MAX levels, so unique prompts cannot flood the table.
+ */
+#ifndef PROCESS_PREFIX_STATS_H
+#define PROCESS_PREFIX_STATS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum {
+	PREFIX_STATS_SETS = 512,
+	PREFIX_STATS_WAYS = 8,
+	/** Narrowing steps of a plan: enough for 1,024 endpoints. */
+	PREFIX_PLAN_STEPS_MAX = 12,
+	/** Levels entered for one request. */
+	PREFIX_STATS_NEW_MAX = 16,
+	/**
+	 * Times in which counts without new requests fall to 1/e. An instance
+	 * may see less than one request a second, so shares come from the slow
+	 * counts; the fast ones follow a storm.
+	 */
+	PREFIX_STATS_FAST_MS = 5000,
+	PREFIX_STATS_SLOW_MS = 30000,
+};
+
+/** A position in a prompt: key of all that stands before it. */
+typedef struct prefix_level {
+	uint64_t key;
+	uint32_t tokens; /**< Prompt tokens before it, rounded up. */
+	/** Of these, tokens in full blocks: what an engine can cache. */
+	uint32_t full_tokens;
+} prefix_level_t;
+
+typedef struct prefix_stat {
+	uint64_t key; /**< 0 when free. */
+	uint64_t updated_ms;
+	/** Requests, decayed to `updated_ms`. */
+	float fast;
+	float slow;
+	/** Answers, and those whose cached tokens cover this level; decayed. */
+	float answers;
+	float cached;
+	uint32_t tokens;
+	uint16_t replicas; /**< Endpoints in force; 0 before the first plan. */
+} prefix_stat_t;
+
+typedef struct prefix_stats {
+	prefix_stat_t sets[PREFIX_STATS_SETS][PREFIX_STATS_WAYS];
+	float total_fast; /**< Requests of the pool, decayed. */
+	float total_slow;
+	uint64_t total_updated_ms;
+} prefix_stats_t;
+
+/** One narrowing step. */
+typedef struct prefix_plan_step {
+	uint64_t key;
+	uint32_t tokens;
+	uint16_t replicas;
+} prefix_plan_step_t;
+
+/** Placement of one prompt; the last step is the placement level. */
+typedef struct prefix_plan {
+	uint32_t step_count;
+	prefix_plan_step_t steps[PREFIX_PLAN_STEPS_MAX];
+} prefix_plan_t;
+
+void prefix_stats_init(prefix_stats_t *stats);
+
+/** Counts a request. @param levels in ascending order of tokens */
+void prefix_stats_request(prefix_stats_t *stats, const prefix_level_t *levels,
+			  size_t level_count, uint64_t now_ms);
+
+/** Counts the cached tokens that an answer reports. */
+void prefix_stats_answer(prefix_stats_t *stats, const prefix_level_t *levels,
+			 size_t level_count, uint32_t cached_tokens);
+
+/**
+ * Plans the placement of a prompt over `endpoint_count` endpoints.
+ * @param busy_share share of the endpoints that are busy, 0 to 1: with it, a
+ *        level's share of the requests gives the endpoints it keeps busy
+ * Replica counts rise at once with demand and fall only when demand is well
+ * below what the next lower count carries.
+ */
+void prefix_stats_plan(prefix_stats_t *stats, const prefix_level_t *levels,
+		       size_t level_count, uint32_t endpoint_count,
+		       double busy_share, uint64_t now_ms, prefix_plan_t *plan);
+
+/**
+ * Share of answers that found a level cached, from 0 to 1; `unknown` if the
+ * level is not in the table or has no answer yet.
+ */
+double prefix_stats_cached_share(const prefix_stats_t *stats, uint64_t key,
+				 double unknown);
+
+/** Whether several prompts share a level, so that a belief is worth keeping. */
+bool prefix_stats_is_shared(const prefix_stats_t *stats, uint64_t key);
+
+#endif
