--- a/process/event_list.h
+++ b/process/event_list.h
@@ -19,3 +19,5 @@
       "Raise --stop-limit-ms or look for requests that never end.")
 EVENT(1005, START_FAILED, "start_failed", EVENT_ERROR,
       "The process cannot start; the text names the reason.")
+EVENT(1700, HTTP_SERVER, "http_server", EVENT_WARN,
+      "The HTTP server library reports a problem; the text names it.")
