--- a/connection/server.c
+++ b/connection/server.c
@@ -244,6 +244,19 @@
 	return mg_get_header(request->connection, name);
 }
 
+bool server_header_at(const server_request_t *request, int index,
+		      const char **name, const char **value)
+{
+	const struct mg_request_info *info =
+		mg_get_request_info(request->connection);
+
+	if (index >= info->num_headers)
+		return false;
+	*name = info->http_headers[index].name;
+	*value = info->http_headers[index].value;
+	return true;
+}
+
 const char *server_bearer_key(const server_request_t *request)
 {
 	static const char scheme[] = "Bearer ";
--- a/connection/server.h
+++ b/connection/server.h
@@ -72,6 +72,13 @@
 /** Value of a request header, or NULL. */
 const char *server_header(const server_request_t *request, const char *name);
 
+/**
+ * Request header by number, from 0.
+ * @return false past the last one
+ */
+bool server_header_at(const server_request_t *request, int index,
+		      const char **name, const char **value);
+
 /** Key in `Authorization: Bearer`, or NULL. */
 const char *server_bearer_key(const server_request_t *request);
 
--- a/connection/upstream.c
+++ b/connection/upstream.c
@@ -164,6 +164,14 @@
 		curl_multi_wakeup(cancel->multi);
 }
 
+void upstream_cancel_clear(upstream_cancel_t *cancel, int reason)
+{
+	SCOPED_LOCK(lock, &cancel->lock);
+
+	if (cancel->reason == reason)
+		cancel->reason = 0;
+}
+
 int upstream_cancel_reason(upstream_cancel_t *cancel)
 {
 	SCOPED_LOCK(lock, &cancel->lock);
--- a/connection/upstream.h
+++ b/connection/upstream.h
@@ -87,6 +87,9 @@
 /** Ends the transfer in progress and all later ones. The first reason stays. */
 void upstream_cancel(upstream_cancel_t *cancel, int reason);
 
+/** Takes back a cancel with this reason, so that later transfers run. */
+void upstream_cancel_clear(upstream_cancel_t *cancel, int reason);
+
 /** Reason given to upstream_cancel(), or 0. */
 int upstream_cancel_reason(upstream_cancel_t *cancel);
 
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -57,3 +57,8 @@
       "or lower ready_min.")
 EVENT(1414, SLOT_EXPIRED, "slot_expired", EVENT_WARN,
       "A load slot of another pool was freed after its longest duration.")
+EVENT(1200, ATTEMPT_ENDED, "attempt_ended", EVENT_INFO,
+      "An attempt at a model request ended without a complete answer.")
+EVENT(1201, ATTEMPT_MISMATCH, "attempt_mismatch", EVENT_ERROR,
+      "An engine answered with another attempt's number; the answer was "
+      "dropped. Check the engine's connection handling.")
--- /dev/null
+++ b/request/plain.c
@@ -0,0 +1,324 @@
+#include "request/plain.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "process/cleanup.h"
+#include "process/error.h"
+#include "process/event.h"
+#include "process/metrics.h"
+
+enum {
+	HEADER_LINE_MAX_BYTES = 1024,
+	BODY_START_BYTES = 1024,
+};
+
+/** Headers that belong to one connection or to the router itself. */
+static const char *const request_headers_kept[] = {
+	"Authorization",     "Connection",	 "Content-Length",
+	"Expect",	     "Host",		 "Keep-Alive",
+	"Proxy-Connection",  "TE",		 "Trailer",
+	"Transfer-Encoding", "Upgrade",		 "X-Fencing-Number",
+	"X-Deadline-Ms",     "Accept-Encoding",	 NULL,
+};
+
+static const char *const answer_headers_kept[] = {
+	"Connection",	     "Content-Length", "Content-Type", "Date",
+	"Keep-Alive",	     "Server",	       "Trailer",
+	"Transfer-Encoding", "Upgrade",	       "X-Run-State",  NULL,
+};
+
+static bool is_listed(const char *const *list, const char *name)
+{
+	for (; *list; list++) {
+		if (!strcasecmp(*list, name))
+			return true;
+	}
+	return false;
+}
+
+void plain_answer_free(plain_answer_t *answer)
+{
+	free(answer->body);
+	answer->body = NULL;
+	answer->body_len = 0;
+	answer->body_size = 0;
+}
+
+static void copy_headers(plain_answer_t *answer, CURL *transfer)
+{
+	struct curl_header *header = NULL;
+	size_t used = 0;
+
+	answer->headers[0] = '\0';
+	while ((header = curl_easy_nextheader(transfer, CURLH_HEADER, -1,
+					      header))) {
+		size_t needed = strlen(header->name) + strlen(header->value);
+
+		if (is_listed(answer_headers_kept, header->name) ||
+		    used + needed + 5 > sizeof(answer->headers))
+			continue;
+		used += (size_t)snprintf(answer->headers + used,
+					 sizeof(answer->headers) - used,
+					 "%s: %s\r\n", header->name,
+					 header->value);
+	}
+}
+
+static bool is_set(CURL *transfer, const char *name)
+{
+	const char *value = upstream_header(transfer, name);
+
+	return value && !strcmp(value, "1");
+}
+
+static int take_head(void *context, CURL *curl, long status)
+{
+	plain_transfer_t *transfer = context;
+	plain_answer_t *answer = &transfer->answer;
+	const char *type = upstream_header(curl, "Content-Type");
+
+	answer->status = status;
+	answer->is_leaving = is_set(curl, "X-Leaving");
+	answer->is_not_run = is_set(curl, "X-Not-Run");
+	snprintf(answer->content_type, sizeof(answer->content_type), "%s",
+		 type ? type : "");
+	copy_headers(answer, curl);
+	return 0;
+}
+
+static int take_body(void *context, const char *bytes, size_t len)
+{
+	plain_transfer_t *transfer = context;
+	plain_answer_t *answer = &transfer->answer;
+	size_t size = answer->body_size ? answer->body_size : BODY_START_BYTES;
+	char *grown;
+
+	if (answer->body_len + len > answer->body_max_bytes) {
+		answer->too_large = true;
+		return ERR_ENDPOINT_ANSWER;
+	}
+	while (size < answer->body_len + len + 1)
+		size *= 2;
+	if (size > answer->body_size) {
+		grown = realloc(answer->body, size);
+		if (!grown)
+			return ERR_NO_MEMORY;
+		answer->body = grown;
+		answer->body_size = size;
+	}
+	memcpy(answer->body + answer->body_len, bytes, len);
+	answer->body_len += len;
+	answer->body[answer->body_len] = '\0';
+	return 0;
+}
+
+static int before_send(void *context)
+{
+	plain_transfer_t *transfer = context;
+
+	return transfer->before_send ? transfer->before_send(transfer->context)
+				     : 0;
+}
+
+static bool add_line(struct curl_slist **headers, const char *line)
+{
+	struct curl_slist *grown = curl_slist_append(*headers, line);
+
+	if (grown)
+		*headers = grown;
+	return grown != NULL;
+}
+
+static bool add_header(struct curl_slist **headers, const char *name,
+		       const char *value)
+{
+	char line[HEADER_LINE_MAX_BYTES];
+	int len = snprintf(line, sizeof(line), *value ? "%s: %s" : "%s;", name,
+			   value);
+
+	return len > 0 && (size_t)len < sizeof(line) && add_line(headers, line);
+}
+
+static bool add_headers(const plain_transfer_t *transfer,
+			struct curl_slist **headers)
+{
+	const server_request_t *caller = transfer->request->caller;
+	const char *name;
+	const char *value;
+	char number[24];
+
+	for (int i = 0; server_header_at(caller, i, &name, &value); i++) {
+		/* A line that is too long for this is left out. */
+		if (!is_listed(request_headers_kept, name))
+			add_header(headers, name, value);
+	}
+	if (!server_header(caller, "Content-Type") && caller->body_len &&
+	    !add_line(headers, "Content-Type:"))
+		return false;
+	if (transfer->fencing) {
+		snprintf(number, sizeof(number), "%" PRIu64, transfer->fencing);
+		if (!add_header(headers, "X-Fencing-Number", number))
+			return false;
+	}
+	return add_line(headers, "Expect:");
+}
+
+static void free_headers(struct curl_slist **headers)
+{
+	curl_slist_free_all(*headers);
+}
+
+void plain_send(plain_transfer_t *transfer, const fleet_target_t *target,
+		upstream_result_t *result)
+{
+	__attribute__((cleanup(free_headers))) struct curl_slist *headers =
+		NULL;
+	const plain_request_t *request = transfer->request;
+	const server_request_t *caller = request->caller;
+	upstream_call_t call = {
+		.address = target->address,
+		.port = target->port,
+		.tls = target->tls,
+		.method = caller->method,
+		.path = request->path,
+		.body = caller->body_len ? caller->body : NULL,
+		.body_bytes = caller->body_len,
+		.connect_timeout_ms = transfer->connect_timeout_ms,
+		.deadline_ms = transfer->deadline_ms,
+		.fresh_connection = transfer->fresh_connection,
+		.caller_fd = transfer->keep_caller ? -1 : caller->fd,
+		.before_send = before_send,
+		.take_head = take_head,
+		.take_body = take_body,
+		.context = transfer,
+	};
+
+	*result = (upstream_result_t){ .err = ERR_NO_MEMORY };
+	plain_answer_free(&transfer->answer);
+	transfer->answer.status = 0;
+	transfer->answer.body_max_bytes =
+		request->config->limits.body_max_bytes;
+	if (!add_headers(transfer, &headers))
+		return;
+	call.headers = headers;
+	upstream_run(transfer->plain->pool, &call, result);
+}
+
+/* Idempotent calls. */
+
+static endpoint_outcome_t outcome_of(const plain_answer_t *answer,
+				     const upstream_result_t *result)
+{
+	if (result->err == ERR_CANCELLED || result->err == ERR_NO_MEMORY)
+		return ENDPOINT_CANCELLED;
+	if (result->err == ERR_ENDPOINT_LOST)
+		return ENDPOINT_LOST;
+	if (result->err)
+		return ENDPOINT_FAILED;
+	return answer->is_leaving ? ENDPOINT_REFUSED : ENDPOINT_DONE;
+}
+
+static void send_counted(plain_transfer_t *transfer,
+			 const fleet_target_t *target,
+			 upstream_result_t *result)
+{
+	fleet_t *fleet = transfer->plain->fleet;
+	fleet_choice_t choice = { 0 };
+
+	fleet_sent(fleet, target, upstream_now_ms(), &choice);
+	plain_send(transfer, target, result);
+	fleet_ended(fleet, &choice, NULL,
+		    outcome_of(&transfer->answer, result), upstream_now_ms());
+}
+
+/** Whether another endpoint may be tried, and whether that needs budget. */
+static bool may_retry(const plain_answer_t *answer,
+		      const upstream_result_t *result, bool *needs_budget)
+{
+	*needs_budget = false;
+	if (!result->err)
+		return answer->is_not_run && answer->status == 503;
+	if (result->err == ERR_CANCELLED || result->err == ERR_NO_MEMORY ||
+	    result->err == ERR_DEADLINE || answer->too_large)
+		return false;
+	*needs_budget = result->sent;
+	return true;
+}
+
+static void answer_error(const plain_request_t *request, int err, bool ran)
+{
+	server_error_t error = {
+		.err = err,
+		.has_run_state = true,
+		.run_state = ran ? RUN_STATE_UNKNOWN : RUN_STATE_NOT_RUN,
+	};
+
+	server_answer_error(request->caller, &error);
+}
+
+static void forward_answer(const plain_request_t *request,
+			   const plain_answer_t *answer)
+{
+	server_answer(request->caller, (int)answer->status,
+		      *answer->content_type ? answer->content_type : NULL,
+		      answer->headers, answer->body ? answer->body : "",
+		      answer->body_len);
+}
+
+static void serve_idempotent(const plain_t *plain,
+			     const plain_request_t *request, int pool,
+			     uint64_t deadline_ms)
+{
+	fleet_target_t targets[PLAIN_TRIES_MAX];
+	size_t count = fleet_list(plain->fleet, pool, targets, PLAIN_TRIES_MAX,
+				  upstream_now_ms());
+	plain_transfer_t transfer = {
+		.plain = plain,
+		.request = request,
+		.deadline_ms = deadline_ms,
+		.connect_timeout_ms = plain->settings.connect_timeout_ms,
+	};
+	upstream_result_t result = { .err = ERR_NO_ENDPOINT };
+	bool ran = false;
+
+	for (size_t i = 0; i < count; i++) {
+		bool needs_budget;
+
+		send_counted(&transfer, &targets[i], &result);
+		ran = ran || (result.sent && !transfer.answer.is_not_run);
+		if (!may_retry(&transfer.answer, &result, &needs_budget) ||
+		    (needs_budget &&
+		     fleet_retry(plain->fleet, pool, deadline_ms,
+				 upstream_now_ms())))
+			break;
+	}
+	if (result.err)
+		answer_error(request, result.err, ran);
+	else
+		forward_answer(request, &transfer.answer);
+	plain_answer_free(&transfer.answer);
+}
+
+void plain_serve(const plain_t *plain, const plain_request_t *request)
+{
+	const config_t *config = request->config;
+	const config_route_t *route = &config->routes[request->route];
+	int pool = fleet_find_pool(plain->fleet,
+				   config->pools[route->pool].id);
+
+	metrics_add(METRIC_REQUESTS_PLAIN, 1);
+	if (!config_route_is_idempotent(route, request->caller->method)) {
+		plain_serve_order(plain, request);
+		return;
+	}
+	if (pool < 0) {
+		answer_error(request, ERR_NO_ENDPOINT, false);
+		return;
+	}
+	serve_idempotent(plain, request, pool,
+			 upstream_now_ms() + route->timeout_ms);
+}
--- /dev/null
+++ b/request/relay_attempt.c
@@ -0,0 +1,424 @@
+#include "request/relay_job.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/cleanup.h"
+#include "process/event.h"
+#include "process/hash.h"
+#include "process/metrics.h"
+
+enum {
+	HEADER_LINE_MAX_BYTES = 256,
+	PATH_MAX_BYTES = 256,
+	/** Limits of a cancel, which is sent while the worker is held up. */
+	CANCEL_CONNECT_MS = 200,
+	CANCEL_TOTAL_MS = 1000,
+	/** Longest body of a refusal that is read to its end, bytes. */
+	REFUSAL_MAX_BYTES = 64 * 1024,
+};
+
+/** X-Priority of each urgency class. */
+static const int priorities[URGENCY_COUNT] = { 0, 4, 8 };
+
+static metric_histogram_t ttft_histogram(urgency_class_t urgency)
+{
+	switch (urgency) {
+	case URGENCY_URGENT:
+		return METRIC_TTFT_URGENT;
+	case URGENCY_NORMAL:
+		return METRIC_TTFT_NORMAL;
+	case URGENCY_DEFERRABLE:
+	case URGENCY_COUNT:
+		break;
+	}
+	return METRIC_TTFT_DEFERRABLE;
+}
+
+static void on_prefill(void *context, const relay_prefill_t *prefill)
+{
+	relay_job_t *job = context;
+
+	if (job->is_replay)
+		return;
+	fleet_first_token(job->relay->fleet, job->plan.fleet_pool, &job->choice,
+			  &job->routing, prefill->cached_tokens,
+			  prefill->queue_ms, upstream_now_ms());
+	metrics_add(METRIC_PROMPT_TOKENS, prefill->prompt_tokens);
+	metrics_add(METRIC_CACHED_TOKENS, prefill->cached_tokens);
+}
+
+static void on_token(void *context)
+{
+	relay_job_t *job = context;
+
+	/* The deadline of a stream covers its first token only. */
+	if (job->output.stream)
+		job->call.deadline_ms = 0;
+	if (!job->had_token)
+		metrics_observe_ms(ttft_histogram(job->plan.urgency),
+				   upstream_now_ms() - job->started_ms);
+	job->had_token = true;
+}
+
+static bool copy_header(CURL *transfer, const char *name,
+			char value[RELAY_HEADER_MAX_BYTES])
+{
+	const char *text = upstream_header(transfer, name);
+
+	value[0] = '\0';
+	if (!text || strlen(text) >= RELAY_HEADER_MAX_BYTES)
+		return false;
+	snprintf(value, RELAY_HEADER_MAX_BYTES, "%s", text);
+	return *value != '\0';
+}
+
+/** Incarnations are numbers; another text is taken by its hash. */
+static uint64_t incarnation_number(const char *text)
+{
+	char *end;
+	uint64_t number = strtoull(text, &end, 10);
+
+	return *end || !number ? hash_string(text) | 1 : number;
+}
+
+static void name_stream(relay_job_t *job)
+{
+	resume_token_t *token = &job->output.token;
+
+	snprintf(token->request_id, sizeof(token->request_id), "%s",
+		 job->expected_echo == token->request_id ? token->request_id
+							 : job->attempt_id);
+	snprintf(token->endpoint, sizeof(token->endpoint), "%s",
+		 job->choice.target.id);
+	snprintf(token->incarnation, sizeof(token->incarnation), "%s",
+		 job->incarnation);
+	snprintf(token->stream_id, sizeof(token->stream_id), "%s",
+		 job->stream_id);
+}
+
+static int take_stream_head(relay_job_t *job, CURL *transfer)
+{
+	const char *echo = upstream_header(transfer, "X-Attempt");
+
+	if (!echo || strcmp(echo, job->expected_echo) != 0) {
+		event_log(EVENT_ATTEMPT_MISMATCH, "endpoint=%s attempt=%s",
+			  job->choice.target.id, job->expected_echo);
+		return ERR_ATTEMPT_MISMATCH;
+	}
+	if (!copy_header(transfer, "X-Stream-Id", job->stream_id) ||
+	    !copy_header(transfer, "X-Engine-Incarnation", job->incarnation))
+		return ERR_ENDPOINT_ANSWER;
+	copy_header(transfer, "X-Weights-Version", job->weights_version);
+	/* A stream id of an earlier incarnation names another stream. */
+	if (job->is_replay &&
+	    strcmp(job->incarnation, job->output.token.incarnation) != 0)
+		return ERR_ENDPOINT_ANSWER;
+	fleet_identity(job->relay->fleet, &job->choice,
+		       incarnation_number(job->incarnation),
+		       *job->weights_version ? job->weights_version : NULL,
+		       upstream_now_ms());
+	if (!job->is_replay)
+		name_stream(job);
+	return 0;
+}
+
+static int take_head(void *context, CURL *transfer, long status)
+{
+	relay_job_t *job = context;
+	const char *leaving = upstream_header(transfer, "X-Leaving");
+	const char *not_run = upstream_header(transfer, "X-Not-Run");
+
+	job->status = status;
+	job->is_leaving = leaving && !strcmp(leaving, "1");
+	job->is_not_run = not_run && !strcmp(not_run, "1");
+	return status == 200 ? take_stream_head(job, transfer) : 0;
+}
+
+static int take_body(void *context, const char *bytes, size_t len)
+{
+	relay_job_t *job = context;
+
+	if (job->status == 200)
+		return sse_parser_feed(&job->parser, bytes, len);
+	job->refusal_bytes += len;
+	return job->refusal_bytes > REFUSAL_MAX_BYTES ? ERR_ENDPOINT_ANSWER : 0;
+}
+
+__attribute__((format(printf, 2, 3))) static bool
+add_header(struct curl_slist **headers, const char *fmt, ...)
+{
+	char line[HEADER_LINE_MAX_BYTES];
+	struct curl_slist *grown;
+	va_list args;
+
+	va_start(args, fmt);
+	vsnprintf(line, sizeof(line), fmt, args);
+	va_end(args);
+	grown = curl_slist_append(*headers, line);
+	if (grown)
+		*headers = grown;
+	return grown != NULL;
+}
+
+static bool add_headers(relay_job_t *job, struct curl_slist **headers)
+{
+	const relay_request_t *request = job->request;
+	const config_customer_t *customer =
+		&request->config->customers[request->customer];
+	uint64_t now_ms = upstream_now_ms();
+	bool ok = add_header(headers, "Content-Type: application/json") &&
+		  add_header(headers, "Expect:") &&
+		  add_header(headers, "X-Attempt: %s", job->attempt_id) &&
+		  add_header(headers, "X-Priority: %d",
+			     priorities[job->plan.urgency]) &&
+		  add_header(headers, "X-Cache-Salt: %s", customer->salt);
+
+	if (ok && job->call.deadline_ms > now_ms)
+		ok = add_header(headers, "X-Deadline-Ms: %" PRIu64,
+				job->call.deadline_ms - now_ms);
+	if (ok && job->output.position)
+		ok = add_header(headers, "X-Resume-From: %" PRIu64,
+				job->output.position);
+	return ok;
+}
+
+static void free_headers(struct curl_slist **headers)
+{
+	curl_slist_free_all(*headers);
+}
+
+static void fill_call(relay_job_t *job)
+{
+	const relay_settings_t *settings = &job->relay->settings;
+	const fleet_target_t *target = &job->choice.target;
+	bool with_deadline = !job->output.stream || !job->had_token;
+
+	job->call = (upstream_call_t){
+		.address = target->address,
+		.port = target->port,
+		.tls = target->tls,
+		.connect_timeout_ms = settings->connect_timeout_ms,
+		.first_byte_timeout_ms = settings->first_byte_timeout_ms,
+		.idle_timeout_ms = settings->idle_timeout_ms,
+		.deadline_ms = with_deadline ? job->deadline_at_ms : 0,
+		.caller_fd = job->request->caller->fd,
+		.cancel = &job->cancel,
+		.take_head = take_head,
+		.take_body = take_body,
+		.context = job,
+	};
+	job->status = 0;
+	job->is_leaving = false;
+	job->is_not_run = false;
+	job->refusal_bytes = 0;
+	job->stream_id[0] = '\0';
+	job->output.on_prefill = on_prefill;
+	job->output.on_token = on_token;
+	job->output.context = job;
+	relay_output_start(&job->output);
+}
+
+static attempt_end_kind_t kind_of_status(const relay_job_t *job)
+{
+	if (job->status == 200)
+		return ATTEMPT_END_BAD_ANSWER; /* Ended without [DONE]. */
+	if (!job->is_not_run && !(job->is_leaving && job->status == 503))
+		return ATTEMPT_END_BAD_ANSWER;
+	return job->status == 400 || job->status == 422 ? ATTEMPT_END_REJECTED
+							: ATTEMPT_END_REFUSED;
+}
+
+static attempt_end_kind_t kind_of(const relay_job_t *job,
+				  const upstream_result_t *result)
+{
+	if (job->output.is_done)
+		return ATTEMPT_END_COMPLETE;
+	if (job->output.caller_err)
+		return ATTEMPT_END_STOPPED;
+	switch (result->err) {
+	case 0:
+		return kind_of_status(job);
+	case RELAY_PREEMPTED:
+		return ATTEMPT_END_PREEMPTED;
+	case ERR_CANCELLED:
+	case ERR_STOPPING:
+	case ERR_DEADLINE:
+	case ERR_NO_MEMORY:
+		return ATTEMPT_END_STOPPED;
+	case ERR_CONNECT:
+		return ATTEMPT_END_NOT_SENT;
+	case ERR_ENDPOINT_LOST:
+		return ATTEMPT_END_LOST;
+	case ERR_TIMEOUT:
+		return result->sent ? ATTEMPT_END_TIMEOUT
+				    : ATTEMPT_END_NOT_SENT;
+	case ERR_ATTEMPT_MISMATCH:
+		return ATTEMPT_END_MISMATCH;
+	default:
+		return ATTEMPT_END_BAD_ANSWER;
+	}
+}
+
+static endpoint_outcome_t outcome_of(const relay_job_t *job,
+				     attempt_end_kind_t kind)
+{
+	switch (kind) {
+	case ATTEMPT_END_COMPLETE:
+		return ENDPOINT_DONE;
+	case ATTEMPT_END_STOPPED:
+	case ATTEMPT_END_PREEMPTED:
+	case ATTEMPT_END_REJECTED:
+	case ATTEMPT_END_NO_ENDPOINT:
+		return ENDPOINT_CANCELLED;
+	case ATTEMPT_END_REFUSED:
+		/* An engine that is only busy says so in its load report. */
+		return job->is_leaving ? ENDPOINT_REFUSED : ENDPOINT_CANCELLED;
+	case ATTEMPT_END_LOST:
+		return ENDPOINT_LOST;
+	case ATTEMPT_END_NOT_SENT:
+	case ATTEMPT_END_TIMEOUT:
+	case ATTEMPT_END_BAD_ANSWER:
+	case ATTEMPT_END_MISMATCH:
+		break;
+	}
+	return ENDPOINT_FAILED;
+}
+
+/** Whether the engine may still work on the stream although it ended here. */
+static bool may_still_run(const relay_job_t *job, attempt_end_kind_t kind)
+{
+	/* After a mismatch the id belongs to a stream of someone else. */
+	return *job->stream_id &&
+	       (kind == ATTEMPT_END_STOPPED || kind == ATTEMPT_END_PREEMPTED ||
+		kind == ATTEMPT_END_TIMEOUT || kind == ATTEMPT_END_BAD_ANSWER);
+}
+
+/** Tells the engine to stop; without it the engine goes on for a while. */
+static void cancel_stream(const relay_job_t *job)
+{
+	CLEANUP_JSON json_t *value =
+		json_pack("{s:s}", "stream_id", job->stream_id);
+	CLEANUP_FREE char *body = value ? json_dumps(value, 0) : NULL;
+	upstream_call_t call = {
+		.address = job->call.address,
+		.port = job->call.port,
+		.tls = job->call.tls,
+		.method = "POST",
+		.path = "/engine/cancel",
+		.body = body,
+		.body_bytes = body ? strlen(body) : 0,
+		.connect_timeout_ms = CANCEL_CONNECT_MS,
+		.deadline_ms = upstream_now_ms() + CANCEL_TOTAL_MS,
+		.caller_fd = -1,
+	};
+	upstream_result_t result = { 0 };
+
+	if (body)
+		upstream_run(job->relay->pool, &call, &result);
+}
+
+static attempt_end_t end_attempt(relay_job_t *job,
+				 const upstream_result_t *result)
+{
+	attempt_end_kind_t kind = kind_of(job, result);
+
+	if (kind != ATTEMPT_END_COMPLETE)
+		event_log(EVENT_ATTEMPT_ENDED,
+			  "attempt=%s endpoint=%s kind=%d error=%s status=%ld "
+			  "position=%" PRIu64,
+			  job->attempt_id, job->choice.target.id, (int)kind,
+			  error_type(result->err), job->status,
+			  job->output.position);
+	if (may_still_run(job, kind))
+		cancel_stream(job);
+	return (attempt_end_t){
+		.kind = kind,
+		.endpoint = result->sent || kind != ATTEMPT_END_STOPPED
+				    ? job->choice.target.id_hash
+				    : 0,
+		.position = job->output.position,
+		.can_resume = job->output.text_known,
+		.err = job->output.caller_err ? job->output.caller_err
+					      : result->err,
+	};
+}
+
+attempt_end_t relay_run_attempt(relay_job_t *job)
+{
+	__attribute__((cleanup(free_headers))) struct curl_slist *headers =
+		NULL;
+	CLEANUP_FREE char *body = NULL;
+	upstream_result_t result = { .err = ERR_NO_MEMORY };
+	relay_output_t *output = &job->output;
+	attempt_end_t end;
+
+	attempt_start(&job->attempt, job->attempt_id);
+	job->expected_echo = job->attempt_id;
+	job->is_replay = false;
+	fill_call(job);
+	body = chat_engine_body(&job->chat,
+				output->position ? output->text : NULL,
+				output->text_len);
+	job->call.method = "POST";
+	job->call.path = chat_path(job->chat.kind);
+	job->call.body = body;
+	job->call.body_bytes = body ? strlen(body) : 0;
+	sse_parser_init(&job->parser, RELAY_EVENT_MAX_BYTES,
+			RELAY_EVENT_MAX_BYTES, relay_output_take, output);
+	if (body && add_headers(job, &headers)) {
+		job->call.headers = headers;
+		upstream_run(job->relay->pool, &job->call, &result);
+	}
+	sse_parser_free(&job->parser);
+	end = end_attempt(job, &result);
+	fleet_ended(job->relay->fleet, &job->choice, &job->routing,
+		    outcome_of(job, end.kind), upstream_now_ms());
+	return end;
+}
+
+/** A replay that did not start says nothing against the engine. */
+static void end_replay(const relay_job_t *job, attempt_end_t *end)
+{
+	bool started = job->status == 200 && job->output.has_prefill;
+
+	if (started || end->kind == ATTEMPT_END_STOPPED ||
+	    end->kind == ATTEMPT_END_PREEMPTED)
+		return;
+	end->kind = ATTEMPT_END_REFUSED;
+	end->endpoint = 0;
+}
+
+attempt_end_t relay_run_replay(relay_job_t *job)
+{
+	upstream_result_t result = { .err = ERR_NO_MEMORY };
+	const resume_token_t *token = &job->output.token;
+	CLEANUP_FREE char *id = NULL;
+	char path[PATH_MAX_BYTES];
+	attempt_end_t end;
+
+	job->is_replay = true;
+	job->expected_echo = token->request_id;
+	snprintf(job->attempt_id, sizeof(job->attempt_id), "%s",
+		 token->request_id);
+	fill_call(job);
+	id = curl_easy_escape(NULL, token->stream_id, 0);
+	snprintf(path, sizeof(path), "/engine/stream?id=%s&from=%" PRIu64,
+		 id ? id : "", job->output.position);
+	job->call.method = "GET";
+	job->call.path = path;
+	sse_parser_init(&job->parser, RELAY_EVENT_MAX_BYTES,
+			RELAY_EVENT_MAX_BYTES, relay_output_take, &job->output);
+	fleet_sent(job->relay->fleet, &job->choice.target, upstream_now_ms(),
+		   &job->choice);
+	if (job->choice.slot >= 0)
+		upstream_run(job->relay->pool, &job->call, &result);
+	sse_parser_free(&job->parser);
+	end = end_attempt(job, &result);
+	fleet_ended(job->relay->fleet, &job->choice, NULL,
+		    outcome_of(job, end.kind), upstream_now_ms());
+	end_replay(job, &end);
+	return end;
+}
