--- /dev/null
+++ b/cmd/amaranthvale-router.c
@@ -0,0 +1,300 @@
+#include <curl/curl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <urcu/uatomic.h>
+
+#include "cmd/router.h"
+#include "process/error.h"
+#include "process/event.h"
+#include "process/hash.h"
+#include "process/settings.h"
+
+enum {
+	/** Threads beyond the stream limit, so that probes get an answer. */
+	SPARE_THREADS = 8,
+	WAIT_STEP_MS = 10,
+	/** Time to send the errors of requests that the stop limit cut. */
+	CUT_WAIT_MS = 2000,
+	SECRET_MIN_BYTES = 16,
+	SECRET_MAX_BYTES = 512,
+};
+
+static const char *const log_levels[] = { "debug", "info", "warn", "error",
+					  NULL };
+/* Same order as routing_policy_t. */
+static const char *const policies[] = { "prefix",	"random",
+					"round_robin",	"least_loaded",
+					"prompt_hash",	"first_level_hash",
+					NULL };
+
+static router_t router;
+
+#define NUMBER(flag_name, member, help, normal, lowest, highest)          \
+	{                                                                 \
+		.flag = (flag_name), .type = SETTING_NUMBER,              \
+		.value = &router.settings.member, .text = (help),         \
+		.fallback = (normal), .min = (lowest), .max = (highest)   \
+	}
+#define TEXT(flag_name, member, help, normal)                     \
+	{                                                         \
+		.flag = (flag_name), .type = SETTING_TEXT,        \
+		.value = &router.settings.member, .text = (help), \
+		.fallback = (normal)                              \
+	}
+
+static const setting_t rows[] = {
+	TEXT("instance", instance, "unique name; default router-<port>", NULL),
+	TEXT("address", address, "IP address to listen on", "127.0.0.1"),
+	NUMBER("port", port, "port for callers; 0 picks one and prints it",
+	       "8080", 0, 65535),
+	NUMBER("streams-max", streams_max, "requests in progress", "320", 1,
+	       4096),
+	NUMBER("thread-stack-kib", thread_stack_kib,
+	       "stack of a request thread, KiB", "256", 128, 8192),
+	NUMBER("header-max-bytes", header_max_bytes,
+	       "request line and headers, bytes", "16384", 2048, 262144),
+	NUMBER("caller-timeout-ms", caller_timeout_ms,
+	       "reading a request or sending a part of an answer, ms", "10000",
+	       100, 600000),
+	NUMBER("connect-timeout-ms", connect_timeout_ms,
+	       "connecting to an endpoint, ms", "1000", 10, 60000),
+	NUMBER("first-byte-timeout-ms", first_byte_timeout_ms,
+	       "first byte of an engine's answer, ms", "30000", 100, 3600000),
+	NUMBER("idle-timeout-ms", idle_timeout_ms,
+	       "between bytes of an engine's answer, ms", "30000", 100,
+	       3600000),
+	NUMBER("poll-ms", poll_ms, "load poll of an engine in use, ms", "500",
+	       50, 60000),
+	NUMBER("poll-idle-ms", poll_idle_ms, "load poll of other engines, ms",
+	       "5000", 50, 600000),
+	NUMBER("stop-limit-ms", stop_limit_ms,
+	       "longest time of a planned stop, ms", "120000", 0, 3600000),
+	NUMBER("drain-ms", drain_ms,
+	       "time a stop keeps answering after it began, ms", "200", 0,
+	       60000),
+	TEXT("seed", seed, "seed of random choices; default random", NULL),
+	TEXT("store-url", store_url, "object API, http://address:port", NULL),
+	TEXT("bootstrap", bootstrap,
+	     "JSON file with all configuration objects, read at start", NULL),
+	TEXT("tls-certificate", tls_certificate,
+	     "PEM file with certificate and key; callers then use TLS", NULL),
+	TEXT("endpoint-ca", endpoint_ca,
+	     "PEM file with the authorities of TLS endpoints", NULL),
+	{ .flag = "log-level",
+	  .type = SETTING_CHOICE,
+	  .value = &router.settings.log_level,
+	  .text = "lowest level that is logged",
+	  .fallback = "info",
+	  .choices = log_levels },
+	{ .flag = "policy",
+	  .type = SETTING_CHOICE,
+	  .value = &router.settings.policy,
+	  .text = "placement policy; all but prefix are for comparison",
+	  .fallback = "prefix",
+	  .choices = policies },
+	{ .flag = "cluster-key",
+	  .type = SETTING_TEXT,
+	  .value = &router.settings.cluster_key,
+	  .text = "secret shared by all instances",
+	  .min = SECRET_MIN_BYTES,
+	  .max = SECRET_MAX_BYTES,
+	  .required = true,
+	  .secret = true },
+	{ .flag = "operator-key",
+	  .type = SETTING_TEXT,
+	  .value = &router.settings.operator_key,
+	  .text = "key of operators; without it /admin/ is refused",
+	  .min = SECRET_MIN_BYTES,
+	  .max = SECRET_MAX_BYTES,
+	  .secret = true },
+	{ 0 },
+};
+
+static int fail(const char *what, int err)
+{
+	event_log(EVENT_START_FAILED, "part=%s error=%s", what,
+		  error_type(err));
+	return EXIT_FAILURE;
+}
+
+static uint64_t choose_seed(void)
+{
+	uint64_t seed;
+
+	if (router.settings.seed)
+		return hash_string(router.settings.seed);
+	randombytes_buf(&seed, sizeof(seed));
+	return seed;
+}
+
+static int open_store(uint64_t seed)
+{
+	store_client_options_t options = {
+		.url = router.settings.store_url,
+		.seed = seed,
+	};
+
+	return options.url ? store_client_open(&options, &router.store) : 0;
+}
+
+static int open_state(void)
+{
+	const router_settings_t *settings = &router.settings;
+	relay_settings_t relay = {
+		.instance = router.instance,
+		.cluster_key = settings->cluster_key,
+		.connect_timeout_ms = settings->connect_timeout_ms,
+		.first_byte_timeout_ms = settings->first_byte_timeout_ms,
+		.idle_timeout_ms = settings->idle_timeout_ms,
+	};
+	uint64_t seed = choose_seed();
+
+	if (settings->instance)
+		snprintf(router.instance, sizeof(router.instance), "%s",
+			 settings->instance);
+	else
+		snprintf(router.instance, sizeof(router.instance), "router-%u",
+			 settings->port);
+	router.fleet = fleet_new((routing_policy_t)settings->policy, seed);
+	router.pool = upstream_pool_new(settings->endpoint_ca);
+	if (!router.fleet || !router.pool || open_store(seed))
+		return ERR_NO_MEMORY;
+	relay_init(&router.relay, &relay, router.fleet, router.pool);
+	router.plain = (plain_t){
+		.settings = { .instance = router.instance,
+			      .connect_timeout_ms =
+				      settings->connect_timeout_ms },
+		.fleet = router.fleet,
+		.pool = router.pool,
+		.store = router.store,
+	};
+	return 0;
+}
+
+static int open_server(void)
+{
+	const router_settings_t *settings = &router.settings;
+	server_settings_t server = {
+		.address = settings->address,
+		.port = settings->port,
+		.thread_count = settings->streams_max + SPARE_THREADS,
+		.thread_stack_bytes = settings->thread_stack_kib * 1024,
+		.caller_timeout_ms = settings->caller_timeout_ms,
+		.header_max_bytes = settings->header_max_bytes,
+		.tls_certificate = settings->tls_certificate,
+		.handle = router_handle,
+		.context = &router,
+	};
+
+	router.server = server_start(&server);
+	if (!router.server)
+		return ERR_SETTING;
+	printf("port=%u\n", server_port(router.server));
+	fflush(stdout);
+	return 0;
+}
+
+static void sleep_ms(uint32_t duration_ms)
+{
+	struct timespec pause = {
+		.tv_sec = duration_ms / 1000,
+		.tv_nsec = (long)(duration_ms % 1000) * 1000000L,
+	};
+
+	nanosleep(&pause, NULL);
+}
+
+/** Waits for the open requests to end. @return whether they did in time */
+static bool wait_for_requests(uint32_t limit_ms)
+{
+	uint64_t until_ms = upstream_now_ms() + limit_ms;
+
+	while (uatomic_read(&router.open_requests)) {
+		if (upstream_now_ms() >= until_ms)
+			return false;
+		sleep_ms(WAIT_STEP_MS);
+	}
+	return true;
+}
+
+/** Finishes what runs; cuts it only when the limit has passed. */
+static void stop_requests(void)
+{
+	uatomic_set(&router.stopping, true);
+	event_log(EVENT_STOPPING, "open=%lu",
+		  uatomic_read(&router.open_requests));
+	sleep_ms(router.settings.drain_ms);
+	if (wait_for_requests(router.settings.stop_limit_ms))
+		return;
+	event_log(EVENT_STOP_LIMIT, "open=%lu",
+		  uatomic_read(&router.open_requests));
+	relay_cancel_all(&router.relay, ERR_STOPPING);
+	wait_for_requests(CUT_WAIT_MS);
+}
+
+static void close_state(void)
+{
+	relay_destroy(&router.relay);
+	upstream_pool_free(router.pool);
+	store_client_close(router.store);
+	fleet_free(router.fleet);
+	curl_global_cleanup();
+}
+
+static int run(const sigset_t *signals)
+{
+	pthread_t poller;
+	pthread_t timer;
+	int number;
+	int err = open_state();
+
+	if (err)
+		return fail("state", err);
+	if (router.settings.bootstrap) {
+		err = router_load_bootstrap(router.settings.bootstrap);
+		if (err)
+			return fail("bootstrap", err);
+	}
+	router_apply_config(&router);
+	err = open_server();
+	if (err)
+		return fail("server", err);
+	pthread_create(&poller, NULL, router_poll_thread, &router);
+	pthread_create(&timer, NULL, router_timer_thread, &router);
+	sigwait(signals, &number);
+	stop_requests();
+	server_stop(router.server);
+	uatomic_set(&router.ending, true);
+	pthread_join(poller, NULL);
+	pthread_join(timer, NULL);
+	close_state();
+	event_log(EVENT_STOPPED, NULL);
+	return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	sigset_t signals;
+	int result = settings_read(argc, (const char **)argv, rows,
+				   "[options]", NULL);
+
+	if (result == SETTINGS_EXIT)
+		return EXIT_SUCCESS;
+	if (result < 0 || sodium_init() < 0 ||
+	    curl_global_init(CURL_GLOBAL_DEFAULT) ||
+	    event_open("amaranthvale-router",
+		       (event_level_t)router.settings.log_level))
+		return EXIT_FAILURE;
+	/* Blocked in all threads; only the main thread takes them. */
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	event_log(EVENT_STARTED, "version=%s", AMV_VERSION);
+	return run(&signals);
+}
--- /dev/null
+++ b/cmd/router_config.c
@@ -0,0 +1,116 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu/uatomic.h>
+
+#include "cmd/router.h"
+#include "process/cleanup.h"
+#include "process/error.h"
+#include "process/event.h"
+
+int router_load_bootstrap(const char *path)
+{
+	config_problem_t problem = { 0 };
+	config_t *config = NULL;
+	json_error_t error;
+	CLEANUP_JSON json_t *objects =
+		json_load_file(path, JSON_REJECT_DUPLICATES, &error);
+	int err;
+
+	if (!json_is_object(objects)) {
+		event_log(EVENT_BOOTSTRAP_INVALID,
+			  "file=%s line=%d problem=\"%s\"", path, error.line,
+			  objects ? "not a JSON object" : error.text);
+		return ERR_BAD_JSON;
+	}
+	err = config_build(0, objects, &config, &problem);
+	if (err) {
+		event_log(EVENT_BOOTSTRAP_INVALID,
+			  "file=%s object=%s field=%s problem=\"%s\"", path,
+			  problem.object, problem.field, problem.text);
+		return err;
+	}
+	config_publish(config);
+	return 0;
+}
+
+static uint32_t prefill_speed(const config_t *config, const config_pool_t *pool)
+{
+	int32_t model = config_find_model(config, pool->model);
+
+	return model == CONFIG_NONE
+		       ? 0
+		       : config->models[model].prefill_tokens_per_s;
+}
+
+static void fill_endpoint(const config_endpoint_t *endpoint,
+			  fleet_endpoint_setup_t *setup)
+{
+	*setup = (fleet_endpoint_setup_t){
+		.id = endpoint->id,
+		.id_hash = endpoint->id_hash,
+		.address = endpoint->address,
+		.port = endpoint->port,
+		.tls = endpoint->tls,
+		.leaving = endpoint->leaving,
+	};
+}
+
+static void fill_pool(const config_t *config, const config_pool_t *pool,
+		      fleet_endpoint_setup_t *endpoints,
+		      fleet_pool_setup_t *setup)
+{
+	for (size_t i = 0; i < pool->endpoint_count; i++)
+		fill_endpoint(&config->endpoints[pool->endpoints[i]],
+			      &endpoints[i]);
+	*setup = (fleet_pool_setup_t){
+		.id = pool->id,
+		.engines = *pool->model != '\0',
+		.prefill_tokens_per_s = prefill_speed(config, pool),
+		.streams_max = config->limits.endpoint_streams_max *
+			       (uint32_t)pool->endpoint_count,
+		.endpoints = endpoints,
+		.endpoint_count = pool->endpoint_count,
+	};
+}
+
+static int configure(router_t *router, const config_t *config)
+{
+	CLEANUP_FREE fleet_pool_setup_t *pools =
+		calloc(config->pool_count + 1, sizeof(*pools));
+	CLEANUP_FREE fleet_endpoint_setup_t *endpoints =
+		calloc(config->endpoint_count + 1, sizeof(*endpoints));
+	size_t used = 0;
+
+	if (!pools || !endpoints)
+		return ERR_NO_MEMORY;
+	for (size_t i = 0; i < config->pool_count; i++) {
+		fill_pool(config, &config->pools[i], endpoints + used,
+			  &pools[i]);
+		used += config->pools[i].endpoint_count;
+	}
+	return fleet_configure(router->fleet, pools, config->pool_count,
+			       config->limits.queue_max,
+			       config->limits.retry_budget_percent,
+			       upstream_now_ms());
+}
+
+void router_apply_config(router_t *router)
+{
+	CLEANUP_CONFIG config_t *config = config_acquire();
+	bool first = !uatomic_read(&router->has_applied);
+	int err;
+
+	if (!config || (!first && config->position == router->applied_position))
+		return;
+	err = configure(router, config);
+	if (err)
+		event_log(EVENT_FLEET_LIMIT, "error=%s", error_type(err));
+	router->applied_position = config->position;
+	uatomic_set(&router->applied_at_ms, upstream_now_ms());
+	cmm_smp_mb();
+	uatomic_set(&router->has_applied, true);
+	if (first)
+		event_log(EVENT_READY, "position=%llu",
+			  (unsigned long long)config->position);
+}
--- /dev/null
+++ b/cmd/router_http.c
@@ -0,0 +1,350 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu/uatomic.h>
+
+#include "cmd/router.h"
+#include "process/cleanup.h"
+#include "process/error.h"
+#include "process/metrics.h"
+
+enum {
+	/** Body limit before a configuration says one, and of /admin/. */
+	ADMIN_BODY_MAX_BYTES = 8 * 1024 * 1024,
+	ROUTE_PATH_MAX_BYTES = 4096,
+};
+
+static void refuse(server_request_t *request, int err)
+{
+	server_error_t error = { .err = err };
+
+	server_answer_error(request, &error);
+}
+
+static void answer_text(server_request_t *request, int status, const char *type,
+			const char *text)
+{
+	server_answer(request, status, type, NULL, text, strlen(text));
+}
+
+static void answer_json(server_request_t *request, json_t *value)
+{
+	CLEANUP_FREE char *text =
+		value ? json_dumps(value, JSON_COMPACT) : NULL;
+
+	if (text)
+		answer_text(request, 200, "application/json", text);
+	else
+		refuse(request, ERR_NO_MEMORY);
+}
+
+static bool is_ready(router_t *router)
+{
+	return uatomic_read(&router->has_applied) &&
+	       !uatomic_read(&router->stopping);
+}
+
+static void handle_health(router_t *router, server_request_t *request)
+{
+	(void)router;
+	answer_text(request, 200, "text/plain", "ok\n");
+}
+
+static void handle_ready(router_t *router, server_request_t *request)
+{
+	if (is_ready(router))
+		answer_text(request, 200, "text/plain", "ready\n");
+	else
+		refuse(request, uatomic_read(&router->stopping)
+					? ERR_STOPPING
+					: ERR_NOT_READY);
+}
+
+static void handle_metrics(router_t *router, server_request_t *request)
+{
+	CLEANUP_FREE char *text = metrics_print();
+
+	(void)router;
+	if (text)
+		answer_text(request, 200, "text/plain; version=0.0.4", text);
+	else
+		refuse(request, ERR_NO_MEMORY);
+}
+
+/** Finds the customer of a request. @return index, or an error */
+static int32_t authenticate(const config_t *config,
+			    const server_request_t *request)
+{
+	const char *key = server_bearer_key(request);
+	int32_t customer = key ? config_find_key(config, key) : CONFIG_NONE;
+
+	return customer == CONFIG_NONE ? ERR_UNAUTHENTICATED : customer;
+}
+
+static void list_models(const config_t *config, int32_t customer,
+			server_request_t *request)
+{
+	const config_customer_t *owner = &config->customers[customer];
+	json_t *data = json_array();
+	CLEANUP_JSON json_t *answer =
+		json_pack("{s:s,s:o}", "object", "list", "data", data);
+
+	for (size_t i = 0; i < owner->pool_count; i++) {
+		const char *model = config->pools[owner->pools[i]].model;
+
+		if (*model)
+			json_array_append_new(
+				data, json_pack("{s:s,s:s,s:s}", "id", model,
+						"object", "model", "owned_by",
+						"amaranthvale"));
+	}
+	answer_json(request, answer);
+}
+
+static void serve_model(router_t *router, const config_t *config,
+			int32_t customer, server_request_t *request,
+			chat_kind_t kind)
+{
+	relay_request_t relayed = {
+		.caller = request,
+		.config = config,
+		.customer = customer,
+		.kind = kind,
+	};
+	int err;
+
+	if (strcmp(request->method, "POST") != 0) {
+		refuse(request, ERR_METHOD_NOT_ALLOWED);
+		return;
+	}
+	err = server_read_body(request, config->limits.body_max_bytes);
+	if (err)
+		refuse(request, err);
+	else
+		relay_serve(&router->relay, &relayed);
+}
+
+/** Splits `/svc/<route>/<path>` and finds the route of the customer. */
+static int32_t find_route(const config_t *config, int32_t customer,
+			  const char *path, const char **rest)
+{
+	char id[CONFIG_ID_MAX_BYTES];
+	size_t len = strcspn(path, "/");
+	int32_t route;
+
+	if (!len || len >= sizeof(id))
+		return CONFIG_NONE;
+	memcpy(id, path, len);
+	id[len] = '\0';
+	*rest = path + len;
+	route = config_find_route(config, id);
+	if (route == CONFIG_NONE ||
+	    !config_customer_has_pool(&config->customers[customer],
+				      config->routes[route].pool))
+		return CONFIG_NONE;
+	return route;
+}
+
+static void serve_plain(router_t *router, const config_t *config,
+			int32_t customer, server_request_t *request,
+			const char *path)
+{
+	plain_request_t call = {
+		.caller = request,
+		.config = config,
+		.customer = customer,
+	};
+	char full[ROUTE_PATH_MAX_BYTES];
+	const char *rest = "";
+	int len;
+	int err;
+
+	call.route = find_route(config, customer, path, &rest);
+	len = snprintf(full, sizeof(full), "%s%s%s%s", *rest ? "" : "/", rest,
+		       *request->query ? "?" : "", request->query);
+	if (call.route == CONFIG_NONE) {
+		refuse(request, ERR_UNKNOWN_ROUTE);
+		return;
+	}
+	if (len < 0 || (size_t)len >= sizeof(full)) {
+		refuse(request, ERR_HEADER_TOO_LARGE);
+		return;
+	}
+	call.path = full;
+	err = server_read_body(request, config->limits.body_max_bytes);
+	if (err)
+		refuse(request, err);
+	else
+		plain_serve(&router->plain, &call);
+}
+
+static const char *after(const char *path, const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	return strncmp(path, prefix, len) != 0 ? NULL : path + len;
+}
+
+/** Paths that need a configuration and a customer. */
+static void serve_customer(router_t *router, server_request_t *request)
+{
+	CLEANUP_CONFIG config_t *config = config_acquire();
+	const char *path = request->path;
+	const char *rest;
+	int32_t customer;
+
+	if (uatomic_read(&router->stopping)) {
+		refuse(request, ERR_STOPPING);
+		return;
+	}
+	if (!config || !is_ready(router)) {
+		refuse(request, ERR_NOT_READY);
+		return;
+	}
+	customer = authenticate(config, request);
+	if (customer < 0)
+		refuse(request, customer);
+	else if (!strcmp(path, "/v1/chat/completions"))
+		serve_model(router, config, customer, request, CHAT_MESSAGES);
+	else if (!strcmp(path, "/v1/completions"))
+		serve_model(router, config, customer, request, CHAT_PROMPT);
+	else if (!strcmp(path, "/v1/models"))
+		list_models(config, customer, request);
+	else if ((rest = after(path, "/svc/")))
+		serve_plain(router, config, customer, request, rest);
+	else
+		refuse(request, ERR_NOT_FOUND);
+}
+
+/* Operators. */
+
+static bool is_operator(const router_t *router, const server_request_t *request)
+{
+	const char *key = server_bearer_key(request);
+	const char *expected = router->settings.operator_key;
+	unsigned char given[HASH_DIGEST_HEX_BYTES];
+	unsigned char wanted[HASH_DIGEST_HEX_BYTES];
+
+	if (!key || !expected)
+		return false;
+	/* Digests have one length, so the comparison takes one time. */
+	hash_digest_hex(key, strlen(key), (char *)given);
+	hash_digest_hex(expected, strlen(expected), (char *)wanted);
+	return !sodium_memcmp(given, wanted, sizeof(wanted));
+}
+
+static void admin_config(router_t *router, server_request_t *request)
+{
+	CLEANUP_CONFIG config_t *config = config_acquire();
+	uint64_t at_ms = uatomic_read(&router->applied_at_ms);
+	CLEANUP_JSON json_t *answer = NULL;
+
+	if (!config || !at_ms) {
+		refuse(request, ERR_NOT_READY);
+		return;
+	}
+	answer = json_pack("{s:s,s:I,s:I,s:b}", "instance", router->instance,
+			   "position", (json_int_t)config->position, "age_ms",
+			   (json_int_t)(upstream_now_ms() - at_ms),
+			   "store_down",
+			   router->store && store_client_is_down(router->store));
+	answer_json(request, answer);
+}
+
+static void answer_explanation(server_request_t *request, json_t *explanation,
+			       const server_error_t *error,
+			       const chat_problem_t *problem)
+{
+	server_error_t shown = *error;
+
+	if (explanation) {
+		answer_json(request, explanation);
+		return;
+	}
+	shown.text = *problem->text ? problem->text : NULL;
+	server_answer_error(request, &shown);
+}
+
+/** `POST /admin/explain` with X-Customer and a body for /v1/. */
+static void admin_explain(router_t *router, server_request_t *request)
+{
+	CLEANUP_CONFIG config_t *config = config_acquire();
+	const char *id = server_header(request, "X-Customer");
+	CLEANUP_JSON json_t *explanation = NULL;
+	chat_problem_t problem = { 0 };
+	server_error_t error = { 0 };
+	chat_kind_t kind;
+	int32_t customer;
+
+	if (!config || !is_ready(router)) {
+		refuse(request, ERR_NOT_READY);
+		return;
+	}
+	customer = id ? config_find_customer(config, id) : CONFIG_NONE;
+	if (customer == CONFIG_NONE) {
+		error = (server_error_t){
+			.err = ERR_BAD_FIELD,
+			.text = "header 'X-Customer' must name a customer",
+		};
+		server_answer_error(request, &error);
+		return;
+	}
+	error.err = server_read_body(request, ADMIN_BODY_MAX_BYTES);
+	if (error.err) {
+		server_answer_error(request, &error);
+		return;
+	}
+	kind = strstr(request->body, "\"messages\"") ? CHAT_MESSAGES
+						     : CHAT_PROMPT;
+	explanation = relay_explain(&router->relay, config, customer, kind,
+				    request->body, request->body_len, &error,
+				    &problem);
+	answer_explanation(request, explanation, &error, &problem);
+}
+
+void router_admin(router_t *router, server_request_t *request)
+{
+	bool is_post = !strcmp(request->method, "POST");
+
+	if (!strcmp(request->path, "/admin/config") && !is_post)
+		admin_config(router, request);
+	else if (!strcmp(request->path, "/admin/explain") && is_post)
+		admin_explain(router, request);
+	else
+		refuse(request, ERR_NOT_FOUND);
+}
+
+static void route(router_t *router, server_request_t *request)
+{
+	static const struct {
+		const char *path;
+		void (*handle)(router_t *router, server_request_t *request);
+	} open_paths[] = {
+		{ "/healthz", handle_health },
+		{ "/readyz", handle_ready },
+		{ "/metrics", handle_metrics },
+	};
+
+	for (size_t i = 0; i < sizeof(open_paths) / sizeof(*open_paths); i++) {
+		if (!strcmp(request->path, open_paths[i].path)) {
+			open_paths[i].handle(router, request);
+			return;
+		}
+	}
+	if (!after(request->path, "/admin/"))
+		serve_customer(router, request);
+	else if (is_operator(router, request))
+		router_admin(router, request);
+	else
+		refuse(request, ERR_UNAUTHENTICATED);
+}
+
+void router_handle(void *context, server_request_t *request)
+{
+	router_t *router = context;
+
+	uatomic_inc(&router->open_requests);
+	route(router, request);
+	uatomic_dec(&router->open_requests);
+}
--- /dev/null
+++ b/cmd/router_poll.c
@@ -0,0 +1,191 @@
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <urcu/uatomic.h>
+
+#include "cmd/router.h"
+#include "process/cleanup.h"
+
+enum {
+	/** Polls that run at the same time. */
+	POLLS_MAX = 32,
+	/** A report that takes longer is of no use. */
+	POLL_TIMEOUT_MS = 1000,
+	/** Longest load report, bytes. */
+	REPORT_MAX_BYTES = 4096,
+	/** Pause between two looks at what is due. */
+	POLL_STEP_MS = 20,
+	URL_MAX_BYTES = 96,
+	IDLE_CONNECTIONS_MAX = 64,
+};
+
+/** One poll in progress. */
+typedef struct poll {
+	CURL *easy;
+	fleet_target_t target;
+	char text[REPORT_MAX_BYTES];
+	size_t len;
+} poll_t;
+
+static size_t take_bytes(char *bytes, size_t size, size_t count, void *context)
+{
+	poll_t *poll = context;
+	size_t len = size * count;
+
+	if (poll->len + len > sizeof(poll->text))
+		return 0;
+	memcpy(poll->text + poll->len, bytes, len);
+	poll->len += len;
+	return len;
+}
+
+static void start_poll(const router_t *router, CURLM *multi, poll_t *poll)
+{
+	const fleet_target_t *target = &poll->target;
+	bool is_ipv6 = strchr(target->address, ':') != NULL;
+	char url[URL_MAX_BYTES];
+
+	poll->len = 0;
+	poll->easy = curl_easy_init();
+	if (!poll->easy)
+		return;
+	snprintf(url, sizeof(url), "%s://%s%s%s:%u/engine/load",
+		 target->tls ? "https" : "http", is_ipv6 ? "[" : "",
+		 target->address, is_ipv6 ? "]" : "", (unsigned)target->port);
+	curl_easy_setopt(poll->easy, CURLOPT_URL, url);
+	curl_easy_setopt(poll->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(poll->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(poll->easy, CURLOPT_TIMEOUT_MS, (long)POLL_TIMEOUT_MS);
+	curl_easy_setopt(poll->easy, CURLOPT_WRITEFUNCTION, take_bytes);
+	curl_easy_setopt(poll->easy, CURLOPT_WRITEDATA, poll);
+	curl_easy_setopt(poll->easy, CURLOPT_PRIVATE, poll);
+	if (router->settings.endpoint_ca)
+		curl_easy_setopt(poll->easy, CURLOPT_CAINFO,
+				 router->settings.endpoint_ca);
+	curl_multi_add_handle(multi, poll->easy);
+}
+
+static uint64_t number_of(const json_t *report, const char *name)
+{
+	json_int_t value = json_integer_value(json_object_get(report, name));
+
+	return value > 0 ? (uint64_t)value : 0;
+}
+
+static uint32_t small_number_of(const json_t *report, const char *name)
+{
+	uint64_t value = number_of(report, name);
+
+	return value > UINT32_MAX ? UINT32_MAX : (uint32_t)value;
+}
+
+static const char *text_of(const json_t *report, const char *name)
+{
+	return json_string_value(json_object_get(report, name));
+}
+
+static void take_report(const router_t *router, const poll_t *poll)
+{
+	CLEANUP_JSON json_t *report =
+		json_loadb(poll->text, poll->len, 0, NULL);
+	endpoint_load_t load = {
+		.incarnation = number_of(report, "incarnation"),
+		.seq = number_of(report, "seq"),
+		.age_ms = small_number_of(report, "age_ms"),
+		.running = small_number_of(report, "running"),
+		.queued = small_number_of(report, "queued"),
+		.queued_tokens = number_of(report, "queued_tokens"),
+		.kv_used_blocks = small_number_of(report, "kv_used_blocks"),
+		.kv_total_blocks = small_number_of(report, "kv_total_blocks"),
+		.leaving = json_is_true(json_object_get(report, "leaving")),
+		.model = text_of(report, "model"),
+		.adapter = text_of(report, "adapter"),
+		.weights_version = text_of(report, "weights_version"),
+	};
+
+	if (!json_is_object(report) || !load.incarnation)
+		return;
+	fleet_report(router->fleet, &poll->target, &load, upstream_now_ms());
+}
+
+static void end_polls(const router_t *router, CURLM *multi)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(multi, &left))) {
+		poll_t *poll = NULL;
+		long status = 0;
+
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+				  &poll);
+		curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE,
+				  &status);
+		if (message->data.result == CURLE_OK && status == 200)
+			take_report(router, poll);
+		curl_multi_remove_handle(multi, poll->easy);
+		curl_easy_cleanup(poll->easy);
+		poll->easy = NULL;
+	}
+}
+
+static void start_due(const router_t *router, CURLM *multi, poll_t *polls)
+{
+	fleet_poll_interval_t interval = {
+		.in_use_ms = router->settings.poll_ms,
+		.idle_ms = router->settings.poll_idle_ms,
+	};
+
+	for (size_t i = 0; i < POLLS_MAX; i++) {
+		if (polls[i].easy)
+			continue;
+		if (!fleet_poll_due(router->fleet, &interval, upstream_now_ms(),
+				    &polls[i].target, 1))
+			return;
+		start_poll(router, multi, &polls[i]);
+	}
+}
+
+void *router_poll_thread(void *context)
+{
+	router_t *router = context;
+	CURLM *multi = curl_multi_init();
+	poll_t *polls = calloc(POLLS_MAX, sizeof(*polls));
+
+	if (multi)
+		curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS,
+				  (long)IDLE_CONNECTIONS_MAX);
+	while (multi && polls && !uatomic_read(&router->ending)) {
+		int running = 0;
+
+		start_due(router, multi, polls);
+		curl_multi_perform(multi, &running);
+		end_polls(router, multi);
+		curl_multi_poll(multi, NULL, 0, POLL_STEP_MS, NULL);
+	}
+	for (size_t i = 0; polls && i < POLLS_MAX; i++) {
+		if (!polls[i].easy)
+			continue;
+		curl_multi_remove_handle(multi, polls[i].easy);
+		curl_easy_cleanup(polls[i].easy);
+	}
+	curl_multi_cleanup(multi);
+	free(polls);
+	return NULL;
+}
+
+void *router_timer_thread(void *context)
+{
+	router_t *router = context;
+
+	while (!uatomic_read(&router->ending)) {
+		struct timespec pause = { 0 };
+		uint32_t wait_ms;
+
+		router_apply_config(router);
+		wait_ms = fleet_tick(router->fleet, upstream_now_ms());
+		pause.tv_nsec = (long)wait_ms * 1000000L;
+		nanosleep(&pause, NULL);
+	}
+	return NULL;
+}
--- a/connection/server.c
+++ b/connection/server.c
@@ -230,6 +230,15 @@
 	return NULL;
 }
 
+uint32_t server_port(const server_t *server)
+{
+	struct mg_server_port ports[1] = { 0 };
+
+	return mg_get_server_ports(server->context, 1, ports) > 0
+		       ? (uint32_t)ports[0].port
+		       : 0;
+}
+
 void server_stop(server_t *server)
 {
 	if (!server)
--- a/connection/server.h
+++ b/connection/server.h
@@ -66,6 +66,9 @@
  */
 server_t *server_start(const server_settings_t *settings);
 
+/** Port in use, also when port 0 was asked for. */
+uint32_t server_port(const server_t *server);
+
 /** Stops listening and ends all threads; cuts requests in progress. */
 void server_stop(server_t *server);
 
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -19,6 +19,8 @@
       "Raise --stop-limit-ms or look for requests that never end.")
 EVENT(1005, START_FAILED, "start_failed", EVENT_ERROR,
       "The process cannot start; the text names the reason.")
+EVENT(1006, BOOTSTRAP_INVALID, "bootstrap_invalid", EVENT_ERROR,
+      "The bootstrap file cannot be used; the text names what is wrong.")
 EVENT(1700, HTTP_SERVER, "http_server", EVENT_WARN,
       "The HTTP server library reports a problem; the text names it.")
 EVENT(1300, ORDER_CLAIM_LOST, "order_claim_lost", EVENT_WARN,
@@ -83,3 +85,6 @@
       "The object API answers again.")
 EVENT(1602, AUDIT_DROPPED, "audit_dropped", EVENT_WARN,
       "The queue of audit entries is full; the oldest were dropped.")
+EVENT(1202, FLEET_LIMIT, "fleet_limit", EVENT_ERROR,
+      "The configuration has more endpoints or pools than an instance can "
+      "hold; some get no work.")
