--- a/connection/server.c
+++ b/connection/server.c
@@ -173,10 +173,10 @@
 		"decode_url", "no", NULL
 	};
 	size_t used = 0;
-	const char *format = strchr(settings->address, ':') ? "[%s]:%u%s"
-							    : "%s:%u%s";
+	bool is_ipv6 = strchr(settings->address, ':') != NULL;
 
-	snprintf(listen_on, sizeof(listen_on), format, settings->address,
+	snprintf(listen_on, sizeof(listen_on), "%s%s%s:%u%s",
+		 is_ipv6 ? "[" : "", settings->address, is_ipv6 ? "]" : "",
 		 settings->port, settings->tls_certificate ? "s" : "");
 	snprintf(threads, sizeof(threads), "%" PRIu32, settings->thread_count);
 	snprintf(timeout, sizeof(timeout), "%" PRIu32,
