--- /dev/null
+++ b/t/test-membership.c
@@ -0,0 +1,264 @@
+/* Membership and rumors: seeded schedules on virtual time; authentication. */
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "process/error.h"
+#include "process/membership.h"
+#include "process/peer_auth.h"
+#include "t/lib/fake_net.h"
+#include "t/lib/seeds.h"
+
+enum {
+	NODES = 9,
+	DOMAINS = 3,
+	/** Fault phase, and the time after it to agree again. */
+	FAULTS_MS = 20000,
+	QUIET_MS = 60000,
+};
+
+static const membership_member_t *view(const fake_net_t *net, size_t of,
+				       size_t at)
+{
+	for (size_t i = 0; i < net->nodes[at].count; i++) {
+		if (net->nodes[at].members[i].wire.id == of + 1)
+			return &net->nodes[at].members[i];
+	}
+	return NULL;
+}
+
+static bool believed_live(const fake_net_t *net, size_t of, size_t at)
+{
+	const membership_member_t *member = view(net, of, at);
+
+	return member && (member->wire.state == PEER_MEMBER_ALIVE ||
+			  member->wire.state == PEER_MEMBER_SUSPECT);
+}
+
+static void random_fault(fake_net_t *net)
+{
+	size_t node = rng_below(&net->rng, NODES);
+
+	switch (rng_below(&net->rng, 4)) {
+	case 0:
+		net->up[node] = false;
+		break;
+	case 1:
+		fake_net_start(net, node);
+		break;
+	case 2:
+		for (size_t i = 0; i < NODES; i++)
+			net->side[i] = (i % DOMAINS) == node % DOMAINS;
+		break;
+	default:
+		memset(net->side, 0, NODES * sizeof(*net->side));
+		break;
+	}
+}
+
+/* Kills, restarts, cuts and losses; then all must agree with the truth. */
+static void run_faults(uint64_t seed)
+{
+	fake_net_t *net = fake_net_new(NODES, DOMAINS, seed);
+
+	net->loss_percent = (uint32_t)rng_below(&net->rng, 20);
+	while (net->now_ms < FAULTS_MS) {
+		fake_net_run(net,
+			     net->now_ms + 500 + rng_below(&net->rng, 3000));
+		random_fault(net);
+	}
+	memset(net->side, 0, NODES * sizeof(*net->side));
+	net->loss_percent = 0;
+	fake_net_run(net, net->now_ms + QUIET_MS);
+	for (size_t at = 0; at < NODES; at++) {
+		for (size_t of = 0; of < NODES; of++) {
+			if (at == of || !net->up[at])
+				continue;
+			g_assert_cmpint(believed_live(net, of, at), ==,
+					net->up[of]);
+		}
+	}
+	fake_net_free(net);
+}
+
+static void test_views_agree_after_faults(void)
+{
+	seeds_run(1000, run_faults);
+}
+
+/* News of a new position must be everywhere well within the 4 s allowed. */
+static void run_spread(uint64_t seed)
+{
+	fake_net_t *net = fake_net_new(NODES, DOMAINS, seed);
+	peer_rumor_t rumor = { .kind = PEER_RUMOR_CRASH };
+
+	net->loss_percent = 5;
+	fake_net_run(net, 3000);
+	rumor.peer_rumor_t_u.crash.fingerprint = 77;
+	rumor.peer_rumor_t_u.crash.crash = 1;
+	membership_spread(&net->nodes[0], &rumor);
+	fake_net_run(net, net->now_ms + 3000);
+	for (size_t i = 0; i < NODES; i++)
+		g_assert_false(membership_spread(&net->nodes[i], &rumor));
+	fake_net_free(net);
+}
+
+static void test_rumor_reaches_all(void)
+{
+	seeds_run(200, run_spread);
+}
+
+/* A member that leaves on purpose must not be reported as failed. */
+static void test_leave(void)
+{
+	fake_net_t *net = fake_net_new(NODES, DOMAINS, 3);
+	membership_action_t actions[MEMBERSHIP_ACTIONS_MAX];
+
+	fake_net_run(net, 3000);
+	fake_net_perform(net, 0, actions,
+			 membership_leave(&net->nodes[0], actions));
+	fake_net_run(net, net->now_ms + 200);
+	net->up[0] = false;
+	fake_net_run(net, net->now_ms + 5000);
+	for (size_t at = 1; at < NODES; at++)
+		g_assert_cmpint(view(net, 0, at)->wire.state, ==,
+				PEER_MEMBER_LEFT);
+	fake_net_free(net);
+}
+
+static void test_home_is_the_same_everywhere(void)
+{
+	fake_net_t *net = fake_net_new(NODES, DOMAINS, 4);
+
+	fake_net_run(net, 3000);
+	for (uint64_t key = 0; key < 50; key++) {
+		uint64_t home = membership_home(&net->nodes[0], key).id;
+
+		for (size_t i = 1; i < NODES; i++)
+			g_assert_cmpuint(
+				membership_home(&net->nodes[i], key).id, ==,
+				home);
+	}
+	fake_net_free(net);
+}
+
+/** Changes made to a sealed envelope, and how it must be received. */
+typedef enum tamper {
+	TAMPER_NONE,
+	TAMPER_PAYLOAD,
+	TAMPER_SEQUENCE,
+	TAMPER_SENDER,
+	TAMPER_TIME,
+	TAMPER_REPLY,
+	TAMPER_REPEAT,
+	TAMPER_LATE,
+	TAMPER_OTHER_RECEIVER,
+	TAMPER_OTHER_CLUSTER,
+	TAMPER_OTHER_SECRET,
+	TAMPER_OLD_INCARNATION,
+} tamper_t;
+
+static void test_envelopes(void)
+{
+	static const struct {
+		tamper_t tamper;
+		int result;
+	} cases[] = {
+		{ TAMPER_NONE, 0 },
+		{ TAMPER_PAYLOAD, ERR_PEER_AUTH },
+		{ TAMPER_SEQUENCE, ERR_PEER_AUTH },
+		{ TAMPER_SENDER, ERR_PEER_AUTH },
+		{ TAMPER_TIME, ERR_PEER_AUTH },
+		{ TAMPER_REPLY, ERR_PEER_AUTH },
+		{ TAMPER_REPEAT, ERR_PEER_REPLAY },
+		{ TAMPER_LATE, ERR_PEER_REPLAY },
+		{ TAMPER_OTHER_RECEIVER, ERR_PEER_AUTH },
+		{ TAMPER_OTHER_CLUSTER, ERR_PEER_AUTH },
+		{ TAMPER_OTHER_SECRET, ERR_PEER_AUTH },
+		{ TAMPER_OLD_INCARNATION, ERR_PEER_REPLAY },
+	};
+	const uint64_t now_ms = 1000000;
+	peer_auth_t *sender = g_new0(peer_auth_t, 1);
+	peer_auth_t *receiver = g_new0(peer_auth_t, 1);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		tamper_t tamper = cases[i].tamper;
+		char payload[] = "payload";
+		peer_envelope_t envelope = { 0 };
+		uint64_t at_ms = now_ms;
+
+		envelope.payload.payload_val = payload;
+		envelope.payload.payload_len = sizeof(payload);
+		peer_auth_init(receiver, 1, "secret", 20, 5);
+		peer_auth_init(sender, tamper == TAMPER_OTHER_CLUSTER ? 2 : 1,
+			       tamper == TAMPER_OTHER_SECRET ? "other"
+							     : "secret",
+			       10, 6);
+		peer_auth_seal(sender, &envelope,
+			       tamper == TAMPER_OTHER_RECEIVER ? 21 : 20, 0,
+			       now_ms);
+		payload[0] ^= tamper == TAMPER_PAYLOAD;
+		envelope.sequence += tamper == TAMPER_SEQUENCE;
+		envelope.sender += tamper == TAMPER_SENDER;
+		envelope.unix_ms += tamper == TAMPER_TIME;
+		envelope.reply_to += tamper == TAMPER_REPLY;
+		if (tamper == TAMPER_LATE)
+			at_ms += PEER_CLOCK_SKEW_MAX_MS + 1;
+		if (tamper == TAMPER_REPEAT)
+			g_assert_cmpint(
+				peer_auth_check(receiver, &envelope, at_ms), ==,
+				0);
+		if (tamper == TAMPER_OLD_INCARNATION) {
+			peer_envelope_t newer = envelope;
+
+			sender->incarnation = 7;
+			peer_auth_seal(sender, &newer, 20, 0, now_ms);
+			g_assert_cmpint(
+				peer_auth_check(receiver, &newer, at_ms), ==,
+				0);
+		}
+		g_assert_cmpint(peer_auth_check(receiver, &envelope, at_ms), ==,
+				cases[i].result);
+	}
+	g_free(sender);
+	g_free(receiver);
+}
+
+/* Messages may overtake each other; only a repeat is refused. */
+static void test_sequence_window(void)
+{
+	peer_auth_t *sender = g_new0(peer_auth_t, 1);
+	peer_auth_t *receiver = g_new0(peer_auth_t, 1);
+	peer_envelope_t envelopes[80] = { 0 };
+
+	peer_auth_init(sender, 1, "secret", 10, 6);
+	peer_auth_init(receiver, 1, "secret", 20, 5);
+	for (size_t i = 0; i < G_N_ELEMENTS(envelopes); i++)
+		peer_auth_seal(sender, &envelopes[i], 20, 0, 1000);
+	for (size_t i = 40; i > 0; i--)
+		g_assert_cmpint(
+			peer_auth_check(receiver, &envelopes[i - 1], 1000), ==,
+			0);
+	for (size_t i = 0; i < 40; i++)
+		g_assert_cmpint(peer_auth_check(receiver, &envelopes[i], 1000),
+				==, ERR_PEER_REPLAY);
+	g_assert_cmpint(peer_auth_check(receiver, &envelopes[79], 1000), ==, 0);
+	/* Too far behind to tell: refused. */
+	g_assert_cmpint(peer_auth_check(receiver, &envelopes[2], 1000), ==,
+			ERR_PEER_REPLAY);
+	g_free(sender);
+	g_free(receiver);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	g_test_add_func("/membership/faults", test_views_agree_after_faults);
+	g_test_add_func("/membership/spread", test_rumor_reaches_all);
+	g_test_add_func("/membership/leave", test_leave);
+	g_test_add_func("/membership/home", test_home_is_the_same_everywhere);
+	g_test_add_func("/peer/envelopes", test_envelopes);
+	g_test_add_func("/peer/window", test_sequence_window);
+	return g_test_run();
+}
