--- a/connection/server.c
+++ b/connection/server.c
@@ -139,6 +139,12 @@
 	server_request_t request = { .connection = connection, .fd = -1 };
 	server_error_t error = { .err = error_of_status(status), .text = text };
 
+	/* CivetWeb does not tell these two apart. */
+	if (status == 400 && !strcmp(text, "Malformed message")) {
+		error.err = ERR_HEADER_TOO_LARGE;
+		error.text = "the headers are malformed or exceed the size "
+			     "limit";
+	}
 	server_answer_error(&request, &error);
 	return 0;
 }
@@ -337,12 +343,10 @@
 static int send_all(const server_request_t *request, const char *bytes,
 		    size_t len)
 {
-	if (!len ||
-	    mg_write(request->connection, bytes, len) == (int)len)
+	if (!len || mg_write(request->connection, bytes, len) == (int)len)
 		return 0;
-	return request->fd < 0 || server_caller_gone(request)
-		       ? ERR_CANCELLED
-		       : ERR_SLOW_READER;
+	return request->fd < 0 || server_caller_gone(request) ? ERR_CANCELLED
+							      : ERR_SLOW_READER;
 }
 
 static int send_head(server_request_t *request, int status,
--- a/request/relay_attempt.c
+++ b/request/relay_attempt.c
@@ -84,13 +84,20 @@
 	return *end || !number ? hash_string(text) | 1 : number;
 }
 
+/** A replay echoes the attempt that started the stream. */
+static bool is_own_answer(const relay_job_t *job, const char *echo)
+{
+	if (!job->is_replay)
+		return attempt_matches(&job->attempt, echo);
+	return echo && !strcmp(echo, job->attempt_id);
+}
+
 static void name_stream(relay_job_t *job)
 {
 	resume_token_t *token = &job->output.token;
 
 	snprintf(token->request_id, sizeof(token->request_id), "%s",
-		 job->expected_echo == token->request_id ? token->request_id
-							 : job->attempt_id);
+		 job->attempt_id);
 	snprintf(token->endpoint, sizeof(token->endpoint), "%s",
 		 job->choice.target.id);
 	snprintf(token->incarnation, sizeof(token->incarnation), "%s",
@@ -101,11 +108,9 @@
 
 static int take_stream_head(relay_job_t *job, CURL *transfer)
 {
-	const char *echo = upstream_header(transfer, "X-Attempt");
-
-	if (!echo || strcmp(echo, job->expected_echo) != 0) {
+	if (!is_own_answer(job, upstream_header(transfer, "X-Attempt"))) {
 		event_log(EVENT_ATTEMPT_MISMATCH, "endpoint=%s attempt=%s",
-			  job->choice.target.id, job->expected_echo);
+			  job->choice.target.id, job->attempt_id);
 		return ERR_ATTEMPT_MISMATCH;
 	}
 	if (!copy_header(transfer, "X-Stream-Id", job->stream_id) ||
@@ -356,7 +361,6 @@
 	attempt_end_t end;
 
 	attempt_start(&job->attempt, job->attempt_id);
-	job->expected_echo = job->attempt_id;
 	job->is_replay = false;
 	fill_call(job);
 	body = chat_engine_body(&job->chat,
@@ -400,7 +404,6 @@
 	attempt_end_t end;
 
 	job->is_replay = true;
-	job->expected_echo = token->request_id;
 	snprintf(job->attempt_id, sizeof(job->attempt_id), "%s",
 		 token->request_id);
 	fill_call(job);
--- a/request/relay_job.h
+++ b/request/relay_job.h
@@ -35,7 +35,6 @@
 	upstream_call_t call;
 	sse_parser_t parser;
 	bool is_replay;
-	const char *expected_echo;
 	long status;
 	bool is_leaving;
 	bool is_not_run;
--- /dev/null
+++ b/t/lib/rig.c
@@ -0,0 +1,272 @@
+#include "t/lib/rig.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "process/cleanup.h"
+#include "process/hash.h"
+
+enum {
+	ARGS_MAX = 24,
+	NUMBER_BYTES = 8,
+};
+
+static void add_args(GPtrArray *args, const char *const *more)
+{
+	for (; *more; more++)
+		g_ptr_array_add(args, (void *)*more);
+}
+
+static program_t *start_engine(const rig_t *rig, uint16_t port)
+{
+	g_autoptr(GPtrArray) args = g_ptr_array_new();
+	char number[NUMBER_BYTES];
+
+	g_snprintf(number, sizeof(number), "%u", port);
+	g_ptr_array_add(args, (void *)"--port");
+	g_ptr_array_add(args, number);
+	add_args(args, rig->options.engine_args);
+	g_ptr_array_add(args, NULL);
+	return program_start_args("standin-engine",
+				  (const char *const *)args->pdata);
+}
+
+static void add_customer(GString *out, const char *id, const char *key,
+			 const char *pools)
+{
+	char digest[HASH_DIGEST_HEX_BYTES];
+
+	hash_digest_hex(key, strlen(key), digest);
+	g_string_append_printf(
+		out,
+		"\"customer/%s\":{\"key_sha256\":\"%s\",\"salt\":\"salt-%s\","
+		"\"pools\":[%s]},",
+		id, digest, id, pools);
+}
+
+static void add_endpoint(GString *out, const char *name, int number,
+			 const char *fields, uint16_t port)
+{
+	g_string_append_printf(
+		out,
+		"\"endpoint/%s%d\":{\"address\":\"127.0.0.1\",\"port\":%u,"
+		"\"domain\":\"d1\",%s},",
+		name, number, port, fields);
+}
+
+static char *make_objects(const rig_t *rig)
+{
+	GString *out = g_string_new("{");
+	const char *plain = rig->options.plains_check_fencing
+				    ? "\"kind\":\"plain\",\"pool\":\"crews\","
+				      "\"checks_fencing\":true"
+				    : "\"kind\":\"plain\",\"pool\":\"crews\"";
+
+	add_customer(out, "c1", "key-of-customer-1", "\"models\",\"crews\"");
+	add_customer(out, "c2", "key-of-customer-2", "\"models\",\"others\"");
+	for (int i = 0; i < rig->options.engines; i++)
+		add_endpoint(out, "e", i,
+			     "\"kind\":\"engine\",\"pool\":\"models\"",
+			     rig->engine_ports[i]);
+	for (int i = 0; i < rig->options.plains; i++)
+		add_endpoint(out, "p", i, plain, rig->plain_ports[i]);
+	if (rig->options.objects)
+		g_string_append(out, rig->options.objects);
+	g_string_append(out,
+			"\"pool/models\":{\"model\":\"m1\","
+			"\"weights_version\":\"1\"},"
+			"\"pool/others\":{\"model\":\"m2\"},\"pool/crews\":{},"
+			"\"model/m1\":{\"block_tokens\":100},\"model/m2\":{},"
+			"\"route/dispatch\":{\"pool\":\"crews\","
+			"\"idempotent_methods\":[\"GET\"],"
+			"\"timeout_ms\":3000}}");
+	return g_string_free(out, FALSE);
+}
+
+static void write_bootstrap(rig_t *rig)
+{
+	g_autofree char *objects = make_objects(rig);
+	int fd = g_file_open_tmp("bootstrap-XXXXXX", &rig->bootstrap, NULL);
+
+	g_assert_cmpint(fd, >=, 0);
+	close(fd);
+	g_assert_true(g_file_set_contents(rig->bootstrap, objects, -1, NULL));
+}
+
+static void start_router(rig_t *rig, int number)
+{
+	g_autoptr(GPtrArray) args = g_ptr_array_new();
+	g_autofree char *store =
+		g_strdup_printf("http://127.0.0.1:%u", rig->store_port);
+	g_autofree char *name = g_strdup_printf("r%d", number);
+	g_autofree char *ready = NULL;
+	const char *const fixed[] = {
+		"--port",
+		"0",
+		"--bootstrap",
+		rig->bootstrap,
+		"--seed",
+		"1",
+		"--instance",
+		name,
+		"--store-url",
+		store,
+		"--poll-ms",
+		"50",
+		"--poll-idle-ms",
+		"100",
+		"--log-level",
+		"warn",
+		NULL,
+	};
+
+	add_args(args, fixed);
+	add_args(args, rig->options.router_args);
+	g_ptr_array_add(args, NULL);
+	rig->routers[number] = program_start_args(
+		"amaranthvale-router", (const char *const *)args->pdata);
+	rig->ports[number] = program_main_port(rig->routers[number]);
+	ready = g_strdup_printf("http://127.0.0.1:%u/readyz",
+				rig->ports[number]);
+	g_assert_true(WAIT_UNTIL(url_answers(ready), HARNESS_WAIT_MS));
+}
+
+rig_t *rig_start(const rig_options_t *options)
+{
+	rig_t *rig = g_new0(rig_t, 1);
+
+	rig->options = *options;
+	g_setenv("AMV_CLUSTER_KEY", "key-of-the-test-cluster", TRUE);
+	g_setenv("AMV_OPERATOR_KEY", "key-of-the-operators", TRUE);
+	rig->store = standin_start("standin-store", NULL);
+	rig->store_port = program_main_port(rig->store);
+	for (int i = 0; i < options->engines; i++) {
+		rig->engines[i] = start_engine(rig, 0);
+		rig->engine_ports[i] = program_main_port(rig->engines[i]);
+	}
+	for (int i = 0; i < options->plains; i++) {
+		rig->plains[i] = standin_start("standin-plain",
+					       options->plains_check_fencing
+						       ? "--check-fencing"
+						       : NULL,
+					       NULL);
+		rig->plain_ports[i] = program_main_port(rig->plains[i]);
+	}
+	write_bootstrap(rig);
+	for (int i = 0; i < options->routers; i++)
+		start_router(rig, i);
+	return rig;
+}
+
+static void free_all(program_t **programs, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (programs[i])
+			program_free(programs[i]);
+	}
+}
+
+void rig_free(rig_t *rig)
+{
+	/* All at once, as each needs up to 2 s to end by itself; stand-ins
+	 * have nothing to finish. */
+	for (int i = 0; i < RIG_ROUTERS_MAX; i++) {
+		if (rig->routers[i])
+			program_signal(rig->routers[i], SIGTERM);
+	}
+	free_all(rig->routers, RIG_ROUTERS_MAX);
+	for (int i = 0; i < RIG_ENGINES_MAX; i++) {
+		if (rig->engines[i])
+			program_signal(rig->engines[i], SIGKILL);
+	}
+	for (int i = 0; i < RIG_PLAINS_MAX; i++) {
+		if (rig->plains[i])
+			program_signal(rig->plains[i], SIGKILL);
+	}
+	program_signal(rig->store, SIGKILL);
+	free_all(rig->engines, RIG_ENGINES_MAX);
+	free_all(rig->plains, RIG_PLAINS_MAX);
+	program_free(rig->store);
+	remove(rig->bootstrap);
+	g_free(rig->bootstrap);
+	g_free(rig);
+}
+
+void rig_kill_engine(rig_t *rig, int engine)
+{
+	program_signal(rig->engines[engine], SIGKILL);
+	program_wait(rig->engines[engine], HARNESS_WAIT_MS);
+}
+
+void rig_restart_engine(rig_t *rig, int engine)
+{
+	program_free(rig->engines[engine]);
+	rig->engines[engine] = start_engine(rig, rig->engine_ports[engine]);
+	g_assert_cmpuint(program_main_port(rig->engines[engine]), ==,
+			 rig->engine_ports[engine]);
+}
+
+int rig_busy_engine(rig_t *rig)
+{
+	for (int i = 0; i < rig->options.engines; i++) {
+		if (program_is_running(rig->engines[i]) &&
+		    http_local_number(rig->engine_ports[i], "/control/stats",
+				      "open") > 0)
+			return i;
+	}
+	return -1;
+}
+
+int64_t rig_engine_sum(rig_t *rig, const char *member)
+{
+	int64_t sum = 0;
+
+	for (int i = 0; i < rig->options.engines; i++) {
+		if (program_is_running(rig->engines[i]))
+			sum += http_local_number(rig->engine_ports[i],
+						 "/control/stats", member);
+	}
+	return sum;
+}
+
+char *rig_body(const char *text, int max_tokens, bool stream)
+{
+	CLEANUP_JSON json_t *body =
+		json_pack("{s:s,s:[{s:s,s:s}],s:i,s:b}", "model", "m1",
+			  "messages", "role", "user", "content", text,
+			  "max_tokens", max_tokens, "stream", stream);
+
+	g_assert_nonnull(body);
+	return json_dumps(body, JSON_COMPACT);
+}
+
+http_answer_t *rig_chat(rig_t *rig, int router, const char *body)
+{
+	static const char *const headers[] = { RIG_KEY_1, NULL };
+
+	return http_local("POST", rig->ports[router], RIG_CHAT, headers, body);
+}
+
+http_stream_t *rig_stream(rig_t *rig, int router, const char *key,
+			  const char *body, const char *last_id)
+{
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u" RIG_CHAT,
+					       rig->ports[router]);
+	g_autofree char *resume =
+		last_id ? g_strdup_printf("Last-Event-ID: %s", last_id) : NULL;
+	const char *const headers[] = { key, resume, NULL };
+
+	return http_stream_open("POST", url, headers, body);
+}
+
+int64_t rig_metric(rig_t *rig, int router, const char *name)
+{
+	g_autoptr(http_answer_t) answer =
+		http_local("GET", rig->ports[router], "/metrics", NULL, NULL);
+	g_autofree char *start = g_strdup_printf("\n%s ", name);
+	const char *line = strstr(answer->body, start);
+
+	return line ? g_ascii_strtoll(line + strlen(start), NULL, 10) : -1;
+}
--- /dev/null
+++ b/t/test-it-model.c
@@ -0,0 +1,716 @@
+/* Model requests through real router and engine processes. */
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "process/cleanup.h"
+#include "t/lib/generate.h"
+#include "t/lib/rig.h"
+
+enum {
+	/** Length of an answer that is interrupted, and where. */
+	LONG_TOKENS = 60,
+	SOME_EVENTS = 12,
+	/** A prompt of several blocks of 100 tokens. */
+	PROMPT_BYTES = 2000,
+};
+
+static char *long_prompt(char letter)
+{
+	return g_strnfill(PROMPT_BYTES, letter);
+}
+
+static void assert_complete(http_stream_t *stream, const char *body)
+{
+	g_autofree char *expected = generate_answer(body);
+	g_autofree char *text = NULL;
+
+	http_stream_wait(stream);
+	text = http_stream_text(stream);
+	g_assert_cmpstr(text, ==, expected);
+	g_assert_true(http_stream_is_done(stream));
+}
+
+static int64_t usage_number(const http_answer_t *answer, const char *name)
+{
+	json_t *usage = json_object_get(answer->json, "usage");
+	json_t *details = json_object_get(usage, "prompt_tokens_details");
+	json_t *value = json_object_get(usage, name);
+
+	return json_integer_value(value ? value
+					: json_object_get(details, name));
+}
+
+static int64_t cached_tokens(rig_t *rig, const char *key, const char *body)
+{
+	const char *const headers[] = { key, NULL };
+	g_autoptr(http_answer_t) answer =
+		http_local("POST", rig->ports[0], RIG_CHAT, headers, body);
+
+	g_assert_cmpint(answer->status, ==, 200);
+	return usage_number(answer, "cached_tokens");
+}
+
+/* Every token once and in order, each with an id to resume from. */
+static void test_stream_is_exact(void)
+{
+	rig_options_t options = { .engines = 2,
+				  .routers = 1,
+				  .engine_args = { "--token-ms", "1" } };
+	g_autoptr(rig_t) rig = rig_start(&options);
+
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *prompt = g_strdup_printf("prompt \"%d\"\n", i);
+		CLEANUP_FREE char *body = rig_body(prompt, 200, true);
+		g_autoptr(http_stream_t) stream =
+			rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+		size_t count;
+
+		assert_complete(stream, body);
+		count = http_stream_count(stream);
+		/* First event, tokens, finish chunk, [DONE]. */
+		g_assert_cmpuint(count, ==, 1 + 200 + 1 + 1);
+		for (size_t j = 0; j + 1 < count; j++)
+			g_assert_nonnull(http_stream_event(stream, j)->id);
+	}
+	g_assert_cmpint(rig_engine_sum(rig, "requests_run"), ==, 4);
+	g_assert_cmpint(rig_metric(rig, 0, "amv_relayed_tokens_total"), ==,
+			800);
+}
+
+/* A caller that asked for no stream gets one JSON answer with all text. */
+static void test_whole_answer(void)
+{
+	rig_options_t options = { .engines = 1,
+				  .routers = 1,
+				  .engine_args = { "--token-ms", "1" } };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	static const char *const headers[] = { RIG_KEY_1, NULL };
+	static const char prompt[] =
+		"{\"model\":\"m1\",\"prompt\":\"once\",\"max_tokens\":40}";
+	CLEANUP_FREE char *body = rig_body("hello", 100, false);
+	g_autofree char *expected = generate_answer(body);
+	g_autofree char *expected_prompt = generate_answer(prompt);
+	g_autoptr(http_answer_t) answer = rig_chat(rig, 0, body);
+	g_autoptr(http_answer_t) completion = http_local(
+		"POST", rig->ports[0], "/v1/completions", headers, prompt);
+	const char *text = NULL;
+
+	g_assert_cmpint(answer->status, ==, 200);
+	g_assert_cmpint(json_unpack(answer->json, "{s:[{s:{s:s}}]}", "choices",
+				    "message", "content", &text),
+			==, 0);
+	g_assert_cmpstr(text, ==, expected);
+	g_assert_cmpint(usage_number(answer, "completion_tokens"), ==, 100);
+	g_assert_cmpint(json_unpack(completion->json, "{s:[{s:s}]}", "choices",
+				    "text", &text),
+			==, 0);
+	g_assert_cmpstr(text, ==, expected_prompt);
+}
+
+/* An engine dies in the middle: no gap, no repeat, and the end is marked. */
+static void test_engine_lost(void)
+{
+	rig_options_t options = { .engines = 2, .routers = 1 };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("interrupted", LONG_TOKENS, true);
+	g_autoptr(http_stream_t) stream =
+		rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+
+	g_assert_true(WAIT_UNTIL(http_stream_count(stream) >= SOME_EVENTS,
+				 HARNESS_WAIT_MS));
+	rig_kill_engine(rig, rig_busy_engine(rig));
+	assert_complete(stream, body);
+	g_assert_cmpuint(http_stream_count(stream), ==, LONG_TOKENS + 3);
+}
+
+/* Nothing can go on: the caller must not take what it has as complete. */
+static void test_no_engine_left(void)
+{
+	rig_options_t options = { .engines = 1, .routers = 1 };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("cut", LONG_TOKENS, true);
+	g_autoptr(http_stream_t) stream =
+		rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+	const sse_event_t *last;
+
+	g_assert_true(WAIT_UNTIL(http_stream_count(stream) >= SOME_EVENTS,
+				 HARNESS_WAIT_MS));
+	rig_kill_engine(rig, 0);
+	http_stream_wait(stream);
+	last = http_stream_event(stream, http_stream_count(stream) - 1);
+	g_assert_cmpstr(last->event, ==, "error");
+	g_assert_nonnull(strstr(last->data, "\"ran\":\"unknown\""));
+	g_assert_false(http_stream_is_done(stream));
+}
+
+/* One request that kills its engines must not take a third one. */
+static void test_at_most_two_engines_are_lost(void)
+{
+	rig_options_t options = {
+		.engines = 4,
+		.routers = 1,
+		.engine_args = { "--crash-marker", "poison",
+				 "--crash-after-tokens", "3" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("poison", LONG_TOKENS, true);
+	g_autoptr(http_stream_t) stream =
+		rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+	int running = 0;
+
+	http_stream_wait(stream);
+	g_assert_false(http_stream_is_done(stream));
+	g_assert_true(WAIT_UNTIL(
+		!program_is_running(rig->engines[0]) +
+				!program_is_running(rig->engines[1]) +
+				!program_is_running(rig->engines[2]) +
+				!program_is_running(rig->engines[3]) ==
+			2,
+		HARNESS_WAIT_MS));
+	for (int i = 0; i < options.engines; i++)
+		running += program_is_running(rig->engines[i]);
+	g_assert_cmpint(running, ==, 2);
+}
+
+/* An answer with another attempt's number must not reach the caller. */
+static void test_wrong_attempt_is_dropped(void)
+{
+	rig_options_t options = { .engines = 2,
+				  .routers = 1,
+				  .engine_args = { "--token-ms", "1" } };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("mine", 20, true);
+	g_autoptr(http_stream_t) stream = NULL;
+
+	standin_control(rig->engine_ports[0], "{\"wrong_attempts\":1}");
+	standin_control(rig->engine_ports[1], "{\"wrong_attempts\":1}");
+	for (int i = 0; i < 2; i++) {
+		g_clear_pointer(&stream, http_stream_free);
+		stream = rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+		http_stream_wait(stream);
+	}
+	/* Both engines have used up their wrong number by now. */
+	assert_complete(stream, body);
+	g_assert_cmpuint(http_stream_count(stream), ==, 20 + 3);
+}
+
+/* Equal prompts of two customers must not reveal each other's cache. */
+static void test_customers_share_no_cache(void)
+{
+	rig_options_t options = {
+		.engines = 1,
+		.routers = 1,
+		.engine_args = { "--token-ms", "1", "--block-tokens", "100" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	g_autofree char *prompt = long_prompt('a');
+	CLEANUP_FREE char *body = rig_body(prompt, 4, false);
+
+	g_assert_cmpint(cached_tokens(rig, RIG_KEY_1, body), ==, 0);
+	g_assert_cmpint(cached_tokens(rig, RIG_KEY_1, body), >=, 500);
+	g_assert_cmpint(cached_tokens(rig, RIG_KEY_2, body), ==, 0);
+	g_assert_cmpint(cached_tokens(rig, RIG_KEY_2, body), >=, 500);
+}
+
+/* A restarted engine, or one with other weights, has an empty cache: a belief
+ * about the one before it must not spoil the answer nor the counted hits. */
+static void test_empty_under_a_belief(void)
+{
+	rig_options_t options = {
+		.engines = 1,
+		.routers = 1,
+		.engine_args = { "--token-ms", "1", "--block-tokens", "100",
+				 "--load-ms", "10", "--load-lag-ms", "50" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	g_autofree char *prompt = long_prompt('b');
+	CLEANUP_FREE char *body = rig_body(prompt, 50, true);
+	CLEANUP_FREE char *short_body = rig_body(prompt, 4, false);
+	g_autoptr(http_answer_t) order = NULL;
+	g_autoptr(http_stream_t) stream = NULL;
+	int64_t cached;
+
+	cached_tokens(rig, RIG_KEY_1, short_body);
+	g_assert_cmpint(cached_tokens(rig, RIG_KEY_1, short_body), >=, 500);
+	rig_kill_engine(rig, 0);
+	rig_restart_engine(rig, 0);
+	cached = rig_metric(rig, 0, "amv_cached_prompt_tokens_total");
+	stream = rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+	assert_complete(stream, body);
+	g_assert_cmpint(rig_metric(rig, 0, "amv_cached_prompt_tokens_total"),
+			==, cached);
+	g_assert_cmpint(cached_tokens(rig, RIG_KEY_1, short_body), >=, 500);
+	order = http_local("POST", rig->engine_ports[0], "/engine/order", NULL,
+			   "{\"order_id\":\"o1\",\"kind\":\"load_model\","
+			   "\"model\":\"m1\",\"version\":\"2\","
+			   "\"fencing\":1}");
+	g_assert_cmpint(order->status, ==, 200);
+	g_assert_cmpint(cached_tokens(rig, RIG_KEY_1, short_body), ==, 0);
+	g_assert_cmpint(cached_tokens(rig, RIG_KEY_1, short_body), >=, 500);
+}
+
+typedef struct bad_case {
+	const char *what;
+	const char *method;
+	const char *path;
+	const char *headers[3];
+	const char *body;
+	long status;
+	const char *type;
+} bad_case_t;
+
+#define GOOD "{\"model\":\"m1\",\"prompt\":\"x\"}"
+
+static const bad_case_t bad_cases[] = {
+	{ "no key",
+	  "POST",
+	  "/v1/completions",
+	  { NULL },
+	  GOOD,
+	  401,
+	  "unauthenticated" },
+	{ "unknown key",
+	  "POST",
+	  "/v1/completions",
+	  { "Authorization: Bearer nobody" },
+	  GOOD,
+	  401,
+	  "unauthenticated" },
+	{ "other scheme",
+	  "POST",
+	  "/v1/completions",
+	  { "Authorization: Basic key-of-customer-1" },
+	  GOOD,
+	  401,
+	  "unauthenticated" },
+	{ "malformed JSON",
+	  "POST",
+	  RIG_CHAT,
+	  { RIG_KEY_1 },
+	  "{\"model\":",
+	  400,
+	  "bad_json" },
+	{ "no body", "POST", RIG_CHAT, { RIG_KEY_1 }, "", 400, "bad_json" },
+	{ "bad UTF-8",
+	  "POST",
+	  RIG_CHAT,
+	  { RIG_KEY_1 },
+	  "{\"model\":\"\xff\xfe\"}",
+	  400,
+	  "bad_utf8" },
+	{ "missing field",
+	  "POST",
+	  RIG_CHAT,
+	  { RIG_KEY_1 },
+	  "{\"model\":\"m1\"}",
+	  400,
+	  "bad_field" },
+	{ "unknown model",
+	  "POST",
+	  "/v1/completions",
+	  { RIG_KEY_1 },
+	  "{\"model\":\"m9\",\"prompt\":\"x\"}",
+	  404,
+	  "unknown_model" },
+	{ "model of another customer",
+	  "POST",
+	  "/v1/completions",
+	  { RIG_KEY_1 },
+	  "{\"model\":\"m2\",\"prompt\":\"x\"}",
+	  404,
+	  "unknown_model" },
+	{ "resume_text alone",
+	  "POST",
+	  "/v1/completions",
+	  { RIG_KEY_1 },
+	  "{\"model\":\"m1\",\"prompt\":\"x\",\"resume_text\":\"y\"}",
+	  400,
+	  "bad_field" },
+	{ "false resume token",
+	  "POST",
+	  "/v1/completions",
+	  { RIG_KEY_1, "Last-Event-ID: AAAA" },
+	  GOOD,
+	  400,
+	  "resume_token" },
+	{ "bad deadline",
+	  "POST",
+	  "/v1/completions",
+	  { RIG_KEY_1, "X-Deadline-Ms: soon" },
+	  GOOD,
+	  400,
+	  "bad_field" },
+	{ "wrong method",
+	  "GET",
+	  RIG_CHAT,
+	  { RIG_KEY_1 },
+	  NULL,
+	  405,
+	  "method_not_allowed" },
+	{ "unknown path",
+	  "GET",
+	  "/v1/other",
+	  { RIG_KEY_1 },
+	  NULL,
+	  404,
+	  "not_found" },
+	{ "customer as operator",
+	  "GET",
+	  "/admin/config",
+	  { RIG_KEY_1 },
+	  NULL,
+	  401,
+	  "unauthenticated" },
+};
+
+static void assert_refused(const http_answer_t *answer, long status,
+			   const char *type)
+{
+	g_autofree char *state = http_answer_header(answer, "X-Run-State");
+	const char *given_type = NULL;
+	const char *ran = NULL;
+
+	g_assert_cmpint(answer->status, ==, status);
+	g_assert_cmpint(json_unpack(answer->json, "{s:{s:s,s:s}}", "error",
+				    "type", &given_type, "ran", &ran),
+			==, 0);
+	g_assert_cmpstr(given_type, ==, type);
+	g_assert_cmpstr(ran, ==, "not_run");
+	g_assert_cmpstr(state, ==, "not_run");
+}
+
+static int connect_to(uint16_t port)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int small = 4096;
+
+	g_assert_cmpint(fd, >=, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	g_assert_cmpint(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), ==,
+		0);
+	return fd;
+}
+
+static void send_text(int fd, const char *text)
+{
+	size_t len = strlen(text);
+
+	g_assert_cmpint(send(fd, text, len, MSG_NOSIGNAL), ==, (ssize_t)len);
+}
+
+static char *read_all(int fd)
+{
+	GString *text = g_string_new(NULL);
+	char buffer[1024];
+	ssize_t got;
+
+	while ((got = recv(fd, buffer, sizeof(buffer), 0)) > 0)
+		g_string_append_len(text, buffer, got);
+	return g_string_free(text, FALSE);
+}
+
+/* The body ends before its stated length; nothing may run. */
+static void check_half_sent(rig_t *rig)
+{
+	CLEANUP_FD int fd = connect_to(rig->ports[0]);
+	g_autofree char *answer = NULL;
+
+	send_text(fd, "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" RIG_KEY_1
+		      "\r\nContent-Length: 500\r\n\r\n{\"model\":");
+	shutdown(fd, SHUT_WR);
+	answer = read_all(fd);
+	g_assert_nonnull(strstr(answer, "400 "));
+	g_assert_nonnull(strstr(answer, "\"body_incomplete\""));
+	g_assert_nonnull(strstr(answer, "X-Run-State: not_run"));
+}
+
+static void check_oversize(rig_t *rig)
+{
+	g_autofree char *large = g_strnfill(5000, 'x');
+	CLEANUP_FREE char *body = rig_body(large, 1, false);
+	g_autofree char *header = g_strdup_printf("X-Long: %s", large);
+	const char *const headers[] = { RIG_KEY_1, header, NULL };
+	g_autoptr(http_answer_t) answer = rig_chat(rig, 0, body);
+	g_autoptr(http_answer_t) long_header =
+		http_local("POST", rig->ports[0], RIG_CHAT, headers, GOOD);
+
+	assert_refused(answer, 413, "body_too_large");
+	assert_refused(long_header, 431, "header_too_large");
+}
+
+/* Bad input gets a clear error, and no engine sees it. */
+static void test_bad_input(void)
+{
+	rig_options_t options = {
+		.engines = 1,
+		.routers = 1,
+		.router_args = { "--header-max-bytes", "4096",
+				 "--caller-timeout-ms", "1000" },
+		.objects = "\"limits/global\":{\"body_max_bytes\":4096},",
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++) {
+		const bad_case_t *c = &bad_cases[i];
+		g_autoptr(http_answer_t) answer = http_local(
+			c->method, rig->ports[0], c->path, c->headers, c->body);
+
+		g_test_message("%s: %s", c->what, answer->body);
+		assert_refused(answer, c->status, c->type);
+	}
+	check_half_sent(rig);
+	check_oversize(rig);
+	g_assert_cmpint(rig_engine_sum(rig, "requests_run"), ==, 0);
+	g_assert_cmpint(rig_engine_sum(rig, "refused"), ==, 0);
+}
+
+/* A caller that does not read must not keep memory, thread or engine. */
+static void test_slow_reader(void)
+{
+	rig_options_t options = {
+		.engines = 1,
+		.routers = 1,
+		.engine_args = { "--token-ms", "0.1", "--stream-ms", "0" },
+		.router_args = { "--caller-timeout-ms", "300" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("slow", 1000000, true);
+	g_autofree char *request = g_strdup_printf(
+		"POST " RIG_CHAT " HTTP/1.1\r\nHost: x\r\n" RIG_KEY_1
+		"\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+	CLEANUP_FD int fd = connect_to(rig->ports[0]);
+
+	send_text(fd, request);
+	g_assert_true(WAIT_UNTIL(
+		rig_metric(rig, 0, "amv_errors_total{type=\"slow_reader\"}") ==
+			1,
+		6 * HARNESS_WAIT_MS));
+	g_assert_true(WAIT_UNTIL(rig_engine_sum(rig, "cancelled") == 1,
+				 HARNESS_WAIT_MS));
+	g_assert_true(WAIT_UNTIL(rig_metric(rig, 0, "amv_open_streams") == 0,
+				 HARNESS_WAIT_MS));
+}
+
+/* The work of a caller that is gone must not go on, before the first token
+ * and after it. */
+static void test_caller_gone(void)
+{
+	rig_options_t options = {
+		.engines = 1,
+		.routers = 1,
+		.engine_args = { "--prefill-tokens-per-s", "100", "--hold-ms",
+				 "60000" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	g_autofree char *prompt = long_prompt('c');
+	CLEANUP_FREE char *slow_body = rig_body(prompt, 10, false);
+	CLEANUP_FREE char *body = rig_body("gone", 10000, true);
+	g_autoptr(http_stream_t) waiting = NULL;
+	g_autoptr(http_stream_t) stream =
+		rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+
+	g_assert_true(WAIT_UNTIL(http_stream_count(stream) >= SOME_EVENTS,
+				 HARNESS_WAIT_MS));
+	http_stream_cancel(stream);
+	g_assert_true(WAIT_UNTIL(rig_engine_sum(rig, "cancelled") == 1,
+				 HARNESS_WAIT_MS));
+	waiting = rig_stream(rig, 0, RIG_KEY_1, slow_body, NULL);
+	g_assert_true(
+		WAIT_UNTIL(rig_engine_sum(rig, "open") == 1, HARNESS_WAIT_MS));
+	http_stream_cancel(waiting);
+	g_assert_true(WAIT_UNTIL(rig_engine_sum(rig, "cancelled") == 2,
+				 HARNESS_WAIT_MS));
+}
+
+/* A planned stop cuts nothing and takes nothing new. */
+static void test_graceful_stop(void)
+{
+	rig_options_t options = { .engines = 1,
+				  .routers = 1,
+				  .router_args = { "--drain-ms", "500" } };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("stopping", LONG_TOKENS, true);
+	g_autoptr(http_stream_t) stream =
+		rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+	g_autofree char *ready =
+		g_strdup_printf("http://127.0.0.1:%u/readyz", rig->ports[0]);
+	g_autoptr(http_answer_t) refused = NULL;
+
+	g_assert_true(WAIT_UNTIL(http_stream_count(stream) >= SOME_EVENTS,
+				 HARNESS_WAIT_MS));
+	program_signal(rig->routers[0], SIGTERM);
+	g_assert_true(WAIT_UNTIL(!url_answers(ready), HARNESS_WAIT_MS));
+	refused = rig_chat(rig, 0, body);
+	assert_refused(refused, 503, "stopping");
+	assert_complete(stream, body);
+	g_assert_cmpint(program_wait(rig->routers[0], HARNESS_WAIT_MS), ==, 0);
+}
+
+/* A stop that exceeds its limit ends streams with an error, not silently. */
+static void test_stop_limit(void)
+{
+	rig_options_t options = {
+		.engines = 1,
+		.routers = 1,
+		.router_args = { "--stop-limit-ms", "100", "--drain-ms", "0" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("endless", 100000, true);
+	g_autoptr(http_stream_t) stream =
+		rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+	const sse_event_t *last;
+
+	g_assert_true(WAIT_UNTIL(http_stream_count(stream) >= SOME_EVENTS,
+				 HARNESS_WAIT_MS));
+	program_signal(rig->routers[0], SIGTERM);
+	http_stream_wait(stream);
+	last = http_stream_event(stream, http_stream_count(stream) - 1);
+	g_assert_cmpstr(last->event, ==, "error");
+	g_assert_nonnull(strstr(last->data, "\"stopping\""));
+	g_assert_cmpint(program_wait(rig->routers[0], HARNESS_WAIT_MS), ==, 0);
+}
+
+/** Interrupts a stream by killing its router; returns the last id. */
+static char *lose_router(rig_t *rig, http_stream_t *stream)
+{
+	g_assert_true(WAIT_UNTIL(http_stream_count(stream) >= SOME_EVENTS,
+				 HARNESS_WAIT_MS));
+	program_signal(rig->routers[0], SIGKILL);
+	http_stream_wait(stream);
+	g_assert_false(http_stream_is_done(stream));
+	return g_strdup(
+		http_stream_event(stream, http_stream_count(stream) - 1)->id);
+}
+
+static void assert_joined(http_stream_t *first, http_stream_t *second,
+			  const char *body)
+{
+	g_autofree char *expected = generate_answer(body);
+	g_autofree char *begin = http_stream_text(first);
+	g_autofree char *joined = NULL;
+	g_autofree char *end = NULL;
+
+	http_stream_wait(second);
+	end = http_stream_text(second);
+	joined = g_strconcat(begin, end, NULL);
+	g_assert_cmpstr(joined, ==, expected);
+	g_assert_true(http_stream_is_done(second));
+}
+
+/* The router dies: the caller goes on through another one, which shares no
+ * state with the first, on the engine that still holds the stream. */
+static void test_router_lost(void)
+{
+	rig_options_t options = { .engines = 2, .routers = 2 };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("router lost", LONG_TOKENS, true);
+	CLEANUP_FREE char *other = rig_body("another body", LONG_TOKENS, true);
+	g_autoptr(http_stream_t) first =
+		rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+	g_autofree char *id = lose_router(rig, first);
+	g_autoptr(http_stream_t) wrong_body =
+		rig_stream(rig, 1, RIG_KEY_1, other, id);
+	g_autoptr(http_stream_t) wrong_customer =
+		rig_stream(rig, 1, RIG_KEY_2, body, id);
+	g_autoptr(http_stream_t) second = NULL;
+
+	assert_refused(http_stream_wait(wrong_body), 400, "resume_token");
+	assert_refused(http_stream_wait(wrong_customer), 400, "resume_token");
+	second = rig_stream(rig, 1, RIG_KEY_1, body, id);
+	assert_joined(first, second, body);
+	g_assert_cmpint(rig_engine_sum(rig, "requests_run"), ==, 1);
+}
+
+static char *with_resume_text(const char *body, const char *text)
+{
+	CLEANUP_JSON json_t *value = json_loads(body, 0, NULL);
+
+	json_object_set_new(value, "resume_text", json_string(text));
+	return json_dumps(value, JSON_COMPACT);
+}
+
+/* Router and engine die: another engine goes on from the caller's text, and
+ * only from exactly that text. */
+static void test_router_and_engine_lost(void)
+{
+	rig_options_t options = { .engines = 2, .routers = 2 };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("both lost", LONG_TOKENS, true);
+	g_autoptr(http_stream_t) first =
+		rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+	g_autofree char *id = lose_router(rig, first);
+	g_autofree char *text = http_stream_text(first);
+	CLEANUP_FREE char *with_text = with_resume_text(body, text);
+	CLEANUP_FREE char *with_other = with_resume_text(body, "other");
+	g_autoptr(http_stream_t) no_text = NULL;
+	g_autoptr(http_stream_t) other_text = NULL;
+	g_autoptr(http_stream_t) second = NULL;
+
+	rig_kill_engine(rig, rig_busy_engine(rig));
+	no_text = rig_stream(rig, 1, RIG_KEY_1, body, id);
+	g_assert_cmpint(http_stream_wait(no_text)->status, ==, 410);
+	other_text = rig_stream(rig, 1, RIG_KEY_1, with_other, id);
+	assert_refused(http_stream_wait(other_text), 400, "bad_field");
+	second = rig_stream(rig, 1, RIG_KEY_1, with_text, id);
+	assert_joined(first, second, body);
+}
+
+/* An engine that is leaving gets no new work, and the caller notices nothing.
+ */
+static void test_leaving_engine(void)
+{
+	rig_options_t options = { .engines = 2,
+				  .routers = 1,
+				  .engine_args = { "--token-ms", "1" } };
+	g_autoptr(rig_t) rig = rig_start(&options);
+
+	standin_control(rig->engine_ports[0], "{\"leaving\":true}");
+	for (int i = 0; i < 8; i++) {
+		g_autofree char *prompt = g_strdup_printf("%d", i);
+		CLEANUP_FREE char *body = rig_body(prompt, 2, false);
+		g_autoptr(http_answer_t) answer = rig_chat(rig, 0, body);
+
+		g_assert_cmpint(answer->status, ==, 200);
+	}
+	g_assert_cmpint(http_local_number(rig->engine_ports[0],
+					  "/control/stats", "requests_run"),
+			==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	g_test_add_func("/model/stream", test_stream_is_exact);
+	g_test_add_func("/model/whole", test_whole_answer);
+	g_test_add_func("/model/engine-lost", test_engine_lost);
+	g_test_add_func("/model/no-engine-left", test_no_engine_left);
+	g_test_add_func("/model/two-engines",
+			test_at_most_two_engines_are_lost);
+	g_test_add_func("/model/wrong-attempt", test_wrong_attempt_is_dropped);
+	g_test_add_func("/model/customers", test_customers_share_no_cache);
+	g_test_add_func("/model/empty-under-belief", test_empty_under_a_belief);
+	g_test_add_func("/model/bad-input", test_bad_input);
+	g_test_add_func("/model/slow-reader", test_slow_reader);
+	g_test_add_func("/model/caller-gone", test_caller_gone);
+	g_test_add_func("/model/graceful-stop", test_graceful_stop);
+	g_test_add_func("/model/stop-limit", test_stop_limit);
+	g_test_add_func("/model/router-lost", test_router_lost);
+	g_test_add_func("/model/router-and-engine-lost",
+			test_router_and_engine_lost);
+	g_test_add_func("/model/leaving-engine", test_leaving_engine);
+	return g_test_run();
+}
--- /dev/null
+++ b/t/test-it-plain.c
@@ -0,0 +1,261 @@
+/* Calls to plain services through real router, store and service processes. */
+#include <curl/curl.h>
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <string.h>
+
+#include "t/lib/rig.h"
+
+#define DISPATCH "/svc/dispatch/crews"
+
+enum {
+	CALLERS = 8,
+};
+
+static http_answer_t *dispatch(rig_t *rig, int router, const char *key,
+			       const char *body)
+{
+	g_autofree char *line =
+		key ? g_strdup_printf("Idempotency-Key: %s", key) : NULL;
+	const char *const headers[] = { RIG_KEY_1, line, NULL };
+
+	return http_local("POST", rig->ports[router], DISPATCH, headers, body);
+}
+
+static int64_t executed(rig_t *rig)
+{
+	int64_t sum = 0;
+
+	for (int i = 0; i < rig->options.plains; i++) {
+		if (program_is_running(rig->plains[i]))
+			sum += http_local_number(rig->plain_ports[i],
+						 "/control/executions",
+						 "executed");
+	}
+	return sum;
+}
+
+static void assert_state(const http_answer_t *answer, long status,
+			 const char *type, const char *state)
+{
+	g_autofree char *given = http_answer_header(answer, "X-Run-State");
+	const char *given_type = "";
+
+	g_test_message("answer: %s", answer->body);
+	g_assert_cmpint(answer->status, ==, status);
+	g_assert_cmpstr(given, ==, state);
+	json_unpack(answer->json, "{s:{s:s}}", "error", "type", &given_type);
+	g_assert_cmpstr(given_type, ==, type);
+}
+
+static rig_t *start(int plains, int routers, bool check_fencing)
+{
+	rig_options_t options = {
+		.plains = plains,
+		.routers = routers,
+		.plains_check_fencing = check_fencing,
+	};
+
+	return rig_start(&options);
+}
+
+/* A repeated order must be answered from the record, through any router. */
+static void test_once(void)
+{
+	g_autoptr(rig_t) rig = start(2, 2, false);
+	g_autoptr(http_answer_t) first = dispatch(rig, 0, "k1", "{\"crew\":7}");
+	g_autoptr(http_answer_t) other_body = NULL;
+
+	assert_state(first, 200, "", "ran");
+	g_assert_nonnull(strstr(first->body, "\"path\":\"/crews\""));
+	for (int i = 0; i < 4; i++) {
+		g_autoptr(http_answer_t) again =
+			dispatch(rig, i % 2, "k1", "{\"crew\":7}");
+
+		assert_state(again, 200, "", "ran");
+		g_assert_cmpstr(again->body, ==, first->body);
+	}
+	other_body = dispatch(rig, 1, "k1", "{\"crew\":8}");
+	assert_state(other_body, 422, "key_reused", "not_run");
+	g_assert_cmpint(executed(rig), ==, 1);
+}
+
+typedef struct sender {
+	rig_t *rig;
+	int router;
+	http_answer_t *answer;
+} sender_t;
+
+static void *send_one(void *context)
+{
+	sender_t *sender = context;
+
+	sender->answer = dispatch(sender->rig, sender->router, "same", "{}");
+	return NULL;
+}
+
+/* Callers that race with one key must not send two crews. */
+static void test_race(void)
+{
+	g_autoptr(rig_t) rig = start(2, 2, false);
+	sender_t senders[CALLERS];
+	pthread_t threads[CALLERS];
+	int done = 0;
+
+	standin_control(rig->plain_ports[0], "{\"answer_delay_ms\":200}");
+	standin_control(rig->plain_ports[1], "{\"answer_delay_ms\":200}");
+	for (int i = 0; i < CALLERS; i++) {
+		senders[i] = (sender_t){ .rig = rig, .router = i % 2 };
+		pthread_create(&threads[i], NULL, send_one, &senders[i]);
+	}
+	for (int i = 0; i < CALLERS; i++) {
+		long status;
+
+		pthread_join(threads[i], NULL);
+		status = senders[i].answer->status;
+		done += status == 200;
+		if (status != 200)
+			assert_state(senders[i].answer, 409,
+				     "order_in_progress", "unknown");
+		http_answer_free(senders[i].answer);
+	}
+	g_assert_cmpint(done, >=, 1);
+	g_assert_cmpint(executed(rig), ==, 1);
+}
+
+/* "Not run" must be true: the service has no execution. */
+static void test_not_run(void)
+{
+	g_autoptr(rig_t) rig = start(1, 1, false);
+	static const char *const other[] = { RIG_KEY_2, "Idempotency-Key: k",
+					     NULL };
+	g_autoptr(http_answer_t) no_key = dispatch(rig, 0, NULL, "{}");
+	g_autoptr(http_answer_t) no_grant =
+		http_local("POST", rig->ports[0], DISPATCH, other, "{}");
+	g_autoptr(http_answer_t) leaving = NULL;
+	g_autoptr(http_answer_t) no_service = NULL;
+	g_autoptr(http_answer_t) no_store = NULL;
+
+	assert_state(no_key, 400, "key_missing", "not_run");
+	assert_state(no_grant, 404, "unknown_route", "not_run");
+	standin_control(rig->plain_ports[0], "{\"leaving\":true}");
+	leaving = dispatch(rig, 0, "k2", "{}");
+	assert_state(leaving, 503, "order_not_run", "not_run");
+	g_assert_cmpint(executed(rig), ==, 0);
+	program_signal(rig->plains[0], SIGKILL);
+	program_wait(rig->plains[0], HARNESS_WAIT_MS);
+	no_service = dispatch(rig, 0, "k3", "{}");
+	g_assert_cmpint(no_service->status, >=, 502);
+	g_assert_nonnull(strstr(no_service->body, "\"ran\":\"not_run\""));
+	program_signal(rig->store, SIGKILL);
+	program_wait(rig->store, HARNESS_WAIT_MS);
+	no_store = dispatch(rig, 0, "k4", "{}");
+	g_assert_cmpint(no_store->status, ==, 503);
+	g_assert_nonnull(strstr(no_store->body, "\"ran\":\"not_run\""));
+}
+
+/* An order whose answer is lost must not be sent again, not even when its
+ * caller repeats it. */
+static void check_answer_lost(bool check_fencing)
+{
+	g_autoptr(rig_t) rig = start(2, 2, check_fencing);
+	g_autoptr(http_answer_t) lost = NULL;
+
+	standin_control(rig->plain_ports[0], "{\"lose_answers\":1}");
+	standin_control(rig->plain_ports[1], "{\"lose_answers\":1}");
+	lost = dispatch(rig, 0, "k1", "{}");
+	assert_state(lost, 502, "order_unknown", "unknown");
+	for (int i = 0; i < 2; i++) {
+		g_autoptr(http_answer_t) again = dispatch(rig, i, "k1", "{}");
+
+		assert_state(again, 502, "order_unknown", "unknown");
+	}
+	g_assert_cmpint(executed(rig), ==, 1);
+}
+
+static void test_answer_lost(void)
+{
+	check_answer_lost(false);
+}
+
+static void test_answer_lost_with_fencing(void)
+{
+	check_answer_lost(true);
+}
+
+/* A dead endpoint is passed over under the same claim. */
+static void test_endpoint_dead(void)
+{
+	g_autoptr(rig_t) rig = start(2, 1, false);
+
+	program_signal(rig->plains[0], SIGKILL);
+	program_wait(rig->plains[0], HARNESS_WAIT_MS);
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *key = g_strdup_printf("k%d", i);
+		g_autoptr(http_answer_t) answer = dispatch(rig, 0, key, "{}");
+
+		assert_state(answer, 200, "", "ran");
+	}
+	g_assert_cmpint(executed(rig), ==, 4);
+}
+
+/* The router dies after sending: a repeat through another one is not run
+ * again while the claim is open. */
+static void test_router_lost(void)
+{
+	g_autoptr(rig_t) rig = start(1, 2, false);
+	sender_t sender = { .rig = rig };
+	pthread_t thread;
+	g_autoptr(http_answer_t) again = NULL;
+
+	standin_control(rig->plain_ports[0], "{\"answer_delay_ms\":3000}");
+	pthread_create(&thread, NULL, send_one, &sender);
+	g_assert_true(WAIT_UNTIL(executed(rig) == 1, HARNESS_WAIT_MS));
+	program_signal(rig->routers[0], SIGKILL);
+	pthread_join(thread, NULL);
+	http_answer_free(sender.answer);
+	again = dispatch(rig, 1, "same", "{}");
+	assert_state(again, 409, "order_in_progress", "unknown");
+	g_assert_cmpint(executed(rig), ==, 1);
+}
+
+/* A lost idempotent call is sent again to another endpoint; path and query
+ * pass as they were sent. */
+static void test_idempotent(void)
+{
+	static const char *const headers[] = { RIG_KEY_1, NULL };
+	g_autoptr(rig_t) rig = start(2, 1, false);
+	g_autoptr(http_answer_t) bare = NULL;
+
+	standin_control(rig->plain_ports[0], "{\"lose_answers\":1000}");
+	for (int i = 0; i < 8; i++) {
+		g_autoptr(http_answer_t) answer =
+			http_local("GET", rig->ports[0],
+				   "/svc/dispatch/a%20b?x=1", headers, NULL);
+
+		g_assert_cmpint(answer->status, ==, 200);
+		g_assert_nonnull(strstr(answer->body, "\"method\":\"GET\""));
+		g_assert_nonnull(strstr(answer->body, "/a b"));
+	}
+	/* At least one was lost on the first endpoint and sent again. */
+	g_assert_cmpint(executed(rig), >, 8);
+	bare = http_local("GET", rig->ports[0], "/svc/dispatch", headers, NULL);
+	g_assert_cmpint(bare->status, ==, 200);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	g_test_add_func("/plain/once", test_once);
+	g_test_add_func("/plain/race", test_race);
+	g_test_add_func("/plain/not-run", test_not_run);
+	g_test_add_func("/plain/answer-lost", test_answer_lost);
+	g_test_add_func("/plain/answer-lost-fencing",
+			test_answer_lost_with_fencing);
+	g_test_add_func("/plain/endpoint-dead", test_endpoint_dead);
+	g_test_add_func("/plain/router-lost", test_router_lost);
+	g_test_add_func("/plain/idempotent", test_idempotent);
+	return g_test_run();
+}
