--- a/cmd/router_config.c
+++ b/cmd/router_config.c
@@ -74,16 +74,12 @@
 	};
 }
 
-static int configure(router_t *router, const config_t *config)
+static int fill_and_configure(router_t *router, const config_t *config,
+			      fleet_pool_setup_t *pools,
+			      fleet_endpoint_setup_t *endpoints)
 {
-	CLEANUP_FREE fleet_pool_setup_t *pools =
-		calloc(config->pool_count + 1, sizeof(*pools));
-	CLEANUP_FREE fleet_endpoint_setup_t *endpoints =
-		calloc(config->endpoint_count + 1, sizeof(*endpoints));
 	size_t used = 0;
 
-	if (!pools || !endpoints)
-		return ERR_NO_MEMORY;
 	for (size_t i = 0; i < config->pool_count; i++) {
 		fill_pool(config, &config->pools[i], endpoints + used,
 			  &pools[i]);
@@ -95,6 +91,21 @@
 			       upstream_now_ms());
 }
 
+static int configure(router_t *router, const config_t *config)
+{
+	fleet_pool_setup_t *pools =
+		calloc(config->pool_count + 1, sizeof(*pools));
+	fleet_endpoint_setup_t *endpoints =
+		calloc(config->endpoint_count + 1, sizeof(*endpoints));
+	int err = ERR_NO_MEMORY;
+
+	if (pools && endpoints)
+		err = fill_and_configure(router, config, pools, endpoints);
+	free(pools);
+	free(endpoints);
+	return err;
+}
+
 void router_apply_config(router_t *router)
 {
 	CLEANUP_CONFIG config_t *config = config_acquire();
--- a/connection/server.c
+++ b/connection/server.c
@@ -27,6 +27,8 @@
 	/** First descriptor that may be a caller's socket. */
 	FIRST_FD = 3,
 	OPTION_MAX = 32,
+	/** Length line and line ends of a chunk. */
+	CHUNK_FRAME_BYTES = 32,
 };
 
 struct server {
@@ -37,7 +39,7 @@
 /** Whether a descriptor is the server side of this connection. */
 static bool is_caller_fd(int fd, const struct mg_request_info *info)
 {
-	struct sockaddr_storage peer;
+	struct sockaddr_storage peer = { 0 };
 	socklen_t size = sizeof(peer);
 	char text[INET6_ADDRSTRLEN] = "";
 	int port = 0;
@@ -62,7 +64,7 @@
 
 static bool is_local_port(int fd, int server_port)
 {
-	struct sockaddr_storage local;
+	struct sockaddr_storage local = { 0 };
 	socklen_t size = sizeof(local);
 
 	if (getsockname(fd, (struct sockaddr *)&local, &size))
@@ -446,21 +448,25 @@
 int server_stream_write(server_request_t *request, const char *bytes,
 			size_t len)
 {
-	CLEANUP_FREE char *chunk = NULL;
+	char *chunk;
 	int head_len;
+	int err;
 
 	if (!len)
 		return 0;
 	if (!request->chunked)
 		return send_all(request, bytes, len);
 	/* One write, so that a token leaves as one packet. */
-	chunk = malloc(len + 32);
+	chunk = malloc(len + CHUNK_FRAME_BYTES);
 	if (!chunk)
 		return ERR_NO_MEMORY;
-	head_len = snprintf(chunk, 32, "%zx\r\n", len);
+	head_len = snprintf(chunk, CHUNK_FRAME_BYTES, "%zx\r\n", len);
 	memcpy(chunk + head_len, bytes, len);
-	memcpy(chunk + head_len + len, "\r\n", 2);
-	return send_all(request, chunk, (size_t)head_len + len + 2);
+	chunk[head_len + len] = '\r';
+	chunk[head_len + len + 1] = '\n';
+	err = send_all(request, chunk, (size_t)head_len + len + 2);
+	free(chunk);
+	return err;
 }
 
 int server_stream_end(server_request_t *request)
--- a/connection/upstream.c
+++ b/connection/upstream.c
@@ -120,7 +120,7 @@
 			continue;
 		pool->idle_count--;
 		memmove(&pool->idle[i], &pool->idle[i + 1],
-			(pool->idle_count - i) * sizeof(pool->idle[0]));
+			(pool->idle_count - i) * sizeof(void *));
 		return link;
 	}
 	return NULL;
@@ -136,7 +136,7 @@
 		oldest = pool->idle[0];
 		pool->idle_count--;
 		memmove(&pool->idle[0], &pool->idle[1],
-			pool->idle_count * sizeof(pool->idle[0]));
+			pool->idle_count * sizeof(void *));
 	}
 	pool->idle[pool->idle_count++] = link;
 	return oldest;
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -198,8 +198,7 @@
 	if (pool->routing)
 		pool->routing->prefill_tokens_per_s =
 			setup->prefill_tokens_per_s;
-	pool->endpoints =
-		calloc(setup->endpoint_count + 1, sizeof(*pool->endpoints));
+	pool->endpoints = calloc(setup->endpoint_count + 1, sizeof(void *));
 	pool->slots = calloc(setup->endpoint_count + 1, sizeof(*pool->slots));
 	if (!pool->endpoints || !pool->slots)
 		return ERR_NO_MEMORY;
--- a/request/order_record.c
+++ b/request/order_record.c
@@ -22,14 +22,17 @@
 {
 	size_t size = sodium_base64_encoded_len(answer->body_bytes,
 						sodium_base64_VARIANT_ORIGINAL);
-	CLEANUP_FREE char *text = malloc(size);
+	char *text = malloc(size);
+	json_t *value;
 
 	if (!text)
 		return NULL;
 	sodium_bin2base64(text, size, (const unsigned char *)answer->body,
 			  answer->body ? answer->body_bytes : 0,
 			  sodium_base64_VARIANT_ORIGINAL);
-	return json_string(text);
+	value = json_string(text);
+	free(text);
+	return value;
 }
 
 static json_t *answer_to_json(const order_answer_t *answer)
--- a/request/plain_order.c
+++ b/request/plain_order.c
@@ -358,12 +358,12 @@
 
 void plain_serve_order(const plain_t *plain, const plain_request_t *request)
 {
-	CLEANUP_FREE order_run_t *run = calloc(1, sizeof(*run));
+	order_run_t *run = plain->store ? calloc(1, sizeof(*run)) : NULL;
 	server_error_t error = {
 		.err = plain->store ? ERR_NO_MEMORY : ERR_STORE_DOWN,
 	};
 
-	if (!run || !plain->store) {
+	if (!run) {
 		server_answer_error(request->caller, &error);
 		return;
 	}
@@ -383,4 +383,5 @@
 	drive(run);
 	order_record_free(&run->held);
 	plain_answer_free(&run->transfer.answer);
+	free(run);
 }
--- a/request/relay.c
+++ b/request/relay.c
@@ -567,30 +567,37 @@
 		(json_int_t)explanation->usable, "candidates", candidates);
 }
 
+static json_t *explain_chat(relay_t *relay, const relay_plan_t *plan,
+			    server_error_t *error)
+{
+	fleet_choice_t choice = { 0 };
+	routing_request_t routing;
+
+	fill_routing(plan, &routing);
+	error->err = fleet_explain(relay->fleet, plan->fleet_pool, &routing,
+				   upstream_now_ms(), &choice);
+	return explain_choice(relay, plan, &choice, error->err);
+}
+
 json_t *relay_explain(relay_t *relay, const config_t *config, int32_t customer,
 		      chat_kind_t kind, const char *body, size_t body_len,
 		      server_error_t *error, chat_problem_t *problem)
 {
-	CLEANUP_FREE relay_plan_t *plan = calloc(1, sizeof(*plan));
-	routing_request_t routing;
-	chat_request_t chat;
-	fleet_choice_t choice = { 0 };
 	json_t *explanation = NULL;
-	int err = plan ? chat_parse(kind, body, body_len, &chat, problem)
-		       : ERR_NO_MEMORY;
+	chat_request_t chat;
+	relay_plan_t *plan;
 
-	if (err) {
-		error->err = err;
+	error->err = chat_parse(kind, body, body_len, &chat, problem);
+	if (error->err)
 		return NULL;
-	}
-	err = relay_plan(relay, config, customer, "", &chat, plan, problem);
-	if (!err) {
-		fill_routing(plan, &routing);
-		err = fleet_explain(relay->fleet, plan->fleet_pool, &routing,
-				    upstream_now_ms(), &choice);
-		explanation = explain_choice(relay, plan, &choice, err);
-	}
-	error->err = err;
+	error->err = ERR_NO_MEMORY;
+	plan = calloc(1, sizeof(*plan));
+	if (plan)
+		error->err = relay_plan(relay, config, customer, "", &chat,
+					plan, problem);
+	if (!error->err)
+		explanation = explain_chat(relay, plan, error);
+	free(plan);
 	chat_free(&chat);
 	return explanation;
 }
--- a/t/test-it-model.c
+++ b/t/test-it-model.c
@@ -186,16 +186,16 @@
 				  .engine_args = { "--token-ms", "1" } };
 	g_autoptr(rig_t) rig = rig_start(&options);
 	CLEANUP_FREE char *body = rig_body("mine", 20, true);
+	g_autoptr(http_stream_t) failed = NULL;
 	g_autoptr(http_stream_t) stream = NULL;
 
 	standin_control(rig->engine_ports[0], "{\"wrong_attempts\":1}");
 	standin_control(rig->engine_ports[1], "{\"wrong_attempts\":1}");
-	for (int i = 0; i < 2; i++) {
-		g_clear_pointer(&stream, http_stream_free);
-		stream = rig_stream(rig, 0, RIG_KEY_1, body, NULL);
-		http_stream_wait(stream);
-	}
-	/* Both engines have used up their wrong number by now. */
+	failed = rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+	http_stream_wait(failed);
+	g_assert_cmpint(http_stream_wait(failed)->status, ==, 503);
+	g_assert_cmpuint(http_stream_count(failed), ==, 0);
+	stream = rig_stream(rig, 0, RIG_KEY_1, body, NULL);
 	assert_complete(stream, body);
 	g_assert_cmpuint(http_stream_count(stream), ==, 20 + 3);
 }
