version: run the configuration in a service, with an audit trail

The daemon needs one place that loads the configuration, watches it, commits tickets and answers peers, and operators need to see who changed what.

Add the service with threads for fetches, the watch and commits, and audit entries in bounded shards with ids, so that a repeated append after a lost answer adds nothing. A commit now lists the contents it applied, which fill the log for peers. A catch-up is retried for 300 ms only: with 5 s a start in an outage waited that long before it read the bootstrap file.

--- /dev/null
+++ b/process/audit.h
@@ -0,0 +1,79 @@
+/**
+ * @file
+ * Audit trail in the object API: who did what, when, to which object, with
+ * which outcome. Entries are kept in AUDIT_SHARDS objects `audit/<shard>`
+ * with the last AUDIT_SHARD_ENTRIES entries each.
+ *
+ * Entries wait in a bounded queue and are appended in batches by
+ * audit_flush(). An entry id keeps a batch whose answer was lost from being
+ * appended twice. Thread-safe.
+ */
+#ifndef PROCESS_AUDIT_H
+#define PROCESS_AUDIT_H
+
+#include <jansson.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "process/store_client.h"
+
+enum {
+	AUDIT_SHARDS = 16,
+	AUDIT_SHARD_ENTRIES = 1024,
+	/** Longest text of an entry with its NUL; longer ones are cut. */
+	AUDIT_TEXT_MAX_BYTES = 96,
+	/** Entries that wait; the oldest are dropped above this. */
+	AUDIT_QUEUE_MAX = 4096,
+	/** Entries appended by one write. */
+	AUDIT_BATCH_MAX = 128,
+};
+
+/** One decision; NULL texts count as empty. */
+typedef struct audit_entry {
+	uint64_t at_unix_ms;
+	const char *who;     /**< Operator, or the deciding instance. */
+	const char *what;    /**< Such as "ticket" or "engine_order". */
+	const char *which;   /**< The ticket, endpoint or other object. */
+	const char *before;  /**< Version before; empty if none. */
+	const char *after;   /**< Version after; empty if none. */
+	const char *outcome; /**< "accepted", "done" or an error type. */
+} audit_entry_t;
+
+typedef struct audit audit_t;
+
+/**
+ * @param instance id of this instance; with `seed` it makes entry ids unique
+ * @return 0 or ERR_NO_MEMORY
+ */
+int audit_open(store_client_t *client, const char *instance, uint64_t seed,
+	       audit_t **audit);
+void audit_close(audit_t *audit);
+
+/** Queues an entry; no I/O. */
+void audit_add(audit_t *audit, const audit_entry_t *entry);
+
+/** Entries that are not known to be stored. */
+size_t audit_pending(audit_t *audit);
+
+/**
+ * Appends one batch, if there is one. Entries that could not be appended stay
+ * for the next call.
+ * @return 0 or an error of the store client
+ */
+int audit_flush(audit_t *audit);
+
+/**
+ * Appends entries to the value of a shard, without those it holds already.
+ * @param shard value read, or NULL if the object does not exist
+ * @param batch JSON array of entries
+ * @return new value; NULL when out of memory
+ */
+json_t *audit_merge(const json_t *shard, const json_t *batch);
+
+/**
+ * Reads the whole trail.
+ * @param entries receives a JSON array in order of time, to be dropped
+ */
+int audit_read(store_client_t *client, json_t **entries);
+
+#endif
--- a/t/test-config-sync.c
+++ b/t/test-config-sync.c
@@ -182,6 +182,9 @@
 	config_log_free(&log);
 }
 
+static const char gap_answer[] = "{\"position\":5,\"tickets\":[{\"position\":3,"
+				 "\"content\":{\"ticket\":3,\"objects\":{}}}]}";
+
 /* A delta with a gap would leave out a ticket. */
 static void test_bad_answers(void)
 {
@@ -189,8 +192,7 @@
 		"{}",
 		"[]",
 		"{\"position\":5,\"tickets\":[]}",
-		"{\"position\":5,\"tickets\":[{\"position\":3,\"content\":"
-		"{\"ticket\":3,\"objects\":{}}}]}",
+		gap_answer,
 		"{\"position\":5,\"tickets\":[{\"position\":1,\"content\":1}]}",
 		"{\"position\":5,\"objects\":{\"model/m\":{}},\"numbers\":{}}",
 		"{\"position\":0,\"objects\":{},\"numbers\":{}}",
--- /dev/null
+++ b/version/config_service.c
@@ -0,0 +1,785 @@
+#include "version/config_service.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "process/cleanup.h"
+#include "process/error.h"
+#include "process/event.h"
+#include "process/hash.h"
+#include "process/metrics.h"
+#include "version/config.h"
+
+enum {
+	COMMIT_TIMEOUT_MS = 10000,
+	/** Also the longest time until a watcher's age is refreshed. */
+	WATCH_TIMEOUT_MS = 5000,
+	TICK_MS = 100,
+	/** Delay of the watch after a failure. */
+	WATCH_RETRY_MS = 500,
+	/** Time for which a catch-up is retried before another source. */
+	CATCH_UP_TIMEOUT_MS = 300,
+	/** Delay between two attempts to write audit entries. */
+	AUDIT_PERIOD_MS = 1000,
+};
+
+/** A ticket whose caller waits; lives on the caller's stack. */
+typedef struct request {
+	ticket_t ticket;
+	ticket_result_t result;
+	bool done;
+	struct request *next;
+} request_t;
+
+struct config_service {
+	config_service_options_t options;
+	pthread_t sync_thread;
+	pthread_t watch_thread;
+	pthread_t commit_thread;
+	pthread_mutex_t adopt_lock; /**< Keeps publications in order. */
+	pthread_mutex_t lock;	    /**< Over the members below. */
+	pthread_cond_t changed;
+	bool stopping;
+	config_sync_t sync;
+	bool sync_pending; /**< An event may have an action to take. */
+	ticket_state_t state;
+	config_log_t log;
+	request_t *waiting;
+	uint64_t commits; /**< Started; makes seeds differ. */
+};
+
+static uint64_t clock_ms(clockid_t clock)
+{
+	struct timespec now;
+
+	clock_gettime(clock, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
+static uint64_t mono_ms(void)
+{
+	return clock_ms(CLOCK_MONOTONIC);
+}
+
+/** Waits until the condition, the time given or the stop; holds the lock. */
+static void wait_until(config_service_t *service, uint64_t until_ms)
+{
+	struct timespec until = {
+		.tv_sec = (time_t)(until_ms / 1000),
+		.tv_nsec = (long)(until_ms % 1000) * 1000000,
+	};
+
+	if (!service->stopping)
+		pthread_cond_timedwait(&service->changed, &service->lock,
+				       &until);
+}
+
+/** Sleeps unless the service stops. */
+static void pause_until(config_service_t *service, uint64_t until_ms)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	while (!service->stopping && mono_ms() < until_ms)
+		wait_until(service, until_ms);
+}
+
+static bool is_stopping(config_service_t *service)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	return service->stopping;
+}
+
+static void publish(uint64_t position, json_t *objects)
+{
+	config_problem_t problem = { 0 };
+	config_t *config;
+	int err = config_build(position, objects, &config, &problem);
+
+	if (err) {
+		event_log(EVENT_CONFIG_REJECTED,
+			  "position=%" PRIu64 " object=%s field=%s error=%s "
+			  "text=\"%s\"",
+			  position, problem.object, problem.field,
+			  error_type(err), problem.text);
+		return;
+	}
+	if (config_publish(config))
+		event_log(EVENT_CONFIG_IN_FORCE, "position=%" PRIu64, position);
+}
+
+/** Adds contents to the log; a gap empties it, which peers survive. */
+static void log_contents(config_service_t *service, const json_t *rows)
+{
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach (rows, i, row) {
+		uint64_t position = (uint64_t)json_integer_value(
+			json_object_get(row, "position"));
+
+		if (position > service->log.position)
+			config_log_add(&service->log, position,
+				       json_object_get(row, "content"));
+	}
+}
+
+/** Replaces the state by a higher one; takes over the copy. */
+static bool replace_state(config_service_t *service, ticket_state_t *next,
+			  const json_t *rows)
+{
+	SCOPED_LOCK(lock, &service->lock);
+	ticket_state_t old = service->state;
+
+	if (next->position <= old.position)
+		return false;
+	service->state = *next;
+	*next = old;
+	log_contents(service, rows);
+	return true;
+}
+
+/** Puts a higher state into force. */
+static void adopt(config_service_t *service, const ticket_state_t *state,
+		  const json_t *rows)
+{
+	SCOPED_LOCK(adopt_lock, &service->adopt_lock);
+	CLEANUP_JSON json_t *objects = json_copy(state->objects);
+	ticket_state_t next;
+	uint64_t position = state->position;
+
+	if (!objects || ticket_state_copy(state, &next))
+		return;
+	if (replace_state(service, &next, rows))
+		publish(position, objects);
+	ticket_state_free(&next);
+}
+
+static uint64_t position_of(config_service_t *service)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	return service->state.position;
+}
+
+/** Performs a store action and fills in its answer. */
+static void perform(config_service_t *service, const ticket_action_t *action,
+		    store_purpose_t purpose, ticket_event_t *event,
+		    store_object_t *object)
+{
+	store_client_t *client = service->options.client;
+
+	event->kind = TICKET_EVENT_ANSWER;
+	event->id = action->id;
+	switch (action->kind) {
+	case TICKET_ACTION_GET:
+		event->err =
+			store_client_get(client, purpose, action->key, object);
+		event->version = object->version;
+		event->value = object->value;
+		return;
+	case TICKET_ACTION_CREATE:
+		event->err = store_client_create(client, purpose, action->key,
+						 action->value, NULL);
+		return;
+	case TICKET_ACTION_PUT:
+		event->err = store_client_update(client, purpose, action->key,
+						 action->value, action->version,
+						 NULL);
+		return;
+	case TICKET_ACTION_WAIT:
+		pause_until(service, action->until_ms);
+		event->kind = TICKET_EVENT_TIME;
+		return;
+	case TICKET_ACTION_NONE:
+	case TICKET_ACTION_DONE:
+		return;
+	}
+}
+
+static void run_commit(config_service_t *service, ticket_commit_t *commit)
+{
+	store_purpose_t purpose =
+		commit->count ? STORE_PURPOSE_TICKET : STORE_PURPOSE_CONFIG;
+	ticket_event_t event = { .kind = TICKET_EVENT_START };
+	ticket_action_t action = { 0 };
+	store_object_t object = { 0 };
+
+	while (action.kind != TICKET_ACTION_DONE) {
+		uint64_t now_ms = mono_ms();
+
+		if (is_stopping(service)) {
+			/* The delays do not hold up the stop. */
+			commit->deadline_ms = now_ms;
+			commit->until_ms = now_ms;
+		}
+		ticket_commit_step(commit, &event, now_ms, &action);
+		store_object_free(&object);
+		memset(&event, 0, sizeof(event));
+		perform(service, &action, purpose, &event, &object);
+	}
+	store_object_free(&object);
+	if (commit->shards)
+		event_log(EVENT_CONFIG_COMPACTED,
+			  "snapshot_position=%" PRIu64 " shards=%zu",
+			  commit->next_head.snapshot_position,
+			  json_array_size(commit->shards));
+}
+
+static int init_commit(config_service_t *service, ticket_commit_t *commit,
+		       uint64_t timeout_ms)
+{
+	SCOPED_LOCK(lock, &service->lock);
+	ticket_commit_options_t options = service->options.commit;
+
+	options.seed = service->options.seed + ++service->commits;
+	return ticket_commit_init(commit, &options, &service->state,
+				  clock_ms(CLOCK_REALTIME),
+				  mono_ms() + timeout_ms);
+}
+
+/** Catches up with the head in the store. */
+static int fetch_store(config_service_t *service)
+{
+	CLEANUP_FREE ticket_commit_t *commit = calloc(1, sizeof(*commit));
+	int err;
+
+	if (!commit)
+		return ERR_NO_MEMORY;
+	err = init_commit(service, commit, CATCH_UP_TIMEOUT_MS);
+	if (!err) {
+		run_commit(service, commit);
+		err = ticket_commit_error(commit);
+		/* What was read before a failure is valid too. */
+		adopt(service, &commit->state, commit->applied);
+	}
+	ticket_commit_free(commit);
+	return err;
+}
+
+static int fetch_peer(config_service_t *service, uint64_t peer, uint64_t from)
+{
+	CLEANUP_JSON json_t *answer = NULL;
+	CLEANUP_JSON json_t *rows = json_array();
+	ticket_state_t state = { 0 };
+	int err;
+
+	if (!service->options.fetch_peer)
+		return ERR_NOT_FOUND;
+	pthread_mutex_lock(&service->lock);
+	err = ticket_state_copy(&service->state, &state);
+	pthread_mutex_unlock(&service->lock);
+	/* A bootstrap file is in force without being a base for deltas. */
+	if (from > state.position)
+		from = state.position;
+	if (!err)
+		err = service->options.fetch_peer(service->options.fetch_user,
+						  peer, from, &answer);
+	if (!err)
+		err = config_sync_apply(&state, answer, rows);
+	if (!err)
+		adopt(service, &state, rows);
+	ticket_state_free(&state);
+	return err;
+}
+
+/**
+ * Puts the bootstrap file into force. With numbers it is a snapshot and the
+ * base for later tickets; without, it only serves until another source is
+ * reached.
+ */
+static int load_bootstrap(config_service_t *service, uint64_t *position)
+{
+	CLEANUP_JSON json_t *root =
+		json_load_file(service->options.bootstrap_file, 0, NULL);
+	json_t *objects = json_object_get(root, "objects");
+	json_t *value = json_object_get(root, "position");
+	config_problem_t problem = { 0 };
+	ticket_state_t state;
+	config_t *config;
+	int err;
+
+	if (!json_is_object(objects) || json_integer_value(value) < 0)
+		return ERR_BAD_FIELD;
+	*position = (uint64_t)json_integer_value(value);
+	if (json_object_get(root, "numbers")) {
+		err = ticket_state_from_json(root, &state);
+		if (err)
+			return err;
+		adopt(service, &state, NULL);
+		ticket_state_free(&state);
+		return 0;
+	}
+	err = config_build(*position, objects, &config, &problem);
+	if (!err)
+		config_publish(config);
+	return err;
+}
+
+static const char *source_name(config_sync_action_kind_t kind)
+{
+	switch (kind) {
+	case CONFIG_SYNC_FETCH_PEER:
+		return "peer";
+	case CONFIG_SYNC_FETCH_STORE:
+		return "store";
+	default:
+		return "bootstrap";
+	}
+}
+
+/** Performs a fetch; returns the event with its result. */
+static config_sync_event_t fetch(config_service_t *service,
+				 const config_sync_action_t *action)
+{
+	config_sync_event_t event = { .kind = CONFIG_SYNC_FETCHED };
+	uint64_t position = 0;
+	int err = 0;
+
+	if (action->kind == CONFIG_SYNC_FETCH_PEER)
+		err = fetch_peer(service, action->peer, action->from);
+	else if (action->kind == CONFIG_SYNC_FETCH_STORE)
+		err = fetch_store(service);
+	else
+		err = load_bootstrap(service, &position);
+	if (err)
+		event_log(EVENT_CONFIG_FETCH_FAILED, "source=%s error=%s",
+			  source_name(action->kind), error_type(err));
+	event.fetched.id = action->id;
+	event.fetched.err = err;
+	event.fetched.position = position_of(service);
+	if (position > event.fetched.position)
+		event.fetched.position = position;
+	return event;
+}
+
+static config_sync_action_t step(config_service_t *service,
+				 const config_sync_event_t *event)
+{
+	SCOPED_LOCK(lock, &service->lock);
+	config_sync_action_t action;
+	uint64_t now_ms = mono_ms();
+	uint64_t age_ms;
+
+	config_sync_step(&service->sync, event, now_ms, &action);
+	age_ms = config_sync_age_ms(&service->sync, now_ms);
+	metrics_set(METRIC_CONFIG_AGE_MS,
+		    age_ms == CONFIG_AGE_UNKNOWN ? -1 : (int64_t)age_ms);
+	return action;
+}
+
+/** Gives an event from another thread and wakes the sync thread. */
+static void note(config_service_t *service, const config_sync_event_t *event)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	config_sync_note(&service->sync, event, mono_ms());
+	service->sync_pending = true;
+	pthread_cond_broadcast(&service->changed);
+}
+
+static void wait_for_event(config_service_t *service)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	if (!service->sync_pending)
+		wait_until(service, mono_ms() + TICK_MS);
+	service->sync_pending = false;
+}
+
+static void *sync_main(void *user)
+{
+	config_service_t *service = user;
+	config_sync_event_t event = { .kind = CONFIG_SYNC_TICK };
+
+	while (!is_stopping(service)) {
+		config_sync_action_t action = step(service, &event);
+
+		event = (config_sync_event_t){ .kind = CONFIG_SYNC_TICK };
+		switch (action.kind) {
+		case CONFIG_SYNC_NONE:
+			wait_for_event(service);
+			break;
+		case CONFIG_SYNC_WATCH_START:
+		case CONFIG_SYNC_WATCH_STOP:
+			event_log(EVENT_CONFIG_WATCH, "watching=%d",
+				  action.kind == CONFIG_SYNC_WATCH_START);
+			pthread_cond_broadcast(&service->changed);
+			break;
+		case CONFIG_SYNC_FETCH_PEER:
+		case CONFIG_SYNC_FETCH_STORE:
+		case CONFIG_SYNC_LOAD_BOOTSTRAP:
+			event = fetch(service, &action);
+			break;
+		}
+	}
+	return NULL;
+}
+
+static void note_head(config_service_t *service, uint64_t position)
+{
+	const config_sync_event_t event = { .kind = CONFIG_SYNC_HEAD,
+					    .head = { position } };
+
+	note(service, &event);
+}
+
+/** What the watch knows of the head. */
+typedef struct head_watch {
+	uint64_t revision; /**< 0: the head has to be read. */
+	uint64_t position;
+} head_watch_t;
+
+/** Reads position and revision together, so that no change is missed. */
+static int read_head(config_service_t *service, head_watch_t *watch)
+{
+	CLEANUP_STORE_ITEMS store_items_t items = { 0 };
+	int err =
+		store_client_list(service->options.client, STORE_PURPOSE_CONFIG,
+				  "config/head", NULL, 1, &items);
+
+	if (err)
+		return err;
+	watch->revision = items.revision;
+	watch->position = 0;
+	if (items.count)
+		watch->position = (uint64_t)json_integer_value(
+			json_object_get(items.items[0].value, "position"));
+	note_head(service, watch->position);
+	return 0;
+}
+
+static int wait_for_change(config_service_t *service, head_watch_t *watch)
+{
+	CLEANUP_STORE_ITEMS store_items_t changes = { 0 };
+	int err = store_client_watch(
+		service->options.client, STORE_PURPOSE_CONFIG, "config/head",
+		watch->revision, service->options.watch_timeout_ms, &changes);
+
+	if (err == ERR_STORE_GONE || (!err && changes.count)) {
+		watch->revision = 0;
+		return 0;
+	}
+	if (err)
+		return err;
+	watch->revision = changes.revision;
+	note_head(service, watch->position);
+	return 0;
+}
+
+static bool wait_for_watch(config_service_t *service)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	while (!service->stopping && !service->sync.watching)
+		wait_until(service, mono_ms() + TICK_MS);
+	return !service->stopping;
+}
+
+static void *watch_main(void *user)
+{
+	config_service_t *service = user;
+	head_watch_t watch = { 0 };
+	rng_t rng;
+
+	rng_init(&rng, service->options.seed ^ 1);
+	while (wait_for_watch(service)) {
+		int err = watch.revision ? wait_for_change(service, &watch)
+					 : read_head(service, &watch);
+
+		if (!err)
+			continue;
+		watch.revision = 0;
+		pause_until(service, mono_ms() + WATCH_RETRY_MS / 2 +
+					     rng_below(&rng, WATCH_RETRY_MS));
+	}
+	return NULL;
+}
+
+static void record_result(config_service_t *service, const char *operator,
+			  const ticket_result_t * result, uint64_t before)
+{
+	char which[32];
+	char before_text[24];
+	char after_text[24] = "";
+	const audit_entry_t entry = {
+		.at_unix_ms = clock_ms(CLOCK_REALTIME),
+		.who = operator,
+		.what = "ticket",
+		.which = which,
+		.before = before_text,
+		.after = after_text,
+		.outcome = result->err ? error_type(result->err) : "accepted",
+	};
+
+	snprintf(which, sizeof(which), "ticket/%" PRIu64, result->number);
+	snprintf(before_text, sizeof(before_text), "%" PRIu64, before);
+	if (!result->err)
+		snprintf(after_text, sizeof(after_text), "%" PRIu64,
+			 result->position);
+	metrics_add(result->err ? METRIC_TICKETS_REFUSED
+				: METRIC_TICKETS_ACCEPTED,
+		    1);
+	event_log(EVENT_TICKET_DECIDED,
+		  "ticket=%" PRIu64 " operator=%s outcome=%s position=%" PRIu64
+		  " object=%s field=%s",
+		  result->number, operator, entry.outcome, result->position,
+		  result->problem.object, result->problem.field);
+	if (service->options.audit)
+		audit_add(service->options.audit, &entry);
+}
+
+/** Takes waiting tickets; an empty batch after a while or at the stop. */
+static size_t take_batch(config_service_t *service,
+			 request_t *batch[TICKET_BATCH_MAX])
+{
+	SCOPED_LOCK(lock, &service->lock);
+	size_t count = 0;
+
+	if (!service->waiting)
+		wait_until(service, mono_ms() + AUDIT_PERIOD_MS);
+	while (service->waiting && count < TICKET_BATCH_MAX) {
+		batch[count++] = service->waiting;
+		service->waiting = service->waiting->next;
+	}
+	return count;
+}
+
+static void end_requests(config_service_t *service, request_t *const *batch,
+			 size_t count, const ticket_commit_t *commit, int err)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	for (size_t i = 0; i < count; i++) {
+		if (err)
+			batch[i]->result.err = err;
+		else
+			batch[i]->result = commit->items[i].result;
+		batch[i]->done = true;
+	}
+	pthread_cond_broadcast(&service->changed);
+}
+
+static void commit_batch(config_service_t *service, request_t *const *batch,
+			 size_t count)
+{
+	CLEANUP_FREE ticket_commit_t *commit = calloc(1, sizeof(*commit));
+	config_sync_event_t event = { .kind = CONFIG_SYNC_ADOPTED };
+	size_t index;
+	int err;
+
+	if (!commit) {
+		end_requests(service, batch, count, NULL, ERR_NO_MEMORY);
+		return;
+	}
+	err = init_commit(service, commit, service->options.commit_timeout_ms);
+	for (size_t i = 0; i < count && !err; i++)
+		err = ticket_commit_add(commit, &batch[i]->ticket, &index);
+	if (!err) {
+		run_commit(service, commit);
+		adopt(service, &commit->state, commit->applied);
+		event.adopted.position = position_of(service);
+		if (event.adopted.position)
+			note(service, &event);
+	}
+	end_requests(service, batch, count, commit, err);
+	ticket_commit_free(commit);
+}
+
+static bool has_work(config_service_t *service)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	return !service->stopping || service->waiting;
+}
+
+static void *commit_main(void *user)
+{
+	config_service_t *service = user;
+	request_t *batch[TICKET_BATCH_MAX];
+
+	while (has_work(service)) {
+		size_t count = take_batch(service, batch);
+
+		if (count)
+			commit_batch(service, batch, count);
+		if (service->options.audit)
+			audit_flush(service->options.audit);
+	}
+	return NULL;
+}
+
+/** Appends to the waiting tickets and waits for the result. */
+static int wait_for_result(config_service_t *service, request_t *request)
+{
+	SCOPED_LOCK(lock, &service->lock);
+	request_t **end = &service->waiting;
+
+	if (service->stopping)
+		return ERR_STOPPING;
+	while (*end)
+		end = &(*end)->next;
+	*end = request;
+	pthread_cond_broadcast(&service->changed);
+	while (!request->done)
+		pthread_cond_wait(&service->changed, &service->lock);
+	return request->result.err;
+}
+
+int config_service_apply_ticket(config_service_t *service, json_t *content,
+				const char *operator, ticket_result_t * result)
+{
+	request_t request = { 0 };
+	uint64_t before = position_of(service);
+	int err =
+		ticket_parse(content, &request.ticket, &request.result.problem);
+
+	request.result.number = request.ticket.number;
+	if (!err)
+		err = wait_for_result(service, &request);
+	request.result.err = err;
+	ticket_free(&request.ticket);
+	*result = request.result;
+	record_result(service, operator, result, before);
+	return err;
+}
+
+void config_service_set_members(config_service_t *service,
+				const config_sync_member_t *rows, size_t count)
+{
+	const config_sync_event_t event = { .kind = CONFIG_SYNC_MEMBERS,
+					    .members = { rows, count } };
+
+	note(service, &event);
+}
+
+void config_service_gossip(config_service_t *service, uint64_t member,
+			   uint64_t position, uint64_t age_ms)
+{
+	const config_sync_event_t event = {
+		.kind = CONFIG_SYNC_GOSSIP,
+		.gossip = { member, position, age_ms },
+	};
+
+	note(service, &event);
+}
+
+json_t *config_service_answer(config_service_t *service, uint64_t from)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	/* A state is replaced as a whole and never changed, so the answer may
+	 * share its parts. */
+	return config_sync_answer(&service->log, &service->state, from);
+}
+
+void config_service_status(config_service_t *service,
+			   config_service_status_t *status)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	status->in_force = service->sync.in_force;
+	status->position = service->sync.position;
+	status->age_ms = config_sync_age_ms(&service->sync, mono_ms());
+	status->watching = service->sync.watching;
+}
+
+static void init_locks(config_service_t *service)
+{
+	pthread_condattr_t attributes;
+
+	pthread_mutex_init(&service->adopt_lock, NULL);
+	pthread_mutex_init(&service->lock, NULL);
+	pthread_condattr_init(&attributes);
+	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+	pthread_cond_init(&service->changed, &attributes);
+	pthread_condattr_destroy(&attributes);
+}
+
+static void free_service(config_service_t *service)
+{
+	ticket_state_free(&service->state);
+	config_log_free(&service->log);
+	pthread_cond_destroy(&service->changed);
+	pthread_mutex_destroy(&service->lock);
+	pthread_mutex_destroy(&service->adopt_lock);
+	free(service);
+}
+
+static void stop_threads(config_service_t *service)
+{
+	pthread_mutex_lock(&service->lock);
+	service->stopping = true;
+	pthread_cond_broadcast(&service->changed);
+	pthread_mutex_unlock(&service->lock);
+	store_client_stop(service->options.client);
+}
+
+static int start_threads(config_service_t *service)
+{
+	if (pthread_create(&service->sync_thread, NULL, sync_main, service))
+		return ERR_INTERNAL;
+	if (pthread_create(&service->watch_thread, NULL, watch_main, service)) {
+		stop_threads(service);
+		pthread_join(service->sync_thread, NULL);
+		return ERR_INTERNAL;
+	}
+	if (pthread_create(&service->commit_thread, NULL, commit_main,
+			   service)) {
+		stop_threads(service);
+		pthread_join(service->sync_thread, NULL);
+		pthread_join(service->watch_thread, NULL);
+		return ERR_INTERNAL;
+	}
+	return 0;
+}
+
+static void set_options(config_service_t *service,
+			const config_service_options_t *options)
+{
+	service->options = *options;
+	if (!service->options.commit_timeout_ms)
+		service->options.commit_timeout_ms = COMMIT_TIMEOUT_MS;
+	if (!service->options.watch_timeout_ms)
+		service->options.watch_timeout_ms = WATCH_TIMEOUT_MS;
+	config_sync_init(&service->sync, hash_string(options->instance),
+			 hash_string(options->domain),
+			 options->bootstrap_file != NULL, options->seed,
+			 mono_ms());
+}
+
+int config_service_start(const config_service_options_t *options,
+			 config_service_t **service)
+{
+	config_service_t *own = calloc(1, sizeof(*own));
+	int err;
+
+	if (!own)
+		return ERR_NO_MEMORY;
+	init_locks(own);
+	set_options(own, options);
+	err = ticket_state_init(&own->state);
+	if (!err)
+		err = config_log_init(&own->log);
+	if (!err)
+		err = start_threads(own);
+	if (err) {
+		free_service(own);
+		return err;
+	}
+	*service = own;
+	return 0;
+}
+
+void config_service_stop(config_service_t *service)
+{
+	stop_threads(service);
+	pthread_join(service->commit_thread, NULL);
+	pthread_join(service->sync_thread, NULL);
+	pthread_join(service->watch_thread, NULL);
+	free_service(service);
+}
--- a/version/config_sync.c
+++ b/version/config_sync.c
@@ -344,10 +344,9 @@
 		start_up(sync, now_ms, action);
 }
 
-void config_sync_step(config_sync_t *sync, const config_sync_event_t *event,
-		      uint64_t now_ms, config_sync_action_t *action)
+void config_sync_note(config_sync_t *sync, const config_sync_event_t *event,
+		      uint64_t now_ms)
 {
-	memset(action, 0, sizeof(*action));
 	switch (event->kind) {
 	case CONFIG_SYNC_TICK:
 		break;
@@ -372,6 +371,13 @@
 		raise_position(sync, event->adopted.position);
 		break;
 	}
+}
+
+void config_sync_step(config_sync_t *sync, const config_sync_event_t *event,
+		      uint64_t now_ms, config_sync_action_t *action)
+{
+	memset(action, 0, sizeof(*action));
+	config_sync_note(sync, event, now_ms);
 	decide(sync, now_ms, action);
 }
 
--- a/version/config_sync.h
+++ b/version/config_sync.h
@@ -129,6 +129,10 @@
 void config_sync_init(config_sync_t *sync, uint64_t self, uint64_t domain,
 		      bool has_bootstrap, uint64_t seed, uint64_t now_ms);
 
+/** Takes an event; the next step gives the action that follows from it. */
+void config_sync_note(config_sync_t *sync, const config_sync_event_t *event,
+		      uint64_t now_ms);
+
 /**
  * Takes an event and gives the next action. Call again with a tick until
  * there is none.
--- a/version/ticket_commit.c
+++ b/version/ticket_commit.c
@@ -46,6 +46,9 @@
 	default_size(&own->log_max_bytes, LOG_MAX_BYTES);
 	default_size(&own->shard_max_bytes, SHARD_MAX_BYTES);
 	rng_init(&commit->rng, own->seed);
+	commit->applied = json_array();
+	if (!commit->applied)
+		return ERR_NO_MEMORY;
 	commit->at_unix_ms = at_unix_ms;
 	commit->deadline_ms = deadline_ms;
 	return ticket_state_copy(state, &commit->state);
@@ -87,6 +90,7 @@
 	commit->count = 0;
 	free_next(commit);
 	free_value(&commit->value);
+	free_value(&commit->applied);
 	ticket_state_free(&commit->state);
 	ticket_head_free(&commit->head);
 }
@@ -558,6 +562,16 @@
 	catch_up(commit, now_ms, action);
 }
 
+/** Best effort: a missing row only makes peers read a snapshot. */
+static void note_applied(ticket_commit_t *commit, uint64_t position,
+			 json_t *content)
+{
+	json_array_append_new(commit->applied,
+			      json_pack("{s:I, s:O}", "position",
+					(json_int_t)position, "content",
+					content));
+}
+
 static void on_catch_up(ticket_commit_t *commit, const ticket_event_t *event,
 			uint64_t now_ms, ticket_action_t *action)
 {
@@ -576,6 +590,7 @@
 		finish(commit, ERR_INTERNAL, action);
 		return;
 	}
+	note_applied(commit, position, event->value);
 	commit->attempts = 0;
 	catch_up(commit, now_ms, action);
 }
@@ -600,6 +615,7 @@
 	ticket_state_free(&commit->state);
 	commit->state = commit->next;
 	commit->state.position = commit->head.snapshot_position;
+	json_array_clear(commit->applied);
 	memset(&commit->next, 0, sizeof(commit->next));
 	catch_up(commit, now_ms, action);
 }
@@ -639,11 +655,30 @@
 	}
 }
 
+/** Notes the contents of the tickets that the update has accepted. */
+static void note_accepted(ticket_commit_t *commit)
+{
+	uint64_t position = commit->state.position;
+
+	while (position++ < commit->next.position) {
+		const json_t *entry =
+			ticket_head_entry(&commit->next_head, position);
+		const char *digest =
+			json_string_value(json_object_get(entry, "digest"));
+		size_t i = 0;
+
+		while (strcmp(commit->items[i].ticket.digest, digest) != 0)
+			i++;
+		note_applied(commit, position, commit->items[i].ticket.content);
+	}
+}
+
 static void on_put(ticket_commit_t *commit, const ticket_event_t *event,
 		   uint64_t now_ms, ticket_action_t *action)
 {
 	switch (event->err) {
 	case 0:
+		note_accepted(commit);
 		ticket_state_free(&commit->state);
 		commit->state = commit->next;
 		memset(&commit->next, 0, sizeof(commit->next));
--- a/version/ticket_commit.h
+++ b/version/ticket_commit.h
@@ -116,6 +116,8 @@
 	ticket_state_t next;  /**< State with the accepted tickets. */
 	ticket_head_t head;
 	ticket_head_t next_head;
+	/** Rows `{position, content}` applied since the start or snapshot. */
+	json_t *applied;
 	uint64_t head_version; /**< 0: the head does not exist. */
 	json_t *shards;	       /**< Snapshot that is being written. */
 	json_t *value;	       /**< Value of the current action. */
