--- a/t/test-config-service.c
+++ b/t/test-config-service.c
@@ -87,6 +87,11 @@
 
 	if (!strcmp(mg_get_request_info(connection)->request_method, "PUT"))
 		return handle_put(connection, key);
+	if (!strcmp(mg_get_request_info(connection)->request_method, "DELETE"))
+		return answer(connection,
+			      g_hash_table_remove(store.objects, key) ? 200
+								      : 404,
+			      0, "");
 	if (!object)
 		return answer(connection, 404, 0, "");
 	return answer(connection, 200, object->version, object->text);
@@ -170,6 +175,20 @@
 	g_hash_table_destroy(store.objects);
 }
 
+static int count_keys(const char *prefix)
+{
+	GHashTableIter iterator;
+	gpointer key;
+	int count = 0;
+
+	g_mutex_lock(&store.lock);
+	g_hash_table_iter_init(&iterator, store.objects);
+	while (g_hash_table_iter_next(&iterator, &key, NULL))
+		count += g_str_has_prefix(key, prefix);
+	g_mutex_unlock(&store.lock);
+	return count;
+}
+
 static void set_down(bool down)
 {
 	g_mutex_lock(&store.lock);
@@ -375,6 +394,8 @@
 		g_assert_cmpint(apply(&first, 100 + i, "model/n", &result), ==,
 				0);
 	WAIT_FOR(is_at(&first, 20));
+	/* Replaced snapshots must not pile up in the store. */
+	WAIT_FOR(count_keys("config/snapshot/") == 1);
 	set_down(true);
 	second = start_instance("b", store.url, fetch_from_instance, &first,
 				NULL);
--- a/version/config_service.c
+++ b/version/config_service.c
@@ -13,6 +13,7 @@
 #include "process/hash.h"
 #include "process/metrics.h"
 #include "version/config.h"
+#include "version/config_sweep.h"
 
 enum {
 	COMMIT_TIMEOUT_MS = 10000,
@@ -223,11 +224,6 @@
 		perform(service, &action, purpose, &event, &object);
 	}
 	store_object_free(&object);
-	if (commit->shards)
-		event_log(EVENT_CONFIG_COMPACTED,
-			  "snapshot_position=%" PRIu64 " shards=%zu",
-			  commit->next_head.snapshot_position,
-			  json_array_size(commit->shards));
 }
 
 static int init_commit(config_service_t *service, ticket_commit_t *commit,
@@ -564,6 +560,18 @@
 	pthread_cond_broadcast(&service->changed);
 }
 
+/** Removes the snapshot that a compaction has replaced. */
+static void sweep(config_service_t *service, const ticket_commit_t *commit)
+{
+	if (!ticket_commit_has_compacted(commit))
+		return;
+	event_log(EVENT_CONFIG_COMPACTED, "snapshot_position=%" PRIu64,
+		  commit->next_head.snapshot_position);
+	config_sweep_snapshot(service->options.client,
+			      commit->head.snapshot_position,
+			      commit->head.snapshot_shards);
+}
+
 static void commit_batch(config_service_t *service, request_t *const *batch,
 			 size_t count)
 {
@@ -587,6 +595,7 @@
 			note(service, &event);
 	}
 	end_requests(service, batch, count, commit, err);
+	sweep(service, commit);
 	ticket_commit_free(commit);
 }
 
--- a/version/ticket_commit.c
+++ b/version/ticket_commit.c
@@ -95,6 +95,12 @@
 	ticket_head_free(&commit->head);
 }
 
+bool ticket_commit_has_compacted(const ticket_commit_t *commit)
+{
+	return commit->shards &&
+	       commit->state.position == commit->next_head.position;
+}
+
 int ticket_commit_error(const ticket_commit_t *commit)
 {
 	return commit->failure;
@@ -204,7 +210,7 @@
 		action->key);
 }
 
-static void shard_key(uint64_t position, size_t shard,
+void ticket_shard_key(uint64_t position, size_t shard,
 		      char key[TICKET_KEY_MAX_BYTES])
 {
 	snprintf(key, TICKET_KEY_MAX_BYTES, "config/snapshot/%" PRIu64 "/%zu",
@@ -215,14 +221,15 @@
 			  ticket_action_t *action)
 {
 	give_action(commit, TICKET_ACTION_GET, now_ms, action);
-	shard_key(commit->head.snapshot_position, commit->index, action->key);
+	ticket_shard_key(commit->head.snapshot_position, commit->index,
+			 action->key);
 }
 
 static void give_compact(ticket_commit_t *commit, uint64_t now_ms,
 			 ticket_action_t *action)
 {
 	give_action(commit, TICKET_ACTION_CREATE, now_ms, action);
-	shard_key(commit->state.position, commit->index, action->key);
+	ticket_shard_key(commit->state.position, commit->index, action->key);
 	action->value = json_array_get(commit->shards, commit->index);
 }
 
--- a/version/ticket_commit.h
+++ b/version/ticket_commit.h
@@ -153,6 +153,13 @@
  */
 int ticket_commit_error(const ticket_commit_t *commit);
 
+/** Whether a finished commit wrote a head that names a new snapshot. */
+bool ticket_commit_has_compacted(const ticket_commit_t *commit);
+
+/** Key of a snapshot shard. */
+void ticket_shard_key(uint64_t position, size_t shard,
+		      char key[TICKET_KEY_MAX_BYTES]);
+
 void ticket_commit_free(ticket_commit_t *commit);
 
 #endif
