version: give a bootstrap file without numbers position 0

A position that is too high in a hand-written file would have kept every accepted configuration out, since positions only rise.

The bootstrap test covers both kinds, and a new one asserts that an invalid ticket writes no head.

--- a/t/test-config-service.c
+++ b/t/test-config-service.c
@@ -415,31 +415,54 @@
 	stop_store();
 }
 
-/* With no peer and no store the bootstrap file is the last source. */
-static void test_bootstrap(void)
+/** Starts without store and peers; waits for the file's position. */
+static void check_bootstrap(const char *text, uint64_t position)
 {
-	static const char text[] =
-		"{\"position\":1000,\"objects\":{\"model/b\":{}}}";
 	g_autofree char *path = NULL;
 	int fd = g_file_open_tmp("amv-bootstrap-XXXXXX", &path, NULL);
-	ticket_result_t result;
 	instance_t instance;
 
 	g_assert_cmpint(write(fd, text, strlen(text)), ==, strlen(text));
 	close(fd);
-	start_store();
-	set_down(true);
 	instance = start_instance("a", store.url, NULL, NULL, path);
-	WAIT_FOR(is_at(&instance, 1000));
+	WAIT_FOR(is_at(&instance, position));
 	stop_instance(&instance);
-	set_down(false);
+	g_assert_cmpint(unlink(path), ==, 0);
+}
+
+/* With no peer and no store the bootstrap file is the last source. */
+static void test_bootstrap(void)
+{
+	config_t *config;
+
+	start_store();
+	set_down(true);
+	/* Without numbers any accepted ticket must replace it. */
+	check_bootstrap("{\"position\":900,\"objects\":{\"model/b\":{}}}", 0);
+	check_bootstrap("{\"position\":1000,\"objects\":{\"model/b\":{}},"
+			"\"numbers\":{\"model/b\":7}}",
+			1000);
+	config = config_acquire();
+	g_assert_cmpuint(config->position, ==, 1000);
+	g_assert_cmpint(config_find_model(config, "b"), ==, 0);
+	config_release(config);
+	stop_store();
+}
+
+/* A refused ticket must name the object, and nothing may come into force. */
+static void test_invalid_ticket(void)
+{
+	ticket_result_t result;
+	instance_t instance;
+
+	start_store();
 	instance = start_instance("a", store.url, NULL, NULL, NULL);
 	g_assert_cmpint(apply(&instance, 1, "engine/x", &result), ==,
 			ERR_TICKET_INVALID);
 	g_assert_cmpstr(result.problem.object, ==, "engine/x");
+	g_assert_cmpint(count_keys("config/head"), ==, 0);
 	stop_instance(&instance);
 	stop_store();
-	g_assert_cmpint(unlink(path), ==, 0);
 }
 
 static json_t *make_entries(int first, int count)
@@ -484,6 +507,7 @@
 	g_test_add_func("/audit/merge", test_audit_merge);
 	g_test_add_func("/config-service/race", test_racing_operators);
 	g_test_add_func("/config-service/outage", test_outage);
+	g_test_add_func("/config-service/invalid", test_invalid_ticket);
 	g_test_add_func("/config-service/bootstrap", test_bootstrap);
 	return g_test_run();
 }
--- a/version/config_service.c
+++ b/version/config_service.c
@@ -269,9 +269,6 @@
 	pthread_mutex_lock(&service->lock);
 	err = ticket_state_copy(&service->state, &state);
 	pthread_mutex_unlock(&service->lock);
-	/* A bootstrap file is in force without being a base for deltas. */
-	if (from > state.position)
-		from = state.position;
 	if (!err)
 		err = service->options.fetch_peer(service->options.fetch_user,
 						  peer, from, &answer);
@@ -285,23 +282,19 @@
 
 /**
  * Puts the bootstrap file into force. With numbers it is a snapshot and the
- * base for later tickets; without, it only serves until another source is
- * reached.
+ * base for later tickets. Without, it has position 0, so that whatever another
+ * source has replaces it.
  */
-static int load_bootstrap(config_service_t *service, uint64_t *position)
+static int load_bootstrap(config_service_t *service)
 {
 	CLEANUP_JSON json_t *root =
 		json_load_file(service->options.bootstrap_file, 0, NULL);
 	json_t *objects = json_object_get(root, "objects");
-	json_t *value = json_object_get(root, "position");
 	config_problem_t problem = { 0 };
 	ticket_state_t state;
 	config_t *config;
 	int err;
 
-	if (!json_is_object(objects) || json_integer_value(value) < 0)
-		return ERR_BAD_FIELD;
-	*position = (uint64_t)json_integer_value(value);
 	if (json_object_get(root, "numbers")) {
 		err = ticket_state_from_json(root, &state);
 		if (err)
@@ -310,7 +303,7 @@
 		ticket_state_free(&state);
 		return 0;
 	}
-	err = config_build(*position, objects, &config, &problem);
+	err = config_build(0, objects, &config, &problem);
 	if (!err)
 		config_publish(config);
 	return err;
@@ -333,7 +326,6 @@
 				 const config_sync_action_t *action)
 {
 	config_sync_event_t event = { .kind = CONFIG_SYNC_FETCHED };
-	uint64_t position = 0;
 	int err = 0;
 
 	if (action->kind == CONFIG_SYNC_FETCH_PEER)
@@ -341,15 +333,13 @@
 	else if (action->kind == CONFIG_SYNC_FETCH_STORE)
 		err = fetch_store(service);
 	else
-		err = load_bootstrap(service, &position);
+		err = load_bootstrap(service);
 	if (err)
 		event_log(EVENT_CONFIG_FETCH_FAILED, "source=%s error=%s",
 			  source_name(action->kind), error_type(err));
 	event.fetched.id = action->id;
 	event.fetched.err = err;
 	event.fetched.position = position_of(service);
-	if (position > event.fetched.position)
-		event.fetched.position = position;
 	return event;
 }
 
