--- /dev/null
+++ b/t/lib/sim.c
@@ -0,0 +1,296 @@
+#include "t/lib/sim.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/error.h"
+
+typedef struct call {
+	sim_t *sim;
+	bool is_write;
+	char key[SIM_KEY_MAX_BYTES];
+	uint64_t if_version;
+	void *value;
+	size_t size;
+	sim_answer_fn_t fn;
+	void *context;
+	uint64_t argument;
+	sim_answer_t answer;
+	int uses; /**< Scheduled events that still need the call. */
+} call_t;
+
+static void *must(void *memory)
+{
+	if (!memory)
+		abort();
+	return memory;
+}
+
+void sim_init(sim_t *sim, uint64_t seed, const sim_faults_t *faults)
+{
+	memset(sim, 0, sizeof(*sim));
+	rng_init(&sim->rng, seed);
+	sim->now_ms = 1000000;
+	sim->faults = *faults;
+}
+
+static void release_call(call_t *call)
+{
+	if (--call->uses > 0)
+		return;
+	free(call->value);
+	free((void *)call->answer.value);
+	free(call);
+}
+
+static void answer_call(void *context, uint64_t argument)
+{
+	call_t *call = context;
+	sim_answer_t lost = { .result = ERR_STORE_UNKNOWN };
+
+	call->fn(call->context, call->argument,
+		 argument ? &lost : &call->answer);
+	release_call(call);
+}
+
+static bool before(const sim_event_t *a, const sim_event_t *b)
+{
+	return a->at_ms != b->at_ms ? a->at_ms < b->at_ms : a->order < b->order;
+}
+
+static void swap(sim_event_t *a, sim_event_t *b)
+{
+	sim_event_t copy = *a;
+
+	*a = *b;
+	*b = copy;
+}
+
+void sim_after(sim_t *sim, uint64_t delay_ms, sim_fn_t fn, void *context,
+	       uint64_t argument)
+{
+	size_t i = sim->heap_count++;
+
+	if (i == sim->heap_max) {
+		sim->heap_max = i ? 2 * i : 64;
+		sim->heap = must(
+			realloc(sim->heap, sim->heap_max * sizeof(*sim->heap)));
+	}
+	sim->heap[i] = (sim_event_t){ sim->now_ms + delay_ms, ++sim->scheduled,
+				      fn, context, argument };
+	for (; i && before(&sim->heap[i], &sim->heap[(i - 1) / 2]);
+	     i = (i - 1) / 2)
+		swap(&sim->heap[i], &sim->heap[(i - 1) / 2]);
+}
+
+static sim_event_t take_first(sim_t *sim)
+{
+	sim_event_t first = sim->heap[0];
+	size_t i = 0;
+
+	sim->heap[0] = sim->heap[--sim->heap_count];
+	for (;;) {
+		size_t least = i;
+
+		for (size_t c = 2 * i + 1; c <= 2 * i + 2; c++) {
+			if (c < sim->heap_count &&
+			    before(&sim->heap[c], &sim->heap[least]))
+				least = c;
+		}
+		if (least == i)
+			return first;
+		swap(&sim->heap[i], &sim->heap[least]);
+		i = least;
+	}
+}
+
+bool sim_run_one(sim_t *sim, uint64_t until_ms)
+{
+	sim_event_t event;
+
+	if (!sim->heap_count || sim->heap[0].at_ms > until_ms)
+		return false;
+	event = take_first(sim);
+	sim->now_ms = event.at_ms;
+	event.fn(event.context, event.argument);
+	return true;
+}
+
+bool sim_chance(sim_t *sim, uint32_t percent)
+{
+	return rng_below(&sim->rng, 100) < percent;
+}
+
+static sim_object_t *find(const sim_t *sim, const char *key)
+{
+	for (size_t i = 0; i < sim->object_count; i++) {
+		if (strcmp(sim->objects[i].key, key) == 0)
+			return &sim->objects[i];
+	}
+	return NULL;
+}
+
+const sim_object_t *sim_find(const sim_t *sim, const char *key)
+{
+	return find(sim, key);
+}
+
+void sim_delete(sim_t *sim, const char *key, uint64_t version)
+{
+	sim_object_t *object = find(sim, key);
+
+	if (!object || object->version != version)
+		return;
+	free(object->value);
+	*object = sim->objects[--sim->object_count];
+}
+
+static void *copy_of(const void *value, size_t size)
+{
+	void *copy = must(malloc(size ? size : 1));
+
+	if (size)
+		memcpy(copy, value, size);
+	return copy;
+}
+
+static void apply_write(sim_t *sim, call_t *call)
+{
+	sim_object_t *object = find(sim, call->key);
+
+	sim->writes++;
+	sim->write_bytes += call->size;
+	if ((object ? object->version : 0) != call->if_version) {
+		call->answer.result = ERR_STORE_CONDITION;
+		return;
+	}
+	if (!object) {
+		size_t bytes = (sim->object_count + 1) * sizeof(*object);
+
+		sim->objects = must(realloc(sim->objects, bytes));
+		object = &sim->objects[sim->object_count++];
+		memset(object, 0, sizeof(*object));
+		memcpy(object->key, call->key, sizeof(object->key));
+	}
+	free(object->value);
+	object->value = copy_of(call->value, call->size);
+	object->size = call->size;
+	object->version = ++sim->next_version;
+	call->answer.version = object->version;
+}
+
+static void apply_read(sim_t *sim, call_t *call)
+{
+	const sim_object_t *object = find(sim, call->key);
+
+	sim->reads++;
+	if (!object) {
+		call->answer.result = ERR_NOT_FOUND;
+		return;
+	}
+	call->answer.version = object->version;
+	call->answer.size = object->size;
+	call->answer.value = copy_of(object->value, object->size);
+}
+
+static uint64_t delay(sim_t *sim)
+{
+	return 1 + rng_below(&sim->rng, sim->faults.delay_max_ms + 1);
+}
+
+/** The call reaches the store; argument 1: its answer is already lost. */
+static void arrive(void *context, uint64_t late)
+{
+	call_t *call = context;
+	sim_t *sim = call->sim;
+
+	if (sim->store_down)
+		call->answer.result = ERR_STORE_DOWN;
+	else if (call->is_write)
+		apply_write(sim, call);
+	else
+		apply_read(sim, call);
+	if (late) {
+		release_call(call);
+		return;
+	}
+	if (sim_chance(sim, sim->faults.lose_answer)) {
+		sim_after(sim, SIM_CALL_TIMEOUT_MS, answer_call, call, 1);
+		return;
+	}
+	if (sim_chance(sim, sim->faults.repeat_answer)) {
+		call->uses++;
+		sim_after(sim, delay(sim) * 20, answer_call, call, 0);
+	}
+	sim_after(sim, delay(sim), answer_call, call, 0);
+}
+
+static void start_call(sim_t *sim, call_t *call)
+{
+	call->sim = sim;
+	call->uses = 1;
+	if (sim_chance(sim, sim->faults.lose_request)) {
+		sim_after(sim, SIM_CALL_TIMEOUT_MS, answer_call, call, 1);
+	} else if (sim_chance(sim, sim->faults.late_effect)) {
+		call->uses++;
+		sim_after(sim, SIM_CALL_TIMEOUT_MS, answer_call, call, 1);
+		sim_after(sim,
+			  SIM_CALL_TIMEOUT_MS +
+				  rng_below(&sim->rng, 2 * SIM_CALL_TIMEOUT_MS),
+			  arrive, call, 1);
+	} else {
+		sim_after(sim, delay(sim), arrive, call, 0);
+	}
+}
+
+static call_t *new_call(const char *key, sim_answer_fn_t fn, void *context,
+			uint64_t argument)
+{
+	call_t *call = must(calloc(1, sizeof(*call)));
+
+	snprintf(call->key, sizeof(call->key), "%s", key);
+	call->fn = fn;
+	call->context = context;
+	call->argument = argument;
+	return call;
+}
+
+void sim_read(sim_t *sim, const char *key, sim_answer_fn_t fn, void *context,
+	      uint64_t argument)
+{
+	start_call(sim, new_call(key, fn, context, argument));
+}
+
+void sim_write(sim_t *sim, const char *key, uint64_t if_version,
+	       const void *value, size_t size, sim_answer_fn_t fn,
+	       void *context, uint64_t argument)
+{
+	call_t *call = new_call(key, fn, context, argument);
+
+	call->is_write = true;
+	call->if_version = if_version;
+	call->value = copy_of(value, size);
+	call->size = size;
+	start_call(sim, call);
+}
+
+void sim_clear(sim_t *sim)
+{
+	for (size_t i = 0; i < sim->object_count; i++)
+		free(sim->objects[i].value);
+	free(sim->objects);
+	free(sim->heap);
+}
+
+void sim_seeds(uint64_t count, uint64_t *first, uint64_t *last)
+{
+	const char *text = getenv("AMV_SEED");
+
+	*first = text ? strtoull(text, NULL, 10) : 1;
+	*last = text ? *first : count;
+	printf("# seeds %" PRIu64 " to %" PRIu64
+	       " (AMV_SEED=n runs one of them)\n",
+	       *first, *last);
+}
--- /dev/null
+++ b/t/test-order-cases.c
@@ -0,0 +1,273 @@
+/* Orders that run at most once: one case for each path. */
+#include <glib.h>
+#include <string.h>
+
+#include "process/error.h"
+#include "process/order.h"
+
+enum {
+	STEPS_MAX = 8,
+};
+
+static const order_settings_t settings = {
+	.send_window_ms = 2000,
+	.endpoint_timeout_ms = 1000,
+	.clock_skew_ms = 200,
+	.retry_ms = 50,
+	.retry_max_ms = 1000,
+	.record_retry_ms = 20000,
+	.retention_ms = 30000,
+};
+
+typedef struct step {
+	order_event_kind_t kind;
+	int value; /**< Result, proof, or -1 for an answer `X-Not-Run`. */
+	int state; /**< Of the record that was read. */
+	bool ours; /**< The record that was read has our nonce. */
+	uint64_t at_ms;
+	const char *actions; /**< First letters, see letter(). */
+	int reply;	     /**< Checked if the actions have a reply. */
+} step_t;
+
+#define W(result) .kind = ORDER_EVENT_WRITTEN, .value = (result)
+#define R(result) .kind = ORDER_EVENT_READ, .value = (result)
+#define OURS(s) .kind = ORDER_EVENT_READ, .state = (s), .ours = true
+#define OTHER(s) .kind = ORDER_EVENT_READ, .state = (s)
+#define K(name) .kind = ORDER_EVENT_##name
+
+static const struct {
+	const char *name;
+	bool fencing;
+	bool other_body;
+	int64_t read_unix_ms;
+	step_t steps[STEPS_MAX];
+} cases[] = {
+	{ "done", .steps = { { W(0), .actions = "C" },
+			     { K(CONNECTED), .actions = "S" },
+			     { K(ANSWERED), .actions = "PW" },
+			     { W(0), .actions = "F" } } },
+	{ "store down before the claim is not run",
+	  .steps = { { W(ERR_STORE_DOWN), .actions = "PF",
+		       .reply = ERR_STORE_DOWN } } },
+	{ "lost claim found by its nonce is used",
+	  .steps = { { W(ERR_STORE_UNKNOWN), .actions = "R" },
+		     { OURS(ORDER_STATE_OPEN), .actions = "C" },
+		     { K(CONNECTED), .actions = "S" } } },
+	{ "lost claim and lost reads: not run, then marked so",
+	  .steps = { { W(ERR_STORE_UNKNOWN), .actions = "R" },
+		     { R(ERR_STORE_UNKNOWN), .actions = "T" },
+		     { K(TIMER), .actions = "R" },
+		     { R(ERR_STORE_DOWN), .at_ms = 2000, .actions = "PW",
+		       .reply = ERR_ORDER_NOT_RUN },
+		     { W(ERR_STORE_CONDITION), .actions = "R" },
+		     { OURS(ORDER_STATE_OPEN), .actions = "W" },
+		     { W(0), .actions = "F" } } },
+	{ "lost claim that another closed is not sent", .fencing = true,
+	  .steps = { { W(ERR_STORE_UNKNOWN), .actions = "R" },
+		     { OURS(ORDER_STATE_UNKNOWN), .actions = "PW",
+		       .reply = ERR_ORDER_NOT_RUN },
+		     { W(0), .actions = "F" } } },
+	{ "claim that lapsed while connecting is not sent",
+	  .steps = { { W(0), .actions = "C" },
+		     { K(CONNECTED), .at_ms = 2000, .actions = "XPW",
+		       .reply = ERR_ORDER_NOT_RUN } } },
+	{ "refused connections try every endpoint of the claim",
+	  .steps = { { W(0), .actions = "C" },
+		     { K(CONNECT_FAILED), .actions = "C" },
+		     { K(CONNECT_FAILED), .actions = "PW",
+		       .reply = ERR_CONNECT } } },
+	{ "lost answer is unknown",
+	  .steps = { { W(0), .actions = "C" },
+		     { K(CONNECTED), .actions = "S" },
+		     { K(LOST), .actions = "PW", .reply = ERR_ORDER_UNKNOWN },
+		     { W(0), .actions = "F" } } },
+	{ "lost answer is resolved at endpoints that check fencing",
+	  .fencing = true,
+	  .steps = { { W(0), .actions = "C" },
+		     { K(CONNECTED), .actions = "S" },
+		     { K(LOST), .actions = "W" },
+		     { W(0), .actions = "A" },
+		     { K(ASKED), .value = ORDER_PROOF_NOT_RUN, .actions = "A" },
+		     { K(ASKED), .value = ORDER_PROOF_NOT_RUN, .actions = "PW",
+		       .reply = ERR_ORDER_NOT_RUN } } },
+	{ "one endpoint without proof leaves it unknown", .fencing = true,
+	  .steps = { { W(0), .actions = "C" },
+		     { K(CONNECTED), .actions = "S" },
+		     { K(LOST), .actions = "W" },
+		     { W(0), .actions = "A" },
+		     { K(ASKED), .value = ORDER_PROOF_NOT_RUN, .actions = "A" },
+		     { K(ASKED), .value = ORDER_PROOF_NONE, .actions = "PF",
+		       .reply = ERR_ORDER_UNKNOWN } } },
+	{ "endpoint says not run",
+	  .steps = { { W(0), .actions = "C" },
+		     { K(CONNECTED), .actions = "S" },
+		     { K(ANSWERED), .value = -1, .actions = "PW",
+		       .reply = ERR_ORDER_NOT_RUN } } },
+	{ "record of a done order is retried in the background",
+	  .steps = { { W(0), .actions = "C" },
+		     { K(CONNECTED), .actions = "S" },
+		     { K(ANSWERED), .actions = "PW" },
+		     { W(ERR_STORE_DOWN), .actions = "T" },
+		     { K(TIMER), .actions = "R" },
+		     { OURS(ORDER_STATE_UNKNOWN), .actions = "W" },
+		     { W(0), .actions = "F" } } },
+	{ "repeat of a done order",
+	  .steps = { { W(ERR_STORE_CONDITION), .actions = "R" },
+		     { OTHER(ORDER_STATE_DONE), .actions = "PF" } } },
+	{ "repeat while open",
+	  .steps = { { W(ERR_STORE_CONDITION), .actions = "R" },
+		     { OTHER(ORDER_STATE_OPEN), .actions = "PF",
+		       .reply = ERR_ORDER_IN_PROGRESS } } },
+	{ "repeat after the deadline closes the claim as unknown",
+	  .read_unix_ms = 100000,
+	  .steps = { { W(ERR_STORE_CONDITION), .actions = "R" },
+		     { OTHER(ORDER_STATE_OPEN), .actions = "W" },
+		     { W(0), .actions = "PF", .reply = ERR_ORDER_UNKNOWN } } },
+	{ "another's open claim is never overwritten as not run",
+	  .read_unix_ms = 100000,
+	  .steps = { { W(ERR_STORE_UNKNOWN), .actions = "R" },
+		     { OTHER(ORDER_STATE_OPEN), .actions = "W" },
+		     { W(ERR_STORE_UNKNOWN), .actions = "T" },
+		     { K(TIMER), .actions = "R" },
+		     { R(ERR_STORE_DOWN), .at_ms = 2500, .actions = "PF",
+		       .reply = ERR_ORDER_IN_PROGRESS } } },
+	{ "repeat of an order that did not run claims again",
+	  .steps = { { W(ERR_STORE_CONDITION), .actions = "R" },
+		     { OTHER(ORDER_STATE_NOT_RUN), .actions = "W" },
+		     { W(0), .actions = "C" } } },
+	{ "same key, other body", .other_body = true,
+	  .steps = { { W(ERR_STORE_CONDITION), .actions = "R" },
+		     { OTHER(ORDER_STATE_DONE), .actions = "PF",
+		       .reply = ERR_KEY_REUSED } } },
+};
+
+static char letter(order_action_kind_t kind)
+{
+	static const char letters[] = "WRTCSXAPF";
+
+	return letters[kind];
+}
+
+static void check_actions(const char *name, const order_actions_t *actions,
+			  const step_t *step, uint64_t fencing)
+{
+	char got[ORDER_ACTIONS_MAX + 1] = "";
+
+	for (size_t i = 0; i < actions->count; i++) {
+		got[i] = letter(actions->items[i].kind);
+		if (actions->items[i].kind == ORDER_ACTION_REPLY)
+			g_assert_cmpint(actions->items[i].reply.err, ==,
+					step->reply);
+		if (actions->items[i].kind == ORDER_ACTION_WRITE)
+			g_assert_cmpuint(actions->items[i].write.record.fencing,
+					 >=, fencing);
+	}
+	g_test_message("%s: %s", name, got);
+	g_assert_cmpstr(got, ==, step->actions);
+}
+
+/* A wrong turn on any of these paths runs an order twice or not at all. */
+static void test_cases(void)
+{
+	static const order_answer_t answer = { .http_status = 201 };
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		order_request_t request = {
+			.customer = "c",
+			.key = "k",
+			.digest = "d",
+			.owner = "n",
+			.endpoints = { "e1", "e2" },
+			.endpoint_count = 2,
+			.endpoints_check_fencing = cases[c].fencing,
+			.nonce = 7,
+		};
+		order_actions_t actions;
+		order_t order;
+
+		uint64_t fencing = 0;
+
+		order_begin(&order, &settings, &request, 0, &actions);
+		for (const step_t *s = cases[c].steps; s->actions; s++) {
+			order_record_t record = order.claim;
+			order_event_t event = { .kind = s->kind,
+						.call = order.call };
+
+			record.state = s->state;
+			record.nonce = s->ours ? 7 : 8;
+			record.answer = &answer;
+			/* A closed claim has a raised number. */
+			record.fencing += s->state == ORDER_STATE_UNKNOWN;
+			if (s->kind == ORDER_EVENT_READ && !s->value)
+				fencing = record.fencing;
+			if (cases[c].other_body)
+				record.digest[0] = 'x';
+			switch (s->kind) {
+			case ORDER_EVENT_READ:
+				event.read.result = s->value;
+				event.read.record = &record;
+				event.read.version = 5;
+				event.read.unix_ms = cases[c].read_unix_ms;
+				break;
+			case ORDER_EVENT_ASKED:
+				event.asked.proof = s->value;
+				break;
+			case ORDER_EVENT_ANSWERED:
+				event.answered.answer = &answer;
+				event.answered.not_run = s->value < 0;
+				break;
+			default:
+				event.written.result = s->value;
+				event.written.version = 5;
+				break;
+			}
+			order_step(&order, &event, s->at_ms, &actions);
+			check_actions(cases[c].name, &actions, s, fencing);
+			/* The same answer again must do nothing. */
+			event.call = order.call - 1;
+			order_step(&order, &event, s->at_ms, &actions);
+			g_assert_cmpuint(actions.count, ==, 0);
+		}
+	}
+}
+
+/* A request without a key, or with an answer too large to keep. */
+static void test_limits(void)
+{
+	order_request_t request = { .customer = "c",
+				    .digest = "d",
+				    .owner = "n",
+				    .endpoints = { "e" },
+				    .endpoint_count = 1 };
+	order_answer_t answer = { .http_status = 200,
+				  .body = "x",
+				  .body_bytes = ORDER_BODY_MAX_BYTES + 1 };
+	order_event_t event = { .kind = ORDER_EVENT_WRITTEN };
+	order_actions_t actions;
+	order_t order;
+
+	order_begin(&order, &settings, &request, 0, &actions);
+	g_assert_cmpint(actions.items[0].reply.err, ==, ERR_KEY_MISSING);
+	request.key = "k";
+	order_begin(&order, &settings, &request, 0, &actions);
+	event.call = order.call;
+	order_step(&order, &event, 0, &actions);
+	event.kind = ORDER_EVENT_CONNECTED;
+	event.call = order.call;
+	order_step(&order, &event, 0, &actions);
+	event.kind = ORDER_EVENT_ANSWERED;
+	event.answered.answer = &answer;
+	order_step(&order, &event, 0, &actions);
+	g_assert_true(actions.items[0].reply.answer == &answer);
+	g_assert_true(actions.items[1].write.record.answer->body_omitted);
+	g_assert_cmpuint(actions.items[1].write.record.answer->body_bytes, ==,
+			 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/order/cases", test_cases);
+	g_test_add_func("/order/limits", test_limits);
+	return g_test_run();
+}
