--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -27,18 +27,18 @@
 static const char *const log_levels[] = { "debug", "info", "warn", "error",
 					  NULL };
 /* Same order as routing_policy_t. */
-static const char *const policies[] = { "prefix",	"random",
-					"round_robin",	"least_loaded",
-					"prompt_hash",	"first_level_hash",
+static const char *const policies[] = { "prefix",      "random",
+					"round_robin", "least_loaded",
+					"prompt_hash", "first_level_hash",
 					NULL };
 
 static router_t router;
 
-#define NUMBER(flag_name, member, help, normal, lowest, highest)          \
-	{                                                                 \
-		.flag = (flag_name), .type = SETTING_NUMBER,              \
-		.value = &router.settings.member, .text = (help),         \
-		.fallback = (normal), .min = (lowest), .max = (highest)   \
+#define NUMBER(flag_name, member, help, normal, lowest, highest)        \
+	{                                                               \
+		.flag = (flag_name), .type = SETTING_NUMBER,            \
+		.value = &router.settings.member, .text = (help),       \
+		.fallback = (normal), .min = (lowest), .max = (highest) \
 	}
 #define TEXT(flag_name, member, help, normal)                     \
 	{                                                         \
@@ -280,8 +280,8 @@
 int main(int argc, char **argv)
 {
 	sigset_t signals;
-	int result = settings_read(argc, (const char **)argv, rows,
-				   "[options]", NULL);
+	int result = settings_read(argc, (const char **)argv, rows, "[options]",
+				   NULL);
 
 	if (result == SETTINGS_EXIT)
 		return EXIT_SUCCESS;
--- a/cmd/router_http.c
+++ b/cmd/router_http.c
@@ -244,11 +244,11 @@
 		refuse(request, ERR_NOT_READY);
 		return;
 	}
-	answer = json_pack("{s:s,s:I,s:I,s:b}", "instance", router->instance,
-			   "position", (json_int_t)config->position, "age_ms",
-			   (json_int_t)(upstream_now_ms() - at_ms),
-			   "store_down",
-			   router->store && store_client_is_down(router->store));
+	answer =
+		json_pack("{s:s,s:I,s:I,s:b}", "instance", router->instance,
+			  "position", (json_int_t)config->position, "age_ms",
+			  (json_int_t)(upstream_now_ms() - at_ms), "store_down",
+			  router->store && store_client_is_down(router->store));
 	answer_json(request, answer);
 }
 
--- a/connection/server.c
+++ b/connection/server.c
@@ -337,12 +337,10 @@
 static int send_all(const server_request_t *request, const char *bytes,
 		    size_t len)
 {
-	if (!len ||
-	    mg_write(request->connection, bytes, len) == (int)len)
+	if (!len || mg_write(request->connection, bytes, len) == (int)len)
 		return 0;
-	return request->fd < 0 || server_caller_gone(request)
-		       ? ERR_CANCELLED
-		       : ERR_SLOW_READER;
+	return request->fd < 0 || server_caller_gone(request) ? ERR_CANCELLED
+							      : ERR_SLOW_READER;
 }
 
 static int send_head(server_request_t *request, int status,
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -204,8 +204,8 @@
 	if (!pool->endpoints || !pool->slots)
 		return ERR_NO_MEMORY;
 	for (size_t i = 0; i < setup->endpoint_count; i++) {
-		int slot = configure_endpoint(fleet, number,
-					      &setup->endpoints[i]);
+		int slot =
+			configure_endpoint(fleet, number, &setup->endpoints[i]);
 
 		if (slot < 0) {
 			err = slot;
@@ -558,10 +558,9 @@
 	SCOPED_LOCK(lock, &fleet->lock);
 
 	choice->had_first_token = true;
-	routing_first_token(fleet->pools[pool].routing,
-			    &fleet->slots[choice->slot]->state, request,
-			    cached_tokens, queue_ms, choice->sent_at_ms,
-			    now_ms);
+	routing_first_token(
+		fleet->pools[pool].routing, &fleet->slots[choice->slot]->state,
+		request, cached_tokens, queue_ms, choice->sent_at_ms, now_ms);
 }
 
 void fleet_ended(fleet_t *fleet, fleet_choice_t *choice,
--- a/process/fleet.h
+++ b/process/fleet.h
@@ -23,7 +23,8 @@
 	FLEET_ENDPOINTS_MAX = 2048,
 	FLEET_ID_MAX_BYTES = 64,
 	FLEET_ADDRESS_MAX_BYTES = 46,
-	/** An endpoint used within this time is polled at the short interval. */
+	/** An endpoint used within this time is polled at the short interval.
+	 */
 	FLEET_IN_USE_MS = 30000,
 };
 
--- a/request/chat.c
+++ b/request/chat.c
@@ -42,9 +42,10 @@
 
 #define FIELD_RULE_COUNT (sizeof(field_rules) / sizeof(field_rules[0]))
 
-__attribute__((format(printf, 4, 5))) static int
-refuse(chat_problem_t *problem, int err, const char *field, const char *fmt,
-       ...)
+__attribute__((format(printf, 4, 5))) static int refuse(chat_problem_t *problem,
+							int err,
+							const char *field,
+							const char *fmt, ...)
 {
 	va_list args;
 
@@ -203,7 +204,7 @@
 	if (!chat->messages)
 		return refuse(problem, ERR_NO_MEMORY, "", "out of memory");
 	chat->message_count = count;
-	json_array_foreach(messages, i, message) {
+	json_array_foreach (messages, i, message) {
 		int err = take_message(chat, i, message, problem);
 
 		if (err)
@@ -245,8 +246,8 @@
 static int compute_fingerprint(chat_request_t *chat, chat_problem_t *problem)
 {
 	CLEANUP_JSON json_t *copy = copy_without_resume(chat);
-	CLEANUP_FREE char *text = json_dumps(copy, JSON_COMPACT |
-							   JSON_SORT_KEYS);
+	CLEANUP_FREE char *text =
+		json_dumps(copy, JSON_COMPACT | JSON_SORT_KEYS);
 
 	if (!text)
 		return refuse(problem, ERR_NO_MEMORY, "", "out of memory");
--- a/request/order_record.c
+++ b/request/order_record.c
@@ -129,8 +129,8 @@
 
 static int parse_answer(const json_t *answer, order_record_held_t *held)
 {
-	json_int_t status = json_integer_value(json_object_get(answer,
-							       "status"));
+	json_int_t status =
+		json_integer_value(json_object_get(answer, "status"));
 
 	if (status < 100 || status > 999 ||
 	    !copy_text(json_object_get(answer, "headers"), held->answer.headers,
--- a/request/plain.c
+++ b/request/plain.c
@@ -18,17 +18,27 @@
 
 /** Headers that belong to one connection or to the router itself. */
 static const char *const request_headers_kept[] = {
-	"Authorization",     "Connection",	 "Content-Length",
-	"Expect",	     "Host",		 "Keep-Alive",
-	"Proxy-Connection",  "TE",		 "Trailer",
-	"Transfer-Encoding", "Upgrade",		 "X-Fencing-Number",
-	"X-Deadline-Ms",     "Accept-Encoding",	 NULL,
+	"Authorization",
+	"Connection",
+	"Content-Length",
+	"Expect",
+	"Host",
+	"Keep-Alive",
+	"Proxy-Connection",
+	"TE",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+	"X-Fencing-Number",
+	"X-Deadline-Ms",
+	"Accept-Encoding",
+	NULL,
 };
 
 static const char *const answer_headers_kept[] = {
-	"Connection",	     "Content-Length", "Content-Type", "Date",
-	"Keep-Alive",	     "Server",	       "Trailer",
-	"Transfer-Encoding", "Upgrade",	       "X-Run-State",  NULL,
+	"Connection", "Content-Length", "Content-Type", "Date",
+	"Keep-Alive", "Server",		"Trailer",	"Transfer-Encoding",
+	"Upgrade",    "X-Run-State",	NULL,
 };
 
 static bool is_listed(const char *const *list, const char *name)
@@ -61,10 +71,9 @@
 		if (is_listed(answer_headers_kept, header->name) ||
 		    used + needed + 5 > sizeof(answer->headers))
 			continue;
-		used += (size_t)snprintf(answer->headers + used,
-					 sizeof(answer->headers) - used,
-					 "%s: %s\r\n", header->name,
-					 header->value);
+		used += (size_t)snprintf(
+			answer->headers + used, sizeof(answer->headers) - used,
+			"%s: %s\r\n", header->name, header->value);
 	}
 }
 
@@ -231,8 +240,8 @@
 
 	fleet_sent(fleet, target, upstream_now_ms(), &choice);
 	plain_send(transfer, target, result);
-	fleet_ended(fleet, &choice, NULL,
-		    outcome_of(&transfer->answer, result), upstream_now_ms());
+	fleet_ended(fleet, &choice, NULL, outcome_of(&transfer->answer, result),
+		    upstream_now_ms());
 }
 
 /** Whether another endpoint may be tried, and whether that needs budget. */
@@ -307,8 +316,7 @@
 {
 	const config_t *config = request->config;
 	const config_route_t *route = &config->routes[request->route];
-	int pool = fleet_find_pool(plain->fleet,
-				   config->pools[route->pool].id);
+	int pool = fleet_find_pool(plain->fleet, config->pools[route->pool].id);
 
 	metrics_add(METRIC_REQUESTS_PLAIN, 1);
 	if (!config_route_is_idempotent(route, request->caller->method)) {
--- a/request/plain_order.c
+++ b/request/plain_order.c
@@ -343,9 +343,9 @@
 	randombytes_buf(&order.nonce, sizeof(order.nonce));
 	digest_request(request, digest);
 	if (pool >= 0)
-		run->target_count = fleet_list(fleet, pool, run->targets,
-					       ORDER_ENDPOINTS_MAX,
-					       upstream_now_ms());
+		run->target_count =
+			fleet_list(fleet, pool, run->targets,
+				   ORDER_ENDPOINTS_MAX, upstream_now_ms());
 	for (size_t i = 0; i < run->target_count; i++)
 		order.endpoints[i] = run->targets[i].id;
 	order.endpoint_count = run->target_count;
--- a/request/relay.c
+++ b/request/relay.c
@@ -112,7 +112,8 @@
 	       relay_plan_t *plan, chat_problem_t *problem)
 {
 	const config_customer_t *customer = &config->customers[customer_index];
-	int32_t pool = config_find_customer_model(config, customer, chat->model);
+	int32_t pool =
+		config_find_customer_model(config, customer, chat->model);
 	int32_t model = config_find_model(config, chat->model);
 
 	*plan = (relay_plan_t){ 0 };
@@ -152,8 +153,7 @@
 		       chat_problem_t *problem)
 {
 	const relay_request_t *request = job->request;
-	const char *customer =
-		request->config->customers[request->customer].id;
+	const char *customer = request->config->customers[request->customer].id;
 
 	if (token->customer_hash != hash_string(customer))
 		return refuse(problem, ERR_RESUME_TOKEN,
@@ -261,10 +261,10 @@
 	routing->isolated = isolated;
 	routing->excluded = job->attempt.excluded;
 	routing->excluded_count = job->attempt.excluded_count;
-	routing->weights_version = same_weights && job->output.position &&
-						   *job->weights_version
-					   ? job->weights_version
-					   : NULL;
+	routing->weights_version =
+		same_weights && job->output.position && *job->weights_version
+			? job->weights_version
+			: NULL;
 	return fleet_choose(job->relay->fleet, job->plan.fleet_pool, routing,
 			    upstream_now_ms(), &job->choice);
 }
@@ -385,8 +385,8 @@
 					    job->chat.model);
 			return;
 		case ATTEMPT_GIVE_UP:
-			fail(job, action.give_up.err,
-			     &action.give_up.run_state, NULL);
+			fail(job, action.give_up.err, &action.give_up.run_state,
+			     NULL);
 			return;
 		case ATTEMPT_REQUEUE:
 			err = requeue(job);
@@ -424,10 +424,9 @@
 	const char *deadline = server_header(caller, "X-Deadline-Ms");
 	const char *kind = server_header(caller, "X-Kind");
 
-	if (deadline &&
-	    (!*deadline || strlen(deadline) > 8 ||
-	     strspn(deadline, "0123456789") != strlen(deadline) ||
-	     strtoul(deadline, NULL, 10) > DEADLINE_MAX_MS))
+	if (deadline && (!*deadline || strlen(deadline) > 8 ||
+			 strspn(deadline, "0123456789") != strlen(deadline) ||
+			 strtoul(deadline, NULL, 10) > DEADLINE_MAX_MS))
 		return refuse(problem, ERR_BAD_FIELD,
 			      "header 'X-Deadline-Ms' must be a whole number "
 			      "from 0 to 86400000");
--- a/request/relay_output.c
+++ b/request/relay_output.c
@@ -207,9 +207,8 @@
 	output->position++;
 	metrics_add(METRIC_RELAYED_TOKENS, 1);
 	output->on_token(output->context);
-	return output->stream
-		       ? send_event(output, event->data, event->data_len)
-		       : 0;
+	return output->stream ? send_event(output, event->data, event->data_len)
+			      : 0;
 }
 
 static int take_last_chunk(relay_output_t *output, const sse_event_t *event,
--- a/request/relay_output.h
+++ b/request/relay_output.h
@@ -39,10 +39,10 @@
 	server_request_t *caller;
 	const resume_key_t *key;
 	chat_kind_t kind;
-	bool stream;	  /**< The caller asked for events. */
-	bool resumed;	  /**< The caller came with Last-Event-ID. */
-	bool has_head;	  /**< The status was sent. */
-	bool has_last;	  /**< The chunk with finish_reason was sent. */
+	bool stream;	      /**< The caller asked for events. */
+	bool resumed;	      /**< The caller came with Last-Event-ID. */
+	bool has_head;	      /**< The status was sent. */
+	bool has_last;	      /**< The chunk with finish_reason was sent. */
 	resume_token_t token; /**< Names the attempt in progress. */
 	uint64_t position;    /**< Tokens relayed. */
 	uint64_t text_hash;
