connection: find the caller's socket by its addresses

CivetWeb does not hand out the socket, and without it a closed connection is seen only by a failed write.

--- a/connection/server.c
+++ b/connection/server.c
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <netdb.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -36,44 +37,42 @@
 	server_settings_t settings;
 };
 
-/** Whether a descriptor is the server side of this connection. */
-static bool is_caller_fd(int fd, const struct mg_request_info *info)
-{
-	struct sockaddr_storage peer = { 0 };
-	socklen_t size = sizeof(peer);
-	char text[INET6_ADDRSTRLEN] = "";
-	int port = 0;
+/** An address of either family. */
+typedef union address {
+	struct sockaddr any;
+	struct sockaddr_in v4;
+	struct sockaddr_in6 v6;
+} address_t;
 
-	if (getpeername(fd, (struct sockaddr *)&peer, &size))
-		return false;
-	if (peer.ss_family == AF_INET) {
-		const struct sockaddr_in *in = (const void *)&peer;
-
-		port = ntohs(in->sin_port);
-		if (port == info->remote_port)
-			inet_ntop(AF_INET, &in->sin_addr, text, sizeof(text));
-	} else if (peer.ss_family == AF_INET6) {
-		const struct sockaddr_in6 *in = (const void *)&peer;
-
-		port = ntohs(in->sin6_port);
-		if (port == info->remote_port)
-			inet_ntop(AF_INET6, &in->sin6_addr, text, sizeof(text));
+static int port_of(const address_t *address)
+{
+	switch (address->any.sa_family) {
+	case AF_INET:
+		return ntohs(address->v4.sin_port);
+	case AF_INET6:
+		return ntohs(address->v6.sin6_port);
+	default:
+		return 0;
 	}
-	return port == info->remote_port && !strcmp(text, info->remote_addr);
 }
 
-static bool is_local_port(int fd, int server_port)
+/** Whether a descriptor is the server side of this connection. */
+static bool is_caller_fd(int fd, const struct mg_request_info *info)
 {
-	struct sockaddr_storage local = { 0 };
-	socklen_t size = sizeof(local);
+	address_t peer = { 0 };
+	address_t local = { 0 };
+	socklen_t peer_bytes = sizeof(peer);
+	socklen_t local_bytes = sizeof(local);
+	char text[INET6_ADDRSTRLEN] = "";
 
-	if (getsockname(fd, (struct sockaddr *)&local, &size))
+	if (getpeername(fd, &peer.any, &peer_bytes) ||
+	    port_of(&peer) != info->remote_port ||
+	    getsockname(fd, &local.any, &local_bytes) ||
+	    port_of(&local) != info->server_port)
 		return false;
-	if (local.ss_family == AF_INET)
-		return ntohs(((const struct sockaddr_in *)(const void *)&local)
-				     ->sin_port) == server_port;
-	return ntohs(((const struct sockaddr_in6 *)(const void *)&local)
-			     ->sin6_port) == server_port;
+	return !getnameinfo(&peer.any, peer_bytes, text, sizeof(text), NULL, 0,
+			    NI_NUMERICHOST) &&
+	       !strcmp(text, info->remote_addr);
 }
 
 /**
@@ -91,8 +90,7 @@
 	 * run of unused numbers ends the search. */
 	for (int fd = FIRST_FD; (rlim_t)fd < limit.rlim_cur && misses < 256;
 	     fd++) {
-		if (is_caller_fd(fd, info) &&
-		    is_local_port(fd, info->server_port))
+		if (is_caller_fd(fd, info))
 			return fd;
 		misses = fcntl(fd, F_GETFD) < 0 ? misses + 1 : 0;
 	}
