request: ask the crash guard before each attempt

A request that crashes engines could be sent again by its caller and take more of them. Each attempt now asks the crash guard, which refuses it after two crashes. A lost connection counts as a crash only if the engine is gone or has another incarnation; otherwise the request goes on elsewhere and is no suspect.

--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -22,6 +22,8 @@
 	CUT_WAIT_MS = 2000,
 	SECRET_MIN_BYTES = 16,
 	SECRET_MAX_BYTES = 512,
+	/** Until a configuration says otherwise. */
+	DEFAULT_QUARANTINE_MS = 600000,
 };
 
 static const char *const log_levels[] = { "debug", "info", "warn", "error",
@@ -142,6 +144,13 @@
 	return options.url ? store_client_open(&options, &router.store) : 0;
 }
 
+static uint64_t quarantine_ms(void)
+{
+	CLEANUP_CONFIG config_t *config = config_acquire();
+
+	return config ? config->limits.quarantine_ms : DEFAULT_QUARANTINE_MS;
+}
+
 static int open_state(void)
 {
 	const router_settings_t *settings = &router.settings;
@@ -162,9 +171,11 @@
 			 settings->port);
 	router.fleet = fleet_new((routing_policy_t)settings->policy, seed);
 	router.pool = upstream_pool_new(settings->endpoint_ca);
-	if (!router.fleet || !router.pool || open_store(seed))
+	if (!router.fleet || !router.pool || open_store(seed) ||
+	    crash_guard_open(quarantine_ms(), seed, &router.guard))
 		return ERR_NO_MEMORY;
-	relay_init(&router.relay, &relay, router.fleet, router.pool);
+	relay_init(&router.relay, &relay, router.fleet, router.pool,
+		   router.guard);
 	router.plain = (plain_t){
 		.settings = { .instance = router.instance,
 			      .connect_timeout_ms =
@@ -240,6 +251,7 @@
 static void close_state(void)
 {
 	relay_destroy(&router.relay);
+	crash_guard_close(router.guard);
 	upstream_pool_free(router.pool);
 	store_client_close(router.store);
 	fleet_free(router.fleet);
@@ -251,15 +263,15 @@
 	pthread_t poller;
 	pthread_t timer;
 	int number;
-	int err = open_state();
+	int err = 0;
 
+	if (router.settings.bootstrap)
+		err = router_load_bootstrap(router.settings.bootstrap);
+	if (err)
+		return fail("bootstrap", err);
+	err = open_state();
 	if (err)
 		return fail("state", err);
-	if (router.settings.bootstrap) {
-		err = router_load_bootstrap(router.settings.bootstrap);
-		if (err)
-			return fail("bootstrap", err);
-	}
 	router_apply_config(&router);
 	err = open_server();
 	if (err)
--- a/cmd/router.h
+++ b/cmd/router.h
@@ -49,6 +49,7 @@
 	fleet_t *fleet;
 	upstream_pool_t *pool;
 	store_client_t *store; /**< NULL without a store. */
+	crash_guard_t *guard;
 	relay_t relay;
 	plain_t plain;
 	server_t *server;
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -550,6 +550,14 @@
 			  weights_version, now_ms);
 }
 
+uint64_t fleet_incarnation(fleet_t *fleet, const fleet_choice_t *choice)
+{
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	return choice->slot < 0 ? 0
+				: fleet->slots[choice->slot]->state.incarnation;
+}
+
 void fleet_first_token(fleet_t *fleet, int pool, fleet_choice_t *choice,
 		       const routing_request_t *request, uint32_t cached_tokens,
 		       uint32_t queue_ms, uint64_t now_ms)
--- a/process/fleet.h
+++ b/process/fleet.h
@@ -155,6 +155,9 @@
 		    uint64_t incarnation, const char *weights_version,
 		    uint64_t now_ms);
 
+/** Incarnation of the endpoint as far as it is known; 0 if not. */
+uint64_t fleet_incarnation(fleet_t *fleet, const fleet_choice_t *choice);
+
 /** Learns from the prefill event. */
 void fleet_first_token(fleet_t *fleet, int pool, fleet_choice_t *choice,
 		       const routing_request_t *request, uint32_t cached_tokens,
--- a/request/attempt.c
+++ b/request/attempt.c
@@ -106,6 +106,8 @@
 		return give_up(attempt, ERR_BAD_FIELD);
 	case ATTEMPT_END_LOST:
 		return lost(attempt, end);
+	case ATTEMPT_END_CUT:
+		return ran_badly(attempt, end, ERR_ENDPOINT_LOST);
 	case ATTEMPT_END_TIMEOUT:
 		return ran_badly(attempt, end, ERR_TIMEOUT);
 	case ATTEMPT_END_BAD_ANSWER:
--- a/request/attempt.h
+++ b/request/attempt.h
@@ -35,7 +35,8 @@
 	ATTEMPT_END_NOT_SENT,	 /**< No connection; no byte was sent. */
 	ATTEMPT_END_REFUSED,	 /**< The engine took no work; not run. */
 	ATTEMPT_END_REJECTED,	 /**< The engine found the request wrong. */
-	ATTEMPT_END_LOST,	 /**< Connection lost after sending. */
+	ATTEMPT_END_LOST,	 /**< The engine died after sending. */
+	ATTEMPT_END_CUT,	 /**< Connection lost, the engine lives. */
 	ATTEMPT_END_TIMEOUT,	 /**< No byte for too long. */
 	ATTEMPT_END_BAD_ANSWER,	 /**< Broke the protocol. */
 	ATTEMPT_END_MISMATCH,	 /**< Answer of another attempt. */
--- a/request/relay.c
+++ b/request/relay.c
@@ -20,17 +20,20 @@
 	/** Wait for an engine that can run a suspect alone. */
 	ISOLATION_WAIT_MS = 2000,
 	ISOLATION_STEP_MS = 50,
+	/** Wait for the permission to run a suspect. */
+	PERMISSION_WAIT_MS = 10000,
 	/** Longest value of X-Deadline-Ms. */
 	DEADLINE_MAX_MS = 24 * 3600 * 1000,
 };
 
 void relay_init(relay_t *relay, const relay_settings_t *settings,
-		fleet_t *fleet, upstream_pool_t *pool)
+		fleet_t *fleet, upstream_pool_t *pool, crash_guard_t *guard)
 {
 	*relay = (relay_t){
 		.settings = *settings,
 		.fleet = fleet,
 		.pool = pool,
+		.guard = guard,
 	};
 	/* Request ids must differ between runs of one instance name. */
 	snprintf(relay->instance, sizeof(relay->instance), "%08x%08x",
@@ -294,7 +297,7 @@
 {
 	int err = ERR_NO_ENDPOINT;
 
-	if (job->attempt.isolated)
+	if (job->attempt.isolated || job->guard_run.isolated)
 		err = choose_isolated(job);
 	if (err == ERR_NO_ENDPOINT)
 		err = choose_once(job, false, true);
@@ -305,12 +308,8 @@
 
 /* The request from begin to end. */
 
-static attempt_end_t run_once(relay_job_t *job)
+static attempt_end_t end_unsent(const relay_job_t *job, int err)
 {
-	int err = choose(job);
-
-	if (!err)
-		return relay_run_attempt(job);
 	return (attempt_end_t){
 		.kind = err == ERR_NO_ENDPOINT ? ATTEMPT_END_NO_ENDPOINT
 					       : ATTEMPT_END_STOPPED,
@@ -319,6 +318,49 @@
 	};
 }
 
+/** Asks whether the request may run; a suspect waits for its permission. */
+static int begin_guarded(relay_job_t *job)
+{
+	uint64_t until_ms = upstream_now_ms() + PERMISSION_WAIT_MS;
+	uint64_t retry_after_ms = 0;
+	int err;
+
+	if (job->deadline_at_ms && !job->had_token &&
+	    job->deadline_at_ms < until_ms)
+		until_ms = job->deadline_at_ms;
+	err = crash_guard_begin(job->relay->guard, job->plan.prefix.fingerprint,
+				until_ms, &job->guard_run, &retry_after_ms);
+	job->retry_after_ms = (uint32_t)retry_after_ms;
+	return err;
+}
+
+static crash_guard_result_t guard_result(attempt_end_kind_t kind)
+{
+	switch (kind) {
+	case ATTEMPT_END_COMPLETE:
+		return CRASH_GUARD_COMPLETED;
+	case ATTEMPT_END_LOST:
+		return CRASH_GUARD_CRASHED;
+	default:
+		return CRASH_GUARD_ABANDONED;
+	}
+}
+
+static attempt_end_t run_once(relay_job_t *job)
+{
+	attempt_end_t end;
+	int err = begin_guarded(job);
+
+	if (err)
+		return end_unsent(job, err);
+	job->crash = 0;
+	err = choose(job);
+	end = err ? end_unsent(job, err) : relay_run_attempt(job);
+	crash_guard_end(job->relay->guard, &job->guard_run,
+			guard_result(end.kind), job->crash);
+	return end;
+}
+
 static attempt_end_t run_first(relay_job_t *job)
 {
 	resume_token_t *token = &job->output.token;
@@ -366,6 +408,8 @@
 
 	if (job->admitted && job->admission.state == FLEET_SHED)
 		error.retry_after_ms = job->admission.retry_after_ms;
+	else if (err == ERR_QUARANTINED)
+		error.retry_after_ms = job->retry_after_ms;
 	relay_output_fail(&job->output, &error);
 }
 
--- a/request/relay.h
+++ b/request/relay.h
@@ -21,6 +21,7 @@
 
 #include "connection/server.h"
 #include "connection/upstream.h"
+#include "process/crash_guard.h"
 #include "process/fleet.h"
 #include "request/chat.h"
 #include "request/resume_token.h"
@@ -45,6 +46,7 @@
 	relay_settings_t settings;
 	fleet_t *fleet;
 	upstream_pool_t *pool;
+	crash_guard_t *guard;
 	resume_key_t key;
 	char instance[RELAY_INSTANCE_MAX_BYTES];
 	pthread_mutex_t lock;
@@ -61,7 +63,7 @@
 } relay_request_t;
 
 void relay_init(relay_t *relay, const relay_settings_t *settings,
-		fleet_t *fleet, upstream_pool_t *pool);
+		fleet_t *fleet, upstream_pool_t *pool, crash_guard_t *guard);
 void relay_destroy(relay_t *relay);
 
 /** Serves one request; always answers unless the caller is gone. */
--- a/request/relay_attempt.c
+++ b/request/relay_attempt.c
@@ -18,6 +18,8 @@
 	CANCEL_TOTAL_MS = 1000,
 	/** Longest body of a refusal that is read to its end, bytes. */
 	REFUSAL_MAX_BYTES = 64 * 1024,
+	/** Longest load report, bytes. */
+	PROBE_MAX_BYTES = 4096,
 };
 
 /** X-Priority of each urgency class. */
@@ -283,6 +285,7 @@
 		return job->is_leaving ? ENDPOINT_REFUSED : ENDPOINT_CANCELLED;
 	case ATTEMPT_END_LOST:
 		return ENDPOINT_LOST;
+	case ATTEMPT_END_CUT:
 	case ATTEMPT_END_NOT_SENT:
 	case ATTEMPT_END_TIMEOUT:
 	case ATTEMPT_END_BAD_ANSWER:
@@ -298,7 +301,8 @@
 	/* After a mismatch the id belongs to a stream of someone else. */
 	return *job->stream_id &&
 	       (kind == ATTEMPT_END_STOPPED || kind == ATTEMPT_END_PREEMPTED ||
-		kind == ATTEMPT_END_TIMEOUT || kind == ATTEMPT_END_BAD_ANSWER);
+		kind == ATTEMPT_END_TIMEOUT || kind == ATTEMPT_END_CUT ||
+		kind == ATTEMPT_END_BAD_ANSWER);
 }
 
 /** Tells the engine to stop; without it the engine goes on for a while. */
@@ -325,11 +329,83 @@
 		upstream_run(job->relay->pool, &call, &result);
 }
 
+/** Load report of a probe. */
+typedef struct probe {
+	char text[PROBE_MAX_BYTES];
+	size_t len;
+} probe_t;
+
+static int take_probe(void *context, const char *bytes, size_t len)
+{
+	probe_t *probe = context;
+
+	if (probe->len + len > sizeof(probe->text))
+		return ERR_ENDPOINT_ANSWER;
+	memcpy(probe->text + probe->len, bytes, len);
+	probe->len += len;
+	return 0;
+}
+
+static uint64_t probed_incarnation(const probe_t *probe)
+{
+	CLEANUP_JSON json_t *report =
+		json_loadb(probe->text, probe->len, 0, NULL);
+
+	return (uint64_t)json_integer_value(
+		json_object_get(report, "incarnation"));
+}
+
+/**
+ * Tells the death of an engine from the loss of a connection: only a dead or
+ * restarted engine makes its requests suspects.
+ */
+static bool is_engine_dead(const relay_job_t *job, uint64_t incarnation)
+{
+	probe_t probe = { .len = 0 };
+	upstream_result_t result = { 0 };
+	upstream_call_t call = {
+		.address = job->call.address,
+		.port = job->call.port,
+		.tls = job->call.tls,
+		.method = "GET",
+		.path = "/engine/load",
+		.connect_timeout_ms = CANCEL_CONNECT_MS,
+		.deadline_ms = upstream_now_ms() + CANCEL_TOTAL_MS,
+		.fresh_connection = true,
+		.caller_fd = -1,
+		.take_body = take_probe,
+		.context = &probe,
+	};
+
+	upstream_run(job->relay->pool, &call, &result);
+	if (result.err)
+		return result.err == ERR_CONNECT ||
+		       result.err == ERR_ENDPOINT_LOST;
+	return incarnation && probed_incarnation(&probe) != incarnation;
+}
+
+/** Settles whether a lost connection means a crash, and its identity. */
+static attempt_end_kind_t judge_loss(relay_job_t *job)
+{
+	uint64_t incarnation =
+		*job->stream_id
+			? incarnation_number(job->incarnation)
+			: fleet_incarnation(job->relay->fleet, &job->choice);
+
+	if (!is_engine_dead(job, incarnation))
+		return ATTEMPT_END_CUT;
+	job->crash = crash_guard_crash_id(job->choice.target.id_hash,
+					  incarnation);
+	return ATTEMPT_END_LOST;
+}
+
 static attempt_end_t end_attempt(relay_job_t *job,
 				 const upstream_result_t *result)
 {
 	attempt_end_kind_t kind = kind_of(job, result);
 
+	if (kind == ATTEMPT_END_LOST)
+		kind = judge_loss(job);
 	if (kind != ATTEMPT_END_COMPLETE)
 		event_log(EVENT_ATTEMPT_ENDED,
 			  "attempt=%s endpoint=%s kind=%d error=%s status=%ld "
--- a/request/relay_job.h
+++ b/request/relay_job.h
@@ -31,6 +31,9 @@
 	uint64_t deadline_at_ms; /**< Monotonic; 0 for none. */
 	bool had_token;		 /**< In any attempt. */
 	bool admitted;
+	crash_guard_run_t guard_run;
+	uint64_t crash; /**< Identity of the crash that ended the attempt. */
+	uint32_t retry_after_ms;
 	/* The attempt in progress. */
 	upstream_call_t call;
 	sse_parser_t parser;
--- a/t/test-attempt.c
+++ b/t/test-attempt.c
@@ -60,7 +60,7 @@
 	  2,
 	  true },
 	{ "a slow or wrong engine is no reason to isolate the request",
-	  { RETRY(ATTEMPT_END_TIMEOUT, true), RETRY(ATTEMPT_END_MISMATCH, true),
+	  { RETRY(ATTEMPT_END_TIMEOUT, true), RETRY(ATTEMPT_END_CUT, true),
 	    GIVE_UP(ATTEMPT_END_BAD_ANSWER, ERR_ENDPOINT_ANSWER,
 		    RUN_STATE_UNKNOWN) },
 	  3,
--- a/t/test-it-model.c
+++ b/t/test-it-model.c
@@ -149,7 +149,33 @@
 	g_assert_false(http_stream_is_done(stream));
 }
 
-/* One request that kills its engines must not take a third one. */
+static void assert_refused(const http_answer_t *answer, long status,
+			   const char *type)
+{
+	g_autofree char *state = http_answer_header(answer, "X-Run-State");
+	const char *given_type = NULL;
+	const char *ran = NULL;
+
+	g_assert_cmpint(answer->status, ==, status);
+	g_assert_cmpint(json_unpack(answer->json, "{s:{s:s,s:s}}", "error",
+				    "type", &given_type, "ran", &ran),
+			==, 0);
+	g_assert_cmpstr(given_type, ==, type);
+	g_assert_cmpstr(ran, ==, "not_run");
+	g_assert_cmpstr(state, ==, "not_run");
+}
+
+static int count_running(rig_t *rig)
+{
+	int running = 0;
+
+	for (int i = 0; i < rig->options.engines; i++)
+		running += program_is_running(rig->engines[i]);
+	return running;
+}
+
+/* One request that kills its engines must not take a third one, and not when
+ * its caller sends it again either. */
 static void test_at_most_two_engines_are_lost(void)
 {
 	rig_options_t options = {
@@ -160,22 +186,57 @@
 	};
 	g_autoptr(rig_t) rig = rig_start(&options);
 	CLEANUP_FREE char *body = rig_body("poison", LONG_TOKENS, true);
+	CLEANUP_FREE char *good = rig_body("harmless", 10, true);
 	g_autoptr(http_stream_t) stream =
 		rig_stream(rig, 0, RIG_KEY_1, body, NULL);
-	int running = 0;
+	g_autoptr(http_stream_t) other = NULL;
 
 	http_stream_wait(stream);
 	g_assert_false(http_stream_is_done(stream));
-	g_assert_true(WAIT_UNTIL(
-		!program_is_running(rig->engines[0]) +
-				!program_is_running(rig->engines[1]) +
-				!program_is_running(rig->engines[2]) +
-				!program_is_running(rig->engines[3]) ==
-			2,
-		HARNESS_WAIT_MS));
-	for (int i = 0; i < options.engines; i++)
-		running += program_is_running(rig->engines[i]);
-	g_assert_cmpint(running, ==, 2);
+	g_assert_true(WAIT_UNTIL(count_running(rig) == 2, HARNESS_WAIT_MS));
+	for (int i = 0; i < 3; i++) {
+		g_autoptr(http_answer_t) again = rig_chat(rig, 0, body);
+
+		assert_refused(again, 422, "quarantined");
+	}
+	g_assert_cmpint(count_running(rig), ==, 2);
+	other = rig_stream(rig, 0, RIG_KEY_1, good, NULL);
+	assert_complete(other, good);
+}
+
+/** Engine that a body would be sent to. */
+static int explained_engine(rig_t *rig, const char *body)
+{
+	static const char *const headers[] = { RIG_OPERATOR, "X-Customer: c1",
+					       NULL };
+	g_autoptr(http_answer_t) answer = http_local(
+		"POST", rig->ports[0], "/admin/explain", headers, body);
+	const char *name = NULL;
+
+	g_assert_cmpint(answer->status, ==, 200);
+	g_assert_cmpint(json_unpack(answer->json, "{s:s}", "endpoint", &name),
+			==, 0);
+	return name[1] - '0';
+}
+
+/* The connection is lost and the engine lives: the request is no suspect and
+ * goes on at once. */
+static void test_connection_cut(void)
+{
+	rig_options_t options = { .engines = 2, .routers = 1 };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("cut off", LONG_TOKENS, true);
+	int engine = explained_engine(rig, body);
+	g_autoptr(http_stream_t) stream = NULL;
+
+	standin_control(rig->engine_ports[engine],
+			"{\"close_streams\":1,\"close_after_tokens\":5}");
+	stream = rig_stream(rig, 0, RIG_KEY_1, body, NULL);
+	assert_complete(stream, body);
+	g_assert_cmpuint(http_stream_count(stream), ==, LONG_TOKENS + 3);
+	g_assert_cmpint(rig_metric(rig, 0,
+				   "amv_errors_total{type=\"quarantined\"}"),
+			==, 0);
 }
 
 /* An answer with another attempt's number must not reach the caller. */
@@ -369,22 +430,6 @@
 	  "unauthenticated" },
 };
 
-static void assert_refused(const http_answer_t *answer, long status,
-			   const char *type)
-{
-	g_autofree char *state = http_answer_header(answer, "X-Run-State");
-	const char *given_type = NULL;
-	const char *ran = NULL;
-
-	g_assert_cmpint(answer->status, ==, status);
-	g_assert_cmpint(json_unpack(answer->json, "{s:{s:s,s:s}}", "error",
-				    "type", &given_type, "ran", &ran),
-			==, 0);
-	g_assert_cmpstr(given_type, ==, type);
-	g_assert_cmpstr(ran, ==, "not_run");
-	g_assert_cmpstr(state, ==, "not_run");
-}
-
 static int connect_to(uint16_t port)
 {
 	struct sockaddr_in address = {
@@ -700,6 +745,7 @@
 	g_test_add_func("/model/no-engine-left", test_no_engine_left);
 	g_test_add_func("/model/two-engines",
 			test_at_most_two_engines_are_lost);
+	g_test_add_func("/model/connection-cut", test_connection_cut);
 	g_test_add_func("/model/wrong-attempt", test_wrong_attempt_is_dropped);
 	g_test_add_func("/model/customers", test_customers_share_no_cache);
 	g_test_add_func("/model/empty-under-belief", test_empty_under_a_belief);
