--- a/Makefile
+++ b/Makefile
@@ -78,10 +78,16 @@
 $(BUILD)/t/%: $(BUILD)/t/%.o $(TESTLIB) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(PKG_LIBS)
 
-check: all
+# The packages come first, and make starts again after them: the flags above
+# are read by pkg-config, which is one of the packages.
+check:
+	.ci/install-packages
+	$(MAKE) all
 	BUILD=$(BUILD) t/run-tests.sh $(TESTS)
 
-demo: progs
+demo:
+	.ci/install-packages
+	$(MAKE) progs
 	BUILD=$(BUILD) t/demo.sh
 
 format:
--- a/request/relay_attempt.c
+++ b/request/relay_attempt.c
@@ -394,8 +394,8 @@
 
 	if (!is_engine_dead(job, incarnation))
 		return ATTEMPT_END_CUT;
-	job->crash = crash_guard_crash_id(job->choice.target.id_hash,
-					  incarnation);
+	job->crash =
+		crash_guard_crash_id(job->choice.target.id_hash, incarnation);
 	return ATTEMPT_END_LOST;
 }
 
--- a/t/test-it-model.c
+++ b/t/test-it-model.c
@@ -234,9 +234,9 @@
 	stream = rig_stream(rig, 0, RIG_KEY_1, body, NULL);
 	assert_complete(stream, body);
 	g_assert_cmpuint(http_stream_count(stream), ==, LONG_TOKENS + 3);
-	g_assert_cmpint(rig_metric(rig, 0,
-				   "amv_errors_total{type=\"quarantined\"}"),
-			==, 0);
+	g_assert_cmpint(
+		rig_metric(rig, 0, "amv_errors_total{type=\"quarantined\"}"),
+		==, 0);
 }
 
 /* An answer with another attempt's number must not reach the caller. */
