t: compare placement policies on real processes in one run

Policies must be compared side by side under the same noise. bench-fleet.sh starts routers and engines for each policy, and amaranthvale-load sends the same requests at the same times to all of them.

--- /dev/null
+++ b/t/bench-fleet.sh
@@ -0,0 +1,110 @@
+#!/usr/bin/env bash
+# Compares placement policies on real processes, side by side in one run: each
+# policy has its own routers and engines and gets the same requests at the same
+# times. All on loopback.
+#
+# Environment: POLICIES, ENGINES and ROUTERS for each policy, CACHE_BLOCKS.
+# Arguments go to amaranthvale-load, for example --rate 8 --seed 1.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD:-build}
+policies=${POLICIES:-prefix random round_robin least_loaded prompt_hash first_level_hash}
+engines=${ENGINES:-8}
+routers=${ROUTERS:-3}
+cache_blocks=${CACHE_BLOCKS:-80}
+block_tokens=200
+prefill=2000
+customers=8
+work=$(mktemp -d)
+pids=()
+
+stop_all() {
+	for pid in "${pids[@]}"; do
+		kill "$pid" 2>/dev/null || true
+	done
+	for pid in "${pids[@]}"; do
+		wait "$pid" 2>/dev/null || true
+	done
+	rm -rf "$work"
+}
+trap stop_all EXIT
+
+# start NAME PROGRAM [ARGUMENT...]: starts a program in the background.
+start() {
+	local name=$1
+	shift
+	"$@" >"$work/$name.out" 2>"$work/$name.log" &
+	pids+=($!)
+}
+
+# await NAME: waits until a program has printed its port.
+await() {
+	for _ in $(seq 400); do
+		grep -q '^port=' "$work/$1.out" && return
+		sleep 0.05
+	done
+	echo "$1 did not start:" >&2
+	cat "$work/$1.log" >&2
+	exit 1
+}
+
+port() {
+	sed -n 's/^port=//p' "$work/$1.out"
+}
+
+# bootstrap POLICY: the configuration of one policy's routers.
+bootstrap() {
+	echo '{'
+	for i in $(seq "$engines"); do
+		printf '"endpoint/e%s":{"kind":"engine","pool":"pool",' "$i"
+		printf '"domain":"d%s","address":"127.0.0.1","port":%s},\n' \
+			$((i % 4)) "$(port "$1-e$i")"
+	done
+	for i in $(seq 0 $((customers - 1))); do
+		printf '"customer/c%s":{"salt":"c%s","urgency":"day",' "$i" "$i"
+		printf '"pools":["pool"],"key_sha256":"%s"},\n' \
+			"$(printf 'key-%s' "$i" | sha256sum | cut -d' ' -f1)"
+	done
+	cat <<-END
+	"urgency/day":{"time_zone":"UTC","fallback":"normal","rules":[
+	{"kind":"verdict","from_hour":0,"to_hour":24,"class":"urgent"},
+	{"kind":"summary","from_hour":0,"to_hour":24,"class":"deferrable"}]},
+	"pool/pool":{"model":"m1","weights_version":"v1"},
+	"model/m1":{"block_tokens":$block_tokens,
+	"prefill_tokens_per_s":$prefill}}
+	END
+}
+
+AMV_CLUSTER_KEY=bench-cluster-key
+export AMV_CLUSTER_KEY
+for policy in $policies; do
+	for i in $(seq "$engines"); do
+		start "$policy-e$i" "$build/t/standin-engine" --model m1 \
+			--weights-version v1 --block-tokens $block_tokens \
+			--prefill-tokens-per-s $prefill \
+			--cache-blocks "$cache_blocks" --threads 64
+	done
+done
+targets=()
+for policy in $policies; do
+	for i in $(seq "$engines"); do
+		await "$policy-e$i"
+	done
+	bootstrap "$policy" >"$work/$policy.json"
+	for i in $(seq "$routers"); do
+		start "$policy-r$i" "$build/amaranthvale-router" --port 0 \
+			--instance "$policy-r$i" --policy "$policy" \
+			--bootstrap "$work/$policy.json" --log-level error
+	done
+done
+for policy in $policies; do
+	urls=
+	for i in $(seq "$routers"); do
+		await "$policy-r$i"
+		urls=$urls,http://127.0.0.1:$(port "$policy-r$i")
+	done
+	targets+=("$policy=${urls#,}")
+done
+echo "# engines $engines routers $routers cache-blocks $cache_blocks $*"
+"$build/amaranthvale-load" --model m1 --block-tokens $block_tokens \
+	--customers $customers "$@" "${targets[@]}"
