--- a/t/test-lease.c
+++ b/t/test-lease.c
@@ -29,6 +29,7 @@
 	OTHERS,	     /**< Held by another under number 4. */
 	RELEASED,    /**< By another under number 4. */
 	HANDED_OVER, /**< Released for a third. */
+	OUR_EARLIER, /**< Our renewal before the one written last. */
 	OUR_WRITE,   /**< Exactly what was written last. */
 } found_t;
 
@@ -44,7 +45,7 @@
 
 static const struct {
 	const char *name;
-	step_t steps[8];
+	step_t steps[9];
 } cases[] = {
 	{ "first holder renews, then lapses while paused",
 	  { { READ, ERR_NOT_FOUND, NOTHING, 0, 0, "W", 0 },
@@ -75,6 +76,15 @@
 	  { { READ, ERR_NOT_FOUND, NOTHING, 0, 0, "W", 0 },
 	    { WRITTEN, ERR_STORE_UNKNOWN, NOTHING, 0, 400, "R", 0 },
 	    { READ, 0, OTHERS, 1, 500, "T", 0 } } },
+	{ "an earlier renewal that arrived late extends nothing",
+	  { { READ, ERR_NOT_FOUND, NOTHING, 0, 0, "W", 0 },
+	    { WRITTEN, 0, NOTHING, 1, 100, "AT", 1 },
+	    { TIMER, 0, NOTHING, 0, 1000, "W", 1 },
+	    { WRITTEN, ERR_STORE_UNKNOWN, NOTHING, 0, 1400, "R", 1 },
+	    { READ, 0, OUR_EARLIER, 1, 1500, "W", 1 },
+	    { WRITTEN, ERR_STORE_CONDITION, NOTHING, 0, 1900, "R", 1 },
+	    { READ, 0, OUR_EARLIER, 2, 1950, "W", 1 },
+	    { WRITTEN, ERR_STORE_UNKNOWN, NOTHING, 0, 2000, "LR", 0 } } },
 	{ "answer that comes after the term holds nothing",
 	  { { READ, ERR_NOT_FOUND, NOTHING, 0, 0, "W", 0 },
 	    { WRITTEN, 0, NOTHING, 1, 2000, "W", 0 },
@@ -86,7 +96,8 @@
 	    { WRITTEN, 0, NOTHING, 2, 300, "S", 0 } } },
 };
 
-static lease_record_t record_of(found_t found, const lease_t *lease)
+static lease_record_t record_of(found_t found, const lease_t *lease,
+				const lease_record_t *earlier)
 {
 	lease_record_t record = { .holder = "other",
 				  .nonce = 99,
@@ -95,6 +106,8 @@
 
 	if (found == OUR_WRITE)
 		return lease->written;
+	if (found == OUR_EARLIER)
+		return *earlier;
 	if (found != OTHERS)
 		record.holder[0] = '\0';
 	if (found == HANDED_OVER)
@@ -110,12 +123,15 @@
 	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
 		lease_actions_t actions;
 		lease_t lease;
+		lease_record_t earlier = { 0 };
 		rng_t rng;
 
 		rng_init(&rng, 1);
 		lease_begin(&lease, "self", 7, DURATION_MS, &rng, &actions);
 		for (const step_t *s = cases[c].steps; s->actions; s++) {
-			lease_record_t record = record_of(s->found, &lease);
+			lease_record_t record =
+				record_of(s->found, &lease, &earlier);
+			lease_record_t before = lease.written;
 			lease_event_t event = { .kind = s->kind,
 						.call = lease.call };
 			char got[LEASE_ACTIONS_MAX + 1] = "";
@@ -131,6 +147,8 @@
 			lease_step(&lease, &event, s->at_ms, &actions);
 			for (size_t i = 0; i < actions.count; i++)
 				got[i] = letters[actions.items[i].kind];
+			if (strchr(got, 'W'))
+				earlier = before;
 			g_test_message("%s at %d: %s", cases[c].name,
 				       (int)s->at_ms, got);
 			g_assert_cmpstr(got, ==, s->actions);
