--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,8 @@
 HEADERS := $(filter-out process/peer_proto.h,$(wildcard process/*.h \
 	connection/*.h version/*.h request/*.h cmd/*.h t/*.h t/lib/*.h))
 
-.PHONY: all progs check demo bench format check-format lint proto clean
+.PHONY: all progs check demo bench format check-format lint docs \
+	check-docs proto clean
 .SECONDARY:
 
 all: progs $(TESTS) $(BENCHES)
@@ -102,6 +103,12 @@
 		clang-tidy --quiet {} -- $(CPPFLAGS) -std=gnu11 $(PKG_CFLAGS) \
 		2>/dev/null
 
+docs: progs
+	BUILD=$(BUILD) t/docs.sh
+
+check-docs: progs
+	BUILD=$(BUILD) t/docs.sh --check
+
 # The generated files are committed; only this target needs rpcgen.
 proto:
 	cd process && rm -f peer_proto.h peer_proto_xdr.c && \
--- a/process/settings.c
+++ b/process/settings.c
@@ -260,18 +260,42 @@
 	return 0;
 }
 
+/** Usage text with the secrets, which have no flag of their own. */
+static char *usage_with_secrets(const char *usage, const setting_t *rows)
+{
+	char name[ENV_NAME_MAX_BYTES];
+	char *text = NULL;
+	size_t size;
+	FILE *out = open_memstream(&text, &size);
+
+	if (!out)
+		return NULL;
+	fputs(usage, out);
+	for (const setting_t *row = rows; row->flag; row++) {
+		if (!row->secret)
+			continue;
+		env_name(row->flag, name);
+		fprintf(out, "\nEnvironment only: %s: %s", name, row->text);
+	}
+	fclose(out);
+	return text;
+}
+
 static int read_flags(int argc, const char **argv, const setting_t *rows,
 		      size_t count, const char *usage, given_t *given,
 		      const char ***args)
 {
 	struct poptOption options[SETTINGS_MAX + 4] = { 0 };
+	CLEANUP_FREE char *help = usage_with_secrets(usage, rows);
 	poptContext context;
 	int value;
 	int err = 0;
 
+	if (!help)
+		return ERR_NO_MEMORY;
 	fill_options(options, rows, count);
 	context = poptGetContext(NULL, argc, argv, options, 0);
-	poptSetOtherOptionHelp(context, usage);
+	poptSetOtherOptionHelp(context, help);
 	while ((value = poptGetNextOpt(context)) >= 0)
 		take_option(given, rows, value, context);
 	if (value < -1) {
--- /dev/null
+++ b/t/docs.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Prints the pages that come from the programs' own tables into docs/. With
+# --check it fails if a committed page differs from what the programs print.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD:-build}
+out=docs
+if [ "${1:-}" = --check ]; then
+	out=$(mktemp -d)
+	trap 'rm -rf "$out"' EXIT
+fi
+mkdir -p "$out/programs"
+
+"$build/amaranthvale" events >"$out/log-events.md"
+"$build/amaranthvale" errors >"$out/errors.md"
+for program in amaranthvale amaranthvale-router amaranthvale-load; do
+	{
+		printf '# %s\n\nPrinted by `%s --help`. ' "$program" "$program"
+		printf 'A flag `--store-url` can be given as `AMV_STORE_URL`; '
+		printf 'the flag goes first.\n\n```\n'
+		COLUMNS=80 "$build/$program" --help
+		printf '```\n'
+	} >"$out/programs/$program.md"
+done
+
+[ "$out" = docs ] && exit 0
+for page in log-events.md errors.md programs/amaranthvale.md \
+	programs/amaranthvale-router.md programs/amaranthvale-load.md; do
+	diff -u "docs/$page" "$out/$page" ||
+		{ echo "docs/$page is out of date: run make docs"; exit 1; }
+done
