t: measure what one instance adds to an engine called directly

The cost of relaying must come from a run in which the same requests also go to an engine directly. The functions for starting programs, which stood in two scripts, are now in t/lib/processes.sh.

--- a/cmd/load_run.c
+++ b/cmd/load_run.c
@@ -174,6 +174,12 @@
 	add_header(transfer, "Authorization", value);
 	add_header(transfer, "Content-Type", "application/json");
 	add_header(transfer, "X-Kind", load_kind_name(transfer->request.kind));
+	/* For targets that are engines: what an instance would tell them. */
+	snprintf(value, sizeof(value), "load-%llu.1",
+		 (unsigned long long)transfer->request.number);
+	add_header(transfer, "X-Attempt", value);
+	snprintf(value, sizeof(value), "c%u", transfer->request.customer);
+	add_header(transfer, "X-Cache-Salt", value);
 	if (transfer->request.kind == LOAD_ORDER)
 		add_header(transfer, "Idempotency-Key", transfer->request.key);
 }
--- a/t/bench-fleet.sh
+++ b/t/bench-fleet.sh
@@ -15,55 +15,18 @@
 block_tokens=200
 prefill=2000
 customers=8
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-	for pid in "${pids[@]}"; do
-		kill "$pid" 2>/dev/null || true
-	done
-	for pid in "${pids[@]}"; do
-		wait "$pid" 2>/dev/null || true
-	done
-	rm -rf "$work"
-}
-trap stop_all EXIT
-
-# start NAME PROGRAM [ARGUMENT...]: starts a program in the background.
-start() {
-	local name=$1
-	shift
-	"$@" >"$work/$name.out" 2>"$work/$name.log" &
-	pids+=($!)
-}
-
-# await NAME: waits until a program has printed its port.
-await() {
-	for _ in $(seq 400); do
-		grep -q '^port=' "$work/$1.out" && return
-		sleep 0.05
-	done
-	echo "$1 did not start:" >&2
-	cat "$work/$1.log" >&2
-	exit 1
-}
-
-port() {
-	sed -n 's/^port=//p' "$work/$1.out"
-}
+. t/lib/processes.sh
 
 # bootstrap POLICY: the configuration of one policy's routers.
 bootstrap() {
 	echo '{'
 	for i in $(seq "$engines"); do
-		printf '"endpoint/e%s":{"kind":"engine","pool":"pool",' "$i"
-		printf '"domain":"d%s","address":"127.0.0.1","port":%s},\n' \
-			$((i % 4)) "$(port "$1-e$i")"
+		endpoint "e$i" "$1-e$i" engine pool "d$((i % 4))"
 	done
 	for i in $(seq 0 $((customers - 1))); do
 		printf '"customer/c%s":{"salt":"c%s","urgency":"day",' "$i" "$i"
 		printf '"pools":["pool"],"key_sha256":"%s"},\n' \
-			"$(printf 'key-%s' "$i" | sha256sum | cut -d' ' -f1)"
+			"$(key_digest "key-$i")"
 	done
 	cat <<-END
 	"urgency/day":{"time_zone":"UTC","fallback":"normal","rules":[
@@ -101,7 +64,7 @@
 	urls=
 	for i in $(seq "$routers"); do
 		await "$policy-r$i"
-		urls=$urls,http://127.0.0.1:$(port "$policy-r$i")
+		urls=$urls,$(url "$policy-r$i")
 	done
 	targets+=("$policy=${urls#,}")
 done
--- a/t/demo.sh
+++ b/t/demo.sh
@@ -5,42 +5,12 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD:-build}
-work=$(mktemp -d)
-pids=()
+. t/lib/processes.sh
 
-stop_all() {
-	for pid in "${pids[@]}"; do
-		kill "$pid" 2>/dev/null || true
-	done
-	for pid in "${pids[@]}"; do
-		wait "$pid" 2>/dev/null || true
-	done
-	rm -rf "$work"
-}
-trap stop_all EXIT
-
-# start NAME PROGRAM [ARGUMENT...]: runs a program and waits for its port.
-start() {
-	local name=$1
-	shift
-	"$@" >"$work/$name.out" 2>"$work/$name.log" &
-	pids+=($!)
-	for _ in $(seq 200); do
-		grep -q '^port=' "$work/$name.out" && return
-		kill -0 "${pids[-1]}" 2>/dev/null || break
-		sleep 0.05
-	done
-	echo "$name did not start:" >&2
-	cat "$work/$name.log" >&2
-	exit 1
-}
-
-port() {
-	sed -n 's/^port=//p' "$work/$1.out"
-}
-
-url() {
-	echo "http://127.0.0.1:$(port "$1")"
+# run NAME PROGRAM [ARGUMENT...]: starts a program and waits for its port.
+run() {
+	start "$@"
+	await "$1"
 }
 
 # metric NAME: sum of one metric over the routers.
@@ -52,29 +22,24 @@
 
 engine_args=(--model m1 --weights-version v1 --block-tokens 200
 	--prefill-tokens-per-s 4000)
-start store "$build/t/standin-store"
+run store "$build/t/standin-store"
 if [ -x "$build/t/standin-kv" ]; then
-	start kv "$build/t/standin-kv"
+	run kv "$build/t/standin-kv"
 	engine_args+=(--kv-url "$(url kv)")
 fi
 for engine in e1 e2 e3; do
-	start "$engine" "$build/t/standin-engine" "${engine_args[@]}"
+	run "$engine" "$build/t/standin-engine" "${engine_args[@]}"
 done
-start crews "$build/t/standin-plain"
+run crews "$build/t/standin-plain"
 
 customer_key=demo-customer-key
-digest=$(printf %s "$customer_key" | sha256sum | cut -d' ' -f1)
-endpoint() {
-	printf '"endpoint/%s":{"kind":"%s","pool":"%s","domain":"d1",' \
-		"$1" "$2" "$3"
-	printf '"address":"127.0.0.1","port":%s},\n' "$(port "$1")"
-}
+digest=$(key_digest "$customer_key")
 {
 	echo '{'
 	for engine in e1 e2 e3; do
-		endpoint "$engine" engine inspection
+		endpoint "$engine" "$engine" engine inspection d1
 	done
-	endpoint crews plain dispatch
+	endpoint crews crews plain dispatch d1
 	cat <<-END
 	"pool/inspection":{"model":"m1","weights_version":"v1"},
 	"pool/dispatch":{},
@@ -88,7 +53,7 @@
 AMV_CLUSTER_KEY=$(head -c 24 /dev/urandom | base64)
 export AMV_CLUSTER_KEY
 for router in r1 r2 r3; do
-	start "$router" "$build/amaranthvale-router" --port 0 --instance \
+	run "$router" "$build/amaranthvale-router" --port 0 --instance \
 		"$router" --bootstrap "$work/bootstrap.json" \
 		--store-url "$(url store)"
 done
