connection: bound the time of a whole request body

CivetWeb limits only the pause between two bytes, so a body sent byte by byte would hold a thread for hours; a watchdog now ends it. A stream whose connection was lost is first replayed by its engine, which costs no recomputation. The harness also stops its programs on SIGTRAP, by which g_error() ends a test: left over stand-ins kept a run waiting for 10 minutes.

--- a/connection/server.c
+++ b/connection/server.c
@@ -14,6 +14,8 @@
 #include <strings.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <time.h>
+#include <urcu/uatomic.h>
 
 #include "connection/upstream.h"
 #include "process/cleanup.h"
@@ -28,15 +30,70 @@
 	/** First descriptor that may be a caller's socket. */
 	FIRST_FD = 3,
 	OPTION_MAX = 32,
+	WATCH_STEP_MS = 50,
+	/** Slowest body accepted beyond the caller timeout. */
+	BODY_MIN_BYTES_PER_MS = 16,
 	/** Length line and line ends of a chunk. */
 	CHUNK_FRAME_BYTES = 32,
 };
 
+/** A body that is being read. */
+typedef struct reading {
+	int fd;
+	uint64_t deadline_ms;
+	struct reading *next;
+} reading_t;
+
 struct server {
 	struct mg_context *context;
 	server_settings_t settings;
+	pthread_t watchdog;
+	pthread_mutex_t lock; /**< Guards `readings`. */
+	reading_t *readings;
+	bool stopping;
 };
 
+/**
+ * Ends bodies that arrive too slowly. CivetWeb limits only the pause between
+ * two bytes, so a body sent byte by byte would hold a thread for hours.
+ */
+static void *watch_readings(void *context)
+{
+	server_t *server = context;
+	struct timespec pause = { .tv_nsec = WATCH_STEP_MS * 1000000L };
+
+	while (!uatomic_read(&server->stopping)) {
+		uint64_t now_ms = upstream_now_ms();
+
+		pthread_mutex_lock(&server->lock);
+		for (reading_t *at = server->readings; at; at = at->next) {
+			if (now_ms >= at->deadline_ms)
+				shutdown(at->fd, SHUT_RD);
+		}
+		pthread_mutex_unlock(&server->lock);
+		nanosleep(&pause, NULL);
+	}
+	return NULL;
+}
+
+static void add_reading(server_t *server, reading_t *reading)
+{
+	SCOPED_LOCK(lock, &server->lock);
+
+	reading->next = server->readings;
+	server->readings = reading;
+}
+
+static void remove_reading(server_t *server, const reading_t *reading)
+{
+	reading_t **link = &server->readings;
+	SCOPED_LOCK(lock, &server->lock);
+
+	while (*link != reading)
+		link = &(*link)->next;
+	*link = reading->next;
+}
+
 /** An address of either family. */
 typedef union address {
 	struct sockaddr any;
@@ -222,6 +279,7 @@
 	if (!server)
 		return NULL;
 	server->settings = *settings;
+	pthread_mutex_init(&server->lock, NULL);
 	mg_init_library(settings->tls_certificate ? MG_FEATURES_TLS
 						  : MG_FEATURES_DEFAULT);
 	if (settings->thread_stack_bytes)
@@ -229,9 +287,13 @@
 	server->context = start_context(server);
 	if (before)
 		set_stack_size(before, &ignored);
-	if (server->context)
+	if (server->context &&
+	    !pthread_create(&server->watchdog, NULL, watch_readings, server))
 		return server;
+	if (server->context)
+		mg_stop(server->context);
 	mg_exit_library();
+	pthread_mutex_destroy(&server->lock);
 	free(server);
 	return NULL;
 }
@@ -251,6 +313,9 @@
 		return;
 	mg_stop(server->context);
 	mg_exit_library();
+	uatomic_set(&server->stopping, true);
+	pthread_join(server->watchdog, NULL);
+	pthread_mutex_destroy(&server->lock);
 	free(server);
 }
 
@@ -306,17 +371,12 @@
 		mg_printf(request->connection, "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-int server_read_body(server_request_t *request, size_t body_max_bytes)
+static int read_body(server_request_t *request, size_t body_max_bytes,
+		     long long stated)
 {
-	const struct mg_request_info *info =
-		mg_get_request_info(request->connection);
-	long long stated = info->content_length;
 	size_t size = 0;
 	int got = 0;
 
-	if (stated > 0 && (unsigned long long)stated > body_max_bytes)
-		return ERR_BODY_TOO_LARGE;
-	send_continue(request);
 	do {
 		if (request->body_len + 2 > size &&
 		    grow_body(request, &size, body_max_bytes))
@@ -335,6 +395,32 @@
 	return 0;
 }
 
+int server_read_body(server_request_t *request, size_t body_max_bytes)
+{
+	const struct mg_request_info *info =
+		mg_get_request_info(request->connection);
+	server_t *server = info->user_data;
+	long long stated = info->content_length;
+	uint64_t expected = stated > 0 ? (uint64_t)stated : body_max_bytes;
+	reading_t reading = {
+		.fd = request->fd,
+		.deadline_ms = upstream_now_ms() +
+			       server->settings.caller_timeout_ms +
+			       expected / BODY_MIN_BYTES_PER_MS,
+	};
+	int err;
+
+	if (stated > 0 && (unsigned long long)stated > body_max_bytes)
+		return ERR_BODY_TOO_LARGE;
+	send_continue(request);
+	if (reading.fd >= 0)
+		add_reading(server, &reading);
+	err = read_body(request, body_max_bytes, stated);
+	if (reading.fd >= 0)
+		remove_reading(server, &reading);
+	return err;
+}
+
 bool server_caller_gone(const server_request_t *request)
 {
 	return upstream_peer_gone(request->fd);
--- a/request/relay.c
+++ b/request/relay.c
@@ -377,6 +377,20 @@
 	return run_once(job);
 }
 
+/**
+ * Goes on after a failed attempt. An engine that lives may still hold the
+ * stream when only its connection was lost; that costs no recomputation.
+ */
+static attempt_end_t run_next(relay_job_t *job, const attempt_end_t *before)
+{
+	attempt_end_t end;
+
+	if (before->kind != ATTEMPT_END_CUT || job->is_replay)
+		return run_once(job);
+	end = relay_run_replay(job);
+	return end.kind == ATTEMPT_END_REFUSED ? run_once(job) : end;
+}
+
 static attempt_action_t ask_budget(relay_job_t *job,
 				   const attempt_action_t *action)
 {
@@ -447,7 +461,8 @@
 			};
 			continue;
 		}
-		end = run_once(job);
+		end = action.kind == ATTEMPT_RESUME ? run_next(job, &end)
+						    : run_once(job);
 	}
 }
 
--- a/request/relay_attempt.c
+++ b/request/relay_attempt.c
@@ -254,6 +254,7 @@
 	case ERR_STOPPING:
 	case ERR_DEADLINE:
 	case ERR_NO_MEMORY:
+	case ERR_LIMIT:
 		return ATTEMPT_END_STOPPED;
 	case ERR_CONNECT:
 		return ATTEMPT_END_NOT_SENT;
@@ -301,8 +302,7 @@
 	/* After a mismatch the id belongs to a stream of someone else. */
 	return *job->stream_id &&
 	       (kind == ATTEMPT_END_STOPPED || kind == ATTEMPT_END_PREEMPTED ||
-		kind == ATTEMPT_END_TIMEOUT || kind == ATTEMPT_END_CUT ||
-		kind == ATTEMPT_END_BAD_ANSWER);
+		kind == ATTEMPT_END_TIMEOUT || kind == ATTEMPT_END_BAD_ANSWER);
 }
 
 /** Tells the engine to stop; without it the engine goes on for a while. */
--- a/request/relay_output.c
+++ b/request/relay_output.c
@@ -87,7 +87,7 @@
 		return keep_text(output, text, len);
 	/* A whole answer is built from the text, so it has to fit. */
 	output->text_known = false;
-	return output->stream ? 0 : ERR_ENDPOINT_ANSWER;
+	return output->stream ? 0 : ERR_LIMIT;
 }
 
 static int begin_stream(relay_output_t *output)
--- a/t/lib/harness.c
+++ b/t/lib/harness.c
@@ -56,7 +56,9 @@
 
 static void set_up_once(void)
 {
-	static const int numbers[] = { SIGABRT, SIGTERM, SIGINT, SIGHUP };
+	/* SIGTRAP is how g_error() ends the process. */
+	static const int numbers[] = { SIGABRT, SIGTRAP, SIGTERM, SIGINT,
+				       SIGHUP };
 	static gsize ready;
 
 	if (!g_once_init_enter(&ready))
--- a/t/lib/rig.c
+++ b/t/lib/rig.c
@@ -42,7 +42,7 @@
 	g_string_append_printf(
 		out,
 		"\"customer/%s\":{\"key_sha256\":\"%s\",\"salt\":\"salt-%s\","
-		"\"pools\":[%s]},",
+		"\"urgency\":\"u\",\"pools\":[%s]},",
 		id, digest, id, pools);
 }
 
@@ -78,6 +78,9 @@
 			"\"pool/models\":{\"model\":\"m1\","
 			"\"weights_version\":\"1\"},"
 			"\"pool/others\":{\"model\":\"m2\"},\"pool/crews\":{},"
+			"\"urgency/u\":{\"time_zone\":\"UTC\",\"rules\":["
+			"{\"kind\":\"verdict\",\"class\":\"urgent\"},"
+			"{\"kind\":\"summary\",\"class\":\"deferrable\"}]},"
 			"\"model/m1\":{\"block_tokens\":100},\"model/m2\":{},"
 			"\"route/dispatch\":{\"pool\":\"crews\","
 			"\"idempotent_methods\":[\"GET\"],"
@@ -261,6 +264,16 @@
 	return http_stream_open("POST", url, headers, body);
 }
 
+http_stream_t *rig_kind_stream(rig_t *rig, int router, const char *kind_line,
+			       const char *body)
+{
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u" RIG_CHAT,
+					       rig->ports[router]);
+	const char *const headers[] = { RIG_KEY_1, kind_line, NULL };
+
+	return http_stream_open("POST", url, headers, body);
+}
+
 int64_t rig_metric(rig_t *rig, int router, const char *name)
 {
 	g_autoptr(http_answer_t) answer =
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -4,7 +4,8 @@
  * service and routers, with two customers.
  *
  * Customer c1 reaches the models m1 and the route `dispatch`, customer c2 the
- * models m1 and m2. All engines serve m1; m2 has no engine.
+ * models m1 and m2. All engines serve m1; m2 has no engine. `X-Kind: verdict`
+ * makes a request urgent and `X-Kind: summary` deferrable.
  */
 #ifndef T_LIB_RIG_H
 #define T_LIB_RIG_H
@@ -81,6 +82,10 @@
 http_stream_t *rig_stream(rig_t *rig, int router, const char *key,
 			  const char *body, const char *last_id);
 
+/** Same as customer 1 with an `X-Kind` header line. */
+http_stream_t *rig_kind_stream(rig_t *rig, int router, const char *kind_line,
+			       const char *body);
+
 /** Value of one line of a router's metrics; -1 if it is missing. */
 int64_t rig_metric(rig_t *rig, int router, const char *name);
 
--- a/t/test-it-model.c
+++ b/t/test-it-model.c
@@ -481,6 +481,23 @@
 	g_assert_nonnull(strstr(answer, "X-Run-State: not_run"));
 }
 
+/* A body sent byte by byte must not hold its thread. */
+static void check_trickled_body(rig_t *rig)
+{
+	CLEANUP_FD int fd = connect_to(rig->ports[0]);
+	uint64_t until_ms = clock_now_ms() + HARNESS_WAIT_MS;
+	char first = '\0';
+
+	send_text(fd, "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" RIG_KEY_1
+		      "\r\nContent-Length: 4000\r\n\r\n");
+	while (recv(fd, &first, 1, MSG_DONTWAIT) != 1 &&
+	       clock_now_ms() < until_ms) {
+		send(fd, " ", 1, MSG_NOSIGNAL);
+		clock_sleep_us((uint64_t)HARNESS_POLL_MS * 1000);
+	}
+	g_assert_cmpint(first, ==, 'H');
+}
+
 static void check_oversize(rig_t *rig)
 {
 	g_autofree char *large = g_strnfill(5000, 'x');
@@ -516,6 +533,7 @@
 		assert_refused(answer, c->status, c->type);
 	}
 	check_half_sent(rig);
+	check_trickled_body(rig);
 	check_oversize(rig);
 	g_assert_cmpint(rig_engine_sum(rig, "requests_run"), ==, 0);
 	g_assert_cmpint(rig_engine_sum(rig, "refused"), ==, 0);
@@ -713,6 +731,32 @@
 	assert_joined(first, second, body);
 }
 
+/* A deferrable stream yields to an urgent request, and goes on later without
+ * gap or repeat. */
+static void test_preemption(void)
+{
+	rig_options_t options = {
+		.engines = 1,
+		.routers = 1,
+		.objects = "\"limits/global\":{\"endpoint_streams_max\":1},",
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *body = rig_body("summary", LONG_TOKENS, true);
+	CLEANUP_FREE char *urgent_body = rig_body("verdict", 10, true);
+	g_autoptr(http_stream_t) deferred =
+		rig_kind_stream(rig, 0, "X-Kind: summary", body);
+	g_autoptr(http_stream_t) urgent = NULL;
+
+	g_assert_true(WAIT_UNTIL(http_stream_count(deferred) >= SOME_EVENTS,
+				 HARNESS_WAIT_MS));
+	urgent = rig_kind_stream(rig, 0, "X-Kind: verdict", urgent_body);
+	assert_complete(urgent, urgent_body);
+	g_assert_false(http_stream_ended(deferred));
+	assert_complete(deferred, body);
+	g_assert_cmpuint(http_stream_count(deferred), ==, LONG_TOKENS + 3);
+	g_assert_cmpint(rig_engine_sum(rig, "running_max"), ==, 1);
+}
+
 /* An engine that is leaving gets no new work, and the caller notices nothing.
  */
 static void test_leaving_engine(void)
@@ -757,6 +801,7 @@
 	g_test_add_func("/model/router-lost", test_router_lost);
 	g_test_add_func("/model/router-and-engine-lost",
 			test_router_and_engine_lost);
+	g_test_add_func("/model/preemption", test_preemption);
 	g_test_add_func("/model/leaving-engine", test_leaving_engine);
 	return g_test_run();
 }
