--- a/process/event_list.h
+++ b/process/event_list.h
@@ -21,8 +21,28 @@
       "The process cannot start; the text names the reason.")
 EVENT(1006, BOOTSTRAP_INVALID, "bootstrap_invalid", EVENT_ERROR,
       "The bootstrap file cannot be used; the text names what is wrong.")
-EVENT(1700, HTTP_SERVER, "http_server", EVENT_WARN,
-      "The HTTP server library reports a problem; the text names it.")
+EVENT(1100, TICKET_DECIDED, "ticket_decided", EVENT_INFO,
+      "A ticket was accepted or refused; the outcome is in the text.")
+EVENT(1101, CONFIG_IN_FORCE, "config_in_force", EVENT_INFO,
+      "A higher configuration position was published.")
+EVENT(1102, CONFIG_REJECTED, "config_rejected", EVENT_ERROR,
+      "A configuration that was read failed validation; the previous one "
+      "stays in force. Correct the named object with a new ticket.")
+EVENT(1103, CONFIG_FETCH_FAILED, "config_fetch_failed", EVENT_WARN,
+      "A configuration could not be fetched from the named source; another "
+      "source is tried.")
+EVENT(1104, CONFIG_WATCH, "config_watch", EVENT_INFO,
+      "The instance began or ended to watch the configuration head.")
+EVENT(1105, CONFIG_COMPACTED, "config_compacted", EVENT_INFO,
+      "The ticket log was compacted into snapshot shards.")
+EVENT(1200, ATTEMPT_ENDED, "attempt_ended", EVENT_INFO,
+      "An attempt at a model request ended without a complete answer.")
+EVENT(1201, ATTEMPT_MISMATCH, "attempt_mismatch", EVENT_ERROR,
+      "An engine answered with another attempt's number; the answer was "
+      "dropped. Check the engine's connection handling.")
+EVENT(1202, FLEET_LIMIT, "fleet_limit", EVENT_ERROR,
+      "The configuration has more endpoints or pools than an instance can "
+      "hold; some get no work.")
 EVENT(1300, ORDER_CLAIM_LOST, "order_claim_lost", EVENT_WARN,
       "The answer to a claim was lost; the record is read back.")
 EVENT(1301, ORDER_CLOSED, "order_closed", EVENT_WARN,
@@ -59,35 +79,6 @@
       "or lower ready_min.")
 EVENT(1414, SLOT_EXPIRED, "slot_expired", EVENT_WARN,
       "A load slot of another pool was freed after its longest duration.")
-EVENT(1200, ATTEMPT_ENDED, "attempt_ended", EVENT_INFO,
-      "An attempt at a model request ended without a complete answer.")
-EVENT(1201, ATTEMPT_MISMATCH, "attempt_mismatch", EVENT_ERROR,
-      "An engine answered with another attempt's number; the answer was "
-      "dropped. Check the engine's connection handling.")
-EVENT(1100, TICKET_DECIDED, "ticket_decided", EVENT_INFO,
-      "A ticket was accepted or refused; the outcome is in the text.")
-EVENT(1101, CONFIG_IN_FORCE, "config_in_force", EVENT_INFO,
-      "A higher configuration position was published.")
-EVENT(1102, CONFIG_REJECTED, "config_rejected", EVENT_ERROR,
-      "A configuration that was read failed validation; the previous one "
-      "stays in force. Correct the named object with a new ticket.")
-EVENT(1103, CONFIG_FETCH_FAILED, "config_fetch_failed", EVENT_WARN,
-      "A configuration could not be fetched from the named source; another "
-      "source is tried.")
-EVENT(1104, CONFIG_WATCH, "config_watch", EVENT_INFO,
-      "The instance began or ended to watch the configuration head.")
-EVENT(1105, CONFIG_COMPACTED, "config_compacted", EVENT_INFO,
-      "The ticket log was compacted into snapshot shards.")
-EVENT(1600, STORE_OUTAGE, "store_outage", EVENT_WARN,
-      "Consecutive calls to the object API failed. Routing continues; "
-      "orders and tickets are refused as not run.")
-EVENT(1601, STORE_RECOVERED, "store_recovered", EVENT_INFO,
-      "The object API answers again.")
-EVENT(1602, AUDIT_DROPPED, "audit_dropped", EVENT_WARN,
-      "The queue of audit entries is full; the oldest were dropped.")
-EVENT(1202, FLEET_LIMIT, "fleet_limit", EVENT_ERROR,
-      "The configuration has more endpoints or pools than an instance can "
-      "hold; some get no work.")
 EVENT(1500, PEER_REJECTED, "peer_rejected", EVENT_WARN,
       "A message was not authentic or was seen before. Check that all "
       "instances have the same cluster name, secret and time.")
@@ -103,3 +94,12 @@
       "A request crashed two engines and is refused for a time.")
 EVENT(1512, CRASH_CLEARED, "crash_cleared", EVENT_INFO,
       "A suspected request completed and is no longer a suspect.")
+EVENT(1600, STORE_OUTAGE, "store_outage", EVENT_WARN,
+      "Consecutive calls to the object API failed. Routing continues; "
+      "orders and tickets are refused as not run.")
+EVENT(1601, STORE_RECOVERED, "store_recovered", EVENT_INFO,
+      "The object API answers again.")
+EVENT(1602, AUDIT_DROPPED, "audit_dropped", EVENT_WARN,
+      "The queue of audit entries is full; the oldest were dropped.")
+EVENT(1700, HTTP_SERVER, "http_server", EVENT_WARN,
+      "The HTTP server library reports a problem; the text names it.")
