--- a/request/plain_order.c
+++ b/request/plain_order.c
@@ -246,7 +246,7 @@
 	case ORDER_ACTION_CONNECT:
 		return connect_and_send(run, action, event);
 	case ORDER_ACTION_ASK:
-		/* The protocol of plain services has no such question. */
+		/* POST /fencing is not asked yet, so nothing is proved. */
 		*event = (order_event_t){ .kind = ORDER_EVENT_ASKED,
 					  .asked.proof = ORDER_PROOF_NONE };
 		return true;
