--- a/request/relay.c
+++ b/request/relay.c
@@ -377,6 +377,20 @@
 	return run_once(job);
 }
 
+/**
+ * Goes on after a failed attempt. An engine that lives may still hold the
+ * stream when only its connection was lost; that costs no recomputation.
+ */
+static attempt_end_t run_next(relay_job_t *job, const attempt_end_t *before)
+{
+	attempt_end_t end;
+
+	if (before->kind != ATTEMPT_END_CUT || job->is_replay)
+		return run_once(job);
+	end = relay_run_replay(job);
+	return end.kind == ATTEMPT_END_REFUSED ? run_once(job) : end;
+}
+
 static attempt_action_t ask_budget(relay_job_t *job,
 				   const attempt_action_t *action)
 {
@@ -447,7 +461,8 @@
 			};
 			continue;
 		}
-		end = run_once(job);
+		end = action.kind == ATTEMPT_RESUME ? run_next(job, &end)
+						    : run_once(job);
 	}
 }
 
@@ -623,22 +638,23 @@
 	return explain_choice(relay, plan, &choice, error->err);
 }
 
-json_t *relay_explain(relay_t *relay, const config_t *config, int32_t customer,
-		      chat_kind_t kind, const char *body, size_t body_len,
+json_t *relay_explain(relay_t *relay, const relay_question_t *question,
 		      server_error_t *error, chat_problem_t *problem)
 {
 	json_t *explanation = NULL;
 	chat_request_t chat;
 	relay_plan_t *plan;
 
-	error->err = chat_parse(kind, body, body_len, &chat, problem);
+	error->err = chat_parse(question->kind, question->body,
+				question->body_len, &chat, problem);
 	if (error->err)
 		return NULL;
 	error->err = ERR_NO_MEMORY;
 	plan = calloc(1, sizeof(*plan));
 	if (plan)
-		error->err = relay_plan(relay, config, customer, "", &chat,
-					plan, problem);
+		error->err =
+			relay_plan(relay, question->config, question->customer,
+				   question->kind_name, &chat, plan, problem);
 	if (!error->err)
 		explanation = explain_chat(relay, plan, error);
 	free(plan);
