t: fuzz the decoders that face the outside

Found and fixed: - A member state outside the protocol's four was accepted from gossip. Such an entry was never live and never forgotten.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# Build: make [SAN=address|thread] [BUILD=dir]
-# Main targets: all, check, demo, bench, format, lint, clean.
+# Build: make [SAN=address|thread|fuzz] [BUILD=dir]
+# Main targets: all, check, demo, fuzz, bench, format, lint, clean.
 
 SAN ?=
 BUILD ?= build$(if $(SAN),-$(SAN))
@@ -21,6 +21,13 @@
 ifeq ($(SAN),thread)
 SANFLAGS = -fsanitize=thread
 endif
+ifeq ($(SAN),fuzz)
+CC = clang
+# clang warns about the end marks of tables, which gcc accepts.
+WARN += -Wno-missing-field-initializers
+SANFLAGS = -fsanitize=fuzzer-no-link,address,undefined \
+	-fno-sanitize-recover=undefined -fno-omit-frame-pointer
+endif
 
 GEN_SRC := process/peer_proto_xdr.c
 LIB_SRC := $(sort $(filter-out $(GEN_SRC),$(wildcard process/*.c \
@@ -32,6 +39,7 @@
 TESTLIB_SRC := $(sort $(wildcard t/lib/*.c))
 TEST_SRC := $(sort $(wildcard t/test-*.c))
 BENCH_SRC := $(sort $(wildcard t/bench-*.c))
+FUZZ_SRC := $(sort $(wildcard t/fuzz-*.c))
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 exe = $(patsubst %.c,$(BUILD)/%,$(1))
@@ -44,11 +52,12 @@
 STANDINS = $(call exe,$(STANDIN_SRC))
 BENCHES = $(call exe,$(BENCH_SRC))
 HAND_SRC = $(LIB_SRC) $(CMD_SRC) $(STANDIN_SRC) $(TESTLIB_SRC) $(TEST_SRC) \
-	$(BENCH_SRC)
+	$(BENCH_SRC) $(FUZZ_SRC)
 HEADERS := $(filter-out process/peer_proto.h,$(wildcard process/*.h \
 	connection/*.h version/*.h request/*.h cmd/*.h t/*.h t/lib/*.h))
 
-.PHONY: all progs check demo bench format check-format lint proto clean
+.PHONY: all progs check demo fuzz fuzz-run bench format check-format lint \
+	proto clean
 .SECONDARY:
 
 all: progs $(TESTS) $(BENCHES)
@@ -78,6 +87,9 @@
 $(BUILD)/t/%: $(BUILD)/t/%.o $(TESTLIB) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(PKG_LIBS)
 
+$(BUILD)/t/fuzz-%: $(BUILD)/t/fuzz-%.o $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -fsanitize=fuzzer -o $@ $^ $(PKG_LIBS)
+
 # The packages come first, and make starts again after them: the flags above
 # are read by pkg-config, which is one of the packages.
 check:
@@ -85,6 +97,20 @@
 	$(MAKE) all
 	BUILD=$(BUILD) t/run-tests.sh $(TESTS)
 
+# FUZZ_RUNS sets the number of inputs for each target.
+fuzz:
+	$(MAKE) SAN=fuzz fuzz-run
+
+fuzz-run: $(call exe,$(FUZZ_SRC))
+	BUILD=$(BUILD) t/run-fuzz.sh $^
+
+bench: $(BUILD)/t/bench-capacity $(BUILD)/t/bench-gossip
+	mkdir -p docs/capacity
+	$(BUILD)/t/bench-capacity --json=docs/capacity/results.json \
+		>docs/capacity/results.txt
+	$(BUILD)/t/bench-gossip >>docs/capacity/results.txt
+	cat docs/capacity/results.txt
+
 demo:
 	.ci/install-packages
 	$(MAKE) progs
--- a/process/membership.c
+++ b/process/membership.c
@@ -115,11 +115,24 @@
 	spread_member(membership, self);
 }
 
+/**
+ * The wire form holds any number as a state. An entry with an unknown state
+ * would never be forgotten, and nobody can outbid the highest incarnation.
+ */
+static bool is_valid(const peer_member_t *member)
+{
+	return member->state >= PEER_MEMBER_ALIVE &&
+	       member->state <= PEER_MEMBER_LEFT &&
+	       member->incarnation < UINT64_MAX;
+}
+
 static void learn(membership_t *membership, const peer_member_t *news,
 		  uint64_t now_ms, bool spread)
 {
 	membership_member_t *member;
 
+	if (!is_valid(news))
+		return;
 	if (news->id == membership->self.id) {
 		refute(membership, news);
 		return;
--- a/request/chat.c
+++ b/request/chat.c
@@ -56,11 +56,7 @@
 	return err;
 }
 
-/**
- * Limits nesting before the body is parsed: the JSON library recurses up to
- * 2,048 levels, which is more than the stack of a server thread holds.
- */
-static bool is_too_deep(const char *body, size_t len)
+bool chat_is_too_deep(const char *body, size_t len)
 {
 	bool in_string = false;
 	int depth = 0;
@@ -92,7 +88,7 @@
 {
 	json_error_t error;
 
-	if (is_too_deep(body, len))
+	if (chat_is_too_deep(body, len))
 		return refuse(problem, ERR_BAD_JSON, "",
 			      "the body is nested deeper than %d levels",
 			      CHAT_DEPTH_MAX);
--- a/request/chat.h
+++ b/request/chat.h
@@ -62,6 +62,13 @@
 int chat_parse(chat_kind_t kind, const char *body, size_t body_len,
 	       chat_request_t *chat, chat_problem_t *problem);
 
+/**
+ * Whether JSON text is nested deeper than CHAT_DEPTH_MAX. To be asked before
+ * text from outside is parsed: the JSON library recurses up to 2,048 levels,
+ * which is more than the stack of a server thread holds.
+ */
+bool chat_is_too_deep(const char *body, size_t len);
+
 void chat_free(chat_request_t *chat);
 
 /** Path of this interface, the same at callers and engines. */
--- a/request/relay_output.c
+++ b/request/relay_output.c
@@ -236,6 +236,8 @@
 		output->is_done = output->is_finished;
 		return output->is_finished ? 0 : ERR_ENDPOINT_ANSWER;
 	}
+	if (chat_is_too_deep(event->data, event->data_len))
+		return ERR_ENDPOINT_ANSWER;
 	chunk = json_loadb(event->data, event->data_len, JSON_ALLOW_NUL, NULL);
 	if (!json_is_object(chunk) || output->is_finished)
 		return ERR_ENDPOINT_ANSWER;
--- a/request/resume_token.c
+++ b/request/resume_token.c
@@ -131,6 +131,7 @@
 	unsigned char mac[MAC_BYTES];
 	const char *end;
 	raw_t raw = { .at = 0 };
+	resume_token_t decoded = { 0 };
 	size_t text_len = strnlen(text, RESUME_TOKEN_MAX_BYTES);
 
 	if (text_len == RESUME_TOKEN_MAX_BYTES ||
@@ -145,7 +146,8 @@
 		return ERR_RESUME_TOKEN;
 	if (raw.bytes[raw.at++] != LAYOUT_VERSION)
 		return ERR_RESUME_TOKEN;
-	if (get_fields(&raw, token) || token->expires_s <= now_s)
+	if (get_fields(&raw, &decoded) || decoded.expires_s <= now_s)
 		return ERR_RESUME_TOKEN;
+	*token = decoded;
 	return 0;
 }
--- a/request/resume_token.h
+++ b/request/resume_token.h
@@ -50,7 +50,7 @@
 /**
  * Decodes a token and checks its signature and time limit. Every byte must be
  * accounted for.
- * @return 0, or ERR_RESUME_TOKEN
+ * @return 0, or ERR_RESUME_TOKEN with `token` unchanged
  */
 int resume_token_decode(const resume_key_t *key, const char *text,
 			uint64_t now_s, resume_token_t *token);
--- /dev/null
+++ b/t/fuzz-store.c
@@ -0,0 +1,107 @@
+/*
+ * Values of the object API and configuration answers of peers: head, snapshot,
+ * delta, order record. Guards against accepting what does not read the same
+ * after it was written again, and against a refused answer that changes the
+ * state in force.
+ */
+#include <string.h>
+
+#include "process/cleanup.h"
+#include "request/order_record.h"
+#include "t/lib/fuzz.h"
+#include "version/config_sync.h"
+
+static void check_head(const json_t *value)
+{
+	CLEANUP_JSON json_t *written = NULL;
+	CLEANUP_JSON json_t *second = NULL;
+	ticket_head_t head;
+	ticket_head_t again;
+
+	if (ticket_head_from_json(value, &head)) {
+		FUZZ_CHECK(!head.log);
+		return;
+	}
+	written = ticket_head_to_json(&head);
+	FUZZ_CHECK(!ticket_head_from_json(written, &again));
+	second = ticket_head_to_json(&again);
+	FUZZ_CHECK(json_equal(written, second));
+	ticket_head_free(&head);
+	ticket_head_free(&again);
+}
+
+static void check_numbers(const ticket_state_t *state)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach (state->numbers, key, value)
+		FUZZ_CHECK(json_integer_value(value) > 0);
+	json_object_foreach (state->objects, key, value)
+		FUZZ_CHECK(json_object_get(state->numbers, key));
+}
+
+static void check_apply(const json_t *answer)
+{
+	CLEANUP_JSON json_t *contents = json_array();
+	CLEANUP_JSON json_t *before = NULL;
+	CLEANUP_JSON json_t *after = NULL;
+	CLEANUP_JSON json_t *ticket =
+		json_loads("{\"ticket\":5,\"objects\":{\"model/m\":{}}}", 0, 0);
+	ticket_state_t state;
+	int err;
+
+	FUZZ_CHECK(!ticket_state_init(&state));
+	FUZZ_CHECK(!ticket_state_apply(&state, 1, ticket));
+	after = ticket_state_to_json(&state);
+	before = json_deep_copy(after);
+	json_decref(after);
+	err = config_sync_apply(&state, answer, contents);
+	after = ticket_state_to_json(&state);
+	FUZZ_CHECK(!err || json_equal(before, after));
+	FUZZ_CHECK(!err || !json_array_size(contents));
+	FUZZ_CHECK(err || state.position > 1);
+	check_numbers(&state);
+	ticket_state_free(&state);
+}
+
+static void check_record(const json_t *value)
+{
+	CLEANUP_JSON json_t *written = NULL;
+	CLEANUP_JSON json_t *second = NULL;
+	order_record_held_t held;
+	order_record_held_t again;
+
+	if (order_record_from_json(value, &held)) {
+		FUZZ_CHECK(!held.body);
+		return;
+	}
+	written = order_record_to_json(&held.record);
+	FUZZ_CHECK(!order_record_from_json(written, &again));
+	second = order_record_to_json(&again.record);
+	FUZZ_CHECK(json_equal(written, second));
+	order_record_free(&held);
+	order_record_free(&again);
+}
+
+int LLVMFuzzerInitialize(int *argc, char ***argv)
+{
+	(void)argc;
+	(void)argv;
+	/* A random seed of the JSON tables would make each run different. */
+	json_object_seed(1);
+	return 0;
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	CLEANUP_JSON json_t *value =
+		json_loadb((const char *)data, size, JSON_DECODE_ANY, NULL);
+
+	if (!value)
+		return 0;
+	check_head(value);
+	check_apply(value);
+	check_record(value);
+	return 0;
+}
--- a/t/test-chat.c
+++ b/t/test-chat.c
@@ -1,12 +1,14 @@
 /* Body of a model request: checks, and the body sent to an engine. */
 #include <glib.h>
 #include <jansson.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "process/cleanup.h"
 #include "process/error.h"
 #include "request/chat.h"
+#include "request/relay_output.h"
 
 #define MESSAGES "\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]"
 #define BODY(more) "{\"model\":\"m\"," MESSAGES more "}"
@@ -177,11 +179,47 @@
 		==, "\"\xc3\xa9\n");
 }
 
+static void *take_deep_chunk(void *output)
+{
+	g_autoptr(GString) text = g_string_new("");
+	sse_event_t event = { .event = "", .id = "" };
+
+	for (int i = 0; i < 2000; i++)
+		g_string_append(text, "{\"a\":");
+	g_string_append_c(text, '1');
+	for (int i = 0; i < 2000; i++)
+		g_string_append_c(text, '}');
+	event.data = text->str;
+	event.data_len = text->len;
+	return GINT_TO_POINTER(relay_output_take(output, &event));
+}
+
+/* An engine's deeply nested chunk must not overflow a request thread. */
+static void test_engine_depth(void)
+{
+	relay_output_t output = { 0 };
+	pthread_attr_t attributes;
+	pthread_t thread;
+	void *err;
+
+	relay_output_init(&output);
+	pthread_attr_init(&attributes);
+	pthread_attr_setstacksize(&attributes, 128 * 1024);
+	g_assert_cmpint(
+		pthread_create(&thread, &attributes, take_deep_chunk, &output),
+		==, 0);
+	pthread_join(thread, &err);
+	g_assert_cmpint(GPOINTER_TO_INT(err), ==, ERR_ENDPOINT_ANSWER);
+	pthread_attr_destroy(&attributes);
+	relay_output_free(&output);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/chat/cases", test_cases);
 	g_test_add_func("/chat/depth", test_depth);
+	g_test_add_func("/chat/engine-depth", test_engine_depth);
 	g_test_add_func("/chat/fingerprint", test_fingerprint);
 	g_test_add_func("/chat/engine-body", test_engine_body);
 	return g_test_run();
--- a/version/ticket.c
+++ b/version/ticket.c
@@ -221,7 +221,10 @@
 	return true;
 }
 
-/** Objects without a number could be replaced by an older ticket. */
+/**
+ * An object, also a deleted one, without a valid number could be replaced by
+ * an older ticket.
+ */
 static bool has_all_numbers(const json_t *snapshot)
 {
 	json_t *objects = json_object_get(snapshot, "objects");
@@ -229,8 +232,12 @@
 	const char *key;
 	json_t *value;
 
+	json_object_foreach (numbers, key, value) {
+		if (json_integer_value(value) < 1)
+			return false;
+	}
 	json_object_foreach (objects, key, value) {
-		if (!json_is_integer(json_object_get(numbers, key)))
+		if (!json_object_get(numbers, key))
 			return false;
 	}
 	return json_is_object(objects) && json_is_object(numbers);
