--- a/Makefile
+++ b/Makefile
@@ -56,13 +56,8 @@
 HEADERS := $(filter-out process/peer_proto.h,$(wildcard process/*.h \
 	connection/*.h version/*.h request/*.h cmd/*.h t/*.h t/lib/*.h))
 
-<<<<<<< HEAD
-.PHONY: all progs check demo bench format check-format lint docs \
-	check-docs proto clean
-=======
 .PHONY: all progs check demo fuzz fuzz-run bench format check-format lint \
-	proto clean
->>>>>>> hardening
+	docs check-docs proto clean
 .SECONDARY:
 
 all: progs $(TESTS) $(BENCHES)
--- a/t/test-config-sync.c
+++ b/t/test-config-sync.c
@@ -192,12 +192,7 @@
 		"{}",
 		"[]",
 		"{\"position\":5,\"tickets\":[]}",
-<<<<<<< HEAD
 		gap_answer,
-=======
-		("{\"position\":5,\"tickets\":[{\"position\":3,\"content\":"
-		 "{\"ticket\":3,\"objects\":{}}}]}"),
->>>>>>> hardening
 		"{\"position\":5,\"tickets\":[{\"position\":1,\"content\":1}]}",
 		"{\"position\":5,\"objects\":{\"model/m\":{}},\"numbers\":{}}",
 		"{\"position\":0,\"objects\":{},\"numbers\":{}}",
