cmd: limit load polls to a share of the control budget

Cause: polls every 0.5 s of the engines in use take 23,450 B/s for 35 engines, 2.9 times what a node may spend on all control traffic (docs/CAPACITY.md).

--- a/cmd/router.h
+++ b/cmd/router.h
@@ -33,6 +33,7 @@
 	uint32_t idle_timeout_ms;
 	uint32_t poll_ms;
 	uint32_t poll_idle_ms;
+	uint32_t polls_per_s;
 	uint32_t stop_limit_ms;
 	uint32_t drain_ms;
 	uint32_t log_level;
--- a/cmd/router_poll.c
+++ b/cmd/router_poll.c
@@ -134,6 +134,7 @@
 	fleet_poll_interval_t interval = {
 		.in_use_ms = router->settings.poll_ms,
 		.idle_ms = router->settings.poll_idle_ms,
+		.polls_per_s = router->settings.polls_per_s,
 	};
 
 	for (size_t i = 0; i < POLLS_MAX; i++) {
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -1,5 +1,6 @@
 #include "process/fleet.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -599,22 +600,55 @@
 		endpoint_set_leaving(&fleet->slots[slot]->state, leaving);
 }
 
+static bool is_polled(const fleet_endpoint_t *endpoint)
+{
+	return endpoint->configured && endpoint->engine;
+}
+
+static uint32_t poll_delay_ms(const fleet_endpoint_t *endpoint,
+			      const fleet_poll_interval_t *interval,
+			      uint64_t now_ms)
+{
+	bool in_use = endpoint->used_ms &&
+		      now_ms - endpoint->used_ms < FLEET_IN_USE_MS;
+
+	return in_use ? interval->in_use_ms : interval->idle_ms;
+}
+
+/** Factor that brings all polls together down to the limit; at least 1. */
+static double poll_stretch(const fleet_t *fleet,
+			   const fleet_poll_interval_t *interval,
+			   uint64_t now_ms)
+{
+	double wanted_per_s = 0;
+
+	for (size_t i = 0; i < fleet->slot_count; i++) {
+		if (is_polled(fleet->slots[i]))
+			wanted_per_s +=
+				1000.0 / poll_delay_ms(fleet->slots[i],
+						       interval, now_ms);
+	}
+	return fmax(1.0, wanted_per_s / interval->polls_per_s);
+}
+
 size_t fleet_poll_due(fleet_t *fleet, const fleet_poll_interval_t *interval,
 		      uint64_t now_ms, fleet_target_t *targets, size_t max)
 {
+	double stretch = 0;
 	size_t count = 0;
 	SCOPED_LOCK(lock, &fleet->lock);
 
 	for (size_t i = 0; i < fleet->slot_count && count < max; i++) {
 		fleet_endpoint_t *endpoint = fleet->slots[i];
-		bool in_use = endpoint->used_ms &&
-			      now_ms - endpoint->used_ms < FLEET_IN_USE_MS;
-		uint32_t delay_ms =
-			in_use ? interval->in_use_ms : interval->idle_ms;
+		uint64_t delay_ms;
 
-		if (!endpoint->configured || !endpoint->engine ||
-		    endpoint->next_poll_ms > now_ms)
+		if (!is_polled(endpoint) || endpoint->next_poll_ms > now_ms)
 			continue;
+		if (stretch == 0)
+			stretch = poll_stretch(fleet, interval, now_ms);
+		delay_ms =
+			(uint64_t)(stretch *
+				   poll_delay_ms(endpoint, interval, now_ms));
 		endpoint->next_poll_ms =
 			now_ms + delay_ms * 3 / 4 +
 			rng_below(&fleet->rng, delay_ms / 2 + 1);
--- a/process/fleet.h
+++ b/process/fleet.h
@@ -171,10 +171,14 @@
 /** Marks an endpoint as leaving, or no longer so. */
 void fleet_set_leaving(fleet_t *fleet, uint64_t id_hash, bool leaving);
 
-/** How often endpoints are polled; each delay varies by a quarter. */
+/**
+ * How often endpoints are polled; each delay varies by a quarter. If all polls
+ * together would be more than `polls_per_s`, all delays grow by one factor.
+ */
 typedef struct fleet_poll_interval {
 	uint32_t in_use_ms;
 	uint32_t idle_ms;
+	uint32_t polls_per_s;
 } fleet_poll_interval_t;
 
 /** Engines whose load is to be polled now. @return count, at most `max` */
--- a/t/bench-capacity.c
+++ b/t/bench-capacity.c
@@ -318,7 +318,7 @@
 		g_new0(fleet_endpoint_setup_t, n);
 	g_autofree fleet_target_t *due = g_new0(fleet_target_t, n);
 	fleet_pool_setup_t pools[32] = { 0 };
-	fleet_poll_interval_t interval = { 1000000, 1000000 };
+	fleet_poll_interval_t interval = { 1000000, 1000000, 10000 };
 	double us;
 
 	for (size_t i = 0; i < n; i++) {
