--- a/t/lib/sim.c
+++ b/t/lib/sim.c
@@ -160,8 +160,6 @@
 {
 	sim_object_t *object = find(sim, call->key);
 
-	sim->writes++;
-	sim->write_bytes += call->size;
 	if ((object ? object->version : 0) != call->if_version) {
 		call->answer.result = ERR_STORE_CONDITION;
 		return;
@@ -185,7 +183,6 @@
 {
 	const sim_object_t *object = find(sim, call->key);
 
-	sim->reads++;
 	if (!object) {
 		call->answer.result = ERR_NOT_FOUND;
 		return;
--- a/t/lib/sim.h
+++ b/t/lib/sim.h
@@ -56,9 +56,6 @@
 	uint64_t next_version;
 	sim_object_t *objects;
 	size_t object_count;
-	uint64_t reads;
-	uint64_t writes;
-	uint64_t write_bytes;
 } sim_t;
 
 /** Result of a store call. `value` is only valid during the call. */
--- a/t/test-order.c
+++ b/t/test-order.c
@@ -4,7 +4,6 @@
 
 #include "process/error.h"
 #include "process/order.h"
-#include "process/order_journal.h"
 #include "t/lib/sim.h"
 
 enum {
@@ -12,8 +11,6 @@
 	ENDPOINTS = 3,
 	KEYS = 4,
 	ATTEMPTS = 24,
-	SHARDS = 2,
-	JOURNAL_ENTRIES = 32,
 	RUN_MS = 60000,
 	SCHEDULES = 1500,
 };
@@ -56,13 +53,10 @@
 	uint64_t paused_until_ms;
 	uint64_t epoch;
 	int64_t skew_ms;
-	order_journal_t journals[SHARDS];
-	order_journal_entry_t entries[SHARDS][JOURNAL_ENTRIES];
 } node_t;
 
 struct world {
 	sim_t sim;
-	bool journal;
 	bool fencing;
 	node_t nodes[NODES];
 	bool endpoint_down[ENDPOINTS];
@@ -84,8 +78,6 @@
 } message_t;
 
 static void perform(attempt_t *attempt, const order_actions_t *actions);
-static void perform_journal(node_t *node, int shard,
-			    const order_journal_actions_t *actions);
 
 static int64_t wall_ms(const node_t *node)
 {
@@ -244,27 +236,16 @@
 
 static void store_action(attempt_t *attempt, const order_action_t *action)
 {
-	world_t *world = attempt->world;
-	node_t *node = &world->nodes[attempt->node];
-	int shard = attempt->key % SHARDS;
-	order_journal_actions_t actions;
-
-	if (world->journal) {
-		g_assert_cmpint(
-			order_journal_submit(&node->journals[shard], attempt,
-					     attempt->order.path, action,
-					     world->sim.now_ms, &actions),
-			==, 0);
-		perform_journal(node, shard, &actions);
-	} else if (action->kind == ORDER_ACTION_WRITE) {
-		sim_write(&world->sim, attempt->order.path,
-			  action->write.if_version, &action->write.record,
-			  sizeof(action->write.record), store_answered, attempt,
-			  (uint64_t)action->call << 1);
-	} else {
-		sim_read(&world->sim, attempt->order.path, store_answered,
-			 attempt, (uint64_t)action->call << 1 | 1);
-	}
+	sim_t *sim = &attempt->world->sim;
+	uint64_t argument = (uint64_t)action->call << 1;
+
+	if (action->kind == ORDER_ACTION_WRITE)
+		sim_write(sim, attempt->order.path, action->write.if_version,
+			  &action->write.record, sizeof(action->write.record),
+			  store_answered, attempt, argument);
+	else
+		sim_read(sim, attempt->order.path, store_answered, attempt,
+			 argument | 1);
 }
 
 static void perform_one(attempt_t *attempt, const order_action_t *action)
@@ -320,120 +301,6 @@
 		perform_one(attempt, &actions->items[i]);
 }
 
-/* ---- Journal driver ---- */
-
-typedef struct journal_message {
-	node_t *node;
-	int shard;
-	uint64_t epoch;
-	order_journal_action_kind_t kind;
-	uint32_t call;
-	sim_answer_t answer;
-} journal_message_t;
-
-static void deliver_journal(void *context, uint64_t argument)
-{
-	journal_message_t *m = context;
-	node_t *node = m->node;
-	sim_t *sim = &node->world->sim;
-	order_journal_t *journal = &node->journals[m->shard];
-	const order_journal_entry_t *entries = m->answer.value;
-	order_journal_actions_t actions = { 0 };
-
-	(void)argument;
-	if (sim->now_ms < node->paused_until_ms) {
-		sim_after(sim, node->paused_until_ms - sim->now_ms,
-			  deliver_journal, m, 0);
-		return;
-	}
-	if (m->epoch == node->epoch) {
-		if (m->kind == ORDER_JOURNAL_WAIT)
-			order_journal_timer(journal, m->call, sim->now_ms,
-					    wall_ms(node), &actions);
-		else if (m->kind == ORDER_JOURNAL_READ)
-			order_journal_was_read(
-				journal, m->call, m->answer.result,
-				m->answer.version, entries,
-				m->answer.size / sizeof(*entries), sim->now_ms,
-				wall_ms(node), &actions);
-		else
-			order_journal_was_written(
-				journal, m->call, m->answer.result,
-				m->answer.version, sim->now_ms, wall_ms(node),
-				&actions);
-		perform_journal(node, m->shard, &actions);
-	}
-	g_free((void *)m->answer.value);
-	g_free(m);
-}
-
-/** Hands the context of a journal's store call to its node, with a copy. */
-static void journal_answered(void *context, uint64_t argument,
-			     const sim_answer_t *answer)
-{
-	const journal_message_t *call = context;
-	journal_message_t *m = g_memdup2(call, sizeof(*call));
-
-	m->kind = argument & 1 ? ORDER_JOURNAL_READ : ORDER_JOURNAL_WRITE;
-	m->call = (uint32_t)(argument >> 1);
-	m->answer = *answer;
-	m->answer.value = g_memdup2(answer->value, answer->size);
-	sim_after(&m->node->world->sim, 0, deliver_journal, m, 0);
-}
-
-static GPtrArray *journal_calls;
-
-static void perform_journal(node_t *node, int shard,
-			    const order_journal_actions_t *actions)
-{
-	sim_t *sim = &node->world->sim;
-	char key[SIM_KEY_MAX_BYTES];
-
-	g_snprintf(key, sizeof(key), "journal/%d", shard);
-	for (size_t i = 0; i < actions->count; i++) {
-		const order_journal_action_t *a = &actions->items[i];
-		const order_event_t *event = &a->reply.event;
-		journal_message_t *m;
-
-		if (a->kind == ORDER_JOURNAL_REPLY) {
-			post(a->reply.owner, event,
-			     event->kind == ORDER_EVENT_READ
-				     ? event->read.record
-				     : NULL,
-			     0);
-			continue;
-		}
-		m = g_new0(journal_message_t, 1);
-		m->node = node;
-		m->shard = shard;
-		m->epoch = node->epoch;
-		m->kind = a->kind;
-		m->call = a->call;
-		if (a->kind == ORDER_JOURNAL_WAIT) {
-			sim_after(sim, a->until_ms - sim->now_ms,
-				  deliver_journal, m, 0);
-			continue;
-		}
-		g_ptr_array_add(journal_calls, m);
-		if (a->kind == ORDER_JOURNAL_READ)
-			sim_read(sim, key, journal_answered, m,
-				 (uint64_t)a->call << 1 | 1);
-		else
-			sim_write(sim, key, a->write.if_version,
-				  a->write.entries,
-				  a->write.count * sizeof(*a->write.entries),
-				  journal_answered, m, (uint64_t)a->call << 1);
-	}
-}
-
-static void start_journals(node_t *node)
-{
-	for (int s = 0; s < SHARDS; s++)
-		order_journal_init(&node->journals[s], &settings,
-				   &node->world->sim.rng, node->entries[s],
-				   JOURNAL_ENTRIES, 5);
-}
-
 /* ---- The course of a schedule ---- */
 
 static void begin_attempt(void *context, uint64_t argument)
@@ -489,7 +356,6 @@
 
 	(void)argument;
 	node->epoch++;
-	start_journals(node);
 }
 
 static void switch_store(void *context, uint64_t down)
@@ -574,7 +440,7 @@
 /* The number of a key must not fall while its record exists. */
 static void check_fencing_rises(world_t *world)
 {
-	for (int k = 0; k < KEYS && !world->journal; k++) {
+	for (int k = 0; k < KEYS; k++) {
 		const sim_object_t *object =
 			sim_find(&world->sim, world->paths[k]);
 		uint64_t fencing;
@@ -616,11 +482,11 @@
 		if (error_answer(attempt->err)->run_state == RUN_STATE_NOT_RUN)
 			g_assert_cmpuint(attempt->executed, ==, 0);
 	}
-	for (size_t i = 0; i < world->sim.object_count && !world->journal; i++)
+	for (size_t i = 0; i < world->sim.object_count; i++)
 		check_record(world, world->sim.objects[i].value);
 }
 
-static void run_schedule(uint64_t seed, bool journal, uint64_t *counts)
+static void run_schedule(uint64_t seed, uint64_t *counts)
 {
 	static const sim_faults_t faults = { .lose_request = 3,
 					     .lose_answer = 8,
@@ -630,15 +496,12 @@
 	world_t *world = g_new0(world_t, 1);
 	uint64_t steps = 0;
 
-	journal_calls = g_ptr_array_new_with_free_func(g_free);
 	sim_init(&world->sim, seed, &faults);
-	world->journal = journal;
 	world->fencing = seed % 2;
 	for (int n = 0; n < NODES; n++) {
 		world->nodes[n].world = world;
 		world->nodes[n].skew_ms =
 			(int64_t)rng_below(&world->sim.rng, 3000) - 1500;
-		start_journals(&world->nodes[n]);
 	}
 	for (int k = 0; k < KEYS; k++) {
 		char name[16];
@@ -651,8 +514,7 @@
 	}
 	order_sweep_init(&world->sweep, &settings, &world->sim.rng, 1000, 1,
 			 world->sim.now_ms);
-	if (!journal)
-		sim_after(&world->sim, 0, sweep, world, 2 * RUN_MS / 200);
+	sim_after(&world->sim, 0, sweep, world, 2 * RUN_MS / 200);
 	plan_faults(world);
 	plan_attempts(world);
 	while (sim_run_one(&world->sim, UINT64_MAX)) {
@@ -661,20 +523,20 @@
 	}
 	check_end(world, counts);
 	sim_clear(&world->sim);
-	g_ptr_array_free(journal_calls, TRUE);
 	g_free(world);
 }
 
-static void run_schedules(bool journal, uint64_t count)
+/* Two executions of one key, or one of a request answered "not run". */
+static void test_schedules(void)
 {
 	uint64_t counts[ERR_KIND_COUNT] = { 0 };
 	uint64_t first;
 	uint64_t last;
 
-	sim_seeds(count, &first, &last);
+	sim_seeds(SCHEDULES, &first, &last);
 	for (uint64_t seed = first; seed <= last; seed++) {
 		g_test_message("seed %" G_GUINT64_FORMAT, seed);
-		run_schedule(seed, journal, counts);
+		run_schedule(seed, counts);
 	}
 	for (int i = 0; i < ERR_KIND_COUNT; i++) {
 		if (counts[i])
@@ -682,29 +544,16 @@
 				counts[i]);
 	}
 	/* A run in which nothing happens would prove nothing. */
-	if (last - first + 1 == count) {
-		g_assert_cmpuint(counts[0], >, count);
-		g_assert_cmpuint(counts[-ERR_ORDER_UNKNOWN], >, count / 4);
-		g_assert_cmpuint(counts[-ERR_ORDER_NOT_RUN], >, count / 4);
+	if (last - first + 1 == SCHEDULES) {
+		g_assert_cmpuint(counts[0], >, SCHEDULES);
+		g_assert_cmpuint(counts[-ERR_ORDER_UNKNOWN], >, SCHEDULES / 4);
+		g_assert_cmpuint(counts[-ERR_ORDER_NOT_RUN], >, SCHEDULES / 4);
 	}
 }
 
-/* Two executions of one key, or one of a request answered "not run". */
-static void test_schedules(void)
-{
-	run_schedules(false, SCHEDULES);
-}
-
-/* The same with grouped claims in journal objects. */
-static void test_journal_schedules(void)
-{
-	run_schedules(true, SCHEDULES);
-}
-
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/order/schedules", test_schedules);
-	g_test_add_func("/order/journal-schedules", test_journal_schedules);
 	return g_test_run();
 }
