request: prove "not run" at services that check fencing

ORDER_ACTION_ASK was answered "no proof" because the protocol had no such question. Only a complete answer with ran false and our own number as the highest one is a proof.

Callers are refused at that path: through an order or an idempotent call they could otherwise raise the numbers of other customers' keys.

--- a/request/plain.c
+++ b/request/plain.c
@@ -10,6 +10,7 @@
 #include "process/error.h"
 #include "process/event.h"
 #include "process/metrics.h"
+#include "request/plain_fencing.h"
 
 enum {
 	HEADER_LINE_MAX_BYTES = 1024,
@@ -319,6 +320,10 @@
 	int pool = fleet_find_pool(plain->fleet, config->pools[route->pool].id);
 
 	metrics_add(METRIC_REQUESTS_PLAIN, 1);
+	if (plain_fencing_is_path(request->path)) {
+		answer_error(request, ERR_UNKNOWN_ROUTE, false);
+		return;
+	}
 	if (!config_route_is_idempotent(route, request->caller->method)) {
 		plain_serve_order(plain, request);
 		return;
--- a/request/plain_order.c
+++ b/request/plain_order.c
@@ -11,6 +11,7 @@
 #include "process/event.h"
 #include "request/order_record.h"
 #include "request/plain.h"
+#include "request/plain_fencing.h"
 
 typedef struct order_run {
 	const plain_t *plain;
@@ -228,6 +229,24 @@
 		      answer->body ? answer->body : "", answer->body_bytes);
 }
 
+/** Asks an endpoint of the claim; one that is not known gives no proof. */
+static order_proof_t ask(const order_run_t *run, const order_action_t *action)
+{
+	const config_t *config = run->request->config;
+	int32_t index = config_find_endpoint(config, action->ask.endpoint);
+	plain_fencing_t question = {
+		.key = server_header(run->request->caller, "Idempotency-Key"),
+		.number = action->ask.fencing,
+		.connect_timeout_ms = run->plain->settings.connect_timeout_ms,
+		.answer_timeout_ms = run->settings.endpoint_timeout_ms,
+	};
+
+	if (index == CONFIG_NONE || !config->endpoints[index].checks_fencing)
+		return ORDER_PROOF_NONE;
+	return plain_fencing_ask(run->plain->pool, &config->endpoints[index],
+				 &question);
+}
+
 /** Performs one action. @return whether it gave an event */
 static bool perform(order_run_t *run, const order_action_t *action,
 		    order_event_t *event)
@@ -246,9 +265,8 @@
 	case ORDER_ACTION_CONNECT:
 		return connect_and_send(run, action, event);
 	case ORDER_ACTION_ASK:
-		/* The protocol of plain services has no such question. */
 		*event = (order_event_t){ .kind = ORDER_EVENT_ASKED,
-					  .asked.proof = ORDER_PROOF_NONE };
+					  .asked.proof = ask(run, action) };
 		return true;
 	case ORDER_ACTION_REPLY:
 		reply(run, action);
--- a/t/standin-plain.c
+++ b/t/standin-plain.c
@@ -105,6 +105,28 @@
 				  "body", request->body));
 }
 
+/** Raises the number of a key and says whether the key has run. */
+static void handle_fencing(http_request_t *request)
+{
+	const char *key = http_body_text(request, "key", "");
+	json_int_t number = (json_int_t)http_body_number(request, "number", 0);
+	json_int_t highest;
+	SCOPED_LOCK(held, &service.lock);
+
+	if (!check_fencing) {
+		http_send_error(request, 404, "", "fencing is not checked");
+		return;
+	}
+	highest = json_integer_value(json_object_get(service.fencing, key));
+	if (number > highest)
+		highest = number;
+	json_object_set_new(service.fencing, key, json_integer(highest));
+	json_count(service.totals, "asked", 1);
+	http_send_json(request, 200, "",
+		       json_pack("{s:I,s:b}", "highest", highest, "ran",
+				 json_object_get(service.by_key, key) != NULL));
+}
+
 static void handle_control(http_request_t *request)
 {
 	SCOPED_LOCK(held, &service.lock);
@@ -132,6 +154,7 @@
 static const http_route_t routes[] = {
 	{ "POST", "/control", handle_control },
 	{ "GET", "/control/executions", handle_executions },
+	{ "POST", "/fencing", handle_fencing },
 	{ NULL, "*", handle_call },
 	{ 0 },
 };
