cmd: run leases and engine orders in the daemon

The lease and controller modules had no driver. process/controller_service drives both for every pool with a model and a weights version from one thread: store calls for lease, status and slots objects, engine states and orders through libcurl, events, metrics and a hook for the audit trail.

Leases are released when a planned stop begins.

--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -9,6 +9,7 @@
 #include <urcu/uatomic.h>
 
 #include "cmd/router.h"
+#include "cmd/router_engines.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
@@ -79,6 +80,15 @@
 	NUMBER("drain-ms", drain_ms,
 	       "time a stop keeps answering after it began, ms", "200", 0,
 	       60000),
+	NUMBER("lease-ms", lease_ms,
+	       "lease of a pool's controller, the same everywhere, ms", "15000",
+	       300, 600000),
+	NUMBER("engine-order-max-ms", engine_order_max_ms,
+	       "longest order to an engine, the same everywhere, ms", "30000",
+	       100, 3600000),
+	NUMBER("engine-state-ms", engine_state_ms,
+	       "shortest time between two states of an engine, ms", "1000", 50,
+	       600000),
 	TEXT("seed", seed, "seed of random choices; default random", NULL),
 	TEXT("store-url", store_url, "object API, http://address:port", NULL),
 	TEXT("bootstrap", bootstrap,
@@ -262,6 +272,7 @@
 {
 	pthread_t poller;
 	pthread_t timer;
+	pthread_t engines;
 	int number;
 	int err = 0;
 
@@ -278,12 +289,16 @@
 		return fail("server", err);
 	pthread_create(&poller, NULL, router_poll_thread, &router);
 	pthread_create(&timer, NULL, router_timer_thread, &router);
+	if (router.store)
+		pthread_create(&engines, NULL, router_engines_thread, &router);
 	sigwait(signals, &number);
 	stop_requests();
 	server_stop(router.server);
 	uatomic_set(&router.ending, true);
 	pthread_join(poller, NULL);
 	pthread_join(timer, NULL);
+	if (router.store)
+		pthread_join(engines, NULL);
 	close_state();
 	event_log(EVENT_STOPPED, NULL);
 	return EXIT_SUCCESS;
--- a/cmd/router.h
+++ b/cmd/router.h
@@ -10,6 +10,7 @@
 
 #include "connection/server.h"
 #include "connection/upstream.h"
+#include "process/audit.h"
 #include "process/fleet.h"
 #include "process/store_client.h"
 #include "request/plain.h"
@@ -32,6 +33,9 @@
 	uint32_t poll_idle_ms;
 	uint32_t stop_limit_ms;
 	uint32_t drain_ms;
+	uint32_t lease_ms;
+	uint32_t engine_order_max_ms;
+	uint32_t engine_state_ms;
 	uint32_t log_level;
 	uint32_t policy;
 	const char *seed;
@@ -50,6 +54,9 @@
 	upstream_pool_t *pool;
 	store_client_t *store; /**< NULL without a store. */
 	crash_guard_t *guard;
+	/** Takes the audit entries of engine orders; NULL without a trail. */
+	void (*audit_entry)(void *context, const audit_entry_t *entry);
+	void *audit_context;
 	relay_t relay;
 	plain_t plain;
 	server_t *server;
--- /dev/null
+++ b/cmd/router_engines.c
@@ -0,0 +1,186 @@
+#include "cmd/router_engines.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu/uatomic.h>
+
+#include "process/cleanup.h"
+#include "process/clock.h"
+#include "process/controller_service.h"
+#include "process/error.h"
+#include "process/event.h"
+#include "process/rng.h"
+
+enum {
+	/** Longest wait for engines; bounds how late a lease is renewed. */
+	RUN_WAIT_MS = 20,
+	/** Reads of the instance list; 340 instances make 5.7 a second. */
+	MEMBERS_READ_MS = 60000,
+	/** After a read that failed. */
+	MEMBERS_RETRY_MS = 5000,
+};
+
+typedef struct engines {
+	router_t *router;
+	controller_service_t *service;
+	rng_t rng;
+	bool has_position;
+	uint64_t position;
+	uint64_t members_due_ms;
+} engines_t;
+
+/** Pools of a configuration version, with all their engines in one array. */
+typedef struct pool_list {
+	controller_service_pool_t *pools;
+	controller_service_engine_t *engines;
+	size_t pool_count;
+	size_t engine_count;
+} pool_list_t;
+
+static void add_engine(pool_list_t *list, const config_endpoint_t *endpoint)
+{
+	controller_service_engine_t *engine =
+		&list->engines[list->engine_count++];
+
+	engine->id = endpoint->id;
+	engine->checks_fencing = endpoint->checks_fencing;
+	engine->address.port = endpoint->port;
+	engine->address.tls = endpoint->tls;
+	snprintf(engine->address.address, sizeof(engine->address.address), "%s",
+		 endpoint->address);
+}
+
+static void copy_text(char to[CONTROLLER_ID_MAX_BYTES], const char *from)
+{
+	snprintf(to, CONTROLLER_ID_MAX_BYTES, "%s", from);
+}
+
+static void add_pool(pool_list_t *list, const config_t *config,
+		     const config_pool_t *from)
+{
+	controller_service_pool_t *pool = &list->pools[list->pool_count++];
+
+	pool->id = from->id;
+	pool->weight_store = from->weight_store;
+	pool->ready_min = from->ready_min;
+	copy_text(pool->desired.model, from->model);
+	copy_text(pool->desired.version, from->weights_version);
+	copy_text(pool->desired.adapter, from->adapter);
+	copy_text(pool->desired.role, from->role);
+	pool->engines = &list->engines[list->engine_count];
+	for (size_t i = 0; i < from->endpoint_count; i++) {
+		const config_endpoint_t *endpoint =
+			&config->endpoints[from->endpoints[i]];
+
+		/* A leaving engine is of no use with new weights. */
+		if (endpoint->leaving)
+			continue;
+		add_engine(list, endpoint);
+		pool->engine_count++;
+	}
+}
+
+static int configure(engines_t *engines, const config_t *config)
+{
+	CLEANUP_FREE controller_service_pool_t *pools =
+		calloc(config->pool_count + 1, sizeof(*pools));
+	CLEANUP_FREE controller_service_engine_t *members =
+		calloc(config->endpoint_count + 1, sizeof(*members));
+	pool_list_t list = { .pools = pools, .engines = members };
+
+	if (!pools || !members)
+		return ERR_NO_MEMORY;
+	for (size_t i = 0; i < config->pool_count; i++) {
+		const config_pool_t *pool = &config->pools[i];
+
+		if (*pool->model && *pool->weights_version)
+			add_pool(&list, config, pool);
+	}
+	return controller_service_configure(engines->service, list.pools,
+					    list.pool_count);
+}
+
+static void take_config(engines_t *engines)
+{
+	CLEANUP_CONFIG config_t *config = config_acquire();
+	int err;
+
+	if (!config ||
+	    (engines->has_position && config->position == engines->position))
+		return;
+	err = configure(engines, config);
+	if (err)
+		event_log(EVENT_FLEET_LIMIT, "part=engines error=%s",
+			  error_type(err));
+	engines->has_position = true;
+	engines->position = config->position;
+}
+
+static void take_list(engines_t *engines, const store_instance_t *instances,
+		      size_t count)
+{
+	CLEANUP_FREE const char **ids = calloc(count + 1, sizeof(*ids));
+	size_t used = 0;
+
+	for (size_t i = 0; ids && i < count; i++) {
+		if (instances[i].kind == STORE_INSTANCE_ROUTER &&
+		    !instances[i].leaving)
+			ids[used++] = instances[i].id;
+	}
+	controller_service_members(engines->service, ids, used);
+}
+
+/** Reads the members now and then; without a list the last ones stay. */
+static void take_members(engines_t *engines, uint64_t now_ms)
+{
+	CLEANUP_FREE store_instance_t *instances = NULL;
+	uint32_t wait_ms = MEMBERS_READ_MS;
+	size_t count = 0;
+
+	if (now_ms < engines->members_due_ms)
+		return;
+	if (store_client_instances(engines->router->store, &instances, &count))
+		wait_ms = MEMBERS_RETRY_MS;
+	else
+		take_list(engines, instances, count);
+	engines->members_due_ms =
+		now_ms + wait_ms / 2 + rng_below(&engines->rng, wait_ms);
+}
+
+static bool is_ending(router_t *router)
+{
+	return uatomic_read(&router->stopping) || uatomic_read(&router->ending);
+}
+
+void *router_engines_thread(void *context)
+{
+	router_t *router = context;
+	engines_t engines = { .router = router };
+	controller_service_options_t options = {
+		.instance = router->instance,
+		.store = router->store,
+		.endpoint_ca = router->settings.endpoint_ca,
+		.lease_ms = router->settings.lease_ms,
+		.order_max_ms = router->settings.engine_order_max_ms,
+		.state_poll_ms = router->settings.engine_state_ms,
+		.seed = hash_string(router->instance) ^ clock_unix_ms(),
+		.audit = router->audit_entry,
+		.audit_context = router->audit_context,
+	};
+
+	if (controller_service_open(&options, &engines.service)) {
+		event_log(EVENT_START_FAILED, "part=engines error=%s",
+			  error_type(ERR_NO_MEMORY));
+		return NULL;
+	}
+	rng_init(&engines.rng, options.seed);
+	while (!is_ending(router)) {
+		take_members(&engines, clock_now_ms());
+		take_config(&engines);
+		controller_service_run(engines.service, RUN_WAIT_MS);
+	}
+	controller_service_stop(engines.service);
+	controller_service_close(engines.service);
+	return NULL;
+}
--- /dev/null
+++ b/cmd/router_engines.h
@@ -0,0 +1,17 @@
+/**
+ * @file
+ * Controllers of the pools in the router daemon: hands the configuration and
+ * the members to process/controller_service.h.
+ */
+#ifndef CMD_ROUTER_ENGINES_H
+#define CMD_ROUTER_ENGINES_H
+
+#include "cmd/router.h"
+
+/**
+ * Thread that runs the controllers until the router stops; takes a router_t
+ * with a store. Leases are released as soon as the stop begins.
+ */
+void *router_engines_thread(void *router);
+
+#endif
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -97,3 +97,17 @@
 	       "Payload bytes exchanged with other instances.")
 METRIC_GAUGE(MEMBERS_LIVE, "amv_members_live", "",
 	     "Instances believed to be alive, with this one.")
+METRIC_GAUGE(LEASES_HELD, "amv_leases_held", "",
+	     "Leases of pools that this instance holds.")
+METRIC_COUNTER(LEASES_ACQUIRED, "amv_lease_changes_total",
+	       "change=\"acquired\"", "Leases won and lost here.")
+METRIC_COUNTER(LEASES_LOST, "amv_lease_changes_total", "change=\"lost\"",
+	       "Leases won and lost here.")
+METRIC_COUNTER(LEASES_RELEASED, "amv_lease_changes_total",
+	       "change=\"released\"", "Leases won and lost here.")
+METRIC_COUNTER(ENGINE_ORDERS_DONE, "amv_engine_orders_total",
+	       "outcome=\"done\"", "Orders sent to engines.")
+METRIC_COUNTER(ENGINE_ORDERS_REFUSED, "amv_engine_orders_total",
+	       "outcome=\"refused\"", "Orders sent to engines.")
+METRIC_COUNTER(ENGINE_ORDERS_UNKNOWN, "amv_engine_orders_total",
+	       "outcome=\"unknown\"", "Orders sent to engines.")
