process: retry a refused slots write without a read

With the store budget at one call at a time, the controller read the slots, had its write refused, forgot what it had read and read again, for ever; a roll-out with ready_min stopped after 5 of 6 engines (seen in test-it-engines /engines/ready-min). A refused write certainly had no effect, so the slots that were read stay valid. test-controller-cases /controller/refused-slots and /engines/ready-min pass now.

The store calls of the service move to process/controller_store.

--- a/process/controller.c
+++ b/process/controller.c
@@ -207,7 +207,7 @@
 
 	action->if_version = controller->slots_version;
 	action->slots = *slots;
-	set_slots(controller, slots, now_ms);
+	controller->slots_written = *slots;
 	/* Until the answer says that it was written. */
 	controller->slots_known = false;
 }
@@ -644,10 +644,18 @@
 			       const controller_event_t *event, uint64_t now_ms)
 {
 	if (event->slots.result != 0) {
-		/* Read again: the write may have taken effect. */
 		after_store_failure(controller, now_ms);
+		/*
+		 * Read again if the write may have taken effect. Otherwise the
+		 * slots are as they were: with a budget for one call at a time
+		 * a read would use what the next write needs, for ever.
+		 */
+		controller->slots_known =
+			event->slots.result == ERR_STORE_DOWN ||
+			event->slots.result == ERR_STORE_BUDGET;
 		return;
 	}
+	set_slots(controller, &controller->slots_written, now_ms);
 	controller->slots_version = event->slots.version;
 	controller->slots_known = true;
 	if (controller->wanted.engine[0] &&
--- a/process/controller.h
+++ b/process/controller.h
@@ -151,6 +151,7 @@
 	bool slots_known;
 	uint64_t slots_version;
 	controller_slots_t slots;
+	controller_slots_t slots_written; /**< By the write under way. */
 	uint64_t slot_seen_ms[CONTROLLER_LOADS_MAX];
 	/** Load that waits for its slot; engine empty if there is none. */
 	controller_order_t wanted;
--- a/process/controller_service.c
+++ b/process/controller_service.c
@@ -9,7 +9,7 @@
 
 #include "process/cleanup.h"
 #include "process/clock.h"
-#include "process/controller_codec.h"
+#include "process/controller_store.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
@@ -18,7 +18,6 @@
 #include "process/rng.h"
 
 enum {
-	KEY_MAX_BYTES = 96,
 	/** Time a stop spends on releasing leases. */
 	RELEASE_LIMIT_MS = 2000,
 	RELEASE_STEP_MS = 10,
@@ -81,87 +80,6 @@
 	return NULL;
 }
 
-/* Store calls. */
-
-static void make_key(char key[KEY_MAX_BYTES], const char *prefix,
-		     const char *name)
-{
-	snprintf(key, KEY_MAX_BYTES, "%s/%s", prefix, name);
-}
-
-static int write_object(const controller_service_t *service,
-			store_purpose_t purpose, const char *key, json_t *value,
-			uint64_t if_version, uint64_t *version)
-{
-	CLEANUP_JSON json_t *held = value;
-	store_client_t *store = service->options.store;
-
-	if (!held)
-		return ERR_STORE_DOWN;
-	if (!if_version)
-		return store_client_create(store, purpose, key, held, version);
-	return store_client_update(store, purpose, key, held, if_version,
-				   version);
-}
-
-static controller_event_t call_status(const controller_service_t *service,
-				      const pool_t *pool,
-				      const controller_action_t *action,
-				      controller_status_t *status)
-{
-	controller_event_t event = { .kind = CONTROLLER_EVENT_STATUS,
-				     .call = action->call };
-	CLEANUP_STORE_OBJECT store_object_t object = { 0 };
-	char key[KEY_MAX_BYTES];
-	int err;
-
-	make_key(key, "status/pool", pool->id);
-	if (action->kind == CONTROLLER_ACTION_WRITE_STATUS) {
-		event.status.result =
-			write_object(service, STORE_PURPOSE_STATUS, key,
-				     controller_status_to_json(&action->status),
-				     action->if_version, &event.status.version);
-		return event;
-	}
-	err = store_client_get(service->options.store, STORE_PURPOSE_STATUS,
-			       key, &object);
-	if (!err)
-		err = controller_status_from_json(object.value, status);
-	event.status.result = err;
-	event.status.version = object.version;
-	event.status.value = status;
-	return event;
-}
-
-static controller_event_t call_slots(const controller_service_t *service,
-				     const pool_t *pool,
-				     const controller_action_t *action,
-				     controller_slots_t *slots)
-{
-	controller_event_t event = { .kind = CONTROLLER_EVENT_SLOTS,
-				     .call = action->call };
-	CLEANUP_STORE_OBJECT store_object_t object = { 0 };
-	char key[KEY_MAX_BYTES];
-	int err;
-
-	make_key(key, "slots", pool->weight_store);
-	if (action->kind == CONTROLLER_ACTION_WRITE_SLOTS) {
-		event.slots.result =
-			write_object(service, STORE_PURPOSE_STATUS, key,
-				     controller_slots_to_json(&action->slots),
-				     action->if_version, &event.slots.version);
-		return event;
-	}
-	err = store_client_get(service->options.store, STORE_PURPOSE_STATUS,
-			       key, &object);
-	if (!err)
-		err = controller_slots_from_json(object.value, slots);
-	event.slots.result = err;
-	event.slots.version = object.version;
-	event.slots.value = slots;
-	return event;
-}
-
 /* Controllers. */
 
 static const char *version_held(const pool_t *pool, const char *engine)
@@ -236,14 +154,16 @@
 			switch (action->kind) {
 			case CONTROLLER_ACTION_READ_STATUS:
 			case CONTROLLER_ACTION_WRITE_STATUS:
-				event = call_status(service, pool, action,
-						    &status);
+				event = controller_store_status(
+					service->options.store, pool->id,
+					action, &status);
 				has_event = true;
 				break;
 			case CONTROLLER_ACTION_READ_SLOTS:
 			case CONTROLLER_ACTION_WRITE_SLOTS:
-				event = call_slots(service, pool, action,
-						   &slots);
+				event = controller_store_slots(
+					service->options.store,
+					pool->weight_store, action, &slots);
 				has_event = true;
 				break;
 			case CONTROLLER_ACTION_ISSUE:
@@ -323,34 +243,6 @@
 
 /* Leases. */
 
-static void call_lease(const controller_service_t *service, const pool_t *pool,
-		       const lease_action_t *action, lease_record_t *record,
-		       lease_event_t *event)
-{
-	CLEANUP_STORE_OBJECT store_object_t object = { 0 };
-	char key[KEY_MAX_BYTES];
-	int err;
-
-	make_key(key, "lease/pool", pool->id);
-	*event = (lease_event_t){ .kind = LEASE_EVENT_WRITTEN,
-				  .call = action->call };
-	if (action->kind == LEASE_ACTION_WRITE) {
-		event->written.result = write_object(
-			service, STORE_PURPOSE_LEASE, key,
-			lease_record_to_json(&action->write.record),
-			action->write.if_version, &event->written.version);
-		return;
-	}
-	err = store_client_get(service->options.store, STORE_PURPOSE_LEASE, key,
-			       &object);
-	if (!err)
-		err = lease_record_from_json(object.value, record);
-	event->kind = LEASE_EVENT_READ;
-	event->read.result = err;
-	event->read.version = object.version;
-	event->read.record = record;
-}
-
 static void acquired(const controller_service_t *service, pool_t *pool,
 		     uint64_t fencing)
 {
@@ -381,7 +273,8 @@
 	switch (action->kind) {
 	case LEASE_ACTION_READ:
 	case LEASE_ACTION_WRITE:
-		call_lease(service, pool, action, record, event);
+		*event = controller_store_lease(service->options.store,
+						pool->id, action, record);
 		return true;
 	case LEASE_ACTION_WAIT:
 		pool->lease_due_ms = action->until_ms;
@@ -536,8 +429,11 @@
 	const controller_service_t *service = context;
 	const pool_t *pool = find_pool(service, name->pool);
 
-	return pool && pool->controller &&
-	       lease_fencing(&pool->lease, clock_now_ms()) == fencing;
+	if (!pool || !pool->controller ||
+	    lease_fencing(&pool->lease, clock_now_ms()) != fencing)
+		return false;
+	metrics_add(METRIC_ENGINE_ORDERS_SENT, 1);
+	return true;
 }
 
 static void take_state(void *context, const engine_name_t *name,
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -105,9 +105,11 @@
 	       "Leases won and lost here.")
 METRIC_COUNTER(LEASES_RELEASED, "amv_lease_changes_total",
 	       "change=\"released\"", "Leases won and lost here.")
+METRIC_COUNTER(ENGINE_ORDERS_SENT, "amv_engine_orders_sent_total", "",
+	       "Orders whose sending to an engine began.")
 METRIC_COUNTER(ENGINE_ORDERS_DONE, "amv_engine_orders_total",
-	       "outcome=\"done\"", "Orders sent to engines.")
+	       "outcome=\"done\"", "Orders to engines that ended.")
 METRIC_COUNTER(ENGINE_ORDERS_REFUSED, "amv_engine_orders_total",
-	       "outcome=\"refused\"", "Orders sent to engines.")
+	       "outcome=\"refused\"", "Orders to engines that ended.")
 METRIC_COUNTER(ENGINE_ORDERS_UNKNOWN, "amv_engine_orders_total",
-	       "outcome=\"unknown\"", "Orders sent to engines.")
+	       "outcome=\"unknown\"", "Orders to engines that ended.")
--- a/t/fault-proxy.c
+++ b/t/fault-proxy.c
@@ -344,14 +344,29 @@
 	http_send_ok(request);
 }
 
+/** Chunks of requests that wait for their time. */
+static int count_held(void)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < proxy.connections->len; i++) {
+		connection_t *connection =
+			g_ptr_array_index(proxy.connections, i);
+
+		count += g_queue_get_length(&connection->request.chunks);
+	}
+	return (int)count;
+}
+
 static void handle_stats(http_request_t *request)
 {
 	SCOPED_LOCK(held, &proxy.lock);
 
 	http_send_json(request, 200, "",
-		       json_pack("{s:I,s:i}", "accepted",
+		       json_pack("{s:I,s:i,s:i}", "accepted",
 				 (json_int_t)proxy.accepted, "open",
-				 (int)proxy.connections->len));
+				 (int)proxy.connections->len, "held",
+				 count_held()));
 }
 
 static const http_route_t routes[] = {
--- a/t/lib/rig.c
+++ b/t/lib/rig.c
@@ -27,6 +27,8 @@
 	g_snprintf(number, sizeof(number), "%u", port);
 	g_ptr_array_add(args, (void *)"--port");
 	g_ptr_array_add(args, number);
+	if (rig->options.engines_check_fencing)
+		g_ptr_array_add(args, (void *)"--check-fencing");
 	add_args(args, rig->options.engine_args);
 	g_ptr_array_add(args, NULL);
 	return program_start_args("standin-engine",
@@ -56,35 +58,62 @@
 		name, number, port, fields);
 }
 
-static char *make_objects(const rig_t *rig)
+/** Puts a fault proxy before a port. @return port to use */
+static uint16_t add_proxy(const rig_t *rig, rig_proxy_t *proxy, uint16_t port)
+{
+	char number[NUMBER_BYTES];
+
+	if (!rig->options.proxies)
+		return port;
+	g_snprintf(number, sizeof(number), "%u", port);
+	proxy->program =
+		program_start("fault-proxy", "--target-port", number, NULL);
+	proxy->port = program_port(proxy->program, "port");
+	proxy->control = program_port(proxy->program, "control");
+	return proxy->port;
+}
+
+static char *make_objects(rig_t *rig)
 {
 	GString *out = g_string_new("{");
 	const char *plain = rig->options.plains_check_fencing
 				    ? "\"kind\":\"plain\",\"pool\":\"crews\","
 				      "\"checks_fencing\":true"
 				    : "\"kind\":\"plain\",\"pool\":\"crews\"";
+	const char *engine = rig->options.engines_check_fencing
+				     ? "\"kind\":\"engine\",\"pool\":"
+				       "\"models\",\"checks_fencing\":true"
+				     : "\"kind\":\"engine\",\"pool\":"
+				       "\"models\"";
 
 	add_customer(out, "c1", "key-of-customer-1", "\"models\",\"crews\"");
 	add_customer(out, "c2", "key-of-customer-2", "\"models\",\"others\"");
 	for (int i = 0; i < rig->options.engines; i++)
-		add_endpoint(out, "e", i,
-			     "\"kind\":\"engine\",\"pool\":\"models\"",
-			     rig->engine_ports[i]);
+		add_endpoint(out, "e", i, engine,
+			     add_proxy(rig, &rig->engine_proxies[i],
+				       rig->engine_ports[i]));
 	for (int i = 0; i < rig->options.plains; i++)
-		add_endpoint(out, "p", i, plain, rig->plain_ports[i]);
+		add_endpoint(out, "p", i, plain,
+			     add_proxy(rig, &rig->plain_proxies[i],
+				       rig->plain_ports[i]));
 	if (rig->options.objects)
 		g_string_append(out, rig->options.objects);
-	g_string_append(out,
-			"\"pool/models\":{\"model\":\"m1\","
-			"\"weights_version\":\"1\"},"
-			"\"pool/others\":{\"model\":\"m2\"},\"pool/crews\":{},"
-			"\"urgency/u\":{\"time_zone\":\"UTC\",\"rules\":["
-			"{\"kind\":\"verdict\",\"class\":\"urgent\"},"
-			"{\"kind\":\"summary\",\"class\":\"deferrable\"}]},"
-			"\"model/m1\":{\"block_tokens\":100},\"model/m2\":{},"
-			"\"route/dispatch\":{\"pool\":\"crews\","
-			"\"idempotent_methods\":[\"GET\"],"
-			"\"timeout_ms\":3000}}");
+	g_string_append_printf(
+		out, "\"pool/models\":%s,",
+		rig->options.models_pool
+			? rig->options.models_pool
+			: "{\"model\":\"m1\",\"weights_version\":\"1\"}");
+	g_string_append_printf(
+		out,
+		"\"pool/others\":{\"model\":\"m2\"},\"pool/crews\":{},"
+		"\"urgency/u\":{\"time_zone\":\"UTC\",\"rules\":["
+		"{\"kind\":\"verdict\",\"class\":\"urgent\"},"
+		"{\"kind\":\"summary\",\"class\":\"deferrable\"}]},"
+		"\"model/m1\":{\"block_tokens\":100},\"model/m2\":{},"
+		"\"route/dispatch\":{\"pool\":\"crews\","
+		"\"idempotent_methods\":[\"GET\"],\"timeout_ms\":%d}}",
+		rig->options.plain_timeout_ms ? rig->options.plain_timeout_ms
+					      : 3000);
 	return g_string_free(out, FALSE);
 }
 
@@ -98,11 +127,12 @@
 	g_assert_true(g_file_set_contents(rig->bootstrap, objects, -1, NULL));
 }
 
-static void start_router(rig_t *rig, int number)
+void rig_start_router(rig_t *rig, int number)
 {
 	g_autoptr(GPtrArray) args = g_ptr_array_new();
-	g_autofree char *store =
-		g_strdup_printf("http://127.0.0.1:%u", rig->store_port);
+	g_autofree char *store = g_strdup_printf(
+		"http://127.0.0.1:%u",
+		add_proxy(rig, &rig->store_proxies[number], rig->store_port));
 	g_autofree char *name = g_strdup_printf("r%d", number);
 	g_autofree char *ready = NULL;
 	const char *const fixed[] = {
@@ -159,7 +189,7 @@
 	}
 	write_bootstrap(rig);
 	for (int i = 0; i < options->routers; i++)
-		start_router(rig, i);
+		rig_start_router(rig, i);
 	return rig;
 }
 
@@ -171,6 +201,16 @@
 	}
 }
 
+static void free_proxies(const rig_proxy_t *proxies, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (!proxies[i].program)
+			continue;
+		program_signal(proxies[i].program, SIGKILL);
+		program_free(proxies[i].program);
+	}
+}
+
 void rig_free(rig_t *rig)
 {
 	/* All at once, as each needs up to 2 s to end by itself; stand-ins
@@ -189,6 +229,9 @@
 			program_signal(rig->plains[i], SIGKILL);
 	}
 	program_signal(rig->store, SIGKILL);
+	free_proxies(rig->engine_proxies, RIG_ENGINES_MAX);
+	free_proxies(rig->plain_proxies, RIG_PLAINS_MAX);
+	free_proxies(rig->store_proxies, RIG_ROUTERS_MAX);
 	free_all(rig->engines, RIG_ENGINES_MAX);
 	free_all(rig->plains, RIG_PLAINS_MAX);
 	program_free(rig->store);
@@ -197,6 +240,12 @@
 	g_free(rig);
 }
 
+void rig_kill_router(rig_t *rig, int router)
+{
+	program_signal(rig->routers[router], SIGKILL);
+	program_wait(rig->routers[router], HARNESS_WAIT_MS);
+}
+
 void rig_kill_engine(rig_t *rig, int engine)
 {
 	program_signal(rig->engines[engine], SIGKILL);
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -15,7 +15,7 @@
 #include "t/lib/harness.h"
 
 enum {
-	RIG_ENGINES_MAX = 4,
+	RIG_ENGINES_MAX = 6,
 	RIG_PLAINS_MAX = 2,
 	RIG_ROUTERS_MAX = 3,
 	RIG_ARGS_MAX = 8,
@@ -31,6 +31,16 @@
 	int plains;
 	int routers;
 	bool plains_check_fencing;
+	bool engines_check_fencing;
+	/**
+	 * Fault proxies before the engines, before the plain services, and
+	 * between each router and the object API.
+	 */
+	bool proxies;
+	/** Time limit of the route `dispatch`; 0 for 3 s. */
+	int plain_timeout_ms;
+	/** State of pool/models as JSON, instead of weights version 1. */
+	const char *models_pool;
 	/** More arguments, ended by NULL. */
 	const char *engine_args[RIG_ARGS_MAX];
 	const char *router_args[RIG_ARGS_MAX];
@@ -38,6 +48,12 @@
 	const char *objects;
 } rig_options_t;
 
+typedef struct rig_proxy {
+	program_t *program;
+	uint16_t port;
+	uint16_t control;
+} rig_proxy_t;
+
 typedef struct rig {
 	rig_options_t options;
 	program_t *store;
@@ -48,6 +64,9 @@
 	uint16_t engine_ports[RIG_ENGINES_MAX];
 	uint16_t plain_ports[RIG_PLAINS_MAX];
 	uint16_t ports[RIG_ROUTERS_MAX]; /**< Of the routers. */
+	rig_proxy_t engine_proxies[RIG_ENGINES_MAX];
+	rig_proxy_t plain_proxies[RIG_PLAINS_MAX];
+	rig_proxy_t store_proxies[RIG_ROUTERS_MAX];
 	char *bootstrap;
 } rig_t;
 
@@ -56,6 +75,12 @@
 void rig_free(rig_t *rig);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(rig_t, rig_free)
 
+/** Starts a router that rig_start() did not start. */
+void rig_start_router(rig_t *rig, int router);
+
+/** Kills a router at once. */
+void rig_kill_router(rig_t *rig, int router);
+
 /** Kills an engine at once. */
 void rig_kill_engine(rig_t *rig, int engine);
 
--- a/t/standin-plain.c
+++ b/t/standin-plain.c
@@ -30,6 +30,7 @@
 	json_t *totals;
 	json_t *by_key;
 	json_t *by_path;
+	json_t *by_request; /**< By X-Request-Id of the caller. */
 } service = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
 /** Remembers the highest number; returns whether the given one is older. */
@@ -68,6 +69,8 @@
 	json_count(service.totals, "executed", 1);
 	json_count(service.by_key, key, 1);
 	json_count(service.by_path, request->path, 1);
+	json_count(service.by_request,
+		   http_header(request, "X-Request-Id", "-"), 1);
 	*answer_lost = service.lose_answers > 0;
 	service.lose_answers -= *answer_lost;
 	return 200;
@@ -148,6 +151,7 @@
 	report = json_deep_copy(service.totals);
 	json_object_set(report, "by_key", service.by_key);
 	json_object_set(report, "by_path", service.by_path);
+	json_object_set(report, "by_request", service.by_request);
 	http_send_json(request, 200, "", report);
 }
 
@@ -172,6 +176,7 @@
 	service.totals = json_object();
 	service.by_key = json_object();
 	service.by_path = json_object();
+	service.by_request = json_object();
 }
 
 static http_server_t server = { .routes = routes, .start = start };
--- a/t/test-controller-cases.c
+++ b/t/test-controller-cases.c
@@ -163,9 +163,58 @@
 	g_free(controller);
 }
 
+/* A slots write that the store budget refuses must be tried again as it is. A
+ * read before it would use the one call that the budget allows, each time. */
+static void test_refused_slots(void)
+{
+	static const controller_target_t desired = { .model = "m",
+						     .version = "v1" };
+	static const controller_member_t member = { "e0", true };
+	controller_t *controller = g_new0(controller_t, 1);
+	controller_event_t event = { .kind = CONTROLLER_EVENT_LEASE };
+	controller_actions_t actions;
+
+	event.lease.fencing = 1;
+	event.lease.valid_until_ms = 5000;
+	controller_init(controller, "p", &settings);
+	controller_configure(controller, &desired, 0, &member, 1);
+	report(controller, "e0", "v0", 1000);
+	actions = step_at(controller, event, 1000);
+	while (actions.items[0].kind != CONTROLLER_ACTION_WRITE_SLOTS) {
+		bool reads =
+			actions.items[0].kind ==
+				CONTROLLER_ACTION_READ_STATUS ||
+			actions.items[0].kind == CONTROLLER_ACTION_READ_SLOTS;
+
+		event = (controller_event_t){
+			.kind = actions.items[0].kind ==
+						CONTROLLER_ACTION_READ_SLOTS
+					? CONTROLLER_EVENT_SLOTS
+					: CONTROLLER_EVENT_STATUS,
+			.call = actions.items[0].call,
+			.status = { .result = reads ? ERR_NOT_FOUND : 0 },
+		};
+		actions = step_at(controller, event, 1000);
+		g_assert_cmpuint(actions.count, ==, 1);
+	}
+	event.kind = CONTROLLER_EVENT_SLOTS;
+	event.call = actions.items[0].call;
+	event.slots.result = ERR_STORE_BUDGET;
+	actions = step_at(controller, event, 1000);
+	g_assert_cmpuint(actions.count, ==, 0);
+	event.kind = CONTROLLER_EVENT_TICK;
+	actions = step_at(controller, event, 1000 + settings.store_retry_ms);
+	g_assert_cmpuint(actions.count, ==, 1);
+	g_assert_cmpint(actions.items[0].kind, ==,
+			CONTROLLER_ACTION_WRITE_SLOTS);
+	g_assert_cmpuint(actions.items[0].slots.count, ==, 1);
+	g_free(controller);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/controller/cases", test_cases);
+	g_test_add_func("/controller/refused-slots", test_refused_slots);
 	return g_test_run();
 }
--- /dev/null
+++ b/t/test-it-engines.c
@@ -0,0 +1,435 @@
+/*
+ * Engine orders through real routers, engines, weight store and object API,
+ * and the controller service on its own where the configuration changes.
+ */
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/controller_service.h"
+#include "process/hash.h"
+#include "t/lib/rig.h"
+
+enum {
+	LEASE_MS = 1000,
+	ORDER_MAX_MS = 1500,
+	/** A roll-out over six engines or a takeover, with room for a busy
+	 * machine. */
+	ROLL_OUT_WAIT_MS = 40000,
+};
+
+#define SLOTS_TAKEN                                        \
+	"{\"loads\":[{\"pool\":\"other\",\"order_id\":1}," \
+	"{\"pool\":\"other\",\"order_id\":2}]}"
+#define SLOTS_FREE "{\"loads\":[]}"
+
+typedef struct fixture {
+	program_t *weights;
+	uint16_t weights_port;
+	char *weights_url;
+	rig_t *rig;
+} fixture_t;
+
+static const char *const router_args[] = { "--lease-ms",
+					   "1000",
+					   "--engine-order-max-ms",
+					   "1500",
+					   "--engine-state-ms",
+					   "100",
+					   NULL };
+
+/** Starts engines with version 1 for routers that want version 2. */
+static fixture_t *fixture_start(int engines, int routers, bool check_fencing,
+				bool proxies, const char *pool)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	rig_options_t options = {
+		.engines = engines,
+		.engines_check_fencing = check_fencing,
+		.proxies = proxies,
+		.models_pool = pool,
+		.engine_args = { "--load-ms", "300", "--weights-url" },
+	};
+
+	memcpy(options.router_args, router_args, sizeof(router_args));
+	/* More transfers than are allowed, so that the limit is not its own. */
+	fixture->weights =
+		standin_start("standin-weights", "--transfers-max", "8", NULL);
+	fixture->weights_port = program_main_port(fixture->weights);
+	fixture->weights_url =
+		g_strdup_printf("http://127.0.0.1:%u", fixture->weights_port);
+	options.engine_args[3] = fixture->weights_url;
+	fixture->rig = rig_start(&options);
+	for (int i = 0; i < routers; i++)
+		rig_start_router(fixture->rig, i);
+	return fixture;
+}
+
+static void fixture_free(fixture_t *fixture)
+{
+	rig_free(fixture->rig);
+	program_signal(fixture->weights, SIGKILL);
+	program_free(fixture->weights);
+	g_free(fixture->weights_url);
+	g_free(fixture);
+}
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(fixture_t, fixture_free)
+
+static int64_t weights(const fixture_t *fixture, const char *member)
+{
+	return http_local_number(fixture->weights_port, "/control/stats",
+				 member);
+}
+
+static bool has_version(const rig_t *rig, int engine, const char *version)
+{
+	g_autoptr(http_answer_t) state = http_local(
+		"GET", rig->engine_ports[engine], "/engine/state", NULL, NULL);
+
+	return !g_strcmp0(
+		json_string_value(json_object_get(state->json, "version")),
+		version);
+}
+
+static int count_updated(const rig_t *rig)
+{
+	int count = 0;
+
+	for (int i = 0; i < rig->options.engines; i++)
+		count += has_version(rig, i, "2");
+	return count;
+}
+
+static bool wait_for_all(const fixture_t *fixture)
+{
+	return WAIT_UNTIL(count_updated(fixture->rig) ==
+				  fixture->rig->options.engines,
+			  ROLL_OUT_WAIT_MS);
+}
+
+/** Router that holds the lease, or -1. */
+static int holder(rig_t *rig, int routers)
+{
+	for (int i = 0; i < routers; i++) {
+		if (program_is_running(rig->routers[i]) &&
+		    rig_metric(rig, i, "amv_leases_held") == 1)
+			return i;
+	}
+	return -1;
+}
+
+/* A roll-out must use at most two loads of the weight store at once, and must
+ * load each engine once. */
+static void test_roll_out(void)
+{
+	g_autoptr(fixture_t) fixture =
+		fixture_start(6, 3, true, false,
+			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
+
+	g_assert_true(wait_for_all(fixture));
+	g_assert_cmpint(weights(fixture, "open_max"), ==, 2);
+	g_assert_cmpint(weights(fixture, "transfers"), ==, 6);
+	g_assert_cmpint(rig_engine_sum(fixture->rig, "orders"), ==, 6);
+}
+
+/* With six engines and five that must stay, one load at a time is allowed: an
+ * engine does not serve while it loads. */
+static void test_ready_min(void)
+{
+	g_autoptr(fixture_t) fixture =
+		fixture_start(6, 2, true, false,
+			      "{\"model\":\"m1\",\"weights_version\":\"2\","
+			      "\"ready_min\":5}");
+
+	g_assert_true(wait_for_all(fixture));
+	g_assert_cmpint(weights(fixture, "open_max"), ==, 1);
+	g_assert_cmpint(weights(fixture, "transfers"), ==, 6);
+}
+
+/* Loads that the killed holder left open must count against the limit. */
+static void test_holder_killed(void)
+{
+	g_autoptr(fixture_t) fixture =
+		fixture_start(6, 3, true, false,
+			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
+	int killed;
+
+	g_assert_true(WAIT_UNTIL(weights(fixture, "transfers") >= 3,
+				 ROLL_OUT_WAIT_MS));
+	killed = holder(fixture->rig, 3);
+	g_assert_cmpint(killed, >=, 0);
+	rig_kill_router(fixture->rig, killed);
+	g_assert_cmpint(count_updated(fixture->rig), <, 6);
+	g_assert_true(wait_for_all(fixture));
+	g_assert_cmpint(weights(fixture, "open_max"), ==, 2);
+	g_assert_cmpint(weights(fixture, "transfers"), ==, 6);
+}
+
+static void put_object(const rig_t *rig, const char *key, const char *value)
+{
+	g_autofree char *path = g_strdup_printf("/objects/%s", key);
+	g_autoptr(http_answer_t) old =
+		http_local("GET", rig->store_port, path, NULL, NULL);
+	g_autofree char *version = http_answer_header(old, "ETag");
+	g_autofree char *condition =
+		version ? g_strdup_printf("If-Match: %s", version)
+			: g_strdup("If-None-Match: *");
+	const char *const headers[] = { "Content-Type: application/json",
+					condition, NULL };
+	g_autoptr(http_answer_t) put =
+		http_local("PUT", rig->store_port, path, headers, value);
+
+	g_assert_cmpint(put->status / 100, ==, 2);
+}
+
+static int64_t sent(rig_t *rig, int router)
+{
+	return rig_metric(rig, router, "amv_engine_orders_sent_total");
+}
+
+/**
+ * Freezes the holder while its order is on its way to the engine for
+ * `delay_ms`, and starts the router that takes over.
+ */
+static fixture_t *freeze_holder(bool check_fencing, const char *delay)
+{
+	fixture_t *fixture =
+		fixture_start(1, 0, check_fencing, true,
+			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
+	rig_t *rig = fixture->rig;
+	uint16_t proxy = rig->engine_proxies[0].control;
+
+	/*
+	 * Until the proxy is slow, the load has to wait for a slot. The slots
+	 * are read here, at the acquisition, and again for each planned load.
+	 */
+	put_object(rig, "slots/default", SLOTS_TAKEN);
+	rig_start_router(rig, 0);
+	g_assert_true(
+		WAIT_UNTIL(http_local_number(rig->store_port, "/control/stats",
+					     "calls GET slots/") >= 3,
+			   ROLL_OUT_WAIT_MS));
+	g_assert_cmpint(sent(rig, 0), ==, 0);
+	standin_control(proxy, delay);
+	put_object(rig, "slots/default", SLOTS_FREE);
+	g_assert_true(WAIT_UNTIL(sent(rig, 0) == 1, ROLL_OUT_WAIT_MS));
+	program_signal(rig->routers[0], SIGSTOP);
+	standin_control(proxy, "{\"delay_ms\":0}");
+	g_assert_cmpint(rig_engine_sum(rig, "orders"), ==, 0);
+	rig_start_router(rig, 1);
+	return fixture;
+}
+
+/* An engine that checks fencing must refuse the order of the frozen holder
+ * that arrives after the next holder's. */
+static void test_frozen_holder_fencing(void)
+{
+	g_autoptr(fixture_t) fixture =
+		freeze_holder(true, "{\"delay_ms\":6000}");
+	rig_t *rig = fixture->rig;
+
+	g_assert_true(wait_for_all(fixture));
+	g_assert_cmpint(rig_engine_sum(rig, "orders"), ==, 1);
+	g_assert_true(WAIT_UNTIL(rig_engine_sum(rig, "orders") == 2,
+				 ROLL_OUT_WAIT_MS));
+	g_assert_cmpint(rig_engine_sum(rig, "orders_done"), ==, 1);
+	program_signal(rig->routers[0], SIGCONT);
+	g_assert_true(WAIT_UNTIL(rig_metric(rig, 0, "amv_leases_held") == 0,
+				 ROLL_OUT_WAIT_MS));
+	g_assert_cmpint(sent(rig, 0), ==, 1);
+	g_assert_cmpint(sent(rig, 1), ==, 1);
+}
+
+/* An engine that ignores the number must get no second order: the next holder
+ * waits out the longest order and then finds it done. */
+static void test_frozen_holder_ignoring(void)
+{
+	g_autoptr(fixture_t) fixture =
+		freeze_holder(false, "{\"delay_ms\":1800}");
+	rig_t *rig = fixture->rig;
+
+	g_assert_true(wait_for_all(fixture));
+	g_assert_true(WAIT_UNTIL(holder(rig, 2) == 1 || holder(rig, 2) == 0,
+				 ROLL_OUT_WAIT_MS));
+	program_signal(rig->routers[0], SIGCONT);
+	/* The next holder has verified the engine once no order is open. */
+	g_assert_true(WAIT_UNTIL(
+		rig_metric(rig, 0, "amv_leases_held") +
+					rig_metric(rig, 1, "amv_leases_held") ==
+				1 &&
+			http_local_number(rig->store_port,
+					  "/objects/status/pool/models",
+					  "fencing") >= 2,
+		ROLL_OUT_WAIT_MS));
+	g_assert_cmpint(rig_engine_sum(rig, "orders"), ==, 1);
+	g_assert_cmpint(sent(rig, 1), ==, 0);
+}
+
+/* An engine that comes back with old weights must be loaded again. */
+static void test_engine_restarted(void)
+{
+	g_autoptr(fixture_t) fixture =
+		fixture_start(2, 1, true, false,
+			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
+
+	g_assert_true(wait_for_all(fixture));
+	rig_kill_engine(fixture->rig, 1);
+	rig_restart_engine(fixture->rig, 1);
+	g_assert_true(has_version(fixture->rig, 1, "1"));
+	g_assert_true(wait_for_all(fixture));
+	g_assert_cmpint(weights(fixture, "transfers"), ==, 3);
+}
+
+static bool is_released(const rig_t *rig)
+{
+	g_autoptr(http_answer_t) lease =
+		http_local("GET", rig->store_port, "/objects/lease/pool/models",
+			   NULL, NULL);
+
+	return !g_strcmp0(
+		json_string_value(json_object_get(lease->json, "holder")), "");
+}
+
+/* A planned stop must not leave the pool without a controller until the lease
+ * expires. */
+static void test_planned_stop(void)
+{
+	g_autoptr(fixture_t) fixture =
+		fixture_start(1, 1, true, false,
+			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
+
+	g_assert_true(wait_for_all(fixture));
+	g_assert_cmpint(program_stop(fixture->rig->routers[0]), ==, 0);
+	g_assert_true(is_released(fixture->rig));
+}
+
+/* Only some members compete for a lease, the same ones everywhere, and they
+ * differ between pools. */
+static void test_candidates(void)
+{
+	enum { MEMBERS = 340, POOLS = 15 };
+	uint64_t members[MEMBERS];
+	uint32_t seats[MEMBERS] = { 0 };
+	uint32_t most = 0;
+
+	for (uint64_t i = 0; i < MEMBERS; i++)
+		members[i] = hash_rendezvous(i, 7);
+	for (int p = 0; p < POOLS; p++) {
+		g_autofree char *pool = g_strdup_printf("pool-%d", p);
+		int count = 0;
+
+		for (int i = 0; i < MEMBERS; i++) {
+			bool is = controller_is_candidate(pool, members[i],
+							  members, MEMBERS);
+
+			count += is;
+			seats[i] += is;
+			most = MAX(most, seats[i]);
+		}
+		g_assert_cmpint(count, ==, CONTROLLER_CANDIDATES);
+	}
+	g_assert_cmpuint(most, <=, 4);
+}
+
+static void note_entry(void *context, const audit_entry_t *entry)
+{
+	g_string_append_printf(context, "%s %s>%s %s\n", entry->which,
+			       entry->before, entry->after, entry->outcome);
+}
+
+static bool run_until_version(controller_service_t *service, const rig_t *rig,
+			      const char *version)
+{
+	uint64_t until_ms = clock_now_ms() + ROLL_OUT_WAIT_MS;
+
+	while (clock_now_ms() < until_ms) {
+		controller_service_run(service, 10);
+		if (has_version(rig, 0, version))
+			return true;
+	}
+	return false;
+}
+
+/* A pool that moves to another weight store must count its loads there, under
+ * a new fencing number; each order has its audit entries. */
+static void test_weight_store_moved(void)
+{
+	g_autoptr(fixture_t) fixture =
+		fixture_start(1, 0, true, false, "{\"model\":\"m1\"}");
+	rig_t *rig = fixture->rig;
+	g_autofree char *url =
+		g_strdup_printf("http://127.0.0.1:%u", rig->store_port);
+	g_autoptr(GString) entries = g_string_new("");
+	store_client_options_t store_options = { .url = url, .seed = 1 };
+	controller_service_options_t options = {
+		.instance = "c1",
+		.lease_ms = LEASE_MS,
+		.order_max_ms = ORDER_MAX_MS,
+		.state_poll_ms = 100,
+		.seed = 1,
+		.audit = note_entry,
+		.audit_context = entries,
+	};
+	controller_service_engine_t engine = {
+		.id = "e0",
+		.address = { .address = "127.0.0.1",
+			     .port = rig->engine_ports[0] },
+		.checks_fencing = true,
+	};
+	controller_service_pool_t pool = {
+		.id = "models",
+		.weight_store = "w1",
+		.desired = { .model = "m1", .version = "2" },
+		.engines = &engine,
+		.engine_count = 1,
+	};
+	controller_service_t *service = NULL;
+
+	g_assert_cmpint(store_client_open(&store_options, &options.store), ==,
+			0);
+	g_assert_cmpint(controller_service_open(&options, &service), ==, 0);
+	g_assert_cmpint(controller_service_configure(service, &pool, 1), ==, 0);
+	g_assert_true(run_until_version(service, rig, "2"));
+	g_assert_cmpint(http_local_number(rig->store_port, "/objects/slots/w2",
+					  "loads"),
+			<=, 0);
+	pool.weight_store = "w2";
+	memcpy(pool.desired.version, "3", 2);
+	g_assert_cmpint(controller_service_configure(service, &pool, 1), ==, 0);
+	g_assert_true(run_until_version(service, rig, "3"));
+	g_assert_cmpint(http_local_number(rig->store_port,
+					  "/objects/lease/pool/models",
+					  "fencing"),
+			==, 2);
+	g_assert_cmpint(http_local_number(rig->engine_ports[0], "/engine/state",
+					  "fencing"),
+			==, 2);
+	g_assert_nonnull(strstr(entries->str, "e0 1>2 issued\ne0 1>2 done\n"));
+	g_assert_nonnull(strstr(entries->str, "e0 2>3 issued\n"));
+	controller_service_stop(service);
+	g_assert_true(is_released(rig));
+	controller_service_close(service);
+	store_client_close(options.store);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	g_test_add_func("/engines/candidates", test_candidates);
+	g_test_add_func("/engines/roll-out", test_roll_out);
+	g_test_add_func("/engines/ready-min", test_ready_min);
+	g_test_add_func("/engines/holder-killed", test_holder_killed);
+	g_test_add_func("/engines/frozen-holder-fencing",
+			test_frozen_holder_fencing);
+	g_test_add_func("/engines/frozen-holder-ignoring",
+			test_frozen_holder_ignoring);
+	g_test_add_func("/engines/engine-restarted", test_engine_restarted);
+	g_test_add_func("/engines/planned-stop", test_planned_stop);
+	g_test_add_func("/engines/weight-store-moved", test_weight_store_moved);
+	return g_test_run();
+}
