t: hold loads across a takeover, let the rig own the weight store

On scratch copies with one rule broken at a time, three tests still passed: holder-killed, as loads ended before the takeover, engine-restarted, as the holder had not seen the new version before the restart, and ready-min, as the rule is checked in two places. Loads now last 3.5 s against a lease of 2 s, and the restart waits for amv_engines_in_service, a new gauge.

--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -273,6 +273,7 @@
 	pthread_t poller;
 	pthread_t timer;
 	pthread_t engines;
+	bool has_engines = false;
 	int number;
 	int err = 0;
 
@@ -290,14 +291,15 @@
 	pthread_create(&poller, NULL, router_poll_thread, &router);
 	pthread_create(&timer, NULL, router_timer_thread, &router);
 	if (router.store)
-		pthread_create(&engines, NULL, router_engines_thread, &router);
+		has_engines = !pthread_create(&engines, NULL,
+					      router_engines_thread, &router);
 	sigwait(signals, &number);
 	stop_requests();
 	server_stop(router.server);
 	uatomic_set(&router.ending, true);
 	pthread_join(poller, NULL);
 	pthread_join(timer, NULL);
-	if (router.store)
+	if (has_engines)
 		pthread_join(engines, NULL);
 	close_state();
 	event_log(EVENT_STOPPED, NULL);
--- a/cmd/router_engines.c
+++ b/cmd/router_engines.c
@@ -81,24 +81,34 @@
 	}
 }
 
-static int configure(engines_t *engines, const config_t *config)
+/** Adds the pools with a desired state. */
+static void add_pools(pool_list_t *list, const config_t *config)
 {
-	CLEANUP_FREE controller_service_pool_t *pools =
-		calloc(config->pool_count + 1, sizeof(*pools));
-	CLEANUP_FREE controller_service_engine_t *members =
-		calloc(config->endpoint_count + 1, sizeof(*members));
-	pool_list_t list = { .pools = pools, .engines = members };
-
-	if (!pools || !members)
-		return ERR_NO_MEMORY;
 	for (size_t i = 0; i < config->pool_count; i++) {
 		const config_pool_t *pool = &config->pools[i];
 
 		if (*pool->model && *pool->weights_version)
-			add_pool(&list, config, pool);
+			add_pool(list, config, pool);
+	}
+}
+
+static int configure(engines_t *engines, const config_t *config)
+{
+	pool_list_t list = {
+		.pools = calloc(config->pool_count + 1, sizeof(*list.pools)),
+		.engines = calloc(config->endpoint_count + 1,
+				  sizeof(*list.engines)),
+	};
+	int err = ERR_NO_MEMORY;
+
+	if (list.pools && list.engines) {
+		add_pools(&list, config);
+		err = controller_service_configure(engines->service, list.pools,
+						   list.pool_count);
 	}
-	return controller_service_configure(engines->service, list.pools,
-					    list.pool_count);
+	free(list.pools);
+	free(list.engines);
+	return err;
 }
 
 static void take_config(engines_t *engines)
--- a/process/controller_service.c
+++ b/process/controller_service.c
@@ -659,6 +659,20 @@
 	service->pool_count = kept;
 }
 
+static void count_in_service(const controller_service_t *service)
+{
+	int64_t count = 0;
+
+	for (size_t i = 0; i < service->pool_count; i++) {
+		const pool_t *pool = service->pools[i];
+
+		if (pool->controller)
+			count += controller_in_service(pool->controller,
+						       clock_now_ms());
+	}
+	metrics_set(METRIC_ENGINES_IN_SERVICE, count);
+}
+
 void controller_service_run(controller_service_t *service, uint32_t wait_ms)
 {
 	controller_event_t tick = { .kind = CONTROLLER_EVENT_TICK };
@@ -669,6 +683,7 @@
 		step_controller(service, service->pools[i], tick);
 	}
 	remove_ended_pools(service);
+	count_in_service(service);
 	now_ms = clock_now_ms();
 	if (now_ms >= service->next_ask_ms)
 		ask_next(service, now_ms);
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -99,6 +99,8 @@
 	     "Instances believed to be alive, with this one.")
 METRIC_GAUGE(LEASES_HELD, "amv_leases_held", "",
 	     "Leases of pools that this instance holds.")
+METRIC_GAUGE(ENGINES_IN_SERVICE, "amv_engines_in_service", "",
+	     "Engines in service, of the pools whose leases are held here.")
 METRIC_COUNTER(LEASES_ACQUIRED, "amv_lease_changes_total",
 	       "change=\"acquired\"", "Leases won and lost here.")
 METRIC_COUNTER(LEASES_LOST, "amv_lease_changes_total", "change=\"lost\"",
--- a/t/lib/rig.c
+++ b/t/lib/rig.c
@@ -29,6 +29,10 @@
 	g_ptr_array_add(args, number);
 	if (rig->options.engines_check_fencing)
 		g_ptr_array_add(args, (void *)"--check-fencing");
+	if (rig->weights) {
+		g_ptr_array_add(args, (void *)"--weights-url");
+		g_ptr_array_add(args, rig->weights_url);
+	}
 	add_args(args, rig->options.engine_args);
 	g_ptr_array_add(args, NULL);
 	return program_start_args("standin-engine",
@@ -166,6 +170,15 @@
 	g_assert_true(WAIT_UNTIL(url_answers(ready), HARNESS_WAIT_MS));
 }
 
+static void start_weights(rig_t *rig)
+{
+	rig->weights =
+		standin_start("standin-weights", "--transfers-max", "8", NULL);
+	rig->weights_port = program_main_port(rig->weights);
+	rig->weights_url =
+		g_strdup_printf("http://127.0.0.1:%u", rig->weights_port);
+}
+
 rig_t *rig_start(const rig_options_t *options)
 {
 	rig_t *rig = g_new0(rig_t, 1);
@@ -175,6 +188,8 @@
 	g_setenv("AMV_OPERATOR_KEY", "key-of-the-operators", TRUE);
 	rig->store = standin_start("standin-store", NULL);
 	rig->store_port = program_main_port(rig->store);
+	if (options->weights)
+		start_weights(rig);
 	for (int i = 0; i < options->engines; i++) {
 		rig->engines[i] = start_engine(rig, 0);
 		rig->engine_ports[i] = program_main_port(rig->engines[i]);
@@ -235,6 +250,10 @@
 	free_all(rig->engines, RIG_ENGINES_MAX);
 	free_all(rig->plains, RIG_PLAINS_MAX);
 	program_free(rig->store);
+	if (rig->weights)
+		program_signal(rig->weights, SIGKILL);
+	free_all(&rig->weights, 1);
+	g_free(rig->weights_url);
 	remove(rig->bootstrap);
 	g_free(rig->bootstrap);
 	g_free(rig);
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -32,6 +32,8 @@
 	int routers;
 	bool plains_check_fencing;
 	bool engines_check_fencing;
+	/** A weight store that the engines load from, 8 transfers at once. */
+	bool weights;
 	/**
 	 * Fault proxies before the engines, before the plain services, and
 	 * between each router and the object API.
@@ -60,6 +62,9 @@
 	program_t *engines[RIG_ENGINES_MAX];
 	program_t *plains[RIG_PLAINS_MAX];
 	program_t *routers[RIG_ROUTERS_MAX];
+	program_t *weights;
+	uint16_t weights_port;
+	char *weights_url;
 	uint16_t store_port;
 	uint16_t engine_ports[RIG_ENGINES_MAX];
 	uint16_t plain_ports[RIG_PLAINS_MAX];
--- a/t/test-it-engines.c
+++ b/t/test-it-engines.c
@@ -14,74 +14,58 @@
 #include "t/lib/rig.h"
 
 enum {
-	LEASE_MS = 2000,
-	ORDER_MAX_MS = 1500,
-	/** A roll-out over six engines or a takeover, with room for a busy
-	 * machine. */
+	/** A roll-out or a takeover, with room for a busy machine. */
 	ROLL_OUT_WAIT_MS = 40000,
 };
 
+/* Numbers that also stand in arguments. */
+#define LEASE_MS 2000
+#define ORDER_MAX_MS 1500
+#define LOAD_MS "300"
+#define STRING(text) #text
+#define TEXT(number) STRING(number)
+#define POOL_2 "{\"model\":\"m1\",\"weights_version\":\"2\"}"
+
 #define SLOTS_TAKEN                                        \
 	"{\"loads\":[{\"pool\":\"other\",\"order_id\":1}," \
 	"{\"pool\":\"other\",\"order_id\":2}]}"
 #define SLOTS_FREE "{\"loads\":[]}"
 
-typedef struct fixture {
-	program_t *weights;
-	uint16_t weights_port;
-	char *weights_url;
-	rig_t *rig;
-} fixture_t;
-
-static const char *const router_args[] = { "--lease-ms",
-					   "2000",
-					   "--engine-order-max-ms",
-					   "1500",
-					   "--engine-state-ms",
-					   "100",
-					   NULL };
+typedef struct setup {
+	int engines;
+	int routers;
+	bool check_fencing;
+	bool proxies;
+	const char *pool;	  /**< NULL: version 2 for all. */
+	const char *load_ms;	  /**< NULL: LOAD_MS. */
+	const char *order_max_ms; /**< NULL: ORDER_MAX_MS. */
+} setup_t;
 
 /** Starts engines with version 1 for routers that want version 2. */
-static fixture_t *fixture_start(int engines, int routers, bool check_fencing,
-				bool proxies, const char *pool)
+static rig_t *start(const setup_t *setup)
 {
-	fixture_t *fixture = g_new0(fixture_t, 1);
 	rig_options_t options = {
-		.engines = engines,
-		.engines_check_fencing = check_fencing,
-		.proxies = proxies,
-		.models_pool = pool,
-		.engine_args = { "--load-ms", "300", "--weights-url" },
+		.engines = setup->engines,
+		.routers = setup->routers,
+		.engines_check_fencing = setup->check_fencing,
+		.weights = true,
+		.proxies = setup->proxies,
+		.models_pool = setup->pool ? setup->pool : POOL_2,
+		.engine_args = { "--load-ms",
+				 setup->load_ms ? setup->load_ms : LOAD_MS },
+		.router_args = { "--lease-ms", TEXT(LEASE_MS),
+				 "--engine-order-max-ms",
+				 setup->order_max_ms ? setup->order_max_ms
+						     : TEXT(ORDER_MAX_MS),
+				 "--engine-state-ms", "100" },
 	};
 
-	memcpy(options.router_args, router_args, sizeof(router_args));
-	/* More transfers than are allowed, so that the limit is not its own. */
-	fixture->weights =
-		standin_start("standin-weights", "--transfers-max", "8", NULL);
-	fixture->weights_port = program_main_port(fixture->weights);
-	fixture->weights_url =
-		g_strdup_printf("http://127.0.0.1:%u", fixture->weights_port);
-	options.engine_args[3] = fixture->weights_url;
-	fixture->rig = rig_start(&options);
-	for (int i = 0; i < routers; i++)
-		rig_start_router(fixture->rig, i);
-	return fixture;
-}
-
-static void fixture_free(fixture_t *fixture)
-{
-	rig_free(fixture->rig);
-	program_signal(fixture->weights, SIGKILL);
-	program_free(fixture->weights);
-	g_free(fixture->weights_url);
-	g_free(fixture);
+	return rig_start(&options);
 }
-G_DEFINE_AUTOPTR_CLEANUP_FUNC(fixture_t, fixture_free)
 
-static int64_t weights(const fixture_t *fixture, const char *member)
+static int64_t weights(const rig_t *rig, const char *member)
 {
-	return http_local_number(fixture->weights_port, "/control/stats",
-				 member);
+	return http_local_number(rig->weights_port, "/control/stats", member);
 }
 
 static bool has_version(const rig_t *rig, int engine, const char *version)
@@ -103,10 +87,9 @@
 	return count;
 }
 
-static bool wait_for_all(const fixture_t *fixture)
+static bool wait_for_all(const rig_t *rig)
 {
-	return WAIT_UNTIL(count_updated(fixture->rig) ==
-				  fixture->rig->options.engines,
+	return WAIT_UNTIL(count_updated(rig) == rig->options.engines,
 			  ROLL_OUT_WAIT_MS);
 }
 
@@ -125,47 +108,50 @@
  * load each engine once. */
 static void test_roll_out(void)
 {
-	g_autoptr(fixture_t) fixture =
-		fixture_start(6, 3, true, false,
-			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
-
-	g_assert_true(wait_for_all(fixture));
-	g_assert_cmpint(weights(fixture, "open_max"), ==, 2);
-	g_assert_cmpint(weights(fixture, "transfers"), ==, 6);
-	g_assert_cmpint(rig_engine_sum(fixture->rig, "orders"), ==, 6);
+	g_autoptr(rig_t) rig = start(&(setup_t){
+		.engines = 6, .routers = 3, .check_fencing = true });
+
+	g_assert_true(wait_for_all(rig));
+	g_assert_cmpint(weights(rig, "open_max"), ==, 2);
+	g_assert_cmpint(weights(rig, "transfers"), ==, 6);
+	g_assert_cmpint(rig_engine_sum(rig, "orders"), ==, 6);
 }
 
 /* With six engines and five that must stay, one load at a time is allowed: an
  * engine does not serve while it loads. */
 static void test_ready_min(void)
 {
-	g_autoptr(fixture_t) fixture =
-		fixture_start(6, 2, true, false,
-			      "{\"model\":\"m1\",\"weights_version\":\"2\","
-			      "\"ready_min\":5}");
-
-	g_assert_true(wait_for_all(fixture));
-	g_assert_cmpint(weights(fixture, "open_max"), ==, 1);
-	g_assert_cmpint(weights(fixture, "transfers"), ==, 6);
+	g_autoptr(rig_t) rig = start(&(setup_t){
+		.engines = 6,
+		.routers = 2,
+		.check_fencing = true,
+		.pool = "{\"model\":\"m1\",\"weights_version\":\"2\",\"ready_min\":5}" });
+
+	g_assert_true(wait_for_all(rig));
+	g_assert_cmpint(weights(rig, "open_max"), ==, 1);
+	g_assert_cmpint(weights(rig, "transfers"), ==, 6);
 }
 
-/* Loads that the killed holder left open must count against the limit. */
+/* Loads that the killed holder left open must count against the limit: they
+ * take longer than the takeover. */
 static void test_holder_killed(void)
 {
-	g_autoptr(fixture_t) fixture =
-		fixture_start(6, 3, true, false,
-			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
+	g_autoptr(rig_t) rig = start(&(setup_t){ .engines = 6,
+						 .routers = 3,
+						 .check_fencing = true,
+						 .load_ms = "3500",
+						 .order_max_ms = "9000" });
 	int killed;
 
-	g_assert_true(WAIT_UNTIL(weights(fixture, "transfers") >= 3,
-				 ROLL_OUT_WAIT_MS));
-	killed = holder(fixture->rig, 3);
+	g_assert_true(
+		WAIT_UNTIL(weights(rig, "transfers") >= 2, ROLL_OUT_WAIT_MS));
+	killed = holder(rig, 3);
 	g_assert_cmpint(killed, >=, 0);
-	rig_kill_router(fixture->rig, killed);
-	g_assert_cmpint(count_updated(fixture->rig), <, 6);
-	g_assert_true(wait_for_all(fixture));
-	g_assert_cmpint(weights(fixture, "open_max"), ==, 2);
-	g_assert_cmpint(weights(fixture, "transfers"), ==, 6);
+	rig_kill_router(rig, killed);
+	g_assert_cmpint(count_updated(rig), <, 6);
+	g_assert_true(wait_for_all(rig));
+	g_assert_cmpint(weights(rig, "open_max"), ==, 2);
+	g_assert_cmpint(weights(rig, "transfers"), ==, 6);
 }
 
 static void put_object(const rig_t *rig, const char *key, const char *value)
@@ -202,12 +188,12 @@
  * Freezes the holder while its order is on its way to the engine for
  * `delay_ms`, and starts the router that takes over.
  */
-static fixture_t *freeze_holder(bool check_fencing, const char *delay)
+static rig_t *freeze_holder(bool check_fencing, const char *delay)
 {
-	fixture_t *fixture =
-		fixture_start(1, 0, check_fencing, true,
-			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
-	rig_t *rig = fixture->rig;
+	rig_t *rig = start(&(setup_t){ .engines = 1,
+				       .routers = 0,
+				       .check_fencing = check_fencing,
+				       .proxies = true });
 	uint16_t proxy = rig->engine_proxies[0].control;
 
 	/*
@@ -228,18 +214,16 @@
 	standin_control(proxy, "{\"delay_ms\":0}");
 	g_assert_cmpint(rig_engine_sum(rig, "orders"), ==, 0);
 	rig_start_router(rig, 1);
-	return fixture;
+	return rig;
 }
 
 /* An engine that checks fencing must refuse the order of the frozen holder
  * that arrives after the next holder's. */
 static void test_frozen_holder_fencing(void)
 {
-	g_autoptr(fixture_t) fixture =
-		freeze_holder(true, "{\"delay_ms\":6000}");
-	rig_t *rig = fixture->rig;
+	g_autoptr(rig_t) rig = freeze_holder(true, "{\"delay_ms\":6000}");
 
-	g_assert_true(wait_for_all(fixture));
+	g_assert_true(wait_for_all(rig));
 	g_assert_cmpint(rig_engine_sum(rig, "orders"), ==, 1);
 	g_assert_true(WAIT_UNTIL(rig_engine_sum(rig, "orders") == 2,
 				 ROLL_OUT_WAIT_MS));
@@ -267,11 +251,9 @@
  * waits out the longest order and then finds it done. */
 static void test_frozen_holder_ignoring(void)
 {
-	g_autoptr(fixture_t) fixture =
-		freeze_holder(false, "{\"delay_ms\":2800}");
-	rig_t *rig = fixture->rig;
+	g_autoptr(rig_t) rig = freeze_holder(false, "{\"delay_ms\":2800}");
 
-	g_assert_true(wait_for_all(fixture));
+	g_assert_true(wait_for_all(rig));
 	/* The next holder has found the inherited order done. */
 	g_assert_true(WAIT_UNTIL(has_no_open_order(rig, 2), ROLL_OUT_WAIT_MS));
 	program_signal(rig->routers[0], SIGCONT);
@@ -284,16 +266,19 @@
 /* An engine that comes back with old weights must be loaded again. */
 static void test_engine_restarted(void)
 {
-	g_autoptr(fixture_t) fixture =
-		fixture_start(2, 1, true, false,
-			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
-
-	g_assert_true(wait_for_all(fixture));
-	rig_kill_engine(fixture->rig, 1);
-	rig_restart_engine(fixture->rig, 1);
-	g_assert_true(has_version(fixture->rig, 1, "1"));
-	g_assert_true(wait_for_all(fixture));
-	g_assert_cmpint(weights(fixture, "transfers"), ==, 3);
+	g_autoptr(rig_t) rig = start(&(setup_t){
+		.engines = 2, .routers = 1, .check_fencing = true });
+
+	/* The holder has seen the new version before the restart. */
+	g_assert_true(wait_for_all(rig));
+	g_assert_true(
+		WAIT_UNTIL(rig_metric(rig, 0, "amv_engines_in_service") == 2,
+			   ROLL_OUT_WAIT_MS));
+	rig_kill_engine(rig, 1);
+	rig_restart_engine(rig, 1);
+	g_assert_true(has_version(rig, 1, "1"));
+	g_assert_true(wait_for_all(rig));
+	g_assert_cmpint(weights(rig, "transfers"), ==, 3);
 }
 
 static bool is_released(const rig_t *rig)
@@ -310,13 +295,12 @@
  * expires. */
 static void test_planned_stop(void)
 {
-	g_autoptr(fixture_t) fixture =
-		fixture_start(1, 1, true, false,
-			      "{\"model\":\"m1\",\"weights_version\":\"2\"}");
+	g_autoptr(rig_t) rig = start(&(setup_t){
+		.engines = 1, .routers = 1, .check_fencing = true });
 
-	g_assert_true(wait_for_all(fixture));
-	g_assert_cmpint(program_stop(fixture->rig->routers[0]), ==, 0);
-	g_assert_true(is_released(fixture->rig));
+	g_assert_true(wait_for_all(rig));
+	g_assert_cmpint(program_stop(rig->routers[0]), ==, 0);
+	g_assert_true(is_released(rig));
 }
 
 /* Only some members compete for a lease, the same ones everywhere, and they
@@ -372,9 +356,11 @@
  * a new fencing number; each order has its audit entries. */
 static void test_weight_store_moved(void)
 {
-	g_autoptr(fixture_t) fixture =
-		fixture_start(1, 0, true, false, "{\"model\":\"m1\"}");
-	rig_t *rig = fixture->rig;
+	g_autoptr(rig_t) rig =
+		start(&(setup_t){ .engines = 1,
+				  .routers = 0,
+				  .check_fencing = true,
+				  .pool = "{\"model\":\"m1\"}" });
 	g_autofree char *url =
 		g_strdup_printf("http://127.0.0.1:%u", rig->store_port);
 	g_autoptr(GString) entries = g_string_new("");
--- a/t/test-it-orders.c
+++ b/t/test-it-orders.c
@@ -232,8 +232,9 @@
 /* A claim that takes effect after its router died must not be run by the next
  * router: it cannot know that nothing was sent, unless the service proves it.
  */
-static void check_killed_after_claim(bool check_fencing)
+static void test_killed_after_claim(gconstpointer fencing)
 {
+	bool check_fencing = fencing != NULL;
 	g_autoptr(rig_t) rig = start(1, check_fencing);
 	sender_t sender;
 	g_autoptr(http_answer_t) open = NULL;
@@ -259,20 +260,11 @@
 	check_ledger(rig);
 }
 
-static void test_killed_after_claim(void)
-{
-	check_killed_after_claim(false);
-}
-
-static void test_killed_after_claim_fencing(void)
-{
-	check_killed_after_claim(true);
-}
-
 /* An order that ran before its router died must not run again, and must not
  * be answered "not run". */
-static void check_killed_after_send(bool check_fencing)
+static void test_killed_after_send(gconstpointer fencing)
 {
+	bool check_fencing = fencing != NULL;
 	g_autoptr(rig_t) rig = start(1, check_fencing);
 	sender_t sender;
 	g_autoptr(http_answer_t) closed = NULL;
@@ -290,16 +282,6 @@
 	check_ledger(rig);
 }
 
-static void test_killed_after_send(void)
-{
-	check_killed_after_send(false);
-}
-
-static void test_killed_after_send_fencing(void)
-{
-	check_killed_after_send(true);
-}
-
 /* A request that is still on its way when "not run" is proved must be refused
  * by the service when it arrives. */
 static void test_late_request(void)
@@ -395,8 +377,9 @@
 }
 
 /* A service that executes and closes without an answer. */
-static void check_answer_lost(bool check_fencing)
+static void test_answer_lost(gconstpointer fencing)
 {
+	bool check_fencing = fencing != NULL;
 	g_autoptr(rig_t) rig = start(2, check_fencing);
 
 	for (int i = 0; i < 2; i++)
@@ -412,16 +395,6 @@
 	check_ledger(rig);
 }
 
-static void test_answer_lost(void)
-{
-	check_answer_lost(false);
-}
-
-static void test_answer_lost_fencing(void)
-{
-	check_answer_lost(true);
-}
-
 /* A router that was frozen beyond its claim's send window must not send. */
 static void test_frozen_router(void)
 {
@@ -500,6 +473,15 @@
 
 int main(int argc, char **argv)
 {
+	/* Run with a service that ignores fencing and with one that checks. */
+	static const struct {
+		const char *name;
+		GTestDataFunc test;
+	} both[] = {
+		{ "killed-after-claim", test_killed_after_claim },
+		{ "killed-after-send", test_killed_after_send },
+		{ "answer-lost", test_answer_lost },
+	};
 	int result;
 
 	g_test_init(&argc, &argv, NULL);
@@ -508,20 +490,20 @@
 	g_test_add_func("/orders/repeat", test_repeat);
 	g_test_add_func("/orders/killed-before-claim",
 			test_killed_before_claim);
-	g_test_add_func("/orders/killed-after-claim", test_killed_after_claim);
-	g_test_add_func("/orders/killed-after-claim-fencing",
-			test_killed_after_claim_fencing);
-	g_test_add_func("/orders/killed-after-send", test_killed_after_send);
-	g_test_add_func("/orders/killed-after-send-fencing",
-			test_killed_after_send_fencing);
+	for (size_t i = 0; i < G_N_ELEMENTS(both); i++) {
+		g_autofree char *plain =
+			g_strdup_printf("/orders/%s", both[i].name);
+		g_autofree char *checked =
+			g_strdup_printf("/orders/%s-fencing", both[i].name);
+
+		g_test_add_data_func(plain, NULL, both[i].test);
+		g_test_add_data_func(checked, "", both[i].test);
+	}
 	g_test_add_func("/orders/killed-before-record",
 			test_killed_before_record);
 	g_test_add_func("/orders/late-request", test_late_request);
 	g_test_add_func("/orders/claim-answer-lost", test_claim_answer_lost);
 	g_test_add_func("/orders/store-outage", test_store_outage);
-	g_test_add_func("/orders/answer-lost", test_answer_lost);
-	g_test_add_func("/orders/answer-lost-fencing",
-			test_answer_lost_fencing);
 	g_test_add_func("/orders/frozen-router", test_frozen_router);
 	result = g_test_run();
 	g_print("# %zu requests, %zu executions, %zu duplicates, %zu executed "
