--- a/cmd/router.h
+++ b/cmd/router.h
@@ -16,10 +16,12 @@
 #include "request/plain.h"
 #include "request/relay.h"
 #include "version/config.h"
+#include "version/config_service.h"
 
 /** Values of the flags and environment variables. */
 typedef struct router_settings {
 	const char *instance;
+	const char *domain;
 	const char *address;
 	uint32_t port;
 	uint32_t streams_max;
@@ -53,6 +55,8 @@
 	fleet_t *fleet;
 	upstream_pool_t *pool;
 	store_client_t *store; /**< NULL without a store. */
+	audit_t *audit;
+	config_service_t *config; /**< NULL without a store. */
 	crash_guard_t *guard;
 	/** Takes the audit entries of engine orders; NULL without a trail. */
 	void (*audit_entry)(void *context, const audit_entry_t *entry);
