--- a/cmd/router.h
+++ b/cmd/router.h
@@ -36,6 +36,9 @@
 	uint32_t polls_per_s;
 	uint32_t stop_limit_ms;
 	uint32_t drain_ms;
+	uint32_t lease_ms;
+	uint32_t engine_order_max_ms;
+	uint32_t engine_state_ms;
 	uint32_t log_level;
 	uint32_t policy;
 	const char *seed;
@@ -56,6 +59,9 @@
 	audit_t *audit;
 	config_service_t *config; /**< NULL without a store. */
 	crash_guard_t *guard;
+	/** Takes the audit entries of engine orders; NULL without a trail. */
+	void (*audit_entry)(void *context, const audit_entry_t *entry);
+	void *audit_context;
 	relay_t relay;
 	plain_t plain;
 	server_t *server;
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -97,3 +97,21 @@
 	       "Payload bytes exchanged with other instances.")
 METRIC_GAUGE(MEMBERS_LIVE, "amv_members_live", "",
 	     "Instances believed to be alive, with this one.")
+METRIC_GAUGE(LEASES_HELD, "amv_leases_held", "",
+	     "Leases of pools that this instance holds.")
+METRIC_GAUGE(ENGINES_IN_SERVICE, "amv_engines_in_service", "",
+	     "Engines in service, of the pools whose leases are held here.")
+METRIC_COUNTER(LEASES_ACQUIRED, "amv_lease_changes_total",
+	       "change=\"acquired\"", "Leases won and lost here.")
+METRIC_COUNTER(LEASES_LOST, "amv_lease_changes_total", "change=\"lost\"",
+	       "Leases won and lost here.")
+METRIC_COUNTER(LEASES_RELEASED, "amv_lease_changes_total",
+	       "change=\"released\"", "Leases won and lost here.")
+METRIC_COUNTER(ENGINE_ORDERS_SENT, "amv_engine_orders_sent_total", "",
+	       "Orders whose sending to an engine began.")
+METRIC_COUNTER(ENGINE_ORDERS_DONE, "amv_engine_orders_total",
+	       "outcome=\"done\"", "Orders to engines that ended.")
+METRIC_COUNTER(ENGINE_ORDERS_REFUSED, "amv_engine_orders_total",
+	       "outcome=\"refused\"", "Orders to engines that ended.")
+METRIC_COUNTER(ENGINE_ORDERS_UNKNOWN, "amv_engine_orders_total",
+	       "outcome=\"unknown\"", "Orders to engines that ended.")
