--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -83,6 +83,18 @@
 	TEXT("store-url", store_url, "object API, http://address:port", NULL),
 	TEXT("bootstrap", bootstrap,
 	     "JSON file with all configuration objects, read at start", NULL),
+	TEXT("cluster", cluster, "name of the cluster", "amaranthvale"),
+	TEXT("domain", domain, "failure domain of this instance", "local"),
+	TEXT("peer-address", peer_address,
+	     "IP address to listen on for other instances", "127.0.0.1"),
+	NUMBER("peer-port", peer_port,
+	       "port for other instances; 0 picks one and prints it", "0", 0,
+	       65535),
+	TEXT("peer-advertise", peer_advertise,
+	     "address:port that others use; default the one listened on", NULL),
+	TEXT("peers", peers, "instances to join, address:port,...", ""),
+	NUMBER("instances-ms", instances_ms,
+	       "between reads of the instance list, ms", "30000", 100, 3600000),
 	TEXT("tls-certificate", tls_certificate,
 	     "PEM file with certificate and key; callers then use TLS", NULL),
 	TEXT("endpoint-ca", endpoint_ca,
@@ -163,6 +175,10 @@
 	};
 	uint64_t seed = choose_seed();
 
+	router.seed = seed;
+	pthread_rwlock_init(&router.service_lock, NULL);
+	pthread_mutex_init(&router.list_lock, NULL);
+
 	if (settings->instance)
 		snprintf(router.instance, sizeof(router.instance), "%s",
 			 settings->instance);
@@ -251,6 +267,9 @@
 static void close_state(void)
 {
 	relay_destroy(&router.relay);
+	/* Gossip first: it tells others to take over, and its hooks use the
+	 * parts that follow. */
+	router_members_close(&router);
 	crash_guard_close(router.guard);
 	upstream_pool_free(router.pool);
 	store_client_close(router.store);
@@ -262,28 +281,36 @@
 {
 	pthread_t poller;
 	pthread_t timer;
+	pthread_t control;
 	int number;
 	int err = 0;
 
 	if (router.settings.bootstrap)
-		err = router_load_bootstrap(router.settings.bootstrap);
+		err = router_load_bootstrap(router.settings.bootstrap,
+					    !router.settings.store_url);
 	if (err)
 		return fail("bootstrap", err);
 	err = open_state();
 	if (err)
 		return fail("state", err);
+	err = router_members_open(&router);
+	if (err)
+		return fail("peers", err);
 	router_apply_config(&router);
 	err = open_server();
 	if (err)
 		return fail("server", err);
 	pthread_create(&poller, NULL, router_poll_thread, &router);
 	pthread_create(&timer, NULL, router_timer_thread, &router);
+	pthread_create(&control, NULL, router_control_thread, &router);
 	sigwait(signals, &number);
 	stop_requests();
 	server_stop(router.server);
 	uatomic_set(&router.ending, true);
 	pthread_join(poller, NULL);
 	pthread_join(timer, NULL);
+	pthread_join(control, NULL);
+	router_tickets_close(&router);
 	close_state();
 	event_log(EVENT_STOPPED, NULL);
 	return EXIT_SUCCESS;
@@ -292,8 +319,11 @@
 int main(int argc, char **argv)
 {
 	sigset_t signals;
-	int result = settings_read(argc, (const char **)argv, rows, "[options]",
-				   NULL);
+	int result;
+
+	router.started_ms = upstream_now_ms();
+	result = settings_read(argc, (const char **)argv, rows, "[options]",
+			       NULL);
 
 	if (result == SETTINGS_EXIT)
 		return EXIT_SUCCESS;
--- a/cmd/router.h
+++ b/cmd/router.h
@@ -5,16 +5,20 @@
 #ifndef CMD_ROUTER_H
 #define CMD_ROUTER_H
 
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "connection/server.h"
 #include "connection/upstream.h"
+#include "process/audit.h"
 #include "process/fleet.h"
+#include "process/gossip.h"
 #include "process/store_client.h"
 #include "request/plain.h"
 #include "request/relay.h"
 #include "version/config.h"
+#include "version/config_service.h"
 
 /** Values of the flags and environment variables. */
 typedef struct router_settings {
@@ -37,6 +41,13 @@
 	const char *seed;
 	const char *store_url;
 	const char *bootstrap;
+	const char *cluster;
+	const char *domain;
+	const char *peer_address;
+	uint32_t peer_port;
+	const char *peer_advertise;
+	const char *peers;
+	uint32_t instances_ms;
 	const char *tls_certificate;
 	const char *endpoint_ca;
 	const char *cluster_key;
@@ -50,6 +61,18 @@
 	upstream_pool_t *pool;
 	store_client_t *store; /**< NULL without a store. */
 	crash_guard_t *guard;
+	gossip_t *gossip;
+	bool hooks_open; /**< Everything the hooks of gossip use is there. */
+	uint64_t seed;
+	uint64_t started_ms; /**< Monotonic. */
+	audit_t *audit;
+	pthread_rwlock_t service_lock; /**< Over the end of the service. */
+	config_service_t *service;     /**< NULL without a store, or not yet. */
+	gossip_member_t *members; /**< Scratch space of the gossip thread. */
+	uint64_t members_digest;  /**< Of those that the service knows. */
+	pthread_mutex_t list_lock;
+	store_instance_t *list; /**< Instance list as read last. */
+	size_t list_count;
 	relay_t relay;
 	plain_t plain;
 	server_t *server;
@@ -68,11 +91,83 @@
 /** Serves a path under `/admin/`; the operator key was checked. */
 void router_admin(router_t *router, server_request_t *request);
 
+/** Sends an answer with status 200. @param value NULL when out of memory */
+void router_answer_json(server_request_t *request, json_t *value);
+
+/** Sends a refusal from the error table. */
+void router_refuse(server_request_t *request, int err);
+
+/** Whether a configuration is in force and the instance does not stop. */
+bool router_is_ready(router_t *router);
+
+/**
+ * Starts membership, and the crash guard's part in it.
+ * @return 0 or an error after saying what is wrong
+ */
+int router_members_open(router_t *router);
+
+/** Ends membership: the others learn that this instance leaves. */
+void router_members_close(router_t *router);
+
+/** Reads the instance list and hands it on. */
+void router_members_read_list(router_t *router);
+
+/** Whether another instance is known. */
+bool router_members_known(router_t *router);
+
+/** Name of a member where the list has it, else its id in hex. */
+void router_members_name(router_t *router, uint64_t id,
+			 char name[STORE_NAME_MAX_BYTES]);
+
+/** Tells gossip which configuration is in force, and its age. */
+void router_members_set_config(router_t *router);
+
+/** Copies the live members as rows for the configuration service. */
+size_t router_members_rows(router_t *router, config_sync_member_t *rows,
+			   size_t max);
+
+/** Answers a peer's fetch; a hook of gossip. */
+int router_tickets_read(void *router, bool snapshot, uint64_t from_position,
+			uint64_t *position, char **document,
+			size_t *document_bytes);
+
+/**
+ * Starts the configuration service; nothing without a store.
+ * @return 0 or an error
+ */
+int router_tickets_open(router_t *router);
+
+/** Ends the configuration service. Tickets that wait get their result. */
+void router_tickets_close(router_t *router);
+
+/** What the service has in force; all zero without one. */
+config_service_status_t router_tickets_status(router_t *router);
+
+/** `POST /admin/tickets`, `GET /admin/tickets/<N>`, objects and audit. */
+void router_tickets_apply(router_t *router, server_request_t *request);
+void router_tickets_show(router_t *router, server_request_t *request);
+void router_tickets_objects(router_t *router, server_request_t *request);
+void router_tickets_audit(router_t *router, server_request_t *request);
+
+/** `GET /admin/status` and `POST /admin/drain`. */
+void router_control_status(router_t *router, server_request_t *request);
+void router_control_drain(router_t *router, server_request_t *request);
+
+/** Members with their positions, as JSON; NULL when out of memory. */
+json_t *router_control_members(router_t *router);
+
+/**
+ * Thread that finds peers, then starts the configuration service, then reads
+ * the instance list now and then; takes a router_t.
+ */
+void *router_control_thread(void *router);
+
 /**
- * Reads the bootstrap file and publishes it.
+ * Checks the bootstrap file.
+ * @param publish whether it is put into force, as the only source
  * @return 0, or an error after logging what is wrong
  */
-int router_load_bootstrap(const char *path);
+int router_load_bootstrap(const char *path, bool publish);
 
 /** Takes the published configuration over into the fleet if it is new. */
 void router_apply_config(router_t *router);
--- a/cmd/router_config.c
+++ b/cmd/router_config.c
@@ -7,14 +7,16 @@
 #include "process/cleanup.h"
 #include "process/error.h"
 #include "process/event.h"
+#include "process/metrics.h"
 
-int router_load_bootstrap(const char *path)
+int router_load_bootstrap(const char *path, bool publish)
 {
 	config_problem_t problem = { 0 };
 	config_t *config = NULL;
 	json_error_t error;
 	CLEANUP_JSON json_t *objects =
 		json_load_file(path, JSON_REJECT_DUPLICATES, &error);
+	json_t *wrapped;
 	int err;
 
 	if (!json_is_object(objects)) {
@@ -23,14 +25,20 @@
 			  objects ? "not a JSON object" : error.text);
 		return ERR_BAD_JSON;
 	}
-	err = config_build(0, objects, &config, &problem);
+	wrapped = json_object_get(objects, "objects");
+	err = config_build(0, wrapped ? wrapped : objects, &config, &problem);
 	if (err) {
 		event_log(EVENT_BOOTSTRAP_INVALID,
 			  "file=%s object=%s field=%s problem=\"%s\"", path,
 			  problem.object, problem.field, problem.text);
 		return err;
 	}
+	if (!publish) {
+		config_release(config);
+		return 0;
+	}
 	config_publish(config);
+	metrics_set(METRIC_START_BOOTSTRAP, 1);
 	return 0;
 }
 
@@ -106,6 +114,27 @@
 	return err;
 }
 
+static int64_t store_calls(void)
+{
+	int64_t sum = 0;
+
+	for (int i = METRIC_STORE_CALLS_ORDER; i <= METRIC_STORE_CALLS_STATUS;
+	     i++)
+		sum += metrics_get((metric_t)i);
+	return sum;
+}
+
+static void note_ready(router_t *router, const config_t *config)
+{
+	uint64_t start_ms = upstream_now_ms() - router->started_ms;
+
+	metrics_set(METRIC_START_MS, (int64_t)start_ms);
+	metrics_set(METRIC_START_STORE_CALLS, store_calls());
+	event_log(EVENT_READY, "position=%llu start_ms=%llu store_calls=%lld",
+		  (unsigned long long)config->position,
+		  (unsigned long long)start_ms, (long long)store_calls());
+}
+
 void router_apply_config(router_t *router)
 {
 	CLEANUP_CONFIG config_t *config = config_acquire();
@@ -121,7 +150,8 @@
 	uatomic_set(&router->applied_at_ms, upstream_now_ms());
 	cmm_smp_mb();
 	uatomic_set(&router->has_applied, true);
+	crash_guard_set_block(router->guard, config->limits.quarantine_ms);
+	router_members_set_config(router);
 	if (first)
-		event_log(EVENT_READY, "position=%llu",
-			  (unsigned long long)config->position);
+		note_ready(router, config);
 }
--- /dev/null
+++ b/cmd/router_control.c
@@ -0,0 +1,183 @@
+/*
+ * What an operator sees of this instance, and the thread that starts its part
+ * among the others.
+ */
+#include <inttypes.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <time.h>
+#include <unistd.h>
+#include <urcu/uatomic.h>
+
+#include "cmd/router.h"
+#include "process/cleanup.h"
+#include "process/error.h"
+#include "process/event.h"
+#include "process/rng.h"
+
+enum {
+	/** Time to find a peer before the store is asked at the start. */
+	START_PEERS_MS = 1000,
+	STEP_MS = 20,
+};
+
+static const char *state_name(peer_member_state_t state)
+{
+	switch (state) {
+	case PEER_MEMBER_ALIVE:
+		return "alive";
+	case PEER_MEMBER_SUSPECT:
+		return "suspect";
+	case PEER_MEMBER_FAILED:
+		return "failed";
+	case PEER_MEMBER_LEFT:
+		return "left";
+	}
+	return "unknown";
+}
+
+/** A number, or null for an age that is not known. */
+static json_t *age_value(uint64_t age_ms, uint64_t unknown)
+{
+	return age_ms == unknown ? json_null()
+				 : json_integer((json_int_t)age_ms);
+}
+
+static json_t *member_value(router_t *router, const gossip_member_t *member)
+{
+	char name[STORE_NAME_MAX_BYTES];
+
+	router_members_name(router, member->wire.id, name);
+	return json_pack("{s:s,s:s,s:I,s:o}", "instance", name, "state",
+			 state_name(member->wire.state), "position",
+			 (json_int_t)member->config_position, "age_ms",
+			 age_value(member->config_age_ms, UINT32_MAX));
+}
+
+json_t *router_control_members(router_t *router)
+{
+	CLEANUP_FREE gossip_member_t *members =
+		calloc(PEER_MEMBERS_MAX, sizeof(*members));
+	json_t *rows = json_array();
+	size_t count;
+
+	if (!members)
+		return rows;
+	count = gossip_members(router->gossip, members, PEER_MEMBERS_MAX);
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(rows, member_value(router, &members[i]));
+	return rows;
+}
+
+static json_t *endpoints_value(router_t *router)
+{
+	CLEANUP_FREE fleet_status_t *endpoints =
+		calloc(FLEET_ENDPOINTS_MAX, sizeof(*endpoints));
+	json_t *rows = json_array();
+	size_t count;
+
+	if (!endpoints)
+		return rows;
+	count = fleet_status(router->fleet, endpoints, FLEET_ENDPOINTS_MAX,
+			     upstream_now_ms());
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(
+			rows,
+			json_pack("{s:s,s:s,s:I,s:I}", "endpoint",
+				  endpoints[i].id, "state",
+				  endpoint_state_name(endpoints[i].state),
+				  "incarnation",
+				  (json_int_t)endpoints[i].incarnation,
+				  "running", (json_int_t)endpoints[i].running));
+	return rows;
+}
+
+void router_control_status(router_t *router, server_request_t *request)
+{
+	CLEANUP_CONFIG config_t *config = config_acquire();
+	config_service_status_t status = router_tickets_status(router);
+	bool store_down = router->store && store_client_is_down(router->store);
+	CLEANUP_JSON json_t *answer = json_pack(
+		"{s:s,s:s,s:I,s:o,s:b,s:b,s:b,s:o,s:o}", "instance",
+		router->instance, "domain", router->settings.domain, "position",
+		(json_int_t)(config ? config->position : 0), "age_ms",
+		age_value(status.age_ms, CONFIG_AGE_UNKNOWN), "ready",
+		(int)router_is_ready(router), "watching", (int)status.watching,
+		"store_down", (int)store_down, "members",
+		router_control_members(router), "endpoints",
+		endpoints_value(router));
+
+	router_answer_json(request, answer);
+}
+
+void router_control_drain(router_t *router, server_request_t *request)
+{
+	CLEANUP_JSON json_t *answer = json_pack(
+		"{s:s,s:b}", "instance", router->instance, "draining", 1);
+
+	router_answer_json(request, answer);
+	/* The main thread waits for the signal and stops the daemon. */
+	kill(getpid(), SIGTERM);
+}
+
+static void pause_ms(uint32_t duration_ms)
+{
+	struct timespec pause = {
+		.tv_sec = duration_ms / 1000,
+		.tv_nsec = (long)(duration_ms % 1000) * 1000000L,
+	};
+
+	nanosleep(&pause, NULL);
+}
+
+static bool is_ending(router_t *router)
+{
+	return uatomic_read(&router->ending);
+}
+
+/** Waits until a seed answered, so that its configuration is used first. */
+static void find_peers(router_t *router)
+{
+	uint64_t until_ms = upstream_now_ms() + START_PEERS_MS;
+	const char *seeds = router->settings.peers;
+
+	while (seeds && *seeds && !is_ending(router) &&
+	       !router_members_known(router) && upstream_now_ms() < until_ms)
+		pause_ms(STEP_MS);
+	if (!router_members_known(router))
+		router_members_read_list(router);
+}
+
+static uint64_t next_read_ms(const router_t *router, rng_t *rng)
+{
+	uint32_t interval_ms = router->settings.instances_ms;
+
+	return upstream_now_ms() + interval_ms * 3 / 4 +
+	       rng_below(rng, interval_ms / 2 + 1);
+}
+
+void *router_control_thread(void *context)
+{
+	router_t *router = context;
+	uint64_t read_ms;
+	rng_t rng;
+	int err;
+
+	rng_init(&rng, router->seed ^ gossip_id(router->gossip));
+	find_peers(router);
+	err = router_tickets_open(router);
+	if (err)
+		event_log(EVENT_START_FAILED, "part=config error=%s",
+			  error_type(err));
+	/* The first one too, since many instances start together. */
+	read_ms = upstream_now_ms() +
+		  rng_below(&rng, router->settings.instances_ms);
+	while (!is_ending(router)) {
+		pause_ms(STEP_MS);
+		if (upstream_now_ms() < read_ms)
+			continue;
+		router_members_read_list(router);
+		read_ms = next_read_ms(router, &rng);
+	}
+	return NULL;
+}
--- a/cmd/router_http.c
+++ b/cmd/router_http.c
@@ -15,7 +15,7 @@
 	ROUTE_PATH_MAX_BYTES = 4096,
 };
 
-static void refuse(server_request_t *request, int err)
+void router_refuse(server_request_t *request, int err)
 {
 	server_error_t error = { .err = err };
 
@@ -28,7 +28,7 @@
 	server_answer(request, status, type, NULL, text, strlen(text));
 }
 
-static void answer_json(server_request_t *request, json_t *value)
+void router_answer_json(server_request_t *request, json_t *value)
 {
 	CLEANUP_FREE char *text =
 		value ? json_dumps(value, JSON_COMPACT) : NULL;
@@ -36,10 +36,10 @@
 	if (text)
 		answer_text(request, 200, "application/json", text);
 	else
-		refuse(request, ERR_NO_MEMORY);
+		router_refuse(request, ERR_NO_MEMORY);
 }
 
-static bool is_ready(router_t *router)
+bool router_is_ready(router_t *router)
 {
 	return uatomic_read(&router->has_applied) &&
 	       !uatomic_read(&router->stopping);
@@ -53,12 +53,12 @@
 
 static void handle_ready(router_t *router, server_request_t *request)
 {
-	if (is_ready(router))
+	if (router_is_ready(router))
 		answer_text(request, 200, "text/plain", "ready\n");
 	else
-		refuse(request, uatomic_read(&router->stopping)
-					? ERR_STOPPING
-					: ERR_NOT_READY);
+		router_refuse(request, uatomic_read(&router->stopping)
+					       ? ERR_STOPPING
+					       : ERR_NOT_READY);
 }
 
 static void handle_metrics(router_t *router, server_request_t *request)
@@ -69,7 +69,7 @@
 	if (text)
 		answer_text(request, 200, "text/plain; version=0.0.4", text);
 	else
-		refuse(request, ERR_NO_MEMORY);
+		router_refuse(request, ERR_NO_MEMORY);
 }
 
 /** Finds the customer of a request. @return index, or an error */
@@ -99,7 +99,7 @@
 						"object", "model", "owned_by",
 						"amaranthvale"));
 	}
-	answer_json(request, answer);
+	router_answer_json(request, answer);
 }
 
 static void serve_model(router_t *router, const config_t *config,
@@ -115,12 +115,12 @@
 	int err;
 
 	if (strcmp(request->method, "POST") != 0) {
-		refuse(request, ERR_METHOD_NOT_ALLOWED);
+		router_refuse(request, ERR_METHOD_NOT_ALLOWED);
 		return;
 	}
 	err = server_read_body(request, config->limits.body_max_bytes);
 	if (err)
-		refuse(request, err);
+		router_refuse(request, err);
 	else
 		relay_serve(&router->relay, &relayed);
 }
@@ -164,17 +164,17 @@
 	len = snprintf(full, sizeof(full), "%s%s%s%s", *rest ? "" : "/", rest,
 		       *request->query ? "?" : "", request->query);
 	if (call.route == CONFIG_NONE) {
-		refuse(request, ERR_UNKNOWN_ROUTE);
+		router_refuse(request, ERR_UNKNOWN_ROUTE);
 		return;
 	}
 	if (len < 0 || (size_t)len >= sizeof(full)) {
-		refuse(request, ERR_HEADER_TOO_LARGE);
+		router_refuse(request, ERR_HEADER_TOO_LARGE);
 		return;
 	}
 	call.path = full;
 	err = server_read_body(request, config->limits.body_max_bytes);
 	if (err)
-		refuse(request, err);
+		router_refuse(request, err);
 	else
 		plain_serve(&router->plain, &call);
 }
@@ -195,16 +195,16 @@
 	int32_t customer;
 
 	if (uatomic_read(&router->stopping)) {
-		refuse(request, ERR_STOPPING);
+		router_refuse(request, ERR_STOPPING);
 		return;
 	}
-	if (!config || !is_ready(router)) {
-		refuse(request, ERR_NOT_READY);
+	if (!config || !router_is_ready(router)) {
+		router_refuse(request, ERR_NOT_READY);
 		return;
 	}
 	customer = authenticate(config, request);
 	if (customer < 0)
-		refuse(request, customer);
+		router_refuse(request, customer);
 	else if (!strcmp(path, "/v1/chat/completions"))
 		serve_model(router, config, customer, request, CHAT_MESSAGES);
 	else if (!strcmp(path, "/v1/completions"))
@@ -214,7 +214,7 @@
 	else if ((rest = after(path, "/svc/")))
 		serve_plain(router, config, customer, request, rest);
 	else
-		refuse(request, ERR_NOT_FOUND);
+		router_refuse(request, ERR_NOT_FOUND);
 }
 
 /* Operators. */
@@ -238,18 +238,21 @@
 {
 	CLEANUP_CONFIG config_t *config = config_acquire();
 	uint64_t at_ms = uatomic_read(&router->applied_at_ms);
+	uint64_t age_ms = router_tickets_status(router).age_ms;
 	CLEANUP_JSON json_t *answer = NULL;
 
 	if (!config || !at_ms) {
-		refuse(request, ERR_NOT_READY);
+		router_refuse(request, ERR_NOT_READY);
 		return;
 	}
+	if (age_ms == CONFIG_AGE_UNKNOWN)
+		age_ms = upstream_now_ms() - at_ms;
 	answer =
 		json_pack("{s:s,s:I,s:I,s:b}", "instance", router->instance,
 			  "position", (json_int_t)config->position, "age_ms",
-			  (json_int_t)(upstream_now_ms() - at_ms), "store_down",
+			  (json_int_t)age_ms, "store_down",
 			  router->store && store_client_is_down(router->store));
-	answer_json(request, answer);
+	router_answer_json(request, answer);
 }
 
 static void answer_explanation(server_request_t *request, json_t *explanation,
@@ -259,7 +262,7 @@
 	server_error_t shown = *error;
 
 	if (explanation) {
-		answer_json(request, explanation);
+		router_answer_json(request, explanation);
 		return;
 	}
 	shown.text = *problem->text ? problem->text : NULL;
@@ -277,8 +280,8 @@
 	chat_kind_t kind;
 	int32_t customer;
 
-	if (!config || !is_ready(router)) {
-		refuse(request, ERR_NOT_READY);
+	if (!config || !router_is_ready(router)) {
+		router_refuse(request, ERR_NOT_READY);
 		return;
 	}
 	customer = id ? config_find_customer(config, id) : CONFIG_NONE;
@@ -305,14 +308,32 @@
 
 void router_admin(router_t *router, server_request_t *request)
 {
-	bool is_post = !strcmp(request->method, "POST");
+	static const struct {
+		const char *method;
+		const char *path;
+		void (*handle)(router_t *router, server_request_t *request);
+	} paths[] = {
+		{ "GET", "/admin/config", admin_config },
+		{ "POST", "/admin/explain", admin_explain },
+		{ "GET", "/admin/status", router_control_status },
+		{ "POST", "/admin/drain", router_control_drain },
+		{ "POST", "/admin/tickets", router_tickets_apply },
+		{ "GET", "/admin/objects", router_tickets_objects },
+		{ "GET", "/admin/audit", router_tickets_audit },
+	};
 
-	if (!strcmp(request->path, "/admin/config") && !is_post)
-		admin_config(router, request);
-	else if (!strcmp(request->path, "/admin/explain") && is_post)
-		admin_explain(router, request);
+	for (size_t i = 0; i < sizeof(paths) / sizeof(*paths); i++) {
+		if (!strcmp(request->path, paths[i].path) &&
+		    !strcmp(request->method, paths[i].method)) {
+			paths[i].handle(router, request);
+			return;
+		}
+	}
+	if (after(request->path, "/admin/tickets/") &&
+	    !strcmp(request->method, "GET"))
+		router_tickets_show(router, request);
 	else
-		refuse(request, ERR_NOT_FOUND);
+		router_refuse(request, ERR_NOT_FOUND);
 }
 
 static void route(router_t *router, server_request_t *request)
@@ -337,7 +358,7 @@
 	else if (is_operator(router, request))
 		router_admin(router, request);
 	else
-		refuse(request, ERR_UNAUTHENTICATED);
+		router_refuse(request, ERR_UNAUTHENTICATED);
 }
 
 void router_handle(void *context, server_request_t *request)
--- /dev/null
+++ b/cmd/router_tickets.c
@@ -0,0 +1,279 @@
+/*
+ * The configuration service of this instance, and the operators' paths that
+ * use it.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cmd/router.h"
+#include "process/cleanup.h"
+#include "process/error.h"
+#include "process/hash.h"
+
+enum {
+	TICKET_BODY_MAX_BYTES = 2 * TICKET_MAX_BYTES,
+	/** Below the limit of the operator command for one call. */
+	TICKET_COMMIT_TIMEOUT_MS = 5000,
+	AUDIT_DEFAULT_LIMIT = 50,
+	/** Members asked for their position on behalf of one call. */
+	PROBES_MAX = 16,
+};
+
+int router_tickets_read(void *context, bool snapshot, uint64_t from_position,
+			uint64_t *position, char **document,
+			size_t *document_bytes)
+{
+	router_t *router = context;
+	CLEANUP_JSON json_t *answer = NULL;
+
+	pthread_rwlock_rdlock(&router->service_lock);
+	if (router->service)
+		answer = config_service_answer(router->service,
+					       snapshot ? 0 : from_position);
+	pthread_rwlock_unlock(&router->service_lock);
+	if (!answer)
+		return ERR_NOT_FOUND;
+	*position = (uint64_t)json_integer_value(
+		json_object_get(answer, "position"));
+	*document = json_dumps(answer, JSON_COMPACT);
+	if (!*document)
+		return ERR_NO_MEMORY;
+	*document_bytes = strlen(*document);
+	return 0;
+}
+
+static int fetch_peer(void *context, uint64_t peer, uint64_t from,
+		      json_t **answer)
+{
+	router_t *router = context;
+	CLEANUP_FREE char *document = NULL;
+	uint64_t position = 0;
+	size_t bytes = 0;
+	int err = gossip_fetch_config(router->gossip, peer, !from, from,
+				      &position, &document, &bytes);
+
+	if (err)
+		return err;
+	*answer = json_loadb(document, bytes, 0, NULL);
+	return *answer ? 0 : ERR_BAD_JSON;
+}
+
+int router_tickets_open(router_t *router)
+{
+	CLEANUP_FREE config_sync_member_t *rows =
+		calloc(CONFIG_SYNC_MEMBERS_MAX, sizeof(*rows));
+	uint64_t seed = router->seed ^ hash_string(router->instance);
+	config_service_options_t options = {
+		.client = router->store,
+		.instance = router->instance,
+		.domain = router->settings.domain,
+		.bootstrap_file = router->settings.bootstrap,
+		.fetch_peer = fetch_peer,
+		.fetch_user = router,
+		.seed = seed,
+		.members = rows,
+		.commit_timeout_ms = TICKET_COMMIT_TIMEOUT_MS,
+	};
+	config_service_t *service;
+	int err;
+
+	if (!router->store)
+		return 0;
+	if (!rows)
+		return ERR_NO_MEMORY;
+	err = audit_open(router->store, router->instance, seed, &router->audit);
+	if (err)
+		return err;
+	options.audit = router->audit;
+	options.member_count =
+		router_members_rows(router, rows, CONFIG_SYNC_MEMBERS_MAX);
+	err = config_service_start(&options, &service);
+	if (err)
+		return err;
+	pthread_rwlock_wrlock(&router->service_lock);
+	router->service = service;
+	pthread_rwlock_unlock(&router->service_lock);
+	return 0;
+}
+
+void router_tickets_close(router_t *router)
+{
+	config_service_t *service;
+
+	pthread_rwlock_wrlock(&router->service_lock);
+	service = router->service;
+	router->service = NULL;
+	pthread_rwlock_unlock(&router->service_lock);
+	if (service)
+		config_service_stop(service);
+	if (router->audit)
+		audit_close(router->audit);
+}
+
+config_service_status_t router_tickets_status(router_t *router)
+{
+	config_service_status_t status = { .age_ms = CONFIG_AGE_UNKNOWN };
+
+	pthread_rwlock_rdlock(&router->service_lock);
+	if (router->service)
+		config_service_status(router->service, &status);
+	pthread_rwlock_unlock(&router->service_lock);
+	return status;
+}
+
+/* Operators' paths. The service ends only after the server has stopped. */
+
+static config_service_t *service_of(router_t *router)
+{
+	config_service_t *service;
+
+	pthread_rwlock_rdlock(&router->service_lock);
+	service = router->service;
+	pthread_rwlock_unlock(&router->service_lock);
+	return service;
+}
+
+static void refuse_ticket(server_request_t *request,
+			  const ticket_result_t *result)
+{
+	const config_problem_t *problem = &result->problem;
+	char text[sizeof(*problem) + 64];
+	server_error_t error = { .err = result->err };
+
+	if (*problem->object || *problem->text) {
+		snprintf(text, sizeof(text), "%s%s%s: %s", problem->object,
+			 *problem->field ? " " : "", problem->field,
+			 *problem->text ? problem->text
+					: error_answer(result->err)->text);
+		error.text = text;
+	}
+	server_answer_error(request, &error);
+}
+
+static const char *operator_of(const server_request_t *request,
+			       const json_t *content)
+{
+	const char *named = server_header(request, "X-Operator");
+	const char *author =
+		json_string_value(json_object_get(content, "author"));
+
+	if (named)
+		return named;
+	return author ? author : "operator";
+}
+
+void router_tickets_apply(router_t *router, server_request_t *request)
+{
+	config_service_t *service = service_of(router);
+	CLEANUP_JSON json_t *content = NULL;
+	CLEANUP_JSON json_t *answer = NULL;
+	ticket_result_t result = { 0 };
+	int err = server_read_body(request, TICKET_BODY_MAX_BYTES);
+
+	if (!err && !service)
+		err = router->store ? ERR_NOT_READY : ERR_STORE_DOWN;
+	if (!err) {
+		content = json_loadb(request->body, request->body_len,
+				     JSON_REJECT_DUPLICATES, NULL);
+		err = content ? 0 : ERR_BAD_JSON;
+	}
+	if (err) {
+		router_refuse(request, err);
+		return;
+	}
+	if (config_service_apply_ticket(
+		    service, content, operator_of(request, content), &result)) {
+		refuse_ticket(request, &result);
+		return;
+	}
+	answer = json_pack("{s:I,s:I,s:b}", "ticket", (json_int_t)result.number,
+			   "position", (json_int_t)result.position, "repeated",
+			   (int)result.repeated);
+	router_answer_json(request, answer);
+}
+
+/** Asks members that are not known to have a position. */
+static void probe_behind(router_t *router, uint64_t position)
+{
+	CLEANUP_FREE gossip_member_t *members =
+		calloc(PEER_MEMBERS_MAX, sizeof(*members));
+	size_t probes = 0;
+	size_t count;
+
+	if (!members)
+		return;
+	count = gossip_members(router->gossip, members, PEER_MEMBERS_MAX);
+	for (size_t i = 1; i < count && probes < PROBES_MAX; i++) {
+		if (members[i].config_position >= position)
+			continue;
+		gossip_probe(router->gossip, &members[i].wire);
+		probes++;
+	}
+}
+
+void router_tickets_show(router_t *router, server_request_t *request)
+{
+	const char *number = request->path + strlen("/admin/tickets/");
+	config_service_t *service = service_of(router);
+	CLEANUP_JSON json_t *answer = NULL;
+	uint64_t position = 0;
+	int err = ERR_NOT_READY;
+
+	if (!*number || strspn(number, "0123456789") != strlen(number))
+		err = ERR_NOT_FOUND;
+	else if (service)
+		err = config_service_find_ticket(
+			service, strtoull(number, NULL, 10), &position);
+	if (err) {
+		router_refuse(request, err);
+		return;
+	}
+	probe_behind(router, position);
+	answer = json_pack("{s:I,s:o}", "position", (json_int_t)position,
+			   "members", router_control_members(router));
+	router_answer_json(request, answer);
+}
+
+void router_tickets_objects(router_t *router, server_request_t *request)
+{
+	CLEANUP_CONFIG config_t *config = config_acquire();
+	CLEANUP_JSON json_t *answer = NULL;
+
+	(void)router;
+	if (!config) {
+		router_refuse(request, ERR_NOT_READY);
+		return;
+	}
+	answer =
+		json_pack("{s:I,s:O}", "position", (json_int_t)config->position,
+			  "objects", config->objects);
+	router_answer_json(request, answer);
+}
+
+static size_t limit_of(const char *query)
+{
+	const char *limit = strstr(query, "limit=");
+	size_t number = limit ? strtoul(limit + 6, NULL, 10) : 0;
+
+	return number ? number : AUDIT_DEFAULT_LIMIT;
+}
+
+void router_tickets_audit(router_t *router, server_request_t *request)
+{
+	CLEANUP_JSON json_t *entries = NULL;
+	CLEANUP_JSON json_t *answer = NULL;
+	size_t limit = limit_of(request->query);
+	int err = router->store ? audit_read(router->store, &entries)
+				: ERR_STORE_DOWN;
+
+	if (err) {
+		router_refuse(request, err);
+		return;
+	}
+	while (json_array_size(entries) > limit)
+		json_array_remove(entries, 0);
+	answer = json_pack("{s:O}", "entries", entries);
+	router_answer_json(request, answer);
+}
--- a/process/crash_guard.c
+++ b/process/crash_guard.c
@@ -52,6 +52,13 @@
 	free(guard);
 }
 
+void crash_guard_set_block(crash_guard_t *guard, uint64_t block_ms)
+{
+	SCOPED_LOCK(held, &guard->lock);
+
+	guard->quarantine.block_ms = block_ms;
+}
+
 void crash_guard_connect(crash_guard_t *guard, gossip_t *gossip)
 {
 	guard->gossip = gossip;
--- a/process/crash_guard.h
+++ b/process/crash_guard.h
@@ -44,6 +44,9 @@
 /** @param block_ms how long a request that crashed two engines is refused */
 int crash_guard_open(uint64_t block_ms, uint64_t seed, crash_guard_t **guard);
 
+/** Sets how long a request is refused from now on. */
+void crash_guard_set_block(crash_guard_t *guard, uint64_t block_ms);
+
 void crash_guard_close(crash_guard_t *guard);
 
 /**
--- a/process/endpoint.c
+++ b/process/endpoint.c
@@ -72,6 +72,8 @@
 {
 	bool changed = set_name(endpoint->weights_version, weights_version);
 
+	if (incarnation != endpoint->leaving_incarnation)
+		endpoint->leaving_told = false;
 	if (incarnation != endpoint->incarnation) {
 		begin_incarnation(endpoint, incarnation, now_ms);
 		changed = true;
@@ -254,6 +256,33 @@
 	endpoint->leaving = leaving;
 }
 
+void endpoint_tell_leaving(endpoint_t *endpoint, uint64_t incarnation,
+			   bool leaving, uint64_t now_ms)
+{
+	endpoint->leaving_told = leaving;
+	endpoint->leaving_told_at_ms = now_ms;
+	endpoint->leaving_incarnation = incarnation;
+}
+
+static bool is_leaving_until_shown(const endpoint_t *endpoint,
+				   uint64_t incarnation, uint64_t at_ms,
+				   uint64_t now_ms)
+{
+	return incarnation || endpoint->incarnation ||
+	       now_ms < at_ms + ENDPOINT_LEAVING_UNKNOWN_MS;
+}
+
+bool endpoint_is_told_leaving(const endpoint_t *endpoint, uint64_t now_ms)
+{
+	if (endpoint->leaving_told &&
+	    is_leaving_until_shown(endpoint, endpoint->leaving_incarnation,
+				   endpoint->leaving_told_at_ms, now_ms))
+		return true;
+	return endpoint->leaving_itself &&
+	       is_leaving_until_shown(endpoint, 0,
+				      endpoint->leaving_itself_at_ms, now_ms);
+}
+
 void endpoint_isolate(endpoint_t *endpoint, uint64_t now_ms)
 {
 	endpoint->isolated_until_ms = now_ms + ENDPOINT_ISOLATION_MAX_MS;
@@ -266,7 +295,7 @@
 
 endpoint_state_t endpoint_state(const endpoint_t *endpoint, uint64_t now_ms)
 {
-	if (endpoint->leaving || endpoint->leaving_itself)
+	if (endpoint->leaving || endpoint_is_told_leaving(endpoint, now_ms))
 		return ENDPOINT_LEAVING;
 	if (now_ms < endpoint->ejected_until_ms)
 		return ENDPOINT_EJECTED;
--- a/process/endpoint.h
+++ b/process/endpoint.h
@@ -4,8 +4,8 @@
  * own requests since the last report, waits seen, failures, leaving.
  *
  * No clock and no lock: the caller passes `now_ms` (monotonic) and serialises
- * calls. One endpoint_t takes 536 bytes: 35 endpoints 19 KB, a pool of
- * 800 endpoints 0.43 MB.
+ * calls. One endpoint_t takes 560 bytes: 35 endpoints 20 KB, a pool of
+ * 800 endpoints 0.45 MB.
  *
  * Calls for each request sent: endpoint_sent(), at most one
  * endpoint_first_token(), and exactly one endpoint_ended().
@@ -36,6 +36,11 @@
 	ENDPOINT_SENT_BUCKET_MS = 250,
 	/** Own requests without progress for longer show a stalled endpoint. */
 	ENDPOINT_STALL_MS = 5000,
+	/**
+	 * A plain service shows no incarnation, so its return is found out by
+	 * a call after this time, which it refuses while it still leaves.
+	 */
+	ENDPOINT_LEAVING_UNKNOWN_MS = 60000,
 };
 
 /** Contents of `GET /engine/load`; strings may be NULL if absent. */
@@ -113,8 +118,11 @@
 	uint64_t ejected_until_ms;
 	uint64_t slow_start_until_ms;
 	uint64_t isolated_until_ms; /**< 0 when not isolated. */
-	bool leaving;		    /**< By list, gossip or configuration. */
-	bool leaving_itself;	    /**< By its own report or answer. */
+	bool leaving;		    /**< By the configuration. */
+	bool leaving_told;	    /**< By list or gossip. */
+	uint64_t leaving_told_at_ms;
+	uint64_t leaving_incarnation; /**< That `leaving_told` is about. */
+	bool leaving_itself;	      /**< By its own report or answer. */
 	uint64_t leaving_itself_at_ms;
 } endpoint_t;
 
@@ -172,9 +180,20 @@
 void endpoint_ended(endpoint_t *endpoint, endpoint_outcome_t outcome,
 		    bool had_first_token, rng_t *rng, uint64_t now_ms);
 
-/** Marks as leaving by list, gossip or configuration, or no longer so. */
+/** Marks as leaving by the configuration, or no longer so. */
 void endpoint_set_leaving(endpoint_t *endpoint, bool leaving);
 
+/**
+ * Marks an incarnation as leaving by list or gossip, or no longer so. Another
+ * incarnation that shows itself ends the mark.
+ * @param incarnation 0 if it is not known
+ */
+void endpoint_tell_leaving(endpoint_t *endpoint, uint64_t incarnation,
+			   bool leaving, uint64_t now_ms);
+
+/** Whether it is marked as leaving by other sources than the configuration. */
+bool endpoint_is_told_leaving(const endpoint_t *endpoint, uint64_t now_ms);
+
 /** Keeps all other work away while an isolated request runs here. */
 void endpoint_isolate(endpoint_t *endpoint, uint64_t now_ms);
 void endpoint_isolation_end(endpoint_t *endpoint);
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -97,6 +97,8 @@
       "This instance learned the members from a peer.")
 EVENT(1503, JOIN_FAILED, "join_failed", EVENT_WARN,
       "No known peer answered; the instance goes on alone and tries again.")
+EVENT(1504, ENDPOINT_LEAVING, "endpoint_leaving", EVENT_INFO,
+      "An endpoint began or ended to leave; the other instances are told.")
 EVENT(1510, CRASH_SUSPECT, "crash_suspect", EVENT_WARN,
       "An engine died; a request that ran on it is a suspect.")
 EVENT(1511, CRASH_BLOCKED, "crash_blocked", EVENT_ERROR,
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -24,6 +24,9 @@
 	bool configured;
 	bool configured_leaving;
 	bool engine;
+	bool listed_leaving; /**< By the last row of the instance list. */
+	bool spread_leaving; /**< What other instances were told last. */
+	uint64_t spread_incarnation;
 	uint32_t references; /**< Attempts in progress. */
 	uint64_t used_ms;
 	uint64_t next_poll_ms;
@@ -589,14 +592,98 @@
 			       now_ms);
 }
 
-void fleet_set_leaving(fleet_t *fleet, uint64_t id_hash, bool leaving)
+void fleet_tell_leaving(fleet_t *fleet, uint64_t id_hash, uint64_t incarnation,
+			bool leaving, uint64_t now_ms)
 {
+	fleet_endpoint_t *endpoint;
 	int slot;
 	SCOPED_LOCK(lock, &fleet->lock);
 
 	slot = find_slot(fleet, id_hash);
-	if (slot >= 0)
-		endpoint_set_leaving(&fleet->slots[slot]->state, leaving);
+	if (slot < 0)
+		return;
+	endpoint = fleet->slots[slot];
+	endpoint_tell_leaving(&endpoint->state, incarnation, leaving, now_ms);
+	endpoint->spread_leaving = leaving;
+	endpoint->spread_incarnation = incarnation;
+}
+
+void fleet_listed(fleet_t *fleet, uint64_t id_hash, bool leaving,
+		  uint64_t now_ms)
+{
+	fleet_endpoint_t *endpoint;
+	int slot;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	slot = find_slot(fleet, id_hash);
+	if (slot < 0)
+		return;
+	endpoint = fleet->slots[slot];
+	/* The list lags, so a repeated row must not mark a new incarnation. */
+	if (endpoint->listed_leaving == leaving)
+		return;
+	endpoint->listed_leaving = leaving;
+	endpoint_tell_leaving(&endpoint->state, endpoint->state.incarnation,
+			      leaving, now_ms);
+}
+
+static bool is_leaving_news(fleet_endpoint_t *endpoint, uint64_t now_ms)
+{
+	const endpoint_t *state = &endpoint->state;
+	bool leaving = endpoint_is_told_leaving(state, now_ms);
+	bool is_new = leaving != endpoint->spread_leaving ||
+		      (leaving &&
+		       state->incarnation != endpoint->spread_incarnation &&
+		       state->incarnation);
+	/* A new incarnation is known to the others from its own answers. */
+	bool is_ended =
+		!leaving && state->incarnation != endpoint->spread_incarnation;
+
+	endpoint->spread_leaving = leaving;
+	if (is_new)
+		endpoint->spread_incarnation = state->incarnation;
+	return is_new && !is_ended;
+}
+
+size_t fleet_leaving_news(fleet_t *fleet, fleet_leaving_t *news, size_t max,
+			  uint64_t now_ms)
+{
+	size_t count = 0;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	for (size_t i = 0; i < fleet->slot_count && count < max; i++) {
+		fleet_endpoint_t *endpoint = fleet->slots[i];
+
+		if (!is_leaving_news(endpoint, now_ms))
+			continue;
+		news[count++] = (fleet_leaving_t){
+			.id_hash = endpoint->target.id_hash,
+			.incarnation = endpoint->spread_incarnation,
+			.leaving = endpoint->spread_leaving,
+		};
+	}
+	return count;
+}
+
+size_t fleet_status(fleet_t *fleet, fleet_status_t *out, size_t max,
+		    uint64_t now_ms)
+{
+	size_t count = 0;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	for (size_t i = 0; i < fleet->slot_count && count < max; i++) {
+		const fleet_endpoint_t *endpoint = fleet->slots[i];
+		fleet_status_t *row = &out[count];
+
+		if (!endpoint->configured)
+			continue;
+		memcpy(row->id, endpoint->target.id, sizeof(row->id));
+		row->incarnation = endpoint->state.incarnation;
+		row->state = endpoint_state(&endpoint->state, now_ms);
+		row->running = endpoint->state.running;
+		count++;
+	}
+	return count;
 }
 
 size_t fleet_poll_due(fleet_t *fleet, const fleet_poll_interval_t *interval,
--- a/process/fleet.h
+++ b/process/fleet.h
@@ -168,8 +168,40 @@
 		 const routing_request_t *request, endpoint_outcome_t outcome,
 		 uint64_t now_ms);
 
-/** Marks an endpoint as leaving, or no longer so. */
-void fleet_set_leaving(fleet_t *fleet, uint64_t id_hash, bool leaving);
+/** Takes a mark from gossip; see endpoint_tell_leaving(). */
+void fleet_tell_leaving(fleet_t *fleet, uint64_t id_hash, uint64_t incarnation,
+			bool leaving, uint64_t now_ms);
+
+/** Takes a row of the instance list; only a change of the row counts. */
+void fleet_listed(fleet_t *fleet, uint64_t id_hash, bool leaving,
+		  uint64_t now_ms);
+
+/** An endpoint that began or ended to leave. */
+typedef struct fleet_leaving {
+	uint64_t id_hash;
+	uint64_t incarnation; /**< 0 if it is not known. */
+	bool leaving;
+} fleet_leaving_t;
+
+/**
+ * Changes seen by this instance or in the list that were not returned before,
+ * for other instances. What gossip told is not returned.
+ * @return count, at most `max`
+ */
+size_t fleet_leaving_news(fleet_t *fleet, fleet_leaving_t *news, size_t max,
+			  uint64_t now_ms);
+
+/** What an operator is shown of an endpoint. */
+typedef struct fleet_status {
+	char id[FLEET_ID_MAX_BYTES];
+	uint64_t incarnation;
+	endpoint_state_t state;
+	uint32_t running; /**< Requests of this instance. */
+} fleet_status_t;
+
+/** Copies the state of the configured endpoints. @return count */
+size_t fleet_status(fleet_t *fleet, fleet_status_t *out, size_t max,
+		    uint64_t now_ms);
 
 /** How often endpoints are polled; each delay varies by a quarter. */
 typedef struct fleet_poll_interval {
--- a/process/gossip.c
+++ b/process/gossip.c
@@ -70,16 +70,12 @@
 		gossip->hooks.on_rumor(gossip->hooks.context, &news[i]);
 }
 
-static void announce_position(gossip_t *gossip, uint64_t position)
+static void announce_config(gossip_t *gossip, const peer_gossip_t *news)
 {
-	uint64_t own;
-
-	{
-		SCOPED_LOCK(guard, &gossip->lock);
-		own = gossip->membership.config_position;
-	}
-	if (position > own && gossip->hooks.on_position)
-		gossip->hooks.on_position(gossip->hooks.context, position);
+	if (gossip->hooks.on_config)
+		gossip->hooks.on_config(gossip->hooks.context, news->sender.id,
+					news->config_position,
+					news->config_age_ms);
 }
 
 static void receive(gossip_t *gossip, const peer_gossip_t *news)
@@ -95,7 +91,7 @@
 			wake(gossip);
 	}
 	announce_rumors(gossip, rumors, count);
-	announce_position(gossip, news->config_position);
+	announce_config(gossip, news);
 }
 
 /** Fills a gossip part whose rumors are freed together with the message. */
@@ -110,6 +106,7 @@
 	}
 	out->sender = gossip->membership.self;
 	out->config_position = gossip->membership.config_position;
+	out->config_age_ms = gossip->membership.config_age_ms;
 }
 
 static void answer_join(gossip_t *gossip, uint64_t sender,
@@ -507,7 +504,7 @@
 	return 0;
 }
 
-static uint32_t domain_key(const char *domain)
+uint32_t gossip_domain(const char *domain)
 {
 	return (uint32_t)hash_string(domain);
 }
@@ -533,7 +530,7 @@
 		return ERR_SETTING;
 	self->id = peer.id;
 	self->incarnation = peer.incarnation;
-	self->domain = domain_key(settings->domain);
+	self->domain = gossip_domain(settings->domain);
 	/*
 	 * The server may get a message at once, and the port is known only
 	 * when it is open; so messages wait for the lock until then.
@@ -630,7 +627,7 @@
 	peer_member_t member = {
 		.id = hash_string(instance),
 		.port = port,
-		.domain = domain_key(domain),
+		.domain = gossip_domain(domain),
 		.state = PEER_MEMBER_ALIVE,
 	};
 
@@ -646,7 +643,52 @@
 	SCOPED_LOCK(guard, &gossip->lock);
 
 	membership_set_position(&gossip->membership, position);
-	wake(gossip);
+	if (gossip->membership.push_wanted)
+		wake(gossip);
+}
+
+void gossip_set_age(gossip_t *gossip, uint32_t age_ms)
+{
+	SCOPED_LOCK(guard, &gossip->lock);
+
+	gossip->membership.config_age_ms = age_ms;
+}
+
+static uint32_t age_now_ms(const membership_member_t *member, uint64_t now_ms)
+{
+	uint64_t age_ms = member->config_age_ms + (now_ms - member->heard_ms);
+
+	if (member->config_age_ms == UINT32_MAX || age_ms >= UINT32_MAX)
+		return UINT32_MAX;
+	return (uint32_t)age_ms;
+}
+
+size_t gossip_members(gossip_t *gossip, gossip_member_t *out, size_t max)
+{
+	const membership_t *membership = &gossip->membership;
+	uint64_t now_ms = clock_now_ms();
+	size_t used = 0;
+	SCOPED_LOCK(guard, &gossip->lock);
+
+	if (max)
+		out[used++] = (gossip_member_t){ membership->self,
+						 membership->config_position,
+						 membership->config_age_ms };
+	for (size_t i = 0; i < membership->count && used < max; i++) {
+		const membership_member_t *member = &membership->members[i];
+
+		if (member->wire.state != PEER_MEMBER_LEFT)
+			out[used++] =
+				(gossip_member_t){ member->wire,
+						   member->config_position,
+						   age_now_ms(member, now_ms) };
+	}
+	return used;
+}
+
+int gossip_probe(gossip_t *gossip, const peer_member_t *member)
+{
+	return send_plain(gossip, PEER_PROBE, member);
 }
 
 void gossip_spread(gossip_t *gossip, const peer_rumor_t *rumor)
@@ -688,9 +730,21 @@
 	return 0;
 }
 
-int gossip_fetch_config(gossip_t *gossip, bool snapshot, uint64_t from_position,
-			uint64_t *position, char **document,
-			size_t *document_bytes)
+static bool find_source(gossip_t *gossip, uint64_t member,
+			uint64_t from_position, peer_member_t *source)
+{
+	SCOPED_LOCK(guard, &gossip->lock);
+
+	if (member)
+		return membership_find_live(&gossip->membership, member,
+					    source);
+	return membership_config_source(&gossip->membership, from_position,
+					source);
+}
+
+int gossip_fetch_config(gossip_t *gossip, uint64_t member, bool snapshot,
+			uint64_t from_position, uint64_t *position,
+			char **document, size_t *document_bytes)
 {
 	peer_message_t request = { .kind = snapshot ? PEER_SNAPSHOT_FETCH
 						    : PEER_CONFIG_FETCH };
@@ -698,12 +752,8 @@
 	peer_member_t source;
 	int err;
 
-	{
-		SCOPED_LOCK(guard, &gossip->lock);
-		if (!membership_config_source(&gossip->membership,
-					      from_position, &source))
-			return ERR_NOT_FOUND;
-	}
+	if (!find_source(gossip, member, from_position, &source))
+		return ERR_NOT_FOUND;
 	if (!snapshot)
 		request.peer_message_t_u.from_position = from_position;
 	err = gossip_call(gossip, &source, &request, &answer,
--- a/process/gossip.h
+++ b/process/gossip.h
@@ -31,8 +31,9 @@
 	void *context;
 	/** A rumor about an endpoint or a crashed request arrived. */
 	void (*on_rumor)(void *context, const peer_rumor_t *rumor);
-	/** Some member has a configuration position above the own one. */
-	void (*on_position)(void *context, uint64_t position);
+	/** A member told its configuration position and age. */
+	void (*on_config)(void *context, uint64_t member, uint64_t position,
+			  uint32_t age_ms);
 	/**
 	 * Changes above a position, or the whole configuration if `snapshot`.
 	 * @param document receives memory from malloc()
@@ -81,6 +82,26 @@
 /** Sets the configuration position in force here. */
 void gossip_set_position(gossip_t *gossip, uint64_t position);
 
+/** Sets the age of the configuration here; UINT32_MAX if it is unknown. */
+void gossip_set_age(gossip_t *gossip, uint32_t age_ms);
+
+/** What is known of a member. */
+typedef struct gossip_member {
+	peer_member_t wire;
+	uint64_t config_position;
+	/** Age of its configuration now; UINT32_MAX if it is unknown. */
+	uint32_t config_age_ms;
+} gossip_member_t;
+
+/** Copies the members in all states but left, this instance first. */
+size_t gossip_members(gossip_t *gossip, gossip_member_t *out, size_t max);
+
+/** Asks a member for its position now. @return 0 or an error */
+int gossip_probe(gossip_t *gossip, const peer_member_t *member);
+
+/** The number that stands for a failure domain in peer_member_t. */
+uint32_t gossip_domain(const char *domain);
+
 /** Spreads a rumor to all instances. */
 void gossip_spread(gossip_t *gossip, const peer_rumor_t *rumor);
 
@@ -96,13 +117,13 @@
 		uint32_t timeout_ms);
 
 /**
- * Fetches configuration changes above a position, or a snapshot, from a
- * member that has them.
+ * Fetches configuration changes above a position, or a snapshot.
+ * @param member id of the live member to ask; 0 for any that has more
  * @param document receives memory to free()
- * @return 0, ERR_NOT_FOUND if no member is known to have more, or an error
+ * @return 0, ERR_NOT_FOUND if there is no such member, or an error
  */
-int gossip_fetch_config(gossip_t *gossip, bool snapshot, uint64_t from_position,
-			uint64_t *position, char **document,
-			size_t *document_bytes);
+int gossip_fetch_config(gossip_t *gossip, uint64_t member, bool snapshot,
+			uint64_t from_position, uint64_t *position,
+			char **document, size_t *document_bytes);
 
 #endif
--- a/process/membership.c
+++ b/process/membership.c
@@ -22,6 +22,7 @@
 	memset(membership, 0, sizeof(*membership));
 	membership->self = *self;
 	membership->self.state = PEER_MEMBER_ALIVE;
+	membership->config_age_ms = UINT32_MAX;
 	rumor_init(&membership->rumors);
 	rng_init(&membership->rng, seed);
 	/* Instances that start together must not probe in step. */
@@ -90,6 +91,7 @@
 		return NULL;
 	memset(member, 0, sizeof(*member));
 	member->wire = *wire;
+	member->config_age_ms = UINT32_MAX;
 	member->state_since_ms = now_ms;
 	return member;
 }
@@ -160,8 +162,11 @@
 			 uint64_t now_ms)
 {
 	const peer_member_t *sender = &gossip->sender;
-	membership_member_t *member;
+	membership_member_t *member = find_member(membership, sender->id);
 
+	/* A restarted instance may not have what it had before. */
+	if (member && sender->incarnation > member->wire.incarnation)
+		member->config_position = 0;
 	learn(membership, sender, now_ms, true);
 	member = find_member(membership, sender->id);
 	if (!member || sender->incarnation < member->wire.incarnation)
@@ -170,6 +175,7 @@
 	member->probe_deadline_ms = 0;
 	if (gossip->config_position > member->config_position)
 		member->config_position = gossip->config_position;
+	member->config_age_ms = gossip->config_age_ms;
 }
 
 /** @return whether the rumor is news for other modules */
@@ -438,6 +444,7 @@
 
 	gossip->sender = membership->self;
 	gossip->config_position = membership->config_position;
+	gossip->config_age_ms = membership->config_age_ms;
 	if (member && member->wire.state != PEER_MEMBER_ALIVE) {
 		storage[used].kind = PEER_RUMOR_MEMBER;
 		storage[used++].peer_rumor_t_u.member = member->wire;
@@ -480,6 +487,17 @@
 	return used;
 }
 
+bool membership_find_live(membership_t *membership, uint64_t id,
+			  peer_member_t *member)
+{
+	const membership_member_t *found = find_member(membership, id);
+
+	if (!found || !is_live(found))
+		return false;
+	*member = found->wire;
+	return true;
+}
+
 peer_member_t membership_home(const membership_t *membership, uint64_t key)
 {
 	const peer_member_t *best = &membership->self;
--- a/process/membership.h
+++ b/process/membership.h
@@ -10,7 +10,7 @@
  * The caller performs the actions that membership_tick() returns and reports
  * what came of them. Times are in milliseconds of a monotonic clock.
  *
- * Size: 88 bytes a member, 118 KB in all.
+ * Size: 96 bytes a member, 126 KB in all.
  */
 #ifndef PROCESS_MEMBERSHIP_H
 #define PROCESS_MEMBERSHIP_H
@@ -47,6 +47,7 @@
 	uint64_t state_since_ms;
 	uint64_t heard_ms; /**< Last direct message. */
 	uint64_t config_position;
+	uint32_t config_age_ms;	    /**< When heard; UINT32_MAX if unknown. */
 	uint64_t probe_deadline_ms; /**< 0 if no probe is open. */
 	bool indirect_asked;
 } membership_member_t;
@@ -60,6 +61,7 @@
 	size_t round_count;
 	uint64_t next_probe_ms;
 	uint64_t config_position; /**< Position in force here. */
+	uint32_t config_age_ms;	  /**< UINT32_MAX if unknown. */
 	bool push_wanted;
 	rumor_buffer_t rumors;
 	rng_t rng;
@@ -150,6 +152,10 @@
 size_t membership_live(const membership_t *membership, peer_member_t *out,
 		       size_t max);
 
+/** A live member by its id. @return false if there is none */
+bool membership_find_live(membership_t *membership, uint64_t id,
+			  peer_member_t *member);
+
 /** The live member with the highest rendezvous weight for `key`. */
 peer_member_t membership_home(const membership_t *membership, uint64_t key);
 
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -74,6 +74,16 @@
 	       "Calls to the object API refused by the own budget.")
 METRIC_GAUGE(CONFIG_AGE_MS, "amv_config_age_ms", "",
 	     "Time since the configuration was last known to be current.")
+METRIC_GAUGE(START_PEER, "amv_start_source", "source=\"peer\"",
+	     "1 for the source of the first configuration.")
+METRIC_GAUGE(START_STORE, "amv_start_source", "source=\"store\"",
+	     "1 for the source of the first configuration.")
+METRIC_GAUGE(START_BOOTSTRAP, "amv_start_source", "source=\"bootstrap\"",
+	     "1 for the source of the first configuration.")
+METRIC_GAUGE(START_MS, "amv_start_ms", "",
+	     "Time from the start until requests were served.")
+METRIC_GAUGE(START_STORE_CALLS, "amv_start_store_calls", "",
+	     "Calls to the object API until requests were served.")
 METRIC_COUNTER(TICKETS_ACCEPTED, "amv_tickets_total", "outcome=\"accepted\"",
 	       "Tickets decided here.")
 METRIC_COUNTER(TICKETS_REFUSED, "amv_tickets_total", "outcome=\"refused\"",
--- a/process/peer_proto.h
+++ b/process/peer_proto.h
@@ -78,6 +78,7 @@
 struct peer_gossip_t {
 	peer_member_t sender;
 	u_quad_t config_position;
+	u_int config_age_ms;
 	struct {
 		u_int rumors_len;
 		peer_rumor_t *rumors_val;
--- a/process/peer_proto.x
+++ b/process/peer_proto.x
@@ -68,6 +68,8 @@
 struct peer_gossip_t {
 	peer_member_t sender;
 	unsigned hyper config_position;
+	/* Of the sender's knowledge of the configuration; all ones: unknown. */
+	unsigned int config_age_ms;
 	peer_rumor_t rumors<PEER_RUMORS_MAX>;
 };
 
--- a/process/peer_proto_xdr.c
+++ b/process/peer_proto_xdr.c
@@ -121,6 +121,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_position))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->config_age_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->rumors.rumors_val, (u_int *) &objp->rumors.rumors_len, PEER_RUMORS_MAX,
 		sizeof (peer_rumor_t), (xdrproc_t) xdr_peer_rumor_t))
 		 return FALSE;
--- a/version/config_service.c
+++ b/version/config_service.c
@@ -13,6 +13,8 @@
 #include "process/hash.h"
 #include "process/metrics.h"
 #include "version/config.h"
+#include "version/config_find.h"
+#include "version/config_source.h"
 #include "version/config_sweep.h"
 
 enum {
@@ -280,52 +282,25 @@
 	return err;
 }
 
-/**
- * Puts the bootstrap file into force. With numbers it is a snapshot and the
- * base for later tickets. Without, it has position 0, so that whatever another
- * source has replaces it.
- */
 static int load_bootstrap(config_service_t *service)
 {
-	CLEANUP_JSON json_t *root =
-		json_load_file(service->options.bootstrap_file, 0, NULL);
-	json_t *objects = json_object_get(root, "objects");
-	config_problem_t problem = { 0 };
-	ticket_state_t state;
-	config_t *config;
-	int err;
+	ticket_state_t state = { 0 };
+	int err = config_source_bootstrap(service->options.bootstrap_file,
+					  &state);
 
-	if (json_object_get(root, "numbers")) {
-		err = ticket_state_from_json(root, &state);
-		if (err)
-			return err;
+	if (!err && state.objects)
 		adopt(service, &state, NULL);
-		ticket_state_free(&state);
-		return 0;
-	}
-	err = config_build(0, objects, &config, &problem);
-	if (!err)
-		config_publish(config);
+	ticket_state_free(&state);
 	return err;
 }
 
-static const char *source_name(config_sync_action_kind_t kind)
-{
-	switch (kind) {
-	case CONFIG_SYNC_FETCH_PEER:
-		return "peer";
-	case CONFIG_SYNC_FETCH_STORE:
-		return "store";
-	default:
-		return "bootstrap";
-	}
-}
-
 /** Performs a fetch; returns the event with its result. */
 static config_sync_event_t fetch(config_service_t *service,
 				 const config_sync_action_t *action)
 {
 	config_sync_event_t event = { .kind = CONFIG_SYNC_FETCHED };
+	config_sync_action_kind_t source = action->kind;
+	bool was_published = config_source_is_published();
 	int err = 0;
 
 	if (action->kind == CONFIG_SYNC_FETCH_PEER)
@@ -334,9 +309,17 @@
 		err = fetch_store(service);
 	else
 		err = load_bootstrap(service);
+	/* A store that nothing was written to yet is no source. */
+	if (!err && source == CONFIG_SYNC_FETCH_STORE &&
+	    !config_source_is_published() && service->options.bootstrap_file) {
+		source = CONFIG_SYNC_LOAD_BOOTSTRAP;
+		err = load_bootstrap(service);
+	}
+	if (!was_published && config_source_is_published())
+		config_source_note_start(source);
 	if (err)
 		event_log(EVENT_CONFIG_FETCH_FAILED, "source=%s error=%s",
-			  source_name(action->kind), error_type(err));
+			  config_source_name(source), error_type(err));
 	event.fetched.id = action->id;
 	event.fetched.err = err;
 	event.fetched.position = position_of(service);
@@ -609,6 +592,9 @@
 		if (service->options.audit)
 			audit_flush(service->options.audit);
 	}
+	/* One try for what the last tickets left. */
+	if (service->options.audit)
+		audit_flush(service->options.audit);
 	return NULL;
 }
 
@@ -676,6 +662,22 @@
 	return config_sync_answer(&service->log, &service->state, from);
 }
 
+static uint64_t find_own(config_service_t *service, uint64_t number)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	return config_find_in_rows(service->log.rows, "content", number);
+}
+
+int config_service_find_ticket(config_service_t *service, uint64_t number,
+			       uint64_t *position)
+{
+	*position = find_own(service, number);
+	if (*position)
+		return 0;
+	return config_find_in_store(service->options.client, number, position);
+}
+
 void config_service_status(config_service_t *service,
 			   config_service_status_t *status)
 {
@@ -749,6 +751,12 @@
 			 hash_string(options->domain),
 			 options->bootstrap_file != NULL, options->seed,
 			 mono_ms());
+	config_sync_note(
+		&service->sync,
+		&(config_sync_event_t){ .kind = CONFIG_SYNC_MEMBERS,
+					.members = { options->members,
+						     options->member_count } },
+		mono_ms());
 }
 
 int config_service_start(const config_service_options_t *options,
--- a/version/config_service.h
+++ b/version/config_service.h
@@ -30,11 +30,14 @@
 				   json_t **answer);
 
 typedef struct config_service_options {
-	store_client_t *client;	    /**< Outlives the service. */
-	audit_t *audit;		    /**< May be NULL; outlives the service. */
-	const char *instance;	    /**< Id of this instance. */
-	const char *domain;	    /**< Its failure domain. */
-	const char *bootstrap_file; /**< May be NULL. */
+	store_client_t *client; /**< Outlives the service. */
+	audit_t *audit;		/**< May be NULL; outlives the service. */
+	const char *instance;	/**< Id of this instance. */
+	const char *domain;	/**< Its failure domain. */
+	/** Members that are known at the start; may be none. */
+	const config_sync_member_t *members;
+	size_t member_count;
+	const char *bootstrap_file;	/**< May be NULL. */
 	config_fetch_peer_t fetch_peer; /**< May be NULL. */
 	void *fetch_user;
 	uint64_t seed;
@@ -71,7 +74,7 @@
 int config_service_apply_ticket(config_service_t *service, json_t *content,
 				const char *operator, ticket_result_t * result);
 
-/** Tells the live members (id and domain of each row are used). */
+/** Tells the live members (id, domain and position of each row are used). */
 void config_service_set_members(config_service_t *service,
 				const config_sync_member_t *rows, size_t count);
 
@@ -85,6 +88,14 @@
  */
 json_t *config_service_answer(config_service_t *service, uint64_t from);
 
+/**
+ * Finds where a ticket was accepted, in the recent contents kept here or else
+ * in the store.
+ * @return 0, ERR_NOT_FOUND, or an error of the store
+ */
+int config_service_find_ticket(config_service_t *service, uint64_t number,
+			       uint64_t *position);
+
 void config_service_status(config_service_t *service,
 			   config_service_status_t *status);
 
--- a/version/config_sync.c
+++ b/version/config_sync.c
@@ -98,8 +98,11 @@
 		    sync->member_count == CONFIG_SYNC_MEMBERS_MAX)
 			continue;
 		member = &sync->members[sync->member_count++];
-		*member = (config_sync_member_t){ .id = rows[i].id,
-						  .domain = rows[i].domain };
+		*member = (config_sync_member_t){
+			.id = rows[i].id,
+			.domain = rows[i].domain,
+			.position = rows[i].position,
+		};
 		for (size_t j = 0; j < old_count; j++) {
 			if (old[j].id == member->id)
 				*member = old[j];
@@ -229,8 +232,9 @@
 
 	if (now_ms < member->avoid_until_ms)
 		return 0;
+	/* After a restart of many, most peers have nothing to give yet. */
 	if (!sync->in_force)
-		return near ? 2 : 1;
+		return (member->position ? 3 : 1) + near;
 	if (member->position <= sync->position)
 		return 0;
 	return (member->position >= sync->target ? 3 : 1) + near;
--- a/version/config_sync.h
+++ b/version/config_sync.h
@@ -56,7 +56,8 @@
 	config_sync_event_kind_t kind;
 	union {
 		struct {
-			const config_sync_member_t *rows; /**< Id, domain. */
+			/** Id, domain and position. */
+			const config_sync_member_t *rows;
 			size_t count;
 		} members;
 		struct {
