--- a/t/lib/rig.c
+++ b/t/lib/rig.c
@@ -95,18 +95,42 @@
 	g_assert_true(g_file_set_contents(rig->bootstrap, objects, -1, NULL));
 }
 
+/** Peer addresses of all routers but one. */
+static char *other_peers(const rig_t *rig, int number)
+{
+	GString *out = g_string_new(NULL);
+
+	for (int i = 0; i < rig->options.routers; i++) {
+		if (i != number)
+			g_string_append_printf(out, "%s127.0.0.1:%u",
+					       out->len ? "," : "",
+					       rig->peer_ports[i]);
+	}
+	return g_string_free(out, FALSE);
+}
+
 static void start_router(rig_t *rig, int number)
 {
 	g_autoptr(GPtrArray) args = g_ptr_array_new();
+	uint16_t store_port = rig->store_proxy
+				      ? program_main_port(rig->store_proxy)
+				      : rig->store_port;
+	int domains = rig->options.domains;
 	g_autofree char *store =
-		g_strdup_printf("http://127.0.0.1:%u", rig->store_port);
+		g_strdup_printf("http://127.0.0.1:%u", store_port);
 	g_autofree char *name = g_strdup_printf("r%d", number);
-	g_autofree char *ready = NULL;
+	g_autofree char *domain =
+		g_strdup_printf("d%d", domains ? number % domains : 0);
+	g_autofree char *port = g_strdup_printf("%u", rig->peer_ports[number]);
+	g_autofree char *peers = other_peers(rig, number);
+	const char *const alone[] = { "--bootstrap", rig->bootstrap, NULL };
+	const char *const joined[] = {
+		"--domain", domain,	      "--peer-port", port, "--peers",
+		peers,	    "--instances-ms", "500",	     NULL
+	};
 	const char *const fixed[] = {
 		"--port",
 		"0",
-		"--bootstrap",
-		rig->bootstrap,
 		"--seed",
 		"1",
 		"--instance",
@@ -123,14 +147,101 @@
 	};
 
 	add_args(args, fixed);
+	add_args(args, domains ? joined : alone);
 	add_args(args, rig->options.router_args);
 	g_ptr_array_add(args, NULL);
 	rig->routers[number] = program_start_args(
 		"amaranthvale-router", (const char *const *)args->pdata);
 	rig->ports[number] = program_main_port(rig->routers[number]);
-	ready = g_strdup_printf("http://127.0.0.1:%u/readyz",
-				rig->ports[number]);
-	g_assert_true(WAIT_UNTIL(url_answers(ready), HARNESS_WAIT_MS));
+}
+
+bool rig_is_ready(rig_t *rig, int router)
+{
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u/readyz",
+					       rig->ports[router]);
+
+	return url_answers(url);
+}
+
+void rig_restart_router(rig_t *rig, int router)
+{
+	program_free(rig->routers[router]);
+	start_router(rig, router);
+}
+
+void rig_set_store_out(rig_t *rig, bool out)
+{
+	standin_control(rig->store_control,
+			out ? "{\"refuse\":true,\"cut\":true}"
+			    : "{\"refuse\":false}");
+}
+
+http_answer_t *rig_admin(rig_t *rig, int router, const char *path,
+			 const char *body)
+{
+	static const char *const headers[] = { RIG_OPERATOR, NULL };
+	g_autofree char *full = g_strdup_printf("/admin/%s", path);
+
+	return http_local(body ? "POST" : "GET", rig->ports[router], full,
+			  headers, body);
+}
+
+http_answer_t *rig_ticket(rig_t *rig, int router, int number,
+			  const char *objects)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"ticket\":%d,\"author\":\"rig\",\"objects\":%s}", number,
+		objects);
+
+	return rig_admin(rig, router, "tickets", body);
+}
+
+static bool apply_first(rig_t *rig, const char *objects)
+{
+	g_autoptr(http_answer_t) answer = rig_ticket(rig, 0, 1, objects);
+
+	return answer->status == 200;
+}
+
+/** Instance list with the routers; the endpoints are not in it. */
+static void list_routers(rig_t *rig)
+{
+	GString *list = g_string_new("{\"instances\":[");
+
+	for (int i = 0; i < rig->options.routers; i++)
+		g_string_append_printf(list,
+				       "%s{\"id\":\"r%d\",\"kind\":\"router\","
+				       "\"address\":\"127.0.0.1\",\"port\":%u,"
+				       "\"domain\":\"d%d\",\"state\":\"live\"}",
+				       i ? "," : "", i, rig->peer_ports[i],
+				       i % rig->options.domains);
+	g_string_append(list, "]}");
+	standin_control(rig->store_port, list->str);
+	g_string_free(list, TRUE);
+}
+
+static void prepare_domains(rig_t *rig)
+{
+	g_autofree char *target = g_strdup_printf("%u", rig->store_port);
+
+	rig->store_proxy =
+		standin_start("fault-proxy", "--target-port", target, NULL);
+	rig->store_control = program_port(rig->store_proxy, "control");
+	for (int i = 0; i < rig->options.routers; i++)
+		rig->peer_ports[i] = harness_free_port();
+	list_routers(rig);
+}
+
+static void wait_until_ready(rig_t *rig)
+{
+	g_autofree char *objects = make_objects(rig);
+
+	if (rig->options.domains)
+		g_assert_true(
+			WAIT_UNTIL(apply_first(rig, objects), HARNESS_WAIT_MS));
+	for (int i = 0; i < rig->options.routers; i++)
+		g_assert_true(
+			WAIT_UNTIL(rig_is_ready(rig, i), HARNESS_WAIT_MS));
 }
 
 rig_t *rig_start(const rig_options_t *options)
@@ -155,8 +266,11 @@
 		rig->plain_ports[i] = program_main_port(rig->plains[i]);
 	}
 	write_bootstrap(rig);
+	if (options->domains)
+		prepare_domains(rig);
 	for (int i = 0; i < options->routers; i++)
 		start_router(rig, i);
+	wait_until_ready(rig);
 	return rig;
 }
 
@@ -173,8 +287,10 @@
 	/* All at once, as each needs up to 2 s to end by itself; stand-ins
 	 * have nothing to finish. */
 	for (int i = 0; i < RIG_ROUTERS_MAX; i++) {
-		if (rig->routers[i])
-			program_signal(rig->routers[i], SIGTERM);
+		if (!rig->routers[i])
+			continue;
+		program_signal(rig->routers[i], SIGCONT);
+		program_signal(rig->routers[i], SIGTERM);
 	}
 	free_all(rig->routers, RIG_ROUTERS_MAX);
 	for (int i = 0; i < RIG_ENGINES_MAX; i++) {
@@ -189,6 +305,8 @@
 	free_all(rig->engines, RIG_ENGINES_MAX);
 	free_all(rig->plains, RIG_PLAINS_MAX);
 	program_free(rig->store);
+	if (rig->store_proxy)
+		program_free(rig->store_proxy);
 	remove(rig->bootstrap);
 	g_free(rig->bootstrap);
 	g_free(rig);
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -16,7 +16,7 @@
 enum {
 	RIG_ENGINES_MAX = 4,
 	RIG_PLAINS_MAX = 2,
-	RIG_ROUTERS_MAX = 3,
+	RIG_ROUTERS_MAX = 6,
 	RIG_ARGS_MAX = 8,
 };
 
@@ -30,6 +30,11 @@
 	int plains;
 	int routers;
 	bool plains_check_fencing;
+	/**
+	 * With domains the routers know each other as r0, r1, ... of d0, d1,
+	 * ..., reach the store through a proxy, and are configured by ticket 1.
+	 */
+	int domains;
 	/** More arguments, ended by NULL. */
 	const char *engine_args[RIG_ARGS_MAX];
 	const char *router_args[RIG_ARGS_MAX];
@@ -43,7 +48,10 @@
 	program_t *engines[RIG_ENGINES_MAX];
 	program_t *plains[RIG_PLAINS_MAX];
 	program_t *routers[RIG_ROUTERS_MAX];
+	program_t *store_proxy; /**< NULL without domains. */
 	uint16_t store_port;
+	uint16_t store_control; /**< Of the proxy. */
+	uint16_t peer_ports[RIG_ROUTERS_MAX];
 	uint16_t engine_ports[RIG_ENGINES_MAX];
 	uint16_t plain_ports[RIG_PLAINS_MAX];
 	uint16_t ports[RIG_ROUTERS_MAX]; /**< Of the routers. */
@@ -55,6 +63,23 @@
 void rig_free(rig_t *rig);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(rig_t, rig_free)
 
+/** Starts a router again on its peer port; does not wait until it is ready. */
+void rig_restart_router(rig_t *rig, int router);
+
+/** Whether a router says that it is ready. */
+bool rig_is_ready(rig_t *rig, int router);
+
+/** Cuts the routers off the store and its instance list, or ends that. */
+void rig_set_store_out(rig_t *rig, bool out);
+
+/** Calls `/admin/<path>` of a router as an operator. */
+http_answer_t *rig_admin(rig_t *rig, int router, const char *path,
+			 const char *body);
+
+/** Applies a ticket with the given objects; the answer of the router. */
+http_answer_t *rig_ticket(rig_t *rig, int router, int number,
+			  const char *objects);
+
 /** Kills an engine at once. */
 void rig_kill_engine(rig_t *rig, int engine);
 
--- /dev/null
+++ b/t/test-it-fleet.c
@@ -0,0 +1,616 @@
+/* Several routers as one system, as real processes. */
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "process/cleanup.h"
+#include "t/lib/generate.h"
+#include "t/lib/rig.h"
+
+enum {
+	/** Limits from docs/design.md, section 2. */
+	IN_FORCE_MS = 4000,
+	LEAVING_MS = 3000,
+	/** Probe round, suspicion and spreading, with room for a busy machine.
+	 */
+	FAILURE_MS = 20000,
+	/** The store client's longest pause in an outage, with room. */
+	RECOVERY_MS = 45000,
+	LONG_TOKENS = 100,
+	OPERATORS = 4,
+	TICKETS_EACH = 5,
+};
+
+static json_t *status_of(rig_t *rig, int router)
+{
+	g_autoptr(http_answer_t) answer =
+		rig_admin(rig, router, "status", NULL);
+
+	return json_incref(answer->json);
+}
+
+static int64_t status_number(rig_t *rig, int router, const char *name)
+{
+	CLEANUP_JSON json_t *status = status_of(rig, router);
+
+	return json_integer_value(json_object_get(status, name));
+}
+
+/** Value of `limits/global` in force, which the tests' tickets set. */
+static int64_t queue_max(rig_t *rig, int router)
+{
+	g_autoptr(http_answer_t) answer =
+		rig_admin(rig, router, "objects", NULL);
+	json_t *objects = json_object_get(answer->json, "objects");
+
+	return json_integer_value(json_object_get(
+		json_object_get(objects, "limits/global"), "queue_max"));
+}
+
+static http_answer_t *set_queue_max(rig_t *rig, int router, int value)
+{
+	g_autofree char *objects = g_strdup_printf(
+		"{\"limits/global\":{\"queue_max\":%d}}", value);
+
+	return rig_ticket(rig, router, value, objects);
+}
+
+static bool all_have(rig_t *rig, int64_t value)
+{
+	for (int i = 0; i < rig->options.routers; i++) {
+		if (program_is_running(rig->routers[i]) &&
+		    queue_max(rig, i) != value)
+			return false;
+	}
+	return true;
+}
+
+/** State of a member as a router sees it; empty if it is not listed. */
+static char *member_state(rig_t *rig, int router, const char *list,
+			  const char *key, const char *name)
+{
+	CLEANUP_JSON json_t *status = status_of(rig, router);
+	json_t *row;
+	size_t i;
+
+	json_array_foreach (json_object_get(status, list), i, row) {
+		if (!g_strcmp0(json_string_value(json_object_get(row, key)),
+			       name))
+			return g_strdup(json_string_value(
+				json_object_get(row, "state")));
+	}
+	return g_strdup("");
+}
+
+/** Whether all routers but one see that one in a state. */
+static bool others_see(rig_t *rig, int router, const char *state)
+{
+	g_autofree char *name = g_strdup_printf("r%d", router);
+
+	for (int i = 0; i < rig->options.routers; i++) {
+		g_autofree char *seen = NULL;
+
+		if (i == router || !program_is_running(rig->routers[i]))
+			continue;
+		seen = member_state(rig, i, "members", "instance", name);
+		if (strcmp(seen, state) != 0)
+			return false;
+	}
+	return true;
+}
+
+static bool all_see_leaving(rig_t *rig, const char *endpoint, bool leaving)
+{
+	for (int i = 0; i < rig->options.routers; i++) {
+		g_autofree char *state =
+			member_state(rig, i, "endpoints", "endpoint", endpoint);
+
+		if (!strcmp(state, "leaving") != leaving)
+			return false;
+	}
+	return true;
+}
+
+static bool all_know_all(rig_t *rig)
+{
+	for (int i = 0; i < rig->options.routers; i++) {
+		if (!others_see(rig, i, "alive"))
+			return false;
+	}
+	return true;
+}
+
+static long chat_status(rig_t *rig, int router, const char *text)
+{
+	CLEANUP_FREE char *body = rig_body(text, 4, false);
+	g_autoptr(http_answer_t) answer = rig_chat(rig, router, body);
+
+	return answer->status;
+}
+
+static void assert_not_run(const http_answer_t *answer)
+{
+	g_autofree char *state = http_answer_header(answer, "X-Run-State");
+
+	g_assert_cmpint(answer->status, ==, 503);
+	g_assert_cmpstr(state, ==, "not_run");
+}
+
+static rig_t *start_fleet(int routers, int engines)
+{
+	rig_options_t options = { .routers = routers,
+				  .engines = engines,
+				  .domains = 2 };
+
+	return rig_start(&options);
+}
+
+static int64_t config_reads(rig_t *rig, int router)
+{
+	return rig_metric(rig, router,
+			  "amv_store_calls_total{purpose=\"config\"}");
+}
+
+/**
+ * Whether the audit trail says this of a ticket. It is read from the store
+ * itself, as polling would use up a router's budget of calls.
+ */
+static bool has_entry(rig_t *rig, int ticket, const char *outcome)
+{
+	g_autofree char *wanted = g_strdup_printf("ticket/%d", ticket);
+	g_autoptr(http_answer_t) answer = http_local(
+		"GET", rig->store_port, "/objects?prefix=audit/", NULL, NULL);
+	json_t *shard;
+	json_t *entry;
+	size_t i;
+	size_t j;
+
+	json_array_foreach (json_object_get(answer->json, "items"), i, shard) {
+		json_t *value = json_object_get(shard, "value");
+
+		json_array_foreach (json_object_get(value, "entries"), j,
+				    entry) {
+			const char *who = NULL;
+			const char *which = NULL;
+			const char *found = NULL;
+
+			json_unpack(entry, "{s:s,s:s,s:s}", "who", &who,
+				    "which", &which, "outcome", &found);
+			if (!g_strcmp0(which, wanted) &&
+			    !g_strcmp0(who, "rig") &&
+			    !g_strcmp0(found, outcome))
+				return true;
+		}
+	}
+	return false;
+}
+
+/* A ticket that stays on some instances, and instances that all read the store
+ * for each change. */
+static void test_ticket_everywhere(void)
+{
+	g_autoptr(rig_t) rig = start_fleet(6, 1);
+	g_autoptr(http_answer_t) stale = NULL;
+	int64_t reads[RIG_ROUTERS_MAX];
+	int watchers = 0;
+
+	g_assert_true(WAIT_UNTIL(all_know_all(rig), HARNESS_WAIT_MS));
+	for (int i = 0; i < 6; i++)
+		reads[i] = config_reads(rig, i);
+	for (int i = 0; i < 6; i++) {
+		g_autoptr(http_answer_t) answer =
+			set_queue_max(rig, i, 100 + i);
+
+		g_assert_cmpint(answer->status, ==, 200);
+		g_assert_true(WAIT_UNTIL(all_have(rig, 100 + i), IN_FORCE_MS));
+	}
+	for (int i = 0; i < 6; i++) {
+		CLEANUP_JSON json_t *status = status_of(rig, i);
+		bool watching =
+			json_is_true(json_object_get(status, "watching"));
+
+		watchers += watching;
+		if (!watching)
+			g_assert_cmpint(config_reads(rig, i), ==, reads[i]);
+	}
+	g_assert_cmpint(watchers, ==, 4);
+	stale = set_queue_max(rig, 3, 99);
+	g_assert_cmpint(stale->status, ==, 409);
+	g_assert_true(WAIT_UNTIL(has_entry(rig, 99, "ticket_stale"),
+				 HARNESS_WAIT_MS));
+	g_assert_true(
+		WAIT_UNTIL(has_entry(rig, 105, "accepted"), HARNESS_WAIT_MS));
+}
+
+typedef struct operator_run {
+	rig_t *rig;
+	int router;
+	gint *accepted; /**< Highest number answered as accepted. */
+	gint *decided;	/**< Tickets with an answer. */
+} operator_run_t;
+
+static void raise_to(gint *highest, gint number)
+{
+	gint seen = g_atomic_int_get(highest);
+
+	while (number > seen &&
+	       !g_atomic_int_compare_and_exchange(highest, seen, number))
+		seen = g_atomic_int_get(highest);
+}
+
+static void *run_operator(void *data)
+{
+	operator_run_t *run = data;
+
+	for (int i = 0; i < TICKETS_EACH; i++) {
+		int number = 100 + i * OPERATORS + run->router;
+		long status = 0;
+
+		/* A lost answer is answered as unknown: the same ticket again.
+		 */
+		for (int tries = 0; tries < 5 && status / 100 != 2; tries++) {
+			g_autoptr(http_answer_t) answer =
+				set_queue_max(run->rig, run->router, number);
+
+			status = answer->status;
+			if (status == 409)
+				break;
+		}
+		g_assert_true(status == 200 || status == 409);
+		if (status == 200)
+			raise_to(run->accepted, number);
+		g_atomic_int_inc(run->decided);
+	}
+	return NULL;
+}
+
+/** Reads all instances while operators race: no value may go down. */
+static void watch_for_reverts(rig_t *rig, gint *decided)
+{
+	int64_t last[RIG_ROUTERS_MAX] = { 0 };
+
+	while (g_atomic_int_get(decided) < OPERATORS * TICKETS_EACH) {
+		for (int i = 0; i < rig->options.routers; i++) {
+			int64_t value = queue_max(rig, i);
+
+			g_assert_cmpint(value, >=, last[i]);
+			last[i] = value;
+		}
+	}
+}
+
+/* An older ticket that wins over a newer one, instances that end up different,
+ * and a change that is undone. */
+static void check_race(const char *store_fault)
+{
+	g_autoptr(rig_t) rig = start_fleet(OPERATORS, 0);
+	operator_run_t runs[OPERATORS];
+	GThread *threads[OPERATORS];
+	gint accepted = 0;
+	gint decided = 0;
+
+	standin_control(rig->store_port, store_fault);
+	for (int i = 0; i < OPERATORS; i++) {
+		runs[i] = (operator_run_t){ rig, i, &accepted, &decided };
+		threads[i] = g_thread_new("operator", run_operator, &runs[i]);
+	}
+	watch_for_reverts(rig, &decided);
+	for (int i = 0; i < OPERATORS; i++)
+		g_thread_join(threads[i]);
+	/* The highest number is above all others, so it is accepted. */
+	g_assert_cmpint(accepted, ==, 100 + OPERATORS * TICKETS_EACH - 1);
+	g_assert_true(WAIT_UNTIL(all_have(rig, accepted), IN_FORCE_MS));
+	g_assert_true(WAIT_UNTIL(has_entry(rig, accepted, "accepted"),
+				 HARNESS_WAIT_MS));
+}
+
+static void test_racing_operators(void)
+{
+	static const char *const store_faults[] = {
+		"{}",
+		"{\"drop_write_answers\":6,\"drop_prefix\":\"config/\"}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(store_faults); i++)
+		check_race(store_faults[i]);
+}
+
+/* An outage of the store that stops requests, takes a ticket that is lost, or
+ * leaves the instances behind when it ends. */
+static void test_store_outage(void)
+{
+	g_autoptr(rig_t) rig = start_fleet(4, 1);
+	g_autoptr(http_answer_t) refused = NULL;
+
+	rig_set_store_out(rig, true);
+	refused = set_queue_max(rig, 1, 100);
+	assert_not_run(refused);
+	for (int i = 0; i < 4; i++) {
+		g_assert_cmpint(chat_status(rig, i, "served"), ==, 200);
+		g_assert_true(WAIT_UNTIL(status_number(rig, i, "age_ms") > 6000,
+					 HARNESS_WAIT_MS));
+		g_assert_cmpint(queue_max(rig, i), ==, 0);
+	}
+	rig_set_store_out(rig, false);
+	g_assert_true(WAIT_UNTIL(({
+					 g_autoptr(http_answer_t) answer =
+						 set_queue_max(rig, 2, 101);
+
+					 answer->status == 200;
+				 }),
+				 RECOVERY_MS));
+	g_assert_true(WAIT_UNTIL(all_have(rig, 101), IN_FORCE_MS));
+	for (int i = 0; i < 4; i++)
+		g_assert_true(WAIT_UNTIL(status_number(rig, i, "age_ms") < 6000,
+					 RECOVERY_MS));
+}
+
+typedef struct restart_case {
+	int first; /**< Routers from this one on are killed. */
+	bool store_out;
+	bool ready; /**< Whether they must be ready during the outage. */
+} restart_case_t;
+
+/* A restart that serves nothing until the store answers, and one that serves
+ * without a configuration. */
+static void check_restart(const restart_case_t *row)
+{
+	g_autoptr(rig_t) rig = start_fleet(4, 1);
+	g_autoptr(http_answer_t) answer = set_queue_max(rig, 0, 100);
+
+	g_assert_cmpint(answer->status, ==, 200);
+	g_assert_true(WAIT_UNTIL(all_have(rig, 100), IN_FORCE_MS));
+	if (row->store_out)
+		rig_set_store_out(rig, true);
+	for (int i = row->first; i < 4; i++)
+		program_signal(rig->routers[i], SIGKILL);
+	for (int i = row->first; i < 4; i++)
+		rig_restart_router(rig, i);
+	for (int i = row->first; i < 4 && row->ready; i++) {
+		g_assert_true(
+			WAIT_UNTIL(rig_is_ready(rig, i), HARNESS_WAIT_MS));
+		g_assert_cmpint(chat_status(rig, i, "again"), ==, 200);
+		g_assert_cmpint(queue_max(rig, i), ==, 100);
+		g_assert_cmpint(
+			rig_metric(rig, i, "amv_start_source{source=\"peer\"}"),
+			==, 1);
+		/* A lone restart does not need the store at all. */
+		if (row->first == 3)
+			g_assert_cmpint(
+				rig_metric(rig, i, "amv_start_store_calls"), ==,
+				0);
+	}
+	if (row->ready)
+		return;
+	for (int i = 0; i < 4; i++) {
+		CLEANUP_FREE char *body = rig_body("early", 4, false);
+		g_autoptr(http_answer_t) refused = rig_chat(rig, i, body);
+
+		assert_not_run(refused);
+		g_assert_false(rig_is_ready(rig, i));
+	}
+	rig_set_store_out(rig, false);
+	for (int i = 0; i < 4; i++)
+		g_assert_true(WAIT_UNTIL(rig_is_ready(rig, i), RECOVERY_MS));
+	g_assert_true(all_have(rig, 100));
+}
+
+static void test_restart(gconstpointer row)
+{
+	check_restart(row);
+}
+
+/* An endpoint that says it leaves and still gets work from instances that did
+ * not hear it themselves. */
+static void test_leaving_endpoint(void)
+{
+	rig_options_t options = {
+		.routers = 4,
+		.engines = 2,
+		.domains = 2,
+		/* Later flags win: no router learns it by its own polls in
+		 * time, and the first answer that says it goes to r0. */
+		.router_args = { "--poll-ms", "10000", "--poll-idle-ms",
+				 "10000" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	int64_t ran;
+
+	g_assert_true(WAIT_UNTIL(all_know_all(rig), HARNESS_WAIT_MS));
+	rig_set_store_out(rig, true);
+	standin_control(rig->engine_ports[0], "{\"leaving\":true}");
+	g_assert_true(WAIT_UNTIL(
+		({
+			g_autofree char *text =
+				g_strdup_printf("%u", g_random_int());
+			g_autofree char *state = NULL;
+
+			g_assert_cmpint(chat_status(rig, 0, text), ==, 200);
+			state = member_state(rig, 0, "endpoints", "endpoint",
+					     "e0");
+			!strcmp(state, "leaving");
+		}),
+		HARNESS_WAIT_MS));
+	g_assert_true(WAIT_UNTIL(all_see_leaving(rig, "e0", true), LEAVING_MS));
+	ran = http_local_number(rig->engine_ports[0], "/control/stats",
+				"refused");
+	for (int i = 0; i < 40; i++) {
+		g_autofree char *text = g_strdup_printf("after %d", i);
+
+		g_assert_cmpint(chat_status(rig, i % 4, text), ==, 200);
+	}
+	g_assert_cmpint(http_local_number(rig->engine_ports[0],
+					  "/control/stats", "refused"),
+			==, ran);
+	rig_kill_engine(rig, 0);
+	rig_restart_engine(rig, 0);
+	g_assert_true(WAIT_UNTIL(all_see_leaving(rig, "e0", false),
+				 2 * HARNESS_WAIT_MS));
+}
+
+static int count_engines(rig_t *rig)
+{
+	int running = 0;
+
+	for (int i = 0; i < rig->options.engines; i++)
+		running += program_is_running(rig->engines[i]);
+	return running;
+}
+
+/* A request that its caller sends to another router after each crash, until
+ * all engines are lost. */
+static void test_crashing_request(void)
+{
+	rig_options_t options = {
+		.routers = 4,
+		.engines = 4,
+		.domains = 2,
+		.engine_args = { "--crash-marker", "poison",
+				 "--crash-after-tokens", "3" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	CLEANUP_FREE char *poison = rig_body("poison", LONG_TOKENS, false);
+
+	g_assert_true(WAIT_UNTIL(all_know_all(rig), HARNESS_WAIT_MS));
+	for (int i = 0; i < 12; i++) {
+		g_autofree char *text = g_strdup_printf("neighbour %d", i);
+		g_autoptr(http_answer_t) answer = rig_chat(rig, i % 4, poison);
+
+		g_assert_cmpint(answer->status, !=, 200);
+		g_assert_cmpint(chat_status(rig, (i + 1) % 4, text), ==, 200);
+		g_assert_cmpint(count_engines(rig), >=, 2);
+	}
+	g_assert_cmpint(count_engines(rig), ==, 2);
+}
+
+/* A stop that cuts a stream, or that others find out only by failed probes. */
+static void test_planned_stop(void)
+{
+	g_autoptr(rig_t) rig = start_fleet(4, 1);
+
+	g_assert_true(WAIT_UNTIL(all_know_all(rig), HARNESS_WAIT_MS));
+	for (int router = 2; router < 4; router++) {
+		CLEANUP_FREE char *body = rig_body("long", LONG_TOKENS, true);
+		g_autoptr(http_stream_t) stream =
+			rig_stream(rig, router, RIG_KEY_1, body, NULL);
+		g_autofree char *expected = generate_answer(body);
+		g_autofree char *text = NULL;
+
+		g_assert_true(WAIT_UNTIL(http_stream_count(stream) > 5,
+					 HARNESS_WAIT_MS));
+		if (router == 2) {
+			g_autoptr(http_answer_t) answer =
+				rig_admin(rig, router, "drain", "{}");
+
+			g_assert_cmpint(answer->status, ==, 200);
+		} else {
+			program_signal(rig->routers[router], SIGTERM);
+		}
+		g_assert_true(WAIT_UNTIL(!rig_is_ready(rig, router), 1000));
+		http_stream_wait(stream);
+		text = http_stream_text(stream);
+		g_assert_cmpstr(text, ==, expected);
+		g_assert_true(http_stream_is_done(stream));
+		g_assert_cmpint(
+			program_wait(rig->routers[router], HARNESS_WAIT_MS), ==,
+			0);
+		/* Sooner than a suspicion could end. */
+		g_assert_true(WAIT_UNTIL(others_see(rig, router, ""), 2000));
+	}
+}
+
+/* A dead or frozen instance that stays a member, or one that is not taken back
+ * when it returns. */
+static void test_failed_member(void)
+{
+	static const int signals[] = { SIGKILL, SIGSTOP };
+	g_autoptr(rig_t) rig = start_fleet(4, 0);
+
+	g_assert_true(WAIT_UNTIL(all_know_all(rig), HARNESS_WAIT_MS));
+	for (int i = 0; i < 2; i++) {
+		program_signal(rig->routers[3], signals[i]);
+		g_assert_true(
+			WAIT_UNTIL(others_see(rig, 3, "failed"), FAILURE_MS));
+		if (signals[i] == SIGSTOP)
+			program_signal(rig->routers[3], SIGCONT);
+		else
+			rig_restart_router(rig, 3);
+		g_assert_true(
+			WAIT_UNTIL(others_see(rig, 3, "alive"), FAILURE_MS));
+	}
+}
+
+static int run_command(rig_t *rig, const char *const *words)
+{
+	g_autoptr(GPtrArray) args = g_ptr_array_new();
+	g_autofree char *url =
+		g_strdup_printf("http://127.0.0.1:%u", rig->ports[0]);
+	g_autoptr(program_t) program = NULL;
+
+	g_ptr_array_add(args, (void *)"--router");
+	g_ptr_array_add(args, url);
+	for (; *words; words++)
+		g_ptr_array_add(args, (void *)*words);
+	g_ptr_array_add(args, NULL);
+	program = program_start_args("amaranthvale",
+				     (const char *const *)args->pdata);
+	return program_wait(program, HARNESS_WAIT_MS);
+}
+
+/* Commands that the admin interface does not understand. */
+static void test_operator_command(void)
+{
+	static const char ticket[] =
+		"{\"ticket\":100,\"author\":\"rig\",\"objects\":"
+		"{\"limits/global\":{\"queue_max\":100}}}";
+	g_autoptr(rig_t) rig = start_fleet(2, 0);
+	g_autofree char *path = NULL;
+	int fd = g_file_open_tmp("ticket-XXXXXX", &path, NULL);
+	const struct {
+		const char *words[4];
+		int status;
+	} commands[] = {
+		{ { "ticket", "diff", path }, 0 },
+		{ { "ticket", "status", "100" }, 1 },
+		{ { "ticket", "apply", path }, 0 },
+		{ { "ticket", "status", "100" }, 0 },
+		{ { "status" }, 0 },
+		{ { "audit" }, 0 },
+		{ { "drain" }, 0 },
+	};
+
+	close(fd);
+	g_assert_true(g_file_set_contents(path, ticket, -1, NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		/* A change may take its time to be in force everywhere. */
+		g_assert_true(WAIT_UNTIL(run_command(rig, commands[i].words) ==
+						 commands[i].status,
+					 IN_FORCE_MS));
+	}
+	g_assert_cmpint(program_wait(rig->routers[0], HARNESS_WAIT_MS), ==, 0);
+	remove(path);
+}
+
+int main(int argc, char **argv)
+{
+	static const restart_case_t lone = { 3, true, true };
+	static const restart_case_t herd = { 1, false, true };
+	static const restart_case_t all = { 0, true, false };
+
+	g_test_init(&argc, &argv, NULL);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	g_test_add_func("/fleet/ticket-everywhere", test_ticket_everywhere);
+	g_test_add_func("/fleet/racing-operators", test_racing_operators);
+	g_test_add_func("/fleet/store-outage", test_store_outage);
+	g_test_add_data_func("/fleet/restart-in-outage", &lone, test_restart);
+	g_test_add_data_func("/fleet/restart-all-but-one", &herd, test_restart);
+	g_test_add_data_func("/fleet/restart-all", &all, test_restart);
+	g_test_add_func("/fleet/leaving-endpoint", test_leaving_endpoint);
+	g_test_add_func("/fleet/crashing-request", test_crashing_request);
+	g_test_add_func("/fleet/planned-stop", test_planned_stop);
+	g_test_add_func("/fleet/failed-member", test_failed_member);
+	g_test_add_func("/fleet/operator-command", test_operator_command);
+	return g_test_run();
+}
--- a/version/config_service.c
+++ b/version/config_service.c
@@ -444,7 +444,10 @@
 {
 	SCOPED_LOCK(lock, &service->lock);
 
-	while (!service->stopping && !service->sync.watching)
+	/* The start does not need the watch, and many that start together
+	 * would all read at once. */
+	while (!service->stopping &&
+	       !(service->sync.watching && service->sync.in_force))
 		wait_until(service, mono_ms() + TICK_MS);
 	return !service->stopping;
 }
