--- a/cmd/router_http.c
+++ b/cmd/router_http.c
@@ -255,55 +255,59 @@
 	router_answer_json(request, answer);
 }
 
-static void answer_explanation(server_request_t *request, json_t *explanation,
-			       const server_error_t *error,
-			       const chat_problem_t *problem)
+/** Explains `{"customer", "kind", "request"}`. */
+static json_t *explain(router_t *router, const config_t *config,
+		       const json_t *asked, server_error_t *error,
+		       chat_problem_t *problem)
 {
-	server_error_t shown = *error;
+	const json_t *body = json_object_get(asked, "request");
+	const char *kind = json_string_value(json_object_get(asked, "kind"));
+	const char *id = json_string_value(json_object_get(asked, "customer"));
+	CLEANUP_FREE char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+	relay_question_t question = {
+		.config = config,
+		.customer = id ? config_find_customer(config, id) : CONFIG_NONE,
+		.kind_name = kind ? kind : "",
+		.kind = json_object_get(body, "messages") ? CHAT_MESSAGES
+							  : CHAT_PROMPT,
+		.body = text,
+		.body_len = text ? strlen(text) : 0,
+	};
 
-	if (explanation) {
-		router_answer_json(request, explanation);
-		return;
+	if (question.customer == CONFIG_NONE || !text) {
+		error->err = ERR_BAD_FIELD;
+		error->text = "give 'customer' and 'request'";
+		return NULL;
 	}
-	shown.text = *problem->text ? problem->text : NULL;
-	server_answer_error(request, &shown);
+	return relay_explain(&router->relay, &question, error, problem);
 }
 
-/** `POST /admin/explain` with X-Customer and a body for /v1/. */
 static void admin_explain(router_t *router, server_request_t *request)
 {
 	CLEANUP_CONFIG config_t *config = config_acquire();
-	const char *id = server_header(request, "X-Customer");
+	CLEANUP_JSON json_t *asked = NULL;
 	CLEANUP_JSON json_t *explanation = NULL;
 	chat_problem_t problem = { 0 };
 	server_error_t error = { 0 };
-	chat_kind_t kind;
-	int32_t customer;
 
 	if (!config || !router_is_ready(router)) {
 		router_refuse(request, ERR_NOT_READY);
 		return;
 	}
-	customer = id ? config_find_customer(config, id) : CONFIG_NONE;
-	if (customer == CONFIG_NONE) {
-		error = (server_error_t){
-			.err = ERR_BAD_FIELD,
-			.text = "header 'X-Customer' must name a customer",
-		};
-		server_answer_error(request, &error);
-		return;
-	}
 	error.err = server_read_body(request, ADMIN_BODY_MAX_BYTES);
-	if (error.err) {
-		server_answer_error(request, &error);
+	if (!error.err) {
+		asked = json_loadb(request->body, request->body_len, 0, NULL);
+		error.err = asked ? 0 : ERR_BAD_JSON;
+	}
+	if (!error.err)
+		explanation = explain(router, config, asked, &error, &problem);
+	if (explanation) {
+		router_answer_json(request, explanation);
 		return;
 	}
-	kind = strstr(request->body, "\"messages\"") ? CHAT_MESSAGES
-						     : CHAT_PROMPT;
-	explanation = relay_explain(&router->relay, config, customer, kind,
-				    request->body, request->body_len, &error,
-				    &problem);
-	answer_explanation(request, explanation, &error, &problem);
+	if (*problem.text)
+		error.text = problem.text;
+	server_answer_error(request, &error);
 }
 
 void router_admin(router_t *router, server_request_t *request)
--- a/t/lib/rig.c
+++ b/t/lib/rig.c
@@ -7,6 +7,7 @@
 
 #include "process/cleanup.h"
 #include "process/hash.h"
+#include "t/lib/generate.h"
 
 enum {
 	ARGS_MAX = 24,
@@ -42,7 +43,7 @@
 	g_string_append_printf(
 		out,
 		"\"customer/%s\":{\"key_sha256\":\"%s\",\"salt\":\"salt-%s\","
-		"\"pools\":[%s]},",
+		"\"urgency\":\"u\",\"pools\":[%s]},",
 		id, digest, id, pools);
 }
 
@@ -78,6 +79,9 @@
 			"\"pool/models\":{\"model\":\"m1\","
 			"\"weights_version\":\"1\"},"
 			"\"pool/others\":{\"model\":\"m2\"},\"pool/crews\":{},"
+			"\"urgency/u\":{\"time_zone\":\"UTC\",\"rules\":["
+			"{\"kind\":\"verdict\",\"class\":\"urgent\"},"
+			"{\"kind\":\"summary\",\"class\":\"deferrable\"}]},"
 			"\"model/m1\":{\"block_tokens\":100},\"model/m2\":{},"
 			"\"route/dispatch\":{\"pool\":\"crews\","
 			"\"idempotent_methods\":[\"GET\"],"
@@ -379,6 +383,16 @@
 	return http_stream_open("POST", url, headers, body);
 }
 
+http_stream_t *rig_kind_stream(rig_t *rig, int router, const char *kind_line,
+			       const char *body)
+{
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u" RIG_CHAT,
+					       rig->ports[router]);
+	const char *const headers[] = { RIG_KEY_1, kind_line, NULL };
+
+	return http_stream_open("POST", url, headers, body);
+}
+
 int64_t rig_metric(rig_t *rig, int router, const char *name)
 {
 	g_autoptr(http_answer_t) answer =
@@ -388,3 +402,30 @@
 
 	return line ? g_ascii_strtoll(line + strlen(start), NULL, 10) : -1;
 }
+
+void rig_assert_complete(http_stream_t *stream, const char *body)
+{
+	g_autofree char *expected = generate_answer(body);
+	g_autofree char *text = NULL;
+
+	http_stream_wait(stream);
+	text = http_stream_text(stream);
+	g_assert_cmpstr(text, ==, expected);
+	g_assert_true(http_stream_is_done(stream));
+}
+
+void rig_assert_refused(const http_answer_t *answer, long status,
+			const char *type)
+{
+	g_autofree char *state = http_answer_header(answer, "X-Run-State");
+	const char *given_type = NULL;
+	const char *ran = NULL;
+
+	g_assert_cmpint(answer->status, ==, status);
+	g_assert_cmpint(json_unpack(answer->json, "{s:{s:s,s:s}}", "error",
+				    "type", &given_type, "ran", &ran),
+			==, 0);
+	g_assert_cmpstr(given_type, ==, type);
+	g_assert_cmpstr(ran, ==, "not_run");
+	g_assert_cmpstr(state, ==, "not_run");
+}
