--- a/cmd/router_config.c
+++ b/cmd/router_config.c
@@ -114,25 +114,15 @@
 	return err;
 }
 
-static int64_t store_calls(void)
-{
-	int64_t sum = 0;
-
-	for (int i = METRIC_STORE_CALLS_ORDER; i <= METRIC_STORE_CALLS_STATUS;
-	     i++)
-		sum += metrics_get((metric_t)i);
-	return sum;
-}
-
 static void note_ready(router_t *router, const config_t *config)
 {
 	uint64_t start_ms = upstream_now_ms() - router->started_ms;
 
 	metrics_set(METRIC_START_MS, (int64_t)start_ms);
-	metrics_set(METRIC_START_STORE_CALLS, store_calls());
 	event_log(EVENT_READY, "position=%llu start_ms=%llu store_calls=%lld",
 		  (unsigned long long)config->position,
-		  (unsigned long long)start_ms, (long long)store_calls());
+		  (unsigned long long)start_ms,
+		  (long long)metrics_get(METRIC_START_STORE_CALLS));
 }
 
 void router_apply_config(router_t *router)
--- a/cmd/router_control.c
+++ b/cmd/router_control.c
@@ -18,6 +18,8 @@
 enum {
 	/** Time to find a peer before the store is asked at the start. */
 	START_PEERS_MS = 1000,
+	/** Time for a start before the instance list is read anyway. */
+	START_LIST_MS = 5000,
 	STEP_MS = 20,
 };
 
@@ -156,6 +158,17 @@
 	       rng_below(rng, interval_ms / 2 + 1);
 }
 
+/** A start from a peer is not held up by the list, and needs no store. */
+static bool is_list_due(router_t *router, uint64_t read_ms)
+{
+	uint64_t now_ms = upstream_now_ms();
+	bool started = uatomic_read(&router->has_applied) ||
+		       !router_members_known(router) ||
+		       now_ms >= router->started_ms + START_LIST_MS;
+
+	return started && now_ms >= read_ms;
+}
+
 void *router_control_thread(void *context)
 {
 	router_t *router = context;
@@ -174,7 +187,7 @@
 		  rng_below(&rng, router->settings.instances_ms);
 	while (!is_ending(router)) {
 		pause_ms(STEP_MS);
-		if (upstream_now_ms() < read_ms)
+		if (!is_list_due(router, read_ms))
 			continue;
 		router_members_read_list(router);
 		read_ms = next_read_ms(router, &rng);
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -83,7 +83,7 @@
 METRIC_GAUGE(START_MS, "amv_start_ms", "",
 	     "Time from the start until requests were served.")
 METRIC_GAUGE(START_STORE_CALLS, "amv_start_store_calls", "",
-	     "Calls to the object API until requests were served.")
+	     "Calls to the object API until the first configuration.")
 METRIC_COUNTER(TICKETS_ACCEPTED, "amv_tickets_total", "outcome=\"accepted\"",
 	       "Tickets decided here.")
 METRIC_COUNTER(TICKETS_REFUSED, "amv_tickets_total", "outcome=\"refused\"",
--- a/process/peer.c
+++ b/process/peer.c
@@ -280,6 +280,9 @@
 
 	if (!created)
 		return ERR_NO_MEMORY;
+	/* The library makes one for all clients at the first use, without a
+	 * lock over the check: two threads could each make one. */
+	authnone_create();
 	created->settings = *settings;
 	created->stop_fd = -1;
 	pthread_mutex_init(&created->lock, NULL);
--- a/version/config_source.c
+++ b/version/config_source.c
@@ -27,6 +27,16 @@
 	return config != NULL;
 }
 
+static int64_t store_calls(void)
+{
+	int64_t sum = 0;
+
+	for (int i = METRIC_STORE_CALLS_ORDER; i <= METRIC_STORE_CALLS_STATUS;
+	     i++)
+		sum += metrics_get((metric_t)i);
+	return sum;
+}
+
 void config_source_note_start(config_sync_action_kind_t kind)
 {
 	metric_t metric = METRIC_START_BOOTSTRAP;
@@ -36,6 +46,7 @@
 	else if (kind == CONFIG_SYNC_FETCH_STORE)
 		metric = METRIC_START_STORE;
 	metrics_set(metric, 1);
+	metrics_set(METRIC_START_STORE_CALLS, store_calls());
 }
 
 const char *config_source_name(config_sync_action_kind_t kind)
--- a/version/config_source.h
+++ b/version/config_source.h
@@ -21,7 +21,7 @@
 /** Whether some configuration is in force. */
 bool config_source_is_published(void);
 
-/** Counts the source of the first configuration. */
+/** Counts the source of the first configuration, and the calls it took. */
 void config_source_note_start(config_sync_action_kind_t kind);
 
 /** Name of a source in log lines. */
