--- a/cmd/router_engines.c
+++ b/cmd/router_engines.c
@@ -10,21 +10,18 @@
 #include "process/controller_service.h"
 #include "process/error.h"
 #include "process/event.h"
-#include "process/rng.h"
 
 enum {
 	/** Longest wait for engines; bounds how late a lease is renewed. */
 	RUN_WAIT_MS = 20,
-	/** Reads of the instance list; 340 instances make 5.7 a second. */
-	MEMBERS_READ_MS = 60000,
-	/** After a read that failed. */
-	MEMBERS_RETRY_MS = 5000,
+	/** Period of looks at the instance list that the control thread read.
+	 */
+	MEMBERS_PERIOD_MS = 1000,
 };
 
 typedef struct engines {
 	router_t *router;
 	controller_service_t *service;
-	rng_t rng;
 	bool has_position;
 	uint64_t position;
 	uint64_t members_due_ms;
@@ -127,35 +124,29 @@
 	engines->position = config->position;
 }
 
-static void take_list(engines_t *engines, const store_instance_t *instances,
-		      size_t count)
-{
-	CLEANUP_FREE const char **ids = calloc(count + 1, sizeof(*ids));
-	size_t used = 0;
-
-	for (size_t i = 0; ids && i < count; i++) {
-		if (instances[i].kind == STORE_INSTANCE_ROUTER &&
-		    !instances[i].leaving)
-			ids[used++] = instances[i].id;
-	}
-	controller_service_members(engines->service, ids, used);
-}
-
-/** Reads the members now and then; without a list the last ones stay. */
+/** Takes the instance list over now and then. */
 static void take_members(engines_t *engines, uint64_t now_ms)
 {
-	CLEANUP_FREE store_instance_t *instances = NULL;
-	uint32_t wait_ms = MEMBERS_READ_MS;
-	size_t count = 0;
+	router_t *router = engines->router;
 
 	if (now_ms < engines->members_due_ms)
 		return;
-	if (store_client_instances(engines->router->store, &instances, &count))
-		wait_ms = MEMBERS_RETRY_MS;
-	else
-		take_list(engines, instances, count);
-	engines->members_due_ms =
-		now_ms + wait_ms / 2 + rng_below(&engines->rng, wait_ms);
+	engines->members_due_ms = now_ms + MEMBERS_PERIOD_MS;
+	SCOPED_LOCK(guard, &router->list_lock);
+	CLEANUP_FREE const char **ids =
+		calloc(router->list_count + 1, sizeof(*ids));
+	size_t used = 0;
+
+	for (size_t i = 0; ids && i < router->list_count; i++) {
+		const store_instance_t *instance = &router->list[i];
+
+		if (instance->kind == STORE_INSTANCE_ROUTER &&
+		    !instance->leaving)
+			ids[used++] = instance->id;
+	}
+	/* Without a list the members known last stay. */
+	if (used)
+		controller_service_members(engines->service, ids, used);
 }
 
 static bool is_ending(router_t *router)
@@ -175,8 +166,8 @@
 		.order_max_ms = router->settings.engine_order_max_ms,
 		.state_poll_ms = router->settings.engine_state_ms,
 		.seed = hash_string(router->instance) ^ clock_unix_ms(),
-		.audit = router->audit_entry,
-		.audit_context = router->audit_context,
+		.audit = router_tickets_add_audit,
+		.audit_context = router,
 	};
 
 	if (controller_service_open(&options, &engines.service)) {
@@ -184,7 +175,6 @@
 			  error_type(ERR_NO_MEMORY));
 		return NULL;
 	}
-	rng_init(&engines.rng, options.seed);
 	while (!is_ending(router)) {
 		take_members(&engines, clock_now_ms());
 		take_config(&engines);
