t: let loads of the roll-out tests overlap on a slow machine

With the address sanitizer and lint running beside it, /engines/roll-out saw one load at a time: 300 ms loads ended before the next order, so its check that two run at once failed, and a third one would not have been seen. Loads last 2 s now (1 s in ready-min). The checks are unchanged.

--- a/t/test-it-engines.c
+++ b/t/test-it-engines.c
@@ -104,12 +104,16 @@
 	return -1;
 }
 
-/* A roll-out must use at most two loads of the weight store at once, and must
+/* A roll-out must use at most two loads of the weight store at once (they last
+ * longer than the pause between orders, so that more would overlap), and must
  * load each engine once. */
 static void test_roll_out(void)
 {
-	g_autoptr(rig_t) rig = start(&(setup_t){
-		.engines = 6, .routers = 3, .check_fencing = true });
+	g_autoptr(rig_t) rig = start(&(setup_t){ .engines = 6,
+						 .routers = 3,
+						 .check_fencing = true,
+						 .load_ms = "2000",
+						 .order_max_ms = "6000" });
 
 	g_assert_true(wait_for_all(rig));
 	g_assert_cmpint(weights(rig, "open_max"), ==, 2);
@@ -125,6 +129,8 @@
 		.engines = 6,
 		.routers = 2,
 		.check_fencing = true,
+		.load_ms = "1000",
+		.order_max_ms = "6000",
 		.pool = "{\"model\":\"m1\",\"weights_version\":\"2\",\"ready_min\":5}" });
 
 	g_assert_true(wait_for_all(rig));
