--- a/t/lib/rig.c
+++ b/t/lib/rig.c
@@ -124,12 +124,13 @@
 
 static void write_bootstrap(rig_t *rig)
 {
-	g_autofree char *objects = make_objects(rig);
 	int fd = g_file_open_tmp("bootstrap-XXXXXX", &rig->bootstrap, NULL);
 
 	g_assert_cmpint(fd, >=, 0);
 	close(fd);
-	g_assert_true(g_file_set_contents(rig->bootstrap, objects, -1, NULL));
+	rig->objects = make_objects(rig);
+	g_assert_true(
+		g_file_set_contents(rig->bootstrap, rig->objects, -1, NULL));
 }
 
 /** Peer addresses of all routers but one. */
@@ -284,13 +285,11 @@
 
 static void wait_until_ready(rig_t *rig)
 {
-	g_autofree char *objects = make_objects(rig);
-
-	if (rig->options.domains)
+	if (rig->options.domains) {
 		list_routers(rig);
-	if (rig->options.domains)
-		g_assert_true(
-			WAIT_UNTIL(apply_first(rig, objects), HARNESS_WAIT_MS));
+		g_assert_true(WAIT_UNTIL(apply_first(rig, rig->objects),
+					 HARNESS_WAIT_MS));
+	}
 	for (int i = 0; i < rig->options.routers; i++)
 		g_assert_true(
 			WAIT_UNTIL(rig_is_ready(rig, i) && knows_all(rig, i),
@@ -390,6 +389,7 @@
 		program_free(rig->store_proxy);
 	remove(rig->bootstrap);
 	g_free(rig->bootstrap);
+	g_free(rig->objects);
 	g_free(rig);
 }
 
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -80,7 +80,8 @@
 	rig_proxy_t engine_proxies[RIG_ENGINES_MAX];
 	rig_proxy_t plain_proxies[RIG_PLAINS_MAX];
 	rig_proxy_t store_proxies[RIG_ROUTERS_MAX];
-	char *bootstrap;
+	char *bootstrap; /**< File with `objects`. */
+	char *objects;	 /**< Configuration at the start, as JSON. */
 } rig_t;
 
 /** Starts everything and waits until the routers are ready. */
