request: compute keys of a raw prompt as engines do

A body with `prompt` was rendered as a message with an empty role, so its keys covered an extra line end at each side and differed from the keys of the engine, which hashes the raw text. A message without a role now has no line ends.

--- a/request/chat.c
+++ b/request/chat.c
@@ -225,7 +225,7 @@
 		return refuse(problem, ERR_NO_MEMORY, "", "out of memory");
 	chat->message_count = 1;
 	chat->messages[0] = (prefix_message_t){
-		.role = "",
+		.role = NULL,
 		.content = json_string_value(prompt),
 		.content_bytes = json_string_length(prompt),
 	};
--- a/request/prefix.c
+++ b/request/prefix.c
@@ -106,10 +106,13 @@
 
 static void feed_message(walk_t *walk, const prefix_message_t *message)
 {
-	feed(walk, message->role, strlen(message->role));
-	feed(walk, "\n", 1);
+	if (message->role) {
+		feed(walk, message->role, strlen(message->role));
+		feed(walk, "\n", 1);
+	}
 	feed(walk, message->content, message->content_bytes);
-	feed(walk, "\n", 1);
+	if (message->role)
+		feed(walk, "\n", 1);
 	if (walk->message_levels == PREFIX_MESSAGE_LEVELS_MAX)
 		return;
 	walk->message_levels++;
--- a/request/prefix.h
+++ b/request/prefix.h
@@ -29,7 +29,8 @@
 
 /** One message; nothing is copied. */
 typedef struct prefix_message {
-	const char *role;    /**< NUL-terminated. */
+	/** NUL-terminated; NULL for a raw prompt, which has no line ends. */
+	const char *role;
 	const char *content; /**< `content_bytes` bytes, any values. */
 	size_t content_bytes;
 } prefix_message_t;
