cmd: read cache events within a traffic bound

Engines publish cache events that nothing read. A thread now reads those of the engines in use, off by default (--events-bytes-per-s 0). A gap or a new incarnation ends the beliefs about an engine.

Beliefs stood under the key of a level, which is no block key when a message ends within a block, so an eviction could not end them. They now stand under the key of the level's last full block. explain shows the part of the expected cached tokens that is belief about that engine.

--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -9,6 +9,7 @@
 #include <urcu/uatomic.h>
 
 #include "cmd/router.h"
+#include "cmd/router_events.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
@@ -75,6 +76,9 @@
 	       50, 60000),
 	NUMBER("poll-idle-ms", poll_idle_ms, "load poll of other engines, ms",
 	       "5000", 50, 600000),
+	NUMBER("events-bytes-per-s", events_rate,
+	       "traffic for reading cache events, bytes/s; 0 reads none", "0",
+	       0, 8192),
 	NUMBER("stop-limit-ms", stop_limit_ms,
 	       "longest time of a planned stop, ms", "120000", 0, 3600000),
 	NUMBER("drain-ms", drain_ms,
@@ -291,6 +295,7 @@
 {
 	pthread_t poller;
 	pthread_t timer;
+	pthread_t events;
 	int number;
 	int err = 0;
 
@@ -309,12 +314,16 @@
 		return fail("server", err);
 	pthread_create(&poller, NULL, router_poll_thread, &router);
 	pthread_create(&timer, NULL, router_timer_thread, &router);
+	if (router.settings.events_rate)
+		pthread_create(&events, NULL, router_events_thread, &router);
 	sigwait(signals, &number);
 	stop_requests();
 	server_stop(router.server);
 	uatomic_set(&router.ending, true);
 	pthread_join(poller, NULL);
 	pthread_join(timer, NULL);
+	if (router.settings.events_rate)
+		pthread_join(events, NULL);
 	close_state();
 	event_log(EVENT_STOPPED, NULL);
 	return EXIT_SUCCESS;
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -27,6 +27,7 @@
 	uint32_t references; /**< Attempts in progress. */
 	uint64_t used_ms;
 	uint64_t next_poll_ms;
+	uint64_t events_read_ms; /**< Last read of cache events. */
 } fleet_endpoint_t;
 
 typedef struct fleet_pool {
@@ -599,6 +600,12 @@
 		endpoint_set_leaving(&fleet->slots[slot]->state, leaving);
 }
 
+static bool is_in_use(const fleet_endpoint_t *endpoint, uint64_t now_ms)
+{
+	return endpoint->configured && endpoint->engine && endpoint->used_ms &&
+	       now_ms - endpoint->used_ms < FLEET_IN_USE_MS;
+}
+
 size_t fleet_poll_due(fleet_t *fleet, const fleet_poll_interval_t *interval,
 		      uint64_t now_ms, fleet_target_t *targets, size_t max)
 {
@@ -607,10 +614,9 @@
 
 	for (size_t i = 0; i < fleet->slot_count && count < max; i++) {
 		fleet_endpoint_t *endpoint = fleet->slots[i];
-		bool in_use = endpoint->used_ms &&
-			      now_ms - endpoint->used_ms < FLEET_IN_USE_MS;
-		uint32_t delay_ms =
-			in_use ? interval->in_use_ms : interval->idle_ms;
+		uint32_t delay_ms = is_in_use(endpoint, now_ms)
+					    ? interval->in_use_ms
+					    : interval->idle_ms;
 
 		if (!endpoint->configured || !endpoint->engine ||
 		    endpoint->next_poll_ms > now_ms)
@@ -634,6 +640,74 @@
 		endpoint_report(&fleet->slots[slot]->state, load, now_ms);
 }
 
+int fleet_events_due(fleet_t *fleet, uint32_t interval_ms, uint64_t now_ms,
+		     fleet_target_t *target, uint64_t *since)
+{
+	fleet_endpoint_t *oldest = NULL;
+	uint64_t next_seq;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	for (size_t i = 0; i < fleet->slot_count; i++) {
+		fleet_endpoint_t *endpoint = fleet->slots[i];
+
+		if (is_in_use(endpoint, now_ms) &&
+		    now_ms - endpoint->events_read_ms >= interval_ms &&
+		    (!oldest ||
+		     endpoint->events_read_ms < oldest->events_read_ms))
+			oldest = endpoint;
+	}
+	if (!oldest)
+		return ERR_NO_ENDPOINT;
+	oldest->events_read_ms = now_ms;
+	next_seq = oldest->state.event_seq;
+	*target = oldest->target;
+	*since = next_seq ? next_seq - 1 : 0;
+	return 0;
+}
+
+/** Whether no number is missing from the one asked for to the last one. */
+static bool is_contiguous(const fleet_events_t *events)
+{
+	for (size_t i = 0; i < events->count; i++) {
+		if (events->events[i].seq != events->since + i + 1)
+			return false;
+	}
+	return true;
+}
+
+int fleet_take_events(fleet_t *fleet, const fleet_target_t *target,
+		      const fleet_events_t *events, uint64_t now_ms)
+{
+	uint64_t first_seq = events->first_seq;
+	uint64_t next_seq = events->since + 1;
+	fleet_endpoint_t *endpoint;
+	routing_t *routing;
+	int tracked = 0;
+	int slot;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	slot = find_slot(fleet, target->id_hash);
+	if (slot < 0)
+		return ERR_NO_ENDPOINT;
+	endpoint = fleet->slots[slot];
+	routing = fleet->pools[endpoint->pool].routing;
+	if (events->count) {
+		next_seq = events->events[events->count - 1].seq + 1;
+		if (!is_contiguous(events))
+			first_seq = next_seq;
+	} else if (first_seq > next_seq) {
+		next_seq = first_seq;
+	}
+	if (!endpoint_events(&endpoint->state, events->incarnation, first_seq,
+			     next_seq, now_ms))
+		return ERR_NOT_FOUND;
+	for (size_t i = 0; routing && i < events->count; i++)
+		tracked += belief_event(&routing->beliefs, &endpoint->state,
+					events->events[i].key,
+					events->events[i].added, now_ms);
+	return tracked;
+}
+
 uint32_t fleet_tick(fleet_t *fleet, uint64_t now_ms)
 {
 	uint32_t timer_ms;
--- a/process/fleet.h
+++ b/process/fleet.h
@@ -185,6 +185,39 @@
 void fleet_report(fleet_t *fleet, const fleet_target_t *target,
 		  const endpoint_load_t *load, uint64_t now_ms);
 
+/** One cache event of an engine. */
+typedef struct fleet_event {
+	uint64_t seq;
+	uint64_t key;
+	bool added; /**< False for an eviction. */
+} fleet_event_t;
+
+/** An answer to `GET /engine/events`. */
+typedef struct fleet_events {
+	uint64_t incarnation;
+	uint64_t first_seq; /**< Oldest event that the engine still has. */
+	uint64_t since;	    /**< Sequence number that was asked for. */
+	const fleet_event_t *events;
+	size_t count;
+} fleet_events_t;
+
+/**
+ * Engine in use whose cache events were read longest ago.
+ * @param interval_ms shortest time between two reads of one engine
+ * @param since sequence number of the last event read
+ * @return 0, or ERR_NO_ENDPOINT if none is due
+ */
+int fleet_events_due(fleet_t *fleet, uint32_t interval_ms, uint64_t now_ms,
+		     fleet_target_t *target, uint64_t *since);
+
+/**
+ * Applies cache events of tracked prefixes. Missing events and a new
+ * incarnation end all beliefs about the engine.
+ * @return events of tracked prefixes, or ERR_NOT_FOUND after a gap
+ */
+int fleet_take_events(fleet_t *fleet, const fleet_target_t *target,
+		      const fleet_events_t *events, uint64_t now_ms);
+
 /**
  * Updates the pools' waits and starts what may start.
  * @return milliseconds until the next call is due
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -11,6 +11,15 @@
 	       "Prompt tokens of answered model requests.")
 METRIC_COUNTER(CACHED_TOKENS, "amv_cached_prompt_tokens_total", "",
 	       "Prompt tokens that engines took from their cache.")
+METRIC_COUNTER(CACHE_EVENTS, "amv_cache_events_total", "",
+	       "Cache events read from engines.")
+METRIC_COUNTER(CACHE_EVENTS_TRACKED, "amv_cache_events_tracked_total", "",
+	       "Cache events of tracked prefixes.")
+METRIC_COUNTER(CACHE_EVENT_GAPS, "amv_cache_event_gaps_total", "",
+	       "Gaps in cache events, each of which ended the beliefs about an "
+	       "engine.")
+METRIC_COUNTER(CACHE_EVENT_BYTES, "amv_cache_event_bytes_total", "",
+	       "Bytes sent and received for cache events.")
 METRIC_COUNTER(RELAYED_TOKENS, "amv_relayed_tokens_total", "",
 	       "Generated tokens relayed to callers.")
 METRIC_GAUGE(OPEN_STREAMS, "amv_open_streams", "",
--- a/process/prefix_stats.h
+++ b/process/prefix_stats.h
@@ -47,8 +47,16 @@
 	uint32_t tokens; /**< Prompt tokens before it, rounded up. */
 	/** Of these, tokens in full blocks: what an engine can cache. */
 	uint32_t full_tokens;
+	/** Key of the last of these blocks; 0 if the level ends with it. */
+	uint64_t block_key;
 } prefix_level_t;
 
+/** Key under which engines report the last full block of a level. */
+static inline uint64_t prefix_level_block_key(const prefix_level_t *level)
+{
+	return level->block_key ? level->block_key : level->key;
+}
+
 typedef struct prefix_stat {
 	uint64_t key; /**< 0 when free. */
 	uint64_t updated_ms;
--- a/process/routing.c
+++ b/process/routing.c
@@ -211,7 +211,8 @@
 	for (size_t i = request->level_count; i > 0; i--) {
 		uint32_t tokens = belief_tokens(
 			&choice->routing->beliefs, endpoint,
-			request->levels[i - 1].key, choice->now_ms);
+			prefix_level_block_key(&request->levels[i - 1]),
+			choice->now_ms);
 
 		if (tokens)
 			return tokens;
@@ -286,6 +287,7 @@
 
 	candidate->endpoint = index;
 	candidate->state = endpoint_state(endpoint, choice->now_ms);
+	candidate->believed_tokens = believed;
 	candidate->cached_tokens = believed > usual ? believed : usual;
 	recompute = compute_ms(choice, candidate->cached_tokens);
 	if (endpoint->slowness > 1)
@@ -531,7 +533,8 @@
 		const prefix_level_t *level = &request->levels[i];
 
 		if (level->full_tokens)
-			belief_answer(&routing->beliefs, endpoint, level->key,
+			belief_answer(&routing->beliefs, endpoint,
+				      prefix_level_block_key(level),
 				      level->full_tokens, cached_tokens,
 				      now_ms);
 	}
@@ -561,7 +564,8 @@
 
 		if (level->full_tokens &&
 		    prefix_stats_is_shared(&routing->stats, level->key))
-			belief_confirm(&routing->beliefs, endpoint, level->key,
+			belief_confirm(&routing->beliefs, endpoint,
+				       prefix_level_block_key(level),
 				       level->full_tokens, now_ms);
 	}
 }
--- a/process/routing.h
+++ b/process/routing.h
@@ -106,6 +106,8 @@
 	uint32_t endpoint; /**< Index in the pool's array. */
 	endpoint_state_t state;
 	uint32_t cached_tokens; /**< Expected. */
+	/** The part of them that beliefs about this endpoint say. */
+	uint32_t believed_tokens;
 	uint32_t wait_ms;
 	uint32_t recompute_ms; /**< Computing all tokens not cached. */
 	/** Import and rest of the computing; UINT32_MAX without import. */
--- a/request/prefix.c
+++ b/request/prefix.c
@@ -71,6 +71,7 @@
 	level->key = key;
 	level->tokens = (uint32_t)walk_tokens(walk);
 	level->full_tokens = (uint32_t)walk->blocks * prefix->block_tokens;
+	level->block_key = walk->in_block ? walk->block_key : 0;
 	prefix->level_count++;
 }
 
--- a/request/prefix.h
+++ b/request/prefix.h
@@ -45,7 +45,7 @@
 	uint32_t token_bytes;  /**< >= 1 */
 } prefix_identity_t;
 
-/** Keys of one prompt; about 5.2 KB. */
+/** Keys of one prompt; about 5.7 KB. */
 typedef struct prefix {
 	uint64_t root_key; /**< hash_chain_start() of the identity. */
 	/** Key of the whole prompt including its last partial block. */
--- a/request/relay.c
+++ b/request/relay.c
@@ -590,9 +590,11 @@
 	char id[FLEET_ID_MAX_BYTES];
 
 	fleet_endpoint_name(relay->fleet, pool, candidate->endpoint, id);
-	return json_pack("{s:s,s:s,s:I,s:I,s:I,s:I}", "endpoint", id, "state",
-			 endpoint_state_name(candidate->state), "cached_tokens",
-			 (json_int_t)candidate->cached_tokens, "wait_ms",
+	return json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:I}", "endpoint", id,
+			 "state", endpoint_state_name(candidate->state),
+			 "cached_tokens", (json_int_t)candidate->cached_tokens,
+			 "believed_tokens",
+			 (json_int_t)candidate->believed_tokens, "wait_ms",
 			 (json_int_t)candidate->wait_ms, "recompute_ms",
 			 (json_int_t)candidate->recompute_ms, "ttft_ms",
 			 (json_int_t)candidate->ttft_ms);
--- a/t/bench-fleet.sh
+++ b/t/bench-fleet.sh
@@ -3,7 +3,9 @@
 # policy has its own routers and engines and gets the same requests at the same
 # times. All on loopback.
 #
-# Environment: POLICIES, ENGINES and ROUTERS for each policy, CACHE_BLOCKS.
+# Environment: POLICIES, ENGINES and ROUTERS for each policy, CACHE_BLOCKS. A
+# policy with a + at its end runs with the router flags in EXTRA, so that
+# POLICIES="prefix prefix+" measures what the flags change.
 # Arguments go to amaranthvale-load, for example --rate 8 --seed 1.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -55,8 +57,11 @@
 	done
 	bootstrap "$policy" >"$work/$policy.json"
 	for i in $(seq "$routers"); do
+		extra=
+		[[ $policy == *+ ]] && extra=${EXTRA:-}
+		# shellcheck disable=SC2086 # several flags
 		start "$policy-r$i" "$build/amaranthvale-router" --port 0 \
-			--instance "$policy-r$i" --policy "$policy" \
+			--instance "$policy-r$i" --policy "${policy%+}" $extra \
 			--bootstrap "$work/$policy.json" --log-level error
 	done
 done
--- a/t/bench-policies.c
+++ b/t/bench-policies.c
@@ -120,7 +120,7 @@
 			levels[j] = (prefix_level_t){
 				hash_rendezvous(j,
 						j < 10 ? prompt / 10 : prompt),
-				(j + 1) * 1000, (j + 1) * 1000
+				(j + 1) * 1000, (j + 1) * 1000, 0
 			};
 		routing_choose(routing, pool, endpoint_count, &request,
 			       1000 + i * 29, &rng, &why);
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -18,7 +18,7 @@
 	RIG_ENGINES_MAX = 4,
 	RIG_PLAINS_MAX = 2,
 	RIG_ROUTERS_MAX = 3,
-	RIG_ARGS_MAX = 8,
+	RIG_ARGS_MAX = 12,
 };
 
 #define RIG_KEY_1 "Authorization: Bearer key-of-customer-1"
--- a/t/test-routing.c
+++ b/t/test-routing.c
@@ -397,7 +397,7 @@
 static uint16_t replicas_of(prefix_stats_t *stats, uint64_t key,
 			    uint64_t now_ms)
 {
-	prefix_level_t level = { key, 100, 100 };
+	prefix_level_t level = { key, 100, 100, 0 };
 	prefix_plan_t plan;
 
 	prefix_stats_plan(stats, &level, 1, POOL, 1, now_ms, &plan);
@@ -414,7 +414,7 @@
 	prefix_stats_init(stats);
 	/* 35 requests a second over 100 equally popular prefixes. */
 	for (uint64_t i = 0; i < 35 * 60; i++, now_ms += 29) {
-		prefix_level_t level = { 1 + i % 100, 100, 100 };
+		prefix_level_t level = { 1 + i % 100, 100, 100, 0 };
 
 		prefix_stats_request(stats, &level, 1, now_ms);
 	}
@@ -422,14 +422,14 @@
 	g_assert_cmpuint(calm, ==, 1);
 	/* For 5 s half of the requests are for prefix 1. */
 	for (uint64_t i = 0; i < 35 * 5; i++, now_ms += 29) {
-		prefix_level_t level = { i % 2 ? 1 : 2 + i % 99, 100, 100 };
+		prefix_level_t level = { i % 2 ? 1 : 2 + i % 99, 100, 100, 0 };
 
 		prefix_stats_request(stats, &level, 1, now_ms);
 	}
 	/* The demand is that of ten endpoints; half of that at least. */
 	g_assert_cmpuint(replicas_of(stats, 1, now_ms), >=, 5);
 	for (uint64_t i = 0; i < 35 * 120; i++, now_ms += 29) {
-		prefix_level_t level = { 1 + i % 100, 100, 100 };
+		prefix_level_t level = { 1 + i % 100, 100, 100, 0 };
 
 		prefix_stats_request(stats, &level, 1, now_ms);
 	}
@@ -448,7 +448,7 @@
 	prefix_stats_init(stats);
 	for (uint64_t i = 0; i < 21000; i++) {
 		uint64_t key = rng_below(&rng, rarity) ? 2 + i : 1;
-		prefix_level_t level = { key, 100, 100 };
+		prefix_level_t level = { key, 100, 100, 0 };
 		uint16_t now;
 
 		prefix_stats_request(stats, &level, 1, 1000 + i * 29);
@@ -483,7 +483,7 @@
 		if (i >= 14)
 			key = hash_rendezvous(key, notes);
 		levels[i] = (prefix_level_t){ key, (uint32_t)(i + 1) * 10,
-					      (uint32_t)(i + 1) * 10 };
+					      (uint32_t)(i + 1) * 10, 0 };
 	}
 }
 
