--- a/connection/server.c
+++ b/connection/server.c
@@ -17,6 +17,7 @@
 #include <time.h>
 #include <urcu/uatomic.h>
 
+#include "connection/tls_front.h"
 #include "connection/upstream.h"
 #include "process/cleanup.h"
 #include "process/event.h"
@@ -46,6 +47,7 @@
 
 struct server {
 	struct mg_context *context;
+	tls_front_t *front; /**< NULL without TLS. */
 	server_settings_t settings;
 	pthread_t watchdog;
 	pthread_mutex_t lock; /**< Guards `readings`. */
@@ -235,23 +237,19 @@
 		/* Paths are forwarded as they were sent. */
 		"decode_url", "no", NULL
 	};
-	size_t used = 0;
 	bool is_ipv6 = strchr(settings->address, ':') != NULL;
 
-	snprintf(listen_on, sizeof(listen_on), "%s%s%s:%u%s",
-		 is_ipv6 ? "[" : "", settings->address, is_ipv6 ? "]" : "",
-		 settings->port, settings->tls_certificate ? "s" : "");
+	if (settings->tls_certificate)
+		snprintf(listen_on, sizeof(listen_on), "127.0.0.1:0");
+	else
+		snprintf(listen_on, sizeof(listen_on), "%s%s%s:%u",
+			 is_ipv6 ? "[" : "", settings->address,
+			 is_ipv6 ? "]" : "", settings->port);
 	snprintf(threads, sizeof(threads), "%" PRIu32, settings->thread_count);
 	snprintf(timeout, sizeof(timeout), "%" PRIu32,
 		 settings->caller_timeout_ms);
 	snprintf(header_max, sizeof(header_max), "%" PRIu32,
 		 settings->header_max_bytes);
-	while (options[used])
-		used++;
-	if (settings->tls_certificate) {
-		options[used++] = "ssl_certificate";
-		options[used++] = settings->tls_certificate;
-	}
 	return mg_start(&callbacks, server, options);
 }
 
@@ -270,6 +268,33 @@
 	return ok;
 }
 
+/** Port of the HTTP server, which stands behind TLS if that is used. */
+static uint32_t http_port(const server_t *server)
+{
+	struct mg_server_port ports[1] = { 0 };
+
+	return mg_get_server_ports(server->context, 1, ports) > 0
+		       ? (uint32_t)ports[0].port
+		       : 0;
+}
+
+static bool start_front(server_t *server)
+{
+	const server_settings_t *settings = &server->settings;
+	tls_front_settings_t front = {
+		.address = settings->address,
+		.port = settings->port,
+		.certificate = settings->tls_certificate,
+		.target_port = http_port(server),
+		.connections_max = settings->thread_count,
+		.handshake_timeout_ms = settings->caller_timeout_ms,
+	};
+
+	if (settings->tls_certificate)
+		server->front = tls_front_start(&front);
+	return !settings->tls_certificate || server->front;
+}
+
 server_t *server_start(const server_settings_t *settings)
 {
 	server_t *server = calloc(1, sizeof(*server));
@@ -280,16 +305,16 @@
 		return NULL;
 	server->settings = *settings;
 	pthread_mutex_init(&server->lock, NULL);
-	mg_init_library(settings->tls_certificate ? MG_FEATURES_TLS
-						  : MG_FEATURES_DEFAULT);
+	mg_init_library(MG_FEATURES_DEFAULT);
 	if (settings->thread_stack_bytes)
 		set_stack_size(settings->thread_stack_bytes, &before);
 	server->context = start_context(server);
 	if (before)
 		set_stack_size(before, &ignored);
-	if (server->context &&
+	if (server->context && start_front(server) &&
 	    !pthread_create(&server->watchdog, NULL, watch_readings, server))
 		return server;
+	tls_front_stop(server->front);
 	if (server->context)
 		mg_stop(server->context);
 	mg_exit_library();
@@ -300,17 +325,15 @@
 
 uint32_t server_port(const server_t *server)
 {
-	struct mg_server_port ports[1] = { 0 };
-
-	return mg_get_server_ports(server->context, 1, ports) > 0
-		       ? (uint32_t)ports[0].port
-		       : 0;
+	return server->front ? tls_front_port(server->front)
+			     : http_port(server);
 }
 
 void server_stop(server_t *server)
 {
 	if (!server)
 		return;
+	tls_front_stop(server->front);
 	mg_stop(server->context);
 	mg_exit_library();
 	uatomic_set(&server->stopping, true);
--- a/t/lib/http_client.c
+++ b/t/lib/http_client.c
@@ -34,6 +34,13 @@
 	http_answer_t answer;
 };
 
+static const char *trusted;
+
+void http_trust(const char *ca_file)
+{
+	trusted = ca_file;
+}
+
 static size_t append(char *data, size_t size, size_t count, void *target)
 {
 	g_string_append_len(target, data, (gssize)(size * count));
@@ -204,6 +211,8 @@
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)CALL_TIMEOUT_MS);
 	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, stream->method);
+	if (trusted)
+		curl_easy_setopt(curl, CURLOPT_CAINFO, trusted);
 	if (stream->body)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, stream->body);
 	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, append);
--- a/t/lib/http_client.h
+++ b/t/lib/http_client.h
@@ -30,6 +30,9 @@
 http_answer_t *http_call(const char *method, const char *url,
 			 const char *const *headers, const char *body);
 
+/** PEM file with the authorities trusted from now on; NULL: the system's. */
+void http_trust(const char *ca_file);
+
 /** Same on 127.0.0.1 with a port and a path. */
 http_answer_t *http_local(const char *method, uint16_t port, const char *path,
 			  const char *const *headers, const char *body);
--- a/t/lib/rig.c
+++ b/t/lib/rig.c
@@ -132,7 +132,8 @@
 	rig->routers[number] = program_start_args(
 		"amaranthvale-router", (const char *const *)args->pdata);
 	rig->ports[number] = program_main_port(rig->routers[number]);
-	ready = g_strdup_printf("http://127.0.0.1:%u/readyz",
+	ready = g_strdup_printf("http%s://127.0.0.1:%u/readyz",
+				rig->options.routers_tls ? "s" : "",
 				rig->ports[number]);
 	g_assert_true(WAIT_UNTIL(url_answers(ready), HARNESS_WAIT_MS));
 }
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -31,6 +31,7 @@
 	int plains;
 	int routers;
 	bool plains_check_fencing;
+	bool routers_tls; /**< See http_trust(). */
 	/** More arguments, ended by NULL. */
 	const char *engine_args[RIG_ARGS_MAX];
 	const char *router_args[RIG_ARGS_MAX];
