request: write late order records in the background

An order whose record could not be written during a store outage held the thread of its caller for up to 10 minutes. Such orders now go to a bounded backlog that one thread works through, at two tasks a second; when it is full, the caller's thread waits as before. A stop tries each once more.

--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -10,6 +10,7 @@
 
 #include "cmd/router.h"
 #include "cmd/router_events.h"
+#include "cmd/router_sweep.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
@@ -79,6 +80,12 @@
 	NUMBER("events-bytes-per-s", events_rate,
 	       "traffic for reading cache events, bytes/s; 0 reads none", "0",
 	       0, 8192),
+	NUMBER("order-retention-ms", order_retention_ms,
+	       "age at which an order's record is removed, ms", "86400000",
+	       1000, 4000000000.0),
+	NUMBER("order-sweep-ms", order_sweep_ms,
+	       "time between two removals of old records, ms", "600000", 100,
+	       86400000),
 	NUMBER("stop-limit-ms", stop_limit_ms,
 	       "longest time of a planned stop, ms", "120000", 0, 3600000),
 	NUMBER("drain-ms", drain_ms,
@@ -188,8 +195,9 @@
 		.fleet = router.fleet,
 		.pool = router.pool,
 		.store = router.store,
+		.backlog = order_backlog_start(plain_retry_order),
 	};
-	return 0;
+	return router.plain.backlog ? 0 : ERR_NO_MEMORY;
 }
 
 /** Follows the configuration in the store and commits tickets. */
@@ -279,6 +287,7 @@
 
 static void close_state(void)
 {
+	order_backlog_stop(router.plain.backlog);
 	relay_destroy(&router.relay);
 	crash_guard_close(router.guard);
 	if (router.config)
@@ -296,6 +305,7 @@
 	pthread_t poller;
 	pthread_t timer;
 	pthread_t events;
+	pthread_t sweeper;
 	int number;
 	int err = 0;
 
@@ -316,6 +326,8 @@
 	pthread_create(&timer, NULL, router_timer_thread, &router);
 	if (router.settings.events_rate)
 		pthread_create(&events, NULL, router_events_thread, &router);
+	if (router.store)
+		pthread_create(&sweeper, NULL, router_sweep_thread, &router);
 	sigwait(signals, &number);
 	stop_requests();
 	server_stop(router.server);
@@ -324,6 +336,8 @@
 	pthread_join(timer, NULL);
 	if (router.settings.events_rate)
 		pthread_join(events, NULL);
+	if (router.store)
+		pthread_join(sweeper, NULL);
 	close_state();
 	event_log(EVENT_STOPPED, NULL);
 	return EXIT_SUCCESS;
--- a/cmd/router.h
+++ b/cmd/router.h
@@ -34,6 +34,8 @@
 	uint32_t poll_ms;
 	uint32_t poll_idle_ms;
 	uint32_t events_rate; /**< Bytes a second; 0: no events are read. */
+	uint32_t order_retention_ms;
+	uint32_t order_sweep_ms;
 	uint32_t stop_limit_ms;
 	uint32_t drain_ms;
 	uint32_t log_level;
--- /dev/null
+++ b/cmd/router_sweep.c
@@ -0,0 +1,119 @@
+#include "cmd/router_sweep.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <time.h>
+#include <urcu/uatomic.h>
+
+#include "cmd/router.h"
+#include "process/cleanup.h"
+#include "process/error.h"
+#include "process/event.h"
+#include "process/order.h"
+
+enum {
+	/** Shortest time between two store calls. */
+	CALL_INTERVAL_MS = 250,
+	/** Longest pause before the end of the process is noticed. */
+	STEP_MS = 20,
+};
+
+#define ORDER_PREFIX "order/"
+
+static int64_t unix_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/** Routers in the instance list; at least this one. */
+static uint32_t count_routers(store_client_t *store)
+{
+	store_instance_t *instances = NULL;
+	uint32_t routers = 0;
+	size_t count = 0;
+
+	if (store_client_instances(store, &instances, &count))
+		return 1;
+	for (size_t i = 0; i < count; i++)
+		routers += instances[i].kind == STORE_INSTANCE_ROUTER;
+	free(instances);
+	return routers ? routers : 1;
+}
+
+static void list_page(store_client_t *store, order_sweep_t *sweep,
+		      const order_sweep_action_t *action)
+{
+	CLEANUP_STORE_ITEMS store_items_t page = { 0 };
+	order_sweep_item_t items[ORDER_SWEEP_PAGE] = { 0 };
+	int err = store_client_list(store, STORE_PURPOSE_STATUS, ORDER_PREFIX,
+				    *action->path ? action->path : NULL,
+				    ORDER_SWEEP_PAGE, &page);
+	size_t count =
+		page.count < ORDER_SWEEP_PAGE ? page.count : ORDER_SWEEP_PAGE;
+
+	for (size_t i = 0; !err && i < count; i++) {
+		const json_t *created =
+			json_object_get(page.items[i].value, "created_unix_ms");
+
+		items[i].path = page.items[i].key;
+		items[i].version = page.items[i].version;
+		/* A record that cannot be read is kept. */
+		items[i].created_unix_ms = json_is_integer(created)
+						   ? json_integer_value(created)
+						   : INT64_MAX;
+	}
+	order_sweep_page(sweep, action->call, err, items, err ? 0 : count,
+			 page.more, unix_ms());
+}
+
+/** One step. @return whether it called the store */
+static bool sweep_step(store_client_t *store, order_sweep_t *sweep)
+{
+	order_sweep_action_t action =
+		order_sweep_step(sweep, upstream_now_ms());
+
+	switch (action.kind) {
+	case ORDER_SWEEP_NONE:
+		return false;
+	case ORDER_SWEEP_LIST:
+		if (!*action.path)
+			sweep->member_count = count_routers(store);
+		list_page(store, sweep, &action);
+		return true;
+	case ORDER_SWEEP_DELETE:
+		/* Another instance may have been faster. */
+		if (!store_client_delete(store, STORE_PURPOSE_STATUS,
+					 action.path, action.version))
+			event_log(EVENT_ORDER_SWEEP, "order=%s", action.path);
+		return true;
+	}
+	return false;
+}
+
+void *router_sweep_thread(void *context)
+{
+	static const struct timespec step = { .tv_nsec = STEP_MS * 1000000L };
+	router_t *router = context;
+	order_settings_t settings = order_default_settings;
+	order_sweep_t sweep;
+	uint64_t next_ms = 0;
+	uint64_t seed;
+	rng_t rng;
+
+	randombytes_buf(&seed, sizeof(seed));
+	rng_init(&rng, seed);
+	settings.retention_ms = router->settings.order_retention_ms;
+	order_sweep_init(&sweep, &settings, &rng,
+			 router->settings.order_sweep_ms,
+			 count_routers(router->store), upstream_now_ms());
+	while (!uatomic_read(&router->ending)) {
+		if (upstream_now_ms() >= next_ms &&
+		    sweep_step(router->store, &sweep))
+			next_ms = upstream_now_ms() + CALL_INTERVAL_MS;
+		nanosleep(&step, NULL);
+	}
+	return NULL;
+}
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -81,6 +81,8 @@
 	       "Bytes sent to and received from the object API.")
 METRIC_COUNTER(STORE_REFUSED, "amv_store_refused_total", "",
 	       "Calls to the object API refused by the own budget.")
+METRIC_GAUGE(ORDER_BACKLOG, "amv_order_backlog", "",
+	     "Orders answered to their callers whose record is to be written.")
 METRIC_GAUGE(CONFIG_AGE_MS, "amv_config_age_ms", "",
 	     "Time since the configuration was last known to be current.")
 METRIC_COUNTER(TICKETS_ACCEPTED, "amv_tickets_total", "outcome=\"accepted\"",
--- a/request/plain.h
+++ b/request/plain.h
@@ -18,6 +18,7 @@
 #include "process/fleet.h"
 #include "process/order.h"
 #include "process/store_client.h"
+#include "request/order_backlog.h"
 #include "version/config.h"
 
 enum {
@@ -37,7 +38,8 @@
 	plain_settings_t settings;
 	fleet_t *fleet;
 	upstream_pool_t *pool;
-	store_client_t *store; /**< NULL: orders are refused. */
+	store_client_t *store;	  /**< NULL: orders are refused. */
+	order_backlog_t *backlog; /**< NULL: callers' threads retry. */
 } plain_t;
 
 /** A call as the server hands it over, with the body read. */
@@ -86,6 +88,9 @@
 
 void plain_answer_free(plain_answer_t *answer);
 
+/** Retries an order's record; an order_backlog_fn, in plain_order.c. */
+bool plain_retry_order(void *order, bool last, uint64_t *due_ms);
+
 /** Serves a call that must run at most once; in plain_order.c. */
 void plain_serve_order(const plain_t *plain, const plain_request_t *request);
 
--- a/request/plain_order.c
+++ b/request/plain_order.c
@@ -267,27 +267,90 @@
 	return false;
 }
 
-static void drive(order_run_t *run)
+/** Whether all that is left is to write the record after a wait. */
+static bool waits_for_record(const order_run_t *run)
 {
-	while (!run->finished) {
-		order_actions_t actions = run->actions;
-		bool has_event = false;
-
-		run->actions.count = 0;
-		for (size_t i = 0; i < actions.count; i++) {
-			order_event_t event = { 0 };
-
-			if (!perform(run, &actions.items[i], &event))
-				continue;
-			event.call = actions.items[i].call;
-			order_step(&run->order, &event, upstream_now_ms(),
-				   &run->actions);
-			has_event = true;
-		}
-		/* Without either, the state machine would wait for ever. */
-		if (!has_event && !run->actions.count)
-			break;
+	return run->order.replied &&
+	       run->order.phase == ORDER_PHASE_RECORD_WAIT;
+}
+
+/** Performs the pending actions. @return whether the order goes on */
+static bool drive_once(order_run_t *run)
+{
+	order_actions_t actions = run->actions;
+	bool has_event = false;
+
+	run->actions.count = 0;
+	for (size_t i = 0; i < actions.count; i++) {
+		order_event_t event = { 0 };
+
+		if (!perform(run, &actions.items[i], &event))
+			continue;
+		event.call = actions.items[i].call;
+		order_step(&run->order, &event, upstream_now_ms(),
+			   &run->actions);
+		has_event = true;
+	}
+	/* Without either, the state machine would wait for ever. */
+	return !run->finished && (has_event || run->actions.count);
+}
+
+static void free_run(order_run_t *run)
+{
+	order_record_free(&run->held);
+	plain_answer_free(&run->transfer.answer);
+	free(run);
+}
+
+/** Time of the wait that comes next; 0 if none does. */
+static uint64_t wait_end(const order_run_t *run)
+{
+	const order_action_t *action = &run->actions.items[0];
+
+	return run->actions.count && action->kind == ORDER_ACTION_WAIT
+		       ? action->wait.until_ms
+		       : 0;
+}
+
+/** Hands the rest of an answered order over to the backlog. */
+static bool hand_over(order_run_t *run)
+{
+	if (!run->plain->backlog || !waits_for_record(run))
+		return false;
+	run->request = NULL;
+	run->transfer.request = NULL;
+	/* A record leaves out a body over the limit. */
+	if (run->answer.body_bytes > ORDER_BODY_MAX_BYTES) {
+		plain_answer_free(&run->transfer.answer);
+		run->answer.body = NULL;
+		run->answer.body_bytes = 0;
 	}
+	if (run->order.attempts == 1)
+		event_log(EVENT_ORDER_RECORD_RETRY, "order=%s",
+			  run->order.path);
+	return order_backlog_add(run->plain->backlog, run, wait_end(run));
+}
+
+bool plain_retry_order(void *context, bool last, uint64_t *due_ms)
+{
+	order_run_t *run = context;
+	bool goes_on = true;
+
+	/* The wait is over, or is cut short for the last try. */
+	if (wait_end(run))
+		run->actions.items[0].wait.until_ms = 0;
+	do
+		goes_on = drive_once(run);
+	while (goes_on && !waits_for_record(run));
+	if (goes_on && !last) {
+		*due_ms = wait_end(run);
+		return true;
+	}
+	if (goes_on)
+		event_log(EVENT_ORDER_RECORD_FAILED, "order=%s",
+			  run->order.path);
+	free_run(run);
+	return false;
 }
 
 static void digest_request(const plain_request_t *request,
@@ -380,8 +443,9 @@
 		.fresh_connection = true,
 	};
 	begin(run);
-	drive(run);
-	order_record_free(&run->held);
-	plain_answer_free(&run->transfer.answer);
-	free(run);
+	while (drive_once(run)) {
+		if (hand_over(run))
+			return;
+	}
+	free_run(run);
 }
--- a/t/test-it-plain.c
+++ b/t/test-it-plain.c
@@ -84,6 +84,7 @@
 typedef struct sender {
 	rig_t *rig;
 	int router;
+	const char *key; /**< NULL for one that all share. */
 	http_answer_t *answer;
 } sender_t;
 
@@ -91,7 +92,8 @@
 {
 	sender_t *sender = context;
 
-	sender->answer = dispatch(sender->rig, sender->router, "same", "{}");
+	sender->answer = dispatch(sender->rig, sender->router,
+				  sender->key ? sender->key : "same", "{}");
 	return NULL;
 }
 
@@ -244,6 +246,92 @@
 	g_assert_cmpint(bare->status, ==, 200);
 }
 
+static long dispatch_status(rig_t *rig, const char *key)
+{
+	g_autoptr(http_answer_t) answer = dispatch(rig, 0, key, "{}");
+
+	return answer->status;
+}
+
+/* Orders whose record cannot be written must not hold the threads that serve
+ * callers; the records are written when the store is back. */
+static void test_record_in_background(void)
+{
+	static const char *const keys[] = { "1", "2", "3", "4", "5",
+					    "6", "7", "8", "9" };
+	/* One stream and eight spare threads. */
+	rig_options_t options = { .plains = 1,
+				  .routers = 1,
+				  .router_args = { "--streams-max", "1" } };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	sender_t senders[G_N_ELEMENTS(keys)];
+	pthread_t threads[G_N_ELEMENTS(keys)];
+	g_autoptr(http_answer_t) health = NULL;
+
+	standin_control(rig->plain_ports[0], "{\"answer_delay_ms\":1000}");
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		senders[i] = (sender_t){ .rig = rig, .key = keys[i] };
+		pthread_create(&threads[i], NULL, send_one, &senders[i]);
+	}
+	g_assert_true(WAIT_UNTIL(executed(rig) == G_N_ELEMENTS(keys),
+				 HARNESS_WAIT_MS));
+	standin_control(rig->store_port, "{\"outage_ms\":-1}");
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		pthread_join(threads[i], NULL);
+		assert_state(senders[i].answer, 200, "", "ran");
+		http_answer_free(senders[i].answer);
+	}
+	health = http_local("GET", rig->ports[0], "/healthz", NULL, NULL);
+	g_assert_cmpint(health->status, ==, 200);
+	g_assert_cmpint(rig_metric(rig, 0, "amv_order_backlog"), ==,
+			G_N_ELEMENTS(keys));
+	standin_control(rig->store_port, "{\"outage_ms\":0}");
+	g_assert_true(WAIT_UNTIL(rig_metric(rig, 0, "amv_order_backlog") == 0,
+				 6 * HARNESS_WAIT_MS));
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		/* The budget of store calls may refuse it for a moment. */
+		g_assert_true(WAIT_UNTIL(dispatch_status(rig, keys[i]) == 200,
+					 HARNESS_WAIT_MS));
+	}
+	g_assert_cmpint(executed(rig), ==, G_N_ELEMENTS(keys));
+}
+
+static size_t count_records(rig_t *rig)
+{
+	g_autoptr(http_answer_t) answer =
+		http_local("GET", rig->store_port,
+			   "/objects?prefix=order/&limit=99", NULL, NULL);
+
+	g_assert_cmpint(answer->status, ==, 200);
+	return json_array_size(json_object_get(answer->json, "items"));
+}
+
+/* Records must not pile up in the store, nor go before their time. */
+static void test_sweep(void)
+{
+	rig_options_t options = {
+		.plains = 1,
+		.routers = 1,
+		.router_args = { "--order-retention-ms", "2000",
+				 "--order-sweep-ms", "100" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	uint64_t start_ms = clock_now_ms();
+
+	for (int i = 0; i < 5; i++) {
+		g_autofree char *key = g_strdup_printf("k%d", i);
+		g_autoptr(http_answer_t) answer = dispatch(rig, 0, key, "{}");
+
+		g_assert_cmpint(answer->status, ==, 200);
+	}
+	g_assert_cmpuint(count_records(rig), ==, 5);
+	g_assert_true(WAIT_UNTIL(count_records(rig) == 0, HARNESS_WAIT_MS));
+	g_assert_cmpuint(clock_now_ms() - start_ms, >=, 2000);
+	g_assert_cmpint(
+		rig_metric(rig, 0, "amv_store_calls_total{purpose=\"status\"}"),
+		>=, 6);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -257,5 +345,8 @@
 	g_test_add_func("/plain/endpoint-dead", test_endpoint_dead);
 	g_test_add_func("/plain/router-lost", test_router_lost);
 	g_test_add_func("/plain/idempotent", test_idempotent);
+	g_test_add_func("/plain/record-in-background",
+			test_record_in_background);
+	g_test_add_func("/plain/sweep", test_sweep);
 	return g_test_run();
 }
