--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -304,8 +304,8 @@
 {
 	pthread_t poller;
 	pthread_t timer;
-	pthread_t events;
-	pthread_t sweeper;
+	pthread_t events = 0;
+	pthread_t sweeper = 0;
 	int number;
 	int err = 0;
 
--- a/connection/tls_front.c
+++ b/connection/tls_front.c
@@ -371,7 +371,7 @@
 		struct sockaddr any;
 		struct sockaddr_in v4;
 		struct sockaddr_in6 v6;
-	} address;
+	} address = { 0 };
 	socklen_t bytes = sizeof(address);
 
 	if (getsockname(fd, &address.any, &bytes))
--- a/t/test-it-plain.c
+++ b/t/test-it-plain.c
@@ -11,6 +11,8 @@
 
 enum {
 	CALLERS = 8,
+	/** Threads of a router with `--streams-max 1`. */
+	ORDERS = 9,
 };
 
 static http_answer_t *dispatch(rig_t *rig, int router, const char *key,
@@ -257,50 +259,47 @@
  * callers; the records are written when the store is back. */
 static void test_record_in_background(void)
 {
-	static const char *const keys[] = { "1", "2", "3", "4", "5",
-					    "6", "7", "8", "9" };
-	/* One stream and eight spare threads. */
+	static const char *const keys[ORDERS] = { "1", "2", "3", "4", "5",
+						  "6", "7", "8", "9" };
 	rig_options_t options = { .plains = 1,
 				  .routers = 1,
 				  .router_args = { "--streams-max", "1" } };
 	g_autoptr(rig_t) rig = rig_start(&options);
-	sender_t senders[G_N_ELEMENTS(keys)];
-	pthread_t threads[G_N_ELEMENTS(keys)];
-	g_autoptr(http_answer_t) health = NULL;
+	sender_t senders[ORDERS];
+	pthread_t threads[ORDERS];
+	g_autofree char *health =
+		g_strdup_printf("http://127.0.0.1:%u/healthz", rig->ports[0]);
 
 	standin_control(rig->plain_ports[0], "{\"answer_delay_ms\":1000}");
-	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+	for (int i = 0; i < ORDERS; i++) {
 		senders[i] = (sender_t){ .rig = rig, .key = keys[i] };
 		pthread_create(&threads[i], NULL, send_one, &senders[i]);
 	}
-	g_assert_true(WAIT_UNTIL(executed(rig) == G_N_ELEMENTS(keys),
-				 HARNESS_WAIT_MS));
+	g_assert_true(WAIT_UNTIL(executed(rig) == ORDERS, HARNESS_WAIT_MS));
 	standin_control(rig->store_port, "{\"outage_ms\":-1}");
-	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+	for (int i = 0; i < ORDERS; i++) {
 		pthread_join(threads[i], NULL);
 		assert_state(senders[i].answer, 200, "", "ran");
 		http_answer_free(senders[i].answer);
 	}
-	health = http_local("GET", rig->ports[0], "/healthz", NULL, NULL);
-	g_assert_cmpint(health->status, ==, 200);
-	g_assert_cmpint(rig_metric(rig, 0, "amv_order_backlog"), ==,
-			G_N_ELEMENTS(keys));
+	g_assert_true(url_answers(health));
+	g_assert_true(
+		WAIT_UNTIL(rig_metric(rig, 0, "amv_order_backlog") == ORDERS,
+			   HARNESS_WAIT_MS));
 	standin_control(rig->store_port, "{\"outage_ms\":0}");
 	g_assert_true(WAIT_UNTIL(rig_metric(rig, 0, "amv_order_backlog") == 0,
 				 6 * HARNESS_WAIT_MS));
-	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
-		/* The budget of store calls may refuse it for a moment. */
+	/* The budget of store calls may refuse a repeat for a moment. */
+	for (int i = 0; i < ORDERS; i++)
 		g_assert_true(WAIT_UNTIL(dispatch_status(rig, keys[i]) == 200,
 					 HARNESS_WAIT_MS));
-	}
-	g_assert_cmpint(executed(rig), ==, G_N_ELEMENTS(keys));
+	g_assert_cmpint(executed(rig), ==, ORDERS);
 }
 
 static size_t count_records(rig_t *rig)
 {
-	g_autoptr(http_answer_t) answer =
-		http_local("GET", rig->store_port,
-			   "/objects?prefix=order/&limit=99", NULL, NULL);
+	g_autoptr(http_answer_t) answer = http_local(
+		"GET", rig->store_port, "/objects?prefix=order/", NULL, NULL);
 
 	g_assert_cmpint(answer->status, ==, 200);
 	return json_array_size(json_object_get(answer->json, "items"));
@@ -318,18 +317,11 @@
 	g_autoptr(rig_t) rig = rig_start(&options);
 	uint64_t start_ms = clock_now_ms();
 
-	for (int i = 0; i < 5; i++) {
-		g_autofree char *key = g_strdup_printf("k%d", i);
-		g_autoptr(http_answer_t) answer = dispatch(rig, 0, key, "{}");
-
-		g_assert_cmpint(answer->status, ==, 200);
-	}
-	g_assert_cmpuint(count_records(rig), ==, 5);
+	g_assert_cmpint(dispatch_status(rig, "k1"), ==, 200);
+	g_assert_cmpint(dispatch_status(rig, "k2"), ==, 200);
+	g_assert_cmpuint(count_records(rig), ==, 2);
 	g_assert_true(WAIT_UNTIL(count_records(rig) == 0, HARNESS_WAIT_MS));
 	g_assert_cmpuint(clock_now_ms() - start_ms, >=, 2000);
-	g_assert_cmpint(
-		rig_metric(rig, 0, "amv_store_calls_total{purpose=\"status\"}"),
-		>=, 6);
 }
 
 int main(int argc, char **argv)
