--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -9,6 +9,7 @@
 #include <urcu/uatomic.h>
 
 #include "cmd/router.h"
+#include "cmd/router_engines.h"
 #include "cmd/router_events.h"
 #include "cmd/router_sweep.h"
 #include "process/error.h"
@@ -86,11 +87,23 @@
 	NUMBER("order-sweep-ms", order_sweep_ms,
 	       "time between two removals of old records, ms", "600000", 100,
 	       86400000),
+	NUMBER("polls-per-s", polls_per_s,
+	       "most load polls a second; one is about 335 bytes", "8", 1,
+	       10000),
 	NUMBER("stop-limit-ms", stop_limit_ms,
 	       "longest time of a planned stop, ms", "120000", 0, 3600000),
 	NUMBER("drain-ms", drain_ms,
 	       "time a stop keeps answering after it began, ms", "200", 0,
 	       60000),
+	NUMBER("lease-ms", lease_ms,
+	       "lease of a pool's controller, the same everywhere, ms", "15000",
+	       300, 600000),
+	NUMBER("engine-order-max-ms", engine_order_max_ms,
+	       "longest order to an engine, the same everywhere, ms", "30000",
+	       100, 3600000),
+	NUMBER("engine-state-ms", engine_state_ms,
+	       "shortest time between two states of an engine, ms", "1000", 50,
+	       600000),
 	TEXT("seed", seed, "seed of random choices; default random", NULL),
 	TEXT("store-url", store_url, "object API, http://address:port", NULL),
 	TEXT("bootstrap", bootstrap,
@@ -306,6 +319,8 @@
 	pthread_t timer;
 	pthread_t events = 0;
 	pthread_t sweeper = 0;
+	pthread_t engines;
+	bool has_engines = false;
 	int number;
 	int err = 0;
 
@@ -328,6 +343,9 @@
 		pthread_create(&events, NULL, router_events_thread, &router);
 	if (router.store)
 		pthread_create(&sweeper, NULL, router_sweep_thread, &router);
+	if (router.store)
+		has_engines = !pthread_create(&engines, NULL,
+					      router_engines_thread, &router);
 	sigwait(signals, &number);
 	stop_requests();
 	server_stop(router.server);
@@ -338,6 +356,8 @@
 		pthread_join(events, NULL);
 	if (router.store)
 		pthread_join(sweeper, NULL);
+	if (has_engines)
+		pthread_join(engines, NULL);
 	close_state();
 	event_log(EVENT_STOPPED, NULL);
 	return EXIT_SUCCESS;
--- a/t/standin-plain.c
+++ b/t/standin-plain.c
@@ -30,6 +30,7 @@
 	json_t *totals;
 	json_t *by_key;
 	json_t *by_path;
+	json_t *by_request; /**< By X-Request-Id of the caller. */
 } service = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
 /** Remembers the highest number; returns whether the given one is older. */
@@ -68,6 +69,8 @@
 	json_count(service.totals, "executed", 1);
 	json_count(service.by_key, key, 1);
 	json_count(service.by_path, request->path, 1);
+	json_count(service.by_request,
+		   http_header(request, "X-Request-Id", "-"), 1);
 	*answer_lost = service.lose_answers > 0;
 	service.lose_answers -= *answer_lost;
 	return 200;
@@ -105,6 +108,28 @@
 				  "body", request->body));
 }
 
+/** Raises the number of a key and says whether the key has run. */
+static void handle_fencing(http_request_t *request)
+{
+	const char *key = http_body_text(request, "key", "");
+	json_int_t number = (json_int_t)http_body_number(request, "number", 0);
+	json_int_t highest;
+	SCOPED_LOCK(held, &service.lock);
+
+	if (!check_fencing) {
+		http_send_error(request, 404, "", "fencing is not checked");
+		return;
+	}
+	highest = json_integer_value(json_object_get(service.fencing, key));
+	if (number > highest)
+		highest = number;
+	json_object_set_new(service.fencing, key, json_integer(highest));
+	json_count(service.totals, "asked", 1);
+	http_send_json(request, 200, "",
+		       json_pack("{s:I,s:b}", "highest", highest, "ran",
+				 json_object_get(service.by_key, key) != NULL));
+}
+
 static void handle_control(http_request_t *request)
 {
 	SCOPED_LOCK(held, &service.lock);
@@ -126,12 +151,14 @@
 	report = json_deep_copy(service.totals);
 	json_object_set(report, "by_key", service.by_key);
 	json_object_set(report, "by_path", service.by_path);
+	json_object_set(report, "by_request", service.by_request);
 	http_send_json(request, 200, "", report);
 }
 
 static const http_route_t routes[] = {
 	{ "POST", "/control", handle_control },
 	{ "GET", "/control/executions", handle_executions },
+	{ "POST", "/fencing", handle_fencing },
 	{ NULL, "*", handle_call },
 	{ 0 },
 };
@@ -149,6 +176,7 @@
 	service.totals = json_object();
 	service.by_key = json_object();
 	service.by_path = json_object();
+	service.by_request = json_object();
 }
 
 static http_server_t server = { .routes = routes, .start = start };
