--- a/t/test-it-security.c
+++ b/t/test-it-security.c
@@ -91,6 +91,7 @@
 				==, rows[i].ca == other);
 	}
 	g_assert_cmpint(rig_engine_sum(rig, "requests_run"), ==, 2);
+	http_trust(NULL);
 	remove(own);
 	remove(other);
 }
