--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -10,6 +10,8 @@
 
 #include "cmd/router.h"
 #include "cmd/router_engines.h"
+#include "cmd/router_events.h"
+#include "cmd/router_sweep.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
@@ -75,6 +77,15 @@
 	       50, 60000),
 	NUMBER("poll-idle-ms", poll_idle_ms, "load poll of other engines, ms",
 	       "5000", 50, 600000),
+	NUMBER("events-bytes-per-s", events_rate,
+	       "traffic for reading cache events, bytes/s; 0 reads none", "0",
+	       0, 8192),
+	NUMBER("order-retention-ms", order_retention_ms,
+	       "age at which an order's record is removed, ms", "86400000",
+	       1000, 4000000000.0),
+	NUMBER("order-sweep-ms", order_sweep_ms,
+	       "time between two removals of old records, ms", "600000", 100,
+	       86400000),
 	NUMBER("polls-per-s", polls_per_s,
 	       "most load polls a second; one is about 335 bytes", "8", 1,
 	       10000),
@@ -212,8 +223,9 @@
 		.fleet = router.fleet,
 		.pool = router.pool,
 		.store = router.store,
+		.backlog = order_backlog_start(plain_retry_order),
 	};
-	return 0;
+	return router.plain.backlog ? 0 : ERR_NO_MEMORY;
 }
 
 static int open_server(void)
@@ -279,6 +291,7 @@
 
 static void close_state(void)
 {
+	order_backlog_stop(router.plain.backlog);
 	relay_destroy(&router.relay);
 	/* Gossip first: it tells others to take over, and its hooks use the
 	 * parts that follow. */
@@ -294,6 +307,8 @@
 {
 	pthread_t poller;
 	pthread_t timer;
+	pthread_t events = 0;
+	pthread_t sweeper = 0;
 	pthread_t engines;
 	bool has_engines = false;
 	pthread_t control;
@@ -317,6 +332,10 @@
 		return fail("server", err);
 	pthread_create(&poller, NULL, router_poll_thread, &router);
 	pthread_create(&timer, NULL, router_timer_thread, &router);
+	if (router.settings.events_rate)
+		pthread_create(&events, NULL, router_events_thread, &router);
+	if (router.store)
+		pthread_create(&sweeper, NULL, router_sweep_thread, &router);
 	if (router.store)
 		has_engines = !pthread_create(&engines, NULL,
 					      router_engines_thread, &router);
@@ -327,6 +346,10 @@
 	uatomic_set(&router.ending, true);
 	pthread_join(poller, NULL);
 	pthread_join(timer, NULL);
+	if (router.settings.events_rate)
+		pthread_join(events, NULL);
+	if (router.store)
+		pthread_join(sweeper, NULL);
 	if (has_engines)
 		pthread_join(engines, NULL);
 	pthread_join(control, NULL);
--- a/request/prefix.h
+++ b/request/prefix.h
@@ -29,7 +29,8 @@
 
 /** One message; nothing is copied. */
 typedef struct prefix_message {
-	const char *role;    /**< NUL-terminated. */
+	/** NUL-terminated; NULL for a raw prompt, which has no line ends. */
+	const char *role;
 	const char *content; /**< `content_bytes` bytes, any values. */
 	size_t content_bytes;
 } prefix_message_t;
@@ -44,7 +45,7 @@
 	uint32_t token_bytes;  /**< >= 1 */
 } prefix_identity_t;
 
-/** Keys of one prompt; about 5.2 KB. */
+/** Keys of one prompt; about 5.7 KB. */
 typedef struct prefix {
 	uint64_t root_key; /**< hash_chain_start() of the identity. */
 	/** Key of the whole prompt including its last partial block. */
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -18,7 +18,7 @@
 	RIG_ENGINES_MAX = 6,
 	RIG_PLAINS_MAX = 2,
 	RIG_ROUTERS_MAX = 6,
-	RIG_ARGS_MAX = 8,
+	RIG_ARGS_MAX = 12,
 };
 
 #define RIG_KEY_1 "Authorization: Bearer key-of-customer-1"
@@ -31,6 +31,7 @@
 	int plains;
 	int routers;
 	bool plains_check_fencing;
+	bool routers_tls; /**< See http_trust(). */
 	bool engines_check_fencing;
 	/** A weight store that the engines load from, 8 transfers at once. */
 	bool weights;
--- a/t/test-it-plain.c
+++ b/t/test-it-plain.c
@@ -11,6 +11,8 @@
 
 enum {
 	CALLERS = 8,
+	/** Threads of a router with `--streams-max 1`. */
+	ORDERS = 9,
 };
 
 static http_answer_t *dispatch(rig_t *rig, int router, const char *key,
@@ -84,6 +86,7 @@
 typedef struct sender {
 	rig_t *rig;
 	int router;
+	const char *key; /**< NULL for one that all share. */
 	http_answer_t *answer;
 } sender_t;
 
@@ -91,7 +94,8 @@
 {
 	sender_t *sender = context;
 
-	sender->answer = dispatch(sender->rig, sender->router, "same", "{}");
+	sender->answer = dispatch(sender->rig, sender->router,
+				  sender->key ? sender->key : "same", "{}");
 	return NULL;
 }
 
@@ -244,6 +248,82 @@
 	g_assert_cmpint(bare->status, ==, 200);
 }
 
+static long dispatch_status(rig_t *rig, const char *key)
+{
+	g_autoptr(http_answer_t) answer = dispatch(rig, 0, key, "{}");
+
+	return answer->status;
+}
+
+/* Orders whose record cannot be written must not hold the threads that serve
+ * callers; the records are written when the store is back. */
+static void test_record_in_background(void)
+{
+	static const char *const keys[ORDERS] = { "1", "2", "3", "4", "5",
+						  "6", "7", "8", "9" };
+	rig_options_t options = { .plains = 1,
+				  .routers = 1,
+				  .router_args = { "--streams-max", "1" } };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	sender_t senders[ORDERS];
+	pthread_t threads[ORDERS];
+	g_autofree char *health =
+		g_strdup_printf("http://127.0.0.1:%u/healthz", rig->ports[0]);
+
+	standin_control(rig->plain_ports[0], "{\"answer_delay_ms\":1000}");
+	for (int i = 0; i < ORDERS; i++) {
+		senders[i] = (sender_t){ .rig = rig, .key = keys[i] };
+		pthread_create(&threads[i], NULL, send_one, &senders[i]);
+	}
+	g_assert_true(WAIT_UNTIL(executed(rig) == ORDERS, HARNESS_WAIT_MS));
+	standin_control(rig->store_port, "{\"outage_ms\":-1}");
+	for (int i = 0; i < ORDERS; i++) {
+		pthread_join(threads[i], NULL);
+		assert_state(senders[i].answer, 200, "", "ran");
+		http_answer_free(senders[i].answer);
+	}
+	g_assert_true(url_answers(health));
+	g_assert_true(
+		WAIT_UNTIL(rig_metric(rig, 0, "amv_order_backlog") == ORDERS,
+			   HARNESS_WAIT_MS));
+	standin_control(rig->store_port, "{\"outage_ms\":0}");
+	g_assert_true(WAIT_UNTIL(rig_metric(rig, 0, "amv_order_backlog") == 0,
+				 6 * HARNESS_WAIT_MS));
+	/* The budget of store calls may refuse a repeat for a moment. */
+	for (int i = 0; i < ORDERS; i++)
+		g_assert_true(WAIT_UNTIL(dispatch_status(rig, keys[i]) == 200,
+					 HARNESS_WAIT_MS));
+	g_assert_cmpint(executed(rig), ==, ORDERS);
+}
+
+static size_t count_records(rig_t *rig)
+{
+	g_autoptr(http_answer_t) answer = http_local(
+		"GET", rig->store_port, "/objects?prefix=order/", NULL, NULL);
+
+	g_assert_cmpint(answer->status, ==, 200);
+	return json_array_size(json_object_get(answer->json, "items"));
+}
+
+/* Records must not pile up in the store, nor go before their time. */
+static void test_sweep(void)
+{
+	rig_options_t options = {
+		.plains = 1,
+		.routers = 1,
+		.router_args = { "--order-retention-ms", "2000",
+				 "--order-sweep-ms", "100" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	uint64_t start_ms = clock_now_ms();
+
+	g_assert_cmpint(dispatch_status(rig, "k1"), ==, 200);
+	g_assert_cmpint(dispatch_status(rig, "k2"), ==, 200);
+	g_assert_cmpuint(count_records(rig), ==, 2);
+	g_assert_true(WAIT_UNTIL(count_records(rig) == 0, HARNESS_WAIT_MS));
+	g_assert_cmpuint(clock_now_ms() - start_ms, >=, 2000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -257,5 +337,8 @@
 	g_test_add_func("/plain/endpoint-dead", test_endpoint_dead);
 	g_test_add_func("/plain/router-lost", test_router_lost);
 	g_test_add_func("/plain/idempotent", test_idempotent);
+	g_test_add_func("/plain/record-in-background",
+			test_record_in_background);
+	g_test_add_func("/plain/sweep", test_sweep);
 	return g_test_run();
 }
