--- a/t/bench-capacity.c
+++ b/t/bench-capacity.c
@@ -210,22 +210,49 @@
 	return variant == 1 || variant >= 4 ? bytes : us;
 }
 
+static void append_entry(ticket_head_t *head, size_t i)
+{
+	CLEANUP_JSON json_t *content =
+		json_pack("{s:I,s:s,s:{s:{s:i}}}", "ticket", (json_int_t)i,
+			  "author", "operator@example", "objects",
+			  "endpoint/e00001", "port", (int)i);
+	ticket_t ticket;
+	config_problem_t problem;
+
+	g_assert_cmpint(ticket_parse(content, &ticket, &problem), ==, 0);
+	ticket_head_append(head, &ticket, 1700000000000);
+	ticket_free(&ticket);
+}
+
 static void fill_head(ticket_head_t *head, size_t entries)
 {
-	ticket_head_init(head);
-	for (size_t i = 1; i <= entries; i++) {
-		CLEANUP_JSON json_t *content =
-			json_pack("{s:I,s:s,s:{s:{s:i}}}", "ticket",
-				  (json_int_t)i, "author", "operator@example",
-				  "objects", "endpoint/e00001", "port", (int)i);
-		ticket_t ticket;
-		config_problem_t problem;
-
-		g_assert_cmpint(ticket_parse(content, &ticket, &problem), ==,
-				0);
-		ticket_head_append(head, &ticket, 1700000000000);
-		ticket_free(&ticket);
+	ticket_head_init(head, TICKET_PAGE_ENTRIES);
+	for (size_t i = 1; i <= entries; i++)
+		append_entry(head, i);
+}
+
+/** Mean size of the heads written for `n` changes, full pages left out. */
+static double paged_head(size_t n, int variant G_GNUC_UNUSED)
+{
+	ticket_head_t head;
+	double bytes = 0;
+
+	ticket_head_init(&head, TICKET_PAGE_ENTRIES);
+	for (size_t i = 1; i <= n; i++) {
+		uint64_t number;
+		json_t *page = ticket_head_full_page(&head, i - 1, &number);
+		json_t *value;
+
+		if (page)
+			ticket_head_drop_page(&head);
+		json_decref(page);
+		append_entry(&head, i);
+		value = ticket_head_to_json(&head);
+		bytes += (double)json_dumpb(value, NULL, 0, JSON_COMPACT);
+		json_decref(value);
 	}
+	ticket_head_free(&head);
+	return bytes / (double)n;
 }
 
 /** Time of one decision (0) or size of the head (1) by log entries. */
@@ -387,6 +414,7 @@
 	{ "snapshot", "B", "endpoint", build, 5, endpoint_sizes },
 	{ "ticket", "us", "log entry", ticket_log, 0, log_sizes },
 	{ "head", "B", "log entry", ticket_log, 1, log_sizes },
+	{ "paged-head", "B", "log entry", paged_head, 0, log_sizes },
 	{ "envelope", "us", "byte", peer_envelope, 0, byte_sizes },
 	{ "gossip", "B", "rumor", gossip_bytes, 0, rumor_sizes },
 	{ "membership", "us", "member", membership_members, 0, member_sizes },
--- a/t/test-config-service.c
+++ b/t/test-config-service.c
@@ -97,18 +97,34 @@
 	return answer(connection, 200, object->version, object->text);
 }
 
-/** Lists the head, the only key that is listed and watched. */
+/** Lists the objects with the prefix, in any order. */
 static int handle_list(struct mg_connection *connection)
 {
-	const object_t *head =
-		g_hash_table_lookup(store.objects, "config/head");
-	g_autofree char *item = g_strdup_printf(
-		"{\"key\":\"config/head\",\"version\":%d,\"value\":%s}",
-		head ? (int)head->version : 0, head ? head->text : "null");
-	g_autofree char *text = g_strdup_printf(
-		"{\"revision\":%d,\"more\":false,\"items\":[%s]}",
-		(int)store.revision, head ? item : "");
+	const char *query = mg_get_request_info(connection)->query_string;
+	g_autoptr(GString) items = g_string_new(NULL);
+	g_autofree char *text = NULL;
+	GHashTableIter iterator;
+	gpointer key;
+	gpointer object;
+	char prefix[64];
 
+	g_assert_cmpint(mg_get_var(query, strlen(query), "prefix", prefix,
+				   sizeof(prefix)),
+			>, 0);
+	g_hash_table_iter_init(&iterator, store.objects);
+	while (g_hash_table_iter_next(&iterator, &key, &object)) {
+		const object_t *found = object;
+
+		if (!g_str_has_prefix(key, prefix))
+			continue;
+		g_string_append_printf(
+			items, "%s{\"key\":\"%s\",\"version\":%d,\"value\":%s}",
+			items->len ? "," : "", (char *)key, (int)found->version,
+			found->text);
+	}
+	text = g_strdup_printf(
+		"{\"revision\":%d,\"more\":false,\"items\":[%s]}",
+		(int)store.revision, items->str);
 	return answer(connection, 200, 0, text);
 }
 
@@ -226,7 +242,9 @@
 		.fetch_peer = fetch_peer,
 		.fetch_user = user,
 		.seed = g_str_hash(name),
-		.commit = { .log_max = log_max, .log_keep = log_max / 2 },
+		.commit = { .log_max = log_max,
+			    .log_keep = log_max / 2,
+			    .page_entries = log_max / 4 },
 		.watch_timeout_ms = 500,
 	};
 
@@ -394,8 +412,9 @@
 		g_assert_cmpint(apply(&first, 100 + i, "model/n", &result), ==,
 				0);
 	WAIT_FOR(is_at(&first, 20));
-	/* Replaced snapshots must not pile up in the store. */
+	/* Replaced snapshots and pages must not pile up in the store. */
 	WAIT_FOR(count_keys("config/snapshot/") == 1);
+	WAIT_FOR(count_keys("config/log/") == 3);
 	set_down(true);
 	second = start_instance("b", store.url, fetch_from_instance, &first,
 				NULL);
--- a/t/test-ticket.c
+++ b/t/test-ticket.c
@@ -1,4 +1,4 @@
-/* Tickets: form, decision, snapshots, and commits under faults. */
+/* Tickets: commits under faults. */
 #include <glib.h>
 #include <string.h>
 
@@ -13,170 +13,13 @@
 	NUMBERS = 120,
 	KEYS = 5,
 	POSITIONS_MAX = 256,
-	LOG_MAX = 6,
-	LOG_KEEP = 3,
+	LOG_MAX = 8,
+	LOG_KEEP = 5,
+	PAGE_ENTRIES = 2,
 	SHARD_MAX_BYTES = 400,
 	ACTION_TIMEOUT_MS = 400,
 };
 
-static json_t *parse(const char *text)
-{
-	g_autofree char *copy = g_strdelimit(g_strdup(text), "'", '"');
-	json_t *value = json_loads(copy, JSON_DECODE_ANY, NULL);
-
-	g_assert_nonnull(value);
-	return value;
-}
-
-/* A ticket of wrong form must be refused with the field that is wrong. */
-static void test_form(void)
-{
-	static const struct {
-		const char *text;
-		const char *object;
-		const char *field;
-	} cases[] = {
-		{ "[]", "", "" },
-		{ "{}", "", "ticket" },
-		{ "{'ticket':0}", "", "ticket" },
-		{ "{'ticket':-1}", "", "ticket" },
-		{ "{'ticket':1.0}", "", "ticket" },
-		{ "{'ticket':9007199254740993}", "", "ticket" },
-		{ "{'ticket':1}", "", "author" },
-		{ "{'ticket':1,'author':''}", "", "author" },
-		{ "{'ticket':1,'author':'a'}", "", "objects" },
-		{ "{'ticket':1,'author':'a','objects':{}}", "", "objects" },
-		{ "{'ticket':1,'author':'a','objects':{'model/m':1}}",
-		  "model/m", "" },
-		{ "{'ticket':1,'author':'a','objects':{'model/m':{}},'x':1}",
-		  "", "x" },
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		CLEANUP_JSON json_t *content = parse(cases[i].text);
-		config_problem_t problem;
-		ticket_t ticket;
-
-		g_test_message("case %zu", i);
-		g_assert_cmpint(ticket_parse(content, &ticket, &problem), ==,
-				ERR_TICKET_INVALID);
-		g_assert_cmpstr(problem.object, ==, cases[i].object);
-		g_assert_cmpstr(problem.field, ==, cases[i].field);
-	}
-}
-
-static ticket_t make_ticket(const char *text)
-{
-	CLEANUP_JSON json_t *content = parse(text);
-	config_problem_t problem;
-	ticket_t ticket;
-
-	g_assert_cmpint(ticket_parse(content, &ticket, &problem), ==, 0);
-	return ticket;
-}
-
-static void accept_ticket(ticket_head_t *head, ticket_state_t *state,
-			  const char *text)
-{
-	ticket_t ticket = make_ticket(text);
-
-	g_assert_cmpint(ticket_head_append(head, &ticket, 1), ==, 0);
-	g_assert_cmpint(
-		ticket_state_apply(state, head->position, ticket.content), ==,
-		0);
-	ticket_free(&ticket);
-}
-
-/* The rules of acceptance; each row is decided on the same state. */
-static void test_decision(void)
-{
-	static const struct {
-		const char *text;
-		bool acceptable;
-		int err;
-		uint64_t position;
-		const char *object;
-	} cases[] = {
-		{ "{'ticket':8,'author':'a','objects':{'model/a':{}}}", true, 0,
-		  0, "" },
-		{ "{'ticket':6,'author':'a','objects':{'model/b':{}}}", true, 0,
-		  0, "" },
-		{ "{'ticket':6,'author':'a','objects':{'model/a':{}}}", false,
-		  ERR_TICKET_STALE, 0, "model/a" },
-		/* One old object refuses the whole ticket. */
-		{ "{'ticket':6,'author':'a',"
-		  "'objects':{'model/b':{},'model/a':{},'model/z':{}}}",
-		  false, ERR_TICKET_STALE, 0, "model/a" },
-		/* A deleted object keeps its number. */
-		{ "{'ticket':4,'author':'a','objects':{'model/c':{}}}", false,
-		  ERR_TICKET_STALE, 0, "model/c" },
-		{ "{'author':'a','objects':{'model/a':{}},'ticket':7}", false,
-		  0, 2, "" },
-		{ "{'ticket':7,'author':'b','objects':{'model/a':{}}}", false,
-		  ERR_TICKET_CONFLICT, 0, "" },
-	};
-	ticket_state_t state;
-	ticket_head_t head;
-
-	g_assert_cmpint(ticket_state_init(&state), ==, 0);
-	g_assert_cmpint(ticket_head_init(&head), ==, 0);
-	accept_ticket(&head, &state,
-		      "{'ticket':5,'author':'a',"
-		      "'objects':{'model/b':{},'model/c':null}}");
-	accept_ticket(&head, &state,
-		      "{'ticket':7,'author':'a','objects':{'model/a':{}}}");
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		ticket_t ticket = make_ticket(cases[i].text);
-		ticket_result_t result;
-
-		g_test_message("case %zu", i);
-		g_assert_cmpint(ticket_decide(&head, &state, &ticket, &result),
-				==, cases[i].acceptable);
-		g_assert_cmpint(result.err, ==, cases[i].err);
-		g_assert_cmpuint(result.position, ==, cases[i].position);
-		if (result.err)
-			g_assert_cmpstr(result.problem.object, ==,
-					cases[i].object);
-		ticket_free(&ticket);
-	}
-	ticket_state_free(&state);
-	ticket_head_free(&head);
-}
-
-/* A shard above the value limit would end every later change. */
-static void test_snapshot_shards(void)
-{
-	ticket_state_t state;
-	ticket_state_t loaded;
-	json_t *shards;
-	json_t *shard;
-	size_t i;
-
-	g_assert_cmpint(ticket_state_init(&state), ==, 0);
-	g_assert_cmpint(ticket_state_init(&loaded), ==, 0);
-	for (int n = 0; n < 3000; n++) {
-		g_autofree char *key = g_strdup_printf("endpoint/e%d", n);
-		g_autofree char *text = g_strnfill((gsize)n % 900, 'x');
-
-		json_object_set_new(state.numbers, key, json_integer(n + 1));
-		if (n % 7)
-			json_object_set_new(state.objects, key,
-					    json_pack("{s:s}", "t", text));
-	}
-	shards = ticket_snapshot_split(&state, 100000);
-	g_assert_cmpuint(json_array_size(shards), >, 10);
-	json_array_foreach (shards, i, shard) {
-		g_assert_cmpuint(json_dumpb(shard, NULL, 0, JSON_COMPACT), <=,
-				 100000);
-		g_assert_cmpint(ticket_snapshot_merge(&loaded, shard), ==, 0);
-	}
-	g_assert_true(json_equal(state.objects, loaded.objects));
-	g_assert_true(json_equal(state.numbers, loaded.numbers));
-	json_decref(shards);
-	ticket_state_free(&state);
-	ticket_state_free(&loaded);
-}
-
 /** One version of an object in the simulated store. */
 typedef struct revision {
 	uint64_t version;
@@ -216,6 +59,17 @@
 	bool lost; /**< The answer to the action is not sent. */
 } pending_t;
 
+/** Cases reached, over all schedules. */
+typedef struct counts {
+	int positions;
+	int refused;
+	int shards;
+	int pages;
+	int pages_read;
+	/** Heads read while the head still holds a page that was written. */
+	int early_heads;
+} counts_t;
+
 typedef struct world {
 	rng_t rng;
 	uint64_t now_ms;
@@ -229,8 +83,9 @@
 	ticket_state_t truth[POSITIONS_MAX];
 	uint64_t position;
 	uint64_t highest; /**< Accepted number. */
-	int refused;
-	int compactions;
+	uint64_t paged;	  /**< Position up to which pages were written. */
+	uint64_t start;	  /**< Position before the first entry of the head. */
+	counts_t *counts;
 } world_t;
 
 static bool happens(world_t *world, int percent)
@@ -299,19 +154,62 @@
 	world->highest = MAX(world->highest, number);
 }
 
+/* A page must hold what was accepted, whichever writer comes first. */
+static void check_page(const world_t *world, uint64_t page, const json_t *value)
+{
+	const json_t *log = json_object_get(value, "log");
+
+	g_assert_cmpuint(json_array_size(log), ==, PAGE_ENTRIES);
+	for (size_t i = 0; i < PAGE_ENTRIES; i++) {
+		uint64_t position = page * PAGE_ENTRIES + i + 1;
+		CLEANUP_JSON json_t *entry =
+			json_copy(world->accepted[position]);
+
+		g_assert_cmpuint(position, <=, world->position);
+		json_object_del(entry, "keys");
+		g_assert_true(json_equal(json_array_get(log, i), entry));
+	}
+}
+
+/* What the log covers must be in the head or in a page at all times. */
 static void check_head(world_t *world, const json_t *value)
 {
 	ticket_head_t head;
 
 	g_assert_cmpint(ticket_head_from_json(value, &head), ==, 0);
 	g_assert_cmpuint(head.position, >, world->position);
-	g_assert_cmpuint(json_array_size(head.log), <=, LOG_MAX);
+	g_assert_cmpuint(head.position - head.log_position, <=,
+			 LOG_MAX + PAGE_ENTRIES);
+	/* Two tickets of the last update, and less than a page before them. */
+	g_assert_cmpuint(json_array_size(head.log), <=, 2 + PAGE_ENTRIES - 1);
+	world->start = ticket_head_start(&head);
+	for (uint64_t i = head.log_position; i < world->start;
+	     i += PAGE_ENTRIES) {
+		char key[TICKET_KEY_MAX_BYTES];
+
+		ticket_page_key(i / PAGE_ENTRIES, key);
+		g_assert_nonnull(latest(revisions_of(world, key)));
+	}
+	for (uint64_t i = world->start + 1; i <= world->position; i++)
+		g_assert_true(json_equal(ticket_head_entry(&head, i),
+					 world->accepted[i]));
 	while (world->position < head.position)
 		check_accepted(world,
 			       ticket_head_entry(&head, world->position + 1));
 	ticket_head_free(&head);
 }
 
+/** Checks the value of a page and notes how far pages were written. */
+static void write_page(world_t *world, const ticket_action_t *action)
+{
+	uint64_t page =
+		g_ascii_strtoull(strrchr(action->key, '/') + 1, NULL, 10);
+
+	check_page(world, page, action->value);
+	world->counts->pages++;
+	world->paged = MAX(world->paged, (page + 1) * PAGE_ENTRIES);
+}
+
 static int store_write(world_t *world, const ticket_action_t *action)
 {
 	GArray *revisions = revisions_of(world, action->key);
@@ -324,8 +222,10 @@
 		return ERR_STORE_CONDITION;
 	if (!strcmp(action->key, "config/head"))
 		check_head(world, action->value);
+	if (g_str_has_prefix(action->key, "config/log/"))
+		write_page(world, action);
 	if (g_str_has_prefix(action->key, "config/snapshot/")) {
-		world->compactions++;
+		world->counts->shards++;
 		g_assert_cmpuint(
 			json_dumpb(action->value, NULL, 0, JSON_COMPACT), <=,
 			SHARD_MAX_BYTES);
@@ -351,6 +251,10 @@
 		return;
 	}
 	found = &g_array_index(revisions, revision_t, index - 1);
+	if (g_str_has_prefix(action->key, "config/log/"))
+		world->counts->pages_read++;
+	if (!strcmp(action->key, "config/head") && world->paged > world->start)
+		world->counts->early_heads++;
 	event->version = found->version;
 	event->value = json_incref(found->value);
 }
@@ -367,28 +271,20 @@
 	return world->now_ms + 1 + rng_below(&world->rng, 20);
 }
 
-static void push_answer(world_t *world, const pending_t *of, int err,
-			uint64_t at_ms)
+static pending_t make_answer(const pending_t *of, int err, uint64_t at_ms)
 {
-	pending_t answer = { .at_ms = at_ms,
-			     .operator= of->operator,
-			     .run = of->run,
-			     .is_answer = true,
-			     .event = { .kind = TICKET_EVENT_ANSWER,
-					.id = of->action.id,
-					.err = err } };
-
-	push(world, answer);
+	return (pending_t){ .at_ms = at_ms,
+			    .operator= of->operator,
+			    .run = of->run,
+			    .is_answer = true,
+			    .event = { .kind = TICKET_EVENT_ANSWER,
+				       .id = of->action.id,
+				       .err = err } };
 }
 
 static void deliver(world_t *world, const pending_t *request)
 {
-	pending_t answer = { .at_ms = delay_ms(world),
-			     .operator= request->operator,
-			     .run = request->run,
-			     .is_answer = true,
-			     .event = { .kind = TICKET_EVENT_ANSWER,
-					.id = request->action.id } };
+	pending_t answer = make_answer(request, 0, delay_ms(world));
 
 	if (request->action.kind == TICKET_ACTION_GET)
 		store_read(world, &request->action, &answer.event);
@@ -415,12 +311,13 @@
 	int err = write ? ERR_STORE_UNKNOWN : ERR_STORE_DOWN;
 
 	if (happens(world, 4)) {
-		push_answer(world, &request, ERR_STORE_DOWN, request.at_ms);
+		push(world,
+		     make_answer(&request, ERR_STORE_DOWN, request.at_ms));
 		return;
 	}
 	if (happens(world, 8)) {
 		/* The answer is lost; the effect may come much later. */
-		push_answer(world, &request, err, request.at_ms);
+		push(world, make_answer(&request, err, request.at_ms));
 		request.at_ms += rng_below(&world->rng, 300);
 		request.lost = true;
 	} else if (happens(world, 3)) {
@@ -492,31 +389,50 @@
 	return CLAMP(number, 3, NUMBERS) - 2;
 }
 
-/** Starts a commit of the operator's number and sometimes a second one. */
-static void start_request(world_t *world, int operator)
+static void init_commit(world_t *world, int operator, uint64_t timeout_ms)
 {
 	operator_t *self = &world->operators[operator];
-	const ticket_event_t event = { .kind = TICKET_EVENT_START };
 	const ticket_commit_options_t options = {
 		.log_max = LOG_MAX,
 		.log_keep = 1 + (uint32_t)rng_below(&world->rng, LOG_KEEP),
+		.page_entries = PAGE_ENTRIES,
 		.shard_max_bytes = SHARD_MAX_BYTES,
 		.action_timeout_ms = ACTION_TIMEOUT_MS,
 		.seed = rng_next(&world->rng),
 	};
-	uint64_t second = random_number(world);
 
 	world->runs[operator]++;
 	self->running = true;
-	g_assert_cmpint(
-		ticket_commit_init(&self->commit, &options, &self->state, 1,
-				   world->now_ms + 20 +
-					   rng_below(&world->rng, 4000)),
-		==, 0);
+	g_assert_cmpint(ticket_commit_init(&self->commit, &options,
+					   &self->state, 1,
+					   world->now_ms + timeout_ms),
+			==, 0);
+}
+
+static void start_commit(world_t *world, int operator)
+{
+	const ticket_event_t event = { .kind = TICKET_EVENT_START };
+
+	step(world, operator, & event);
+}
+
+/** Starts a commit of the operator's number and sometimes a second one. */
+static void start_request(world_t *world, int operator)
+{
+	operator_t *self = &world->operators[operator];
+	uint64_t second = random_number(world);
+
+	init_commit(world, operator, 20 + rng_below(&world->rng, 4000));
 	add_ticket(self, operator, self->number);
 	if (second != self->number && rng_below(&world->rng, 3) == 0)
 		add_ticket(self, operator, second);
-	step(world, operator, & event);
+	start_commit(world, operator);
+}
+
+static void forget_state(operator_t *self)
+{
+	ticket_state_free(&self->state);
+	g_assert_cmpint(ticket_state_init(&self->state), ==, 0);
 }
 
 static claim_t check_result(world_t *world, const operator_t *self,
@@ -524,6 +440,7 @@
 {
 	const ticket_result_t *result = &item->result;
 	const char *digest = item->ticket.digest;
+	uint64_t log_position = self->commit.head.log_position;
 	bool accepted = false;
 
 	for (uint64_t i = 1; i <= world->position; i++) {
@@ -534,7 +451,10 @@
 			continue;
 		g_assert_false(accepted);
 		accepted = true;
-		if (!result->err && result->position)
+		/* A repeat is found as long as the log covers it. */
+		if (result->err == ERR_TICKET_STALE)
+			g_assert_cmpuint(i, <=, log_position);
+		if (!result->err && (result->position || i > log_position))
 			g_assert_cmpuint(result->position, ==, i);
 	}
 	switch (result->err) {
@@ -544,7 +464,7 @@
 	case ERR_STORE_UNKNOWN:
 		return CLAIM_UNKNOWN;
 	case ERR_TICKET_STALE:
-		world->refused++;
+		world->counts->refused++;
 		g_assert_cmpuint(json_integer_value(json_object_get(
 					 world->truth[world->position].numbers,
 					 result->problem.object)),
@@ -553,7 +473,7 @@
 		g_assert_false(accepted && self->first[item->ticket.number]);
 		return accepted ? CLAIM_ACCEPTED : CLAIM_REFUSED;
 	case ERR_TICKET_CONFLICT:
-		world->refused++;
+		world->counts->refused++;
 		g_assert_false(accepted);
 		return CLAIM_REFUSED;
 	case ERR_STORE_DOWN:
@@ -646,8 +566,7 @@
 		self->claims[self->commit.items[i].ticket.number] =
 			CLAIM_UNKNOWN;
 	ticket_commit_free(&self->commit);
-	ticket_state_free(&self->state);
-	g_assert_cmpint(ticket_state_init(&self->state), ==, 0);
+	forget_state(self);
 	start_request(world, operator);
 }
 
@@ -687,12 +606,13 @@
 	g_array_free(revisions, TRUE);
 }
 
-static world_t *make_world(uint64_t seed)
+static world_t *make_world(uint64_t seed, counts_t *counts)
 {
 	world_t *world = g_new0(world_t, 1);
 
 	rng_init(&world->rng, seed);
 	world->faults = true;
+	world->counts = counts;
 	world->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       free_revisions);
 	world->pendings = g_array_new(FALSE, FALSE, sizeof(pending_t));
@@ -717,27 +637,25 @@
 	g_free(world);
 }
 
+static void run_all(world_t *world)
+{
+	while (world->pendings->len)
+		run_pending(world);
+	for (int i = 0; i < OPERATORS; i++)
+		g_assert_false(world->operators[i].running);
+}
+
 /** Reads everything from an empty state and without faults. */
 static void check_reader(world_t *world)
 {
 	operator_t *self = &world->operators[0];
-	const ticket_event_t event = { .kind = TICKET_EVENT_START };
-	const ticket_commit_options_t options = { 0 };
 
 	world->faults = false;
-	world->runs[0]++;
-	ticket_state_free(&self->state);
-	g_assert_cmpint(ticket_state_init(&self->state), ==, 0);
 	self->requests = 0;
-	self->running = true;
-	g_assert_cmpint(ticket_commit_init(&self->commit, &options,
-					   &self->state, 1,
-					   world->now_ms + 60000),
-			==, 0);
-	step(world, 0, &event);
-	while (world->pendings->len)
-		run_pending(world);
-	g_assert_false(self->running);
+	forget_state(self);
+	init_commit(world, 0, 60000);
+	start_commit(world, 0);
+	run_all(world);
 	g_assert_cmpuint(self->state.position, ==, world->position);
 }
 
@@ -748,40 +666,35 @@
  */
 static void test_schedules(void)
 {
-	uint64_t positions = 0;
-	int refused = 0;
-	int compactions = 0;
+	counts_t counts = { 0 };
 
 	for (uint64_t seed = 1; seed <= SCHEDULES; seed++) {
-		world_t *world = make_world(seed);
+		world_t *world = make_world(seed, &counts);
 
 		g_test_message("seed %d", (int)seed);
 		for (int i = 0; i < OPERATORS; i++)
 			next_request(world, i);
-		while (world->pendings->len)
-			run_pending(world);
-		for (int i = 0; i < OPERATORS; i++)
-			g_assert_false(world->operators[i].running);
+		run_all(world);
 		check_reader(world);
-		positions += world->position;
-		refused += world->refused;
-		compactions += world->compactions;
+		counts.positions += (int)world->position;
 		free_world(world);
 	}
 	/* The schedules reach the cases they are meant for. */
-	g_test_message("%d positions, %d refused, %d shards", (int)positions,
-		       refused, compactions);
-	g_assert_cmpuint(positions, >, SCHEDULES * 8);
-	g_assert_cmpint(refused, >, SCHEDULES);
-	g_assert_cmpint(compactions, >, SCHEDULES);
+	g_test_message("%d positions, %d refused, %d shards, %d pages, "
+		       "%d pages read, %d heads read before their update",
+		       counts.positions, counts.refused, counts.shards,
+		       counts.pages, counts.pages_read, counts.early_heads);
+	g_assert_cmpint(counts.positions, >, SCHEDULES * 8);
+	g_assert_cmpint(counts.refused, >, SCHEDULES);
+	g_assert_cmpint(counts.shards, >, SCHEDULES);
+	g_assert_cmpint(counts.pages, >, SCHEDULES);
+	g_assert_cmpint(counts.pages_read, >, SCHEDULES);
+	g_assert_cmpint(counts.early_heads, >, SCHEDULES);
 }
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/ticket/form", test_form);
-	g_test_add_func("/ticket/decision", test_decision);
-	g_test_add_func("/ticket/snapshot", test_snapshot_shards);
 	g_test_add_func("/ticket/schedules", test_schedules);
 	return g_test_run();
 }
--- a/version/config_service.c
+++ b/version/config_service.c
@@ -550,7 +550,7 @@
 	pthread_cond_broadcast(&service->changed);
 }
 
-/** Removes the snapshot that a compaction has replaced. */
+/** Removes the snapshot and pages that a compaction has replaced. */
 static void sweep(config_service_t *service, const ticket_commit_t *commit)
 {
 	if (!ticket_commit_has_compacted(commit))
@@ -560,6 +560,7 @@
 	config_sweep_snapshot(service->options.client,
 			      commit->head.snapshot_position,
 			      commit->head.snapshot_shards);
+	config_sweep_log(service->options.client, &commit->next_head);
 }
 
 static void commit_batch(config_service_t *service, request_t *const *batch,
--- a/version/config_sweep.c
+++ b/version/config_sweep.c
@@ -1,7 +1,14 @@
 #include "version/config_sweep.h"
 
+#include <string.h>
+
 #include "version/ticket_commit.h"
 
+enum {
+	/** Twice the pages that one compaction drops, so that rests go too. */
+	SWEEP_PAGES_MAX = 32,
+};
+
 void config_sweep_snapshot(store_client_t *client, uint64_t position,
 			   uint32_t shards)
 {
@@ -18,3 +25,20 @@
 				    object.version);
 	}
 }
+
+void config_sweep_log(store_client_t *client, const ticket_head_t *head)
+{
+	CLEANUP_STORE_ITEMS store_items_t items = { 0 };
+	char first[TICKET_KEY_MAX_BYTES];
+
+	ticket_page_key(ticket_head_page(head, head->log_position + 1), first);
+	if (store_client_list(client, STORE_PURPOSE_STATUS, TICKET_PAGE_PREFIX,
+			      NULL, SWEEP_PAGES_MAX, &items))
+		return;
+	for (size_t i = 0; i < items.count; i++) {
+		if (strcmp(items.items[i].key, first) < 0)
+			store_client_delete(client, STORE_PURPOSE_STATUS,
+					    items.items[i].key,
+					    items.items[i].version);
+	}
+}
--- a/version/ticket.c
+++ b/version/ticket.c
@@ -274,9 +274,10 @@
 	return 0;
 }
 
-int ticket_head_init(ticket_head_t *head)
+int ticket_head_init(ticket_head_t *head, uint32_t page_entries)
 {
 	memset(head, 0, sizeof(*head));
+	head->page_entries = page_entries;
 	head->log = json_array();
 	return head->log ? 0 : ERR_NO_MEMORY;
 }
@@ -287,7 +288,7 @@
 	head->log = NULL;
 }
 
-/** Whether the log's positions are consecutive and end at the head's. */
+/** Whether the entries' positions are consecutive and end at `position`. */
 static bool is_log_valid(const json_t *log, uint64_t position)
 {
 	size_t count = json_array_size(log);
@@ -307,31 +308,66 @@
 	return true;
 }
 
+/** Whether the pages fill the room between log_position and the entries. */
+static bool are_pages_valid(const ticket_head_t *head, uint64_t start)
+{
+	return head->log_position <= head->snapshot_position &&
+	       head->snapshot_position <= head->position &&
+	       head->log_position <= start &&
+	       head->log_position % head->page_entries == 0 &&
+	       start % head->page_entries == 0;
+}
+
 int ticket_head_from_json(const json_t *value, ticket_head_t *head)
 {
 	json_t *log = json_object_get(value, "log");
 	uint64_t shards = 0;
+	uint64_t page_entries = 0;
 
 	memset(head, 0, sizeof(*head));
 	if (!read_position(value, "position", &head->position) ||
 	    !read_position(value, "snapshot_position",
 			   &head->snapshot_position) ||
 	    !read_position(value, "snapshot_shards", &shards) ||
-	    shards > SHARDS_MAX || !is_log_valid(log, head->position) ||
-	    head->snapshot_position > head->position ||
-	    head->snapshot_position + json_array_size(log) < head->position)
+	    !read_position(value, "log_position", &head->log_position) ||
+	    !read_position(value, "page_entries", &page_entries) ||
+	    shards > SHARDS_MAX || page_entries < 1 ||
+	    page_entries > TICKET_PAGE_ENTRIES_MAX ||
+	    !is_log_valid(log, head->position))
 		return ERR_BAD_FIELD;
 	head->snapshot_shards = (uint32_t)shards;
+	head->page_entries = (uint32_t)page_entries;
+	if (!are_pages_valid(head, head->position - json_array_size(log)))
+		return ERR_BAD_FIELD;
 	head->log = json_copy(log);
 	return head->log ? 0 : ERR_NO_MEMORY;
 }
 
+/** Copies `count` entries from `first`; NULL when out of memory. */
+static json_t *copy_entries(const json_t *log, size_t first, size_t count)
+{
+	json_t *part = json_array();
+
+	for (size_t i = first; i < first + count; i++) {
+		if (json_array_append(part, json_array_get(log, i))) {
+			json_decref(part);
+			return NULL;
+		}
+	}
+	return part;
+}
+
 json_t *ticket_head_to_json(const ticket_head_t *head)
 {
-	return json_pack("{s:I, s:I, s:I, s:O}", "position",
-			 (json_int_t)head->position, "snapshot_position",
-			 (json_int_t)head->snapshot_position, "snapshot_shards",
-			 (json_int_t)head->snapshot_shards, "log", head->log);
+	return json_pack(
+		"{s:I, s:I, s:I, s:I, s:I, s:o}", "position",
+		(json_int_t)head->position, "snapshot_position",
+		(json_int_t)head->snapshot_position, "snapshot_shards",
+		(json_int_t)head->snapshot_shards, "log_position",
+		(json_int_t)head->log_position, "page_entries",
+		(json_int_t)head->page_entries, "log",
+		copy_entries(head->log, head->paged,
+			     json_array_size(head->log) - head->paged));
 }
 
 int ticket_head_copy(const ticket_head_t *head, ticket_head_t *copy)
@@ -378,32 +414,121 @@
 	return 0;
 }
 
-bool ticket_head_is_full(const ticket_head_t *head, size_t log_max,
-			 size_t max_bytes)
+uint64_t ticket_head_start(const ticket_head_t *head)
+{
+	return head->position - json_array_size(head->log);
+}
+
+uint64_t ticket_head_page(const ticket_head_t *head, uint64_t position)
+{
+	return (position - 1) / head->page_entries;
+}
+
+/** Replaces entries by copies without keys; ERR_NO_MEMORY. */
+static int drop_keys(json_t *log, size_t first, size_t count)
+{
+	for (size_t i = first; i < first + count; i++) {
+		/* The head this one was copied from shares the entry. */
+		json_t *entry = json_copy(json_array_get(log, i));
+
+		json_object_del(entry, "keys");
+		if (!entry || json_array_set_new(log, i, entry))
+			return ERR_NO_MEMORY;
+	}
+	return 0;
+}
+
+json_t *ticket_head_full_page(const ticket_head_t *head, uint64_t accepted,
+			      uint64_t *number)
 {
-	return json_array_size(head->log) > log_max ||
-	       json_bytes(head->log) > max_bytes;
+	uint64_t start = ticket_head_start(head) + head->paged;
+	json_t *log;
+
+	if (start + head->page_entries > accepted)
+		return NULL;
+	*number = ticket_head_page(head, start + 1);
+	log = copy_entries(head->log, head->paged, head->page_entries);
+	/* Without keys, whose size has no useful bound, a page stays small. */
+	if (log && drop_keys(log, 0, head->page_entries)) {
+		json_decref(log);
+		return NULL;
+	}
+	return json_pack("{s:o}", "log", log);
+}
+
+void ticket_head_drop_page(ticket_head_t *head)
+{
+	head->paged += head->page_entries;
+}
+
+int ticket_head_add_page(ticket_head_t *head, const json_t *page)
+{
+	const json_t *log = json_object_get(page, "log");
+	json_t *all;
+
+	if (json_array_size(log) != head->page_entries ||
+	    !is_log_valid(log, ticket_head_start(head)))
+		return ERR_BAD_FIELD;
+	all = json_copy((json_t *)log);
+	if (!all || json_array_extend(all, head->log)) {
+		json_decref(all);
+		return ERR_NO_MEMORY;
+	}
+	json_decref(head->log);
+	head->log = all;
+	head->paged += head->page_entries;
+	return 0;
+}
+
+int ticket_head_trim(ticket_head_t *head, uint64_t accepted, size_t max_bytes)
+{
+	uint64_t start = ticket_head_start(head) + head->paged;
+	CLEANUP_JSON json_t *value = ticket_head_to_json(head);
+
+	if (!value)
+		return ERR_NO_MEMORY;
+	if (json_bytes(value) <= max_bytes || accepted <= start)
+		return 0;
+	return drop_keys(head->log, head->paged, (size_t)(accepted - start));
+}
+
+bool ticket_head_is_full(const ticket_head_t *head, size_t log_max)
+{
+	return head->position - head->log_position > log_max;
 }
 
 void ticket_head_compact(ticket_head_t *head, uint64_t snapshot_position,
-			 uint32_t shards, size_t keep, size_t max_bytes)
+			 uint32_t shards, size_t keep)
 {
-	size_t bytes = json_bytes(head->log);
+	uint64_t start = ticket_head_start(head);
+	uint64_t end = head->position > keep ? head->position - keep : 0;
 
 	head->snapshot_position = snapshot_position;
 	head->snapshot_shards = shards;
-	while (json_array_size(head->log) > keep || bytes > max_bytes / 2) {
-		size_t count = json_array_size(head->log);
+	/* Entries after the snapshot stay in any case. */
+	if (end > snapshot_position)
+		end = snapshot_position;
+	end -= end % head->page_entries;
+	if (end > head->log_position)
+		head->log_position = end;
+	if (head->log_position > start + head->paged)
+		head->paged = (size_t)(head->log_position - start);
+}
 
-		/* Entries after the snapshot stay in any case. */
-		if (head->position - count >= snapshot_position)
-			break;
-		bytes -= json_bytes(json_array_get(head->log, 0)) + 1;
-		json_array_remove(head->log, 0);
+bool ticket_is_passed(const ticket_state_t *state, const ticket_t *ticket)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach (ticket->objects, key, value) {
+		if ((uint64_t)json_integer_value(json_object_get(
+			    state->numbers, key)) >= ticket->number)
+			return true;
 	}
+	return false;
 }
 
-static const json_t *find_number(const ticket_head_t *head, uint64_t number)
+const json_t *ticket_head_find(const ticket_head_t *head, uint64_t number)
 {
 	const json_t *entry;
 	size_t i;
@@ -437,7 +562,7 @@
 bool ticket_decide(const ticket_head_t *head, const ticket_state_t *state,
 		   const ticket_t *ticket, ticket_result_t *result)
 {
-	const json_t *entry = find_number(head, ticket->number);
+	const json_t *entry = ticket_head_find(head, ticket->number);
 	const char *key;
 	json_t *value;
 
--- a/version/ticket.h
+++ b/version/ticket.h
@@ -26,8 +26,12 @@
 	/** Largest state of one object as compact JSON, bytes. */
 	TICKET_OBJECT_MAX_BYTES = 65536,
 	TICKET_AUTHOR_MAX_BYTES = 64,
-	/** Most entries of the log in the head. */
+	/** Most entries of the log, in pages and in the head. */
 	TICKET_LOG_MAX = 512,
+	/** Entries of a page of the log; bounds what a change costs to read. */
+	TICKET_PAGE_ENTRIES = 16,
+	/** Largest number of entries of a page that a head may name. */
+	TICKET_PAGE_ENTRIES_MAX = 256,
 };
 
 /** A ticket with valid form; its objects are not validated yet. */
@@ -64,12 +68,23 @@
 	json_t *numbers;
 } ticket_state_t;
 
-/** The parsed `config/head`. */
+/**
+ * The parsed `config/head`, and entries that were added from pages.
+ *
+ * The log covers the positions above `log_position`. The latest entries are in
+ * the head; page n holds the positions n * page_entries + 1 to
+ * (n + 1) * page_entries. A page holds accepted entries only, so all writers
+ * of a page write the same value.
+ */
 typedef struct ticket_head {
 	uint64_t position;
 	uint64_t snapshot_position;
 	uint32_t snapshot_shards;
+	uint64_t log_position; /**< A multiple of `page_entries`. */
+	uint32_t page_entries;
 	json_t *log; /**< Array of entries with consecutive positions. */
+	/** Entries at the start of `log` that the written head leaves out. */
+	size_t paged;
 } ticket_head_t;
 
 /**
@@ -108,7 +123,7 @@
 int ticket_state_from_json(const json_t *snapshot, ticket_state_t *state);
 
 /** Empty head at position 0; ERR_NO_MEMORY. */
-int ticket_head_init(ticket_head_t *head);
+int ticket_head_init(ticket_head_t *head, uint32_t page_entries);
 /** Reads a head; ERR_BAD_FIELD, ERR_NO_MEMORY. */
 int ticket_head_from_json(const json_t *value, ticket_head_t *head);
 json_t *ticket_head_to_json(const ticket_head_t *head);
@@ -118,6 +133,9 @@
 /** Entry of the log at a position; NULL if the log does not hold it. */
 const json_t *ticket_head_entry(const ticket_head_t *head, uint64_t position);
 
+/** Entry of a ticket; NULL if the entries held do not have it. */
+const json_t *ticket_head_find(const ticket_head_t *head, uint64_t number);
+
 /**
  * Appends an accepted ticket at the next position.
  * @param at_unix_ms time of day of the acceptance
@@ -125,16 +143,52 @@
 int ticket_head_append(ticket_head_t *head, const ticket_t *ticket,
 		       uint64_t at_unix_ms);
 
-/** Whether the head needs compaction before it is written. */
-bool ticket_head_is_full(const ticket_head_t *head, size_t log_max,
-			 size_t max_bytes);
+/** Position before the first entry that is held in memory. */
+uint64_t ticket_head_start(const ticket_head_t *head);
+
+/** Number of the page that holds a position above 0. */
+uint64_t ticket_head_page(const ticket_head_t *head, uint64_t position);
 
 /**
- * Makes the head name a snapshot and drops entries that it covers, down to
- * `keep` entries and half of `max_bytes`.
+ * Makes the value of the next page.
+ * @param accepted position up to which the entries are accepted
+ * @param number receives the number of the page
+ * @return NULL if no page is full or when out of memory
+ */
+json_t *ticket_head_full_page(const ticket_head_t *head, uint64_t accepted,
+			      uint64_t *number);
+
+/** Leaves out the entries of the next page, which has been written. */
+void ticket_head_drop_page(ticket_head_t *head);
+
+/**
+ * Adds the page that ends at ticket_head_start().
+ * @return 0, ERR_NO_MEMORY, or ERR_BAD_FIELD if it is another page
+ */
+int ticket_head_add_page(ticket_head_t *head, const json_t *page);
+
+/**
+ * Drops the keys of accepted entries if the head is larger than `max_bytes`;
+ * `ticket/<N>` has them.
+ * @return 0 or ERR_NO_MEMORY
+ */
+int ticket_head_trim(ticket_head_t *head, uint64_t accepted, size_t max_bytes);
+
+/** Whether the log needs compaction before the head is written. */
+bool ticket_head_is_full(const ticket_head_t *head, size_t log_max);
+
+/**
+ * Makes the head name a snapshot and drops whole pages that it covers, down
+ * to `keep` entries.
  */
 void ticket_head_compact(ticket_head_t *head, uint64_t snapshot_position,
-			 uint32_t shards, size_t keep, size_t max_bytes);
+			 uint32_t shards, size_t keep);
+
+/**
+ * Whether an accepted ticket touches an object with this number or a higher
+ * one. If not, this ticket has not been accepted.
+ */
+bool ticket_is_passed(const ticket_state_t *state, const ticket_t *ticket);
 
 /**
  * Decides about a ticket by its number.
--- a/version/ticket_commit.c
+++ b/version/ticket_commit.c
@@ -5,14 +5,13 @@
 #include <string.h>
 
 #include "process/error.h"
+#include "version/ticket_batch.h"
 
 enum {
 	LOG_KEEP = 256,
-	/** A full head stays below the store's limit of 1 MB. */
-	LOG_MAX_BYTES = 400000,
+	/** With one more update the head stays below the store's 1 MB. */
+	HEAD_MAX_BYTES = 200000,
 	SHARD_MAX_BYTES = 700000,
-	/** One head update takes no further tickets above this size. */
-	BATCH_BYTES = 100000,
 	RETRY_MS = 50,
 	RETRY_MAX_MS = 2000,
 	ACTION_TIMEOUT_MS = 10000,
@@ -43,7 +42,8 @@
 	default_u32(&own->log_keep, LOG_KEEP);
 	default_u32(&own->retry_ms, RETRY_MS);
 	default_u32(&own->action_timeout_ms, ACTION_TIMEOUT_MS);
-	default_size(&own->log_max_bytes, LOG_MAX_BYTES);
+	default_u32(&own->page_entries, TICKET_PAGE_ENTRIES);
+	default_size(&own->head_max_bytes, HEAD_MAX_BYTES);
 	default_size(&own->shard_max_bytes, SHARD_MAX_BYTES);
 	rng_init(&commit->rng, own->seed);
 	commit->applied = json_array();
@@ -210,6 +210,32 @@
 		action->key);
 }
 
+void ticket_page_key(uint64_t page, char key[TICKET_KEY_MAX_BYTES])
+{
+	/* Lists of keys have the oldest pages first. */
+	snprintf(key, TICKET_KEY_MAX_BYTES, TICKET_PAGE_PREFIX "%016" PRIu64,
+		 page);
+}
+
+/** Reads the page before the entries that are held. */
+static void give_log(ticket_commit_t *commit, uint64_t now_ms,
+		     ticket_action_t *action)
+{
+	give_action(commit, TICKET_ACTION_GET, now_ms, action);
+	ticket_page_key(ticket_head_page(&commit->head,
+					 ticket_head_start(&commit->head)),
+			action->key);
+}
+
+/** Writes the page in `value`; its number is `index`. */
+static void give_page(ticket_commit_t *commit, uint64_t now_ms,
+		      ticket_action_t *action)
+{
+	give_action(commit, TICKET_ACTION_CREATE, now_ms, action);
+	ticket_page_key(commit->index, action->key);
+	action->value = commit->value;
+}
+
 void ticket_shard_key(uint64_t position, size_t shard,
 		      char key[TICKET_KEY_MAX_BYTES])
 {
@@ -265,12 +291,18 @@
 		give_action(commit, TICKET_ACTION_GET, now_ms, action);
 		snprintf(action->key, sizeof(action->key), "config/head");
 		return;
+	case TICKET_PHASE_LOG:
+		give_log(commit, now_ms, action);
+		return;
 	case TICKET_PHASE_CATCH_UP:
 		give_catch_up(commit, now_ms, action);
 		return;
 	case TICKET_PHASE_SNAPSHOT:
 		give_snapshot(commit, now_ms, action);
 		return;
+	case TICKET_PHASE_PAGE:
+		give_page(commit, now_ms, action);
+		return;
 	case TICKET_PHASE_COMPACT:
 		give_compact(commit, now_ms, action);
 		return;
@@ -313,6 +345,8 @@
 	switch (event->err) {
 	case 0:
 		item->written = true;
+		/* No one can accept a ticket before its content exists. */
+		item->since = commit->state.position;
 		break;
 	case ERR_STORE_CONDITION:
 	case ERR_STORE_UNKNOWN:
@@ -362,115 +396,6 @@
 	next_content(commit, now_ms, action);
 }
 
-/** Corrects a decision about a ticket whose update may have been lost. */
-static void resolve_lost_update(const ticket_commit_t *commit,
-				ticket_item_t *item)
-{
-	ticket_result_t *result = &item->result;
-
-	if (!item->maybe)
-		return;
-	if (!result->err) {
-		/* It is this request that was accepted. */
-		result->repeated = false;
-		return;
-	}
-	/* The log must cover everything since the lost update. */
-	if (commit->head.position != item->maybe_position &&
-	    !ticket_head_entry(&commit->head, item->maybe_position + 1))
-		result->err = ERR_STORE_UNKNOWN;
-}
-
-/**
- * Decides about one ticket on top of those accepted before it.
- * @return 0 or ERR_NO_MEMORY
- */
-static int decide_item(ticket_commit_t *commit, ticket_item_t *item)
-{
-	ticket_state_t trial = { 0 };
-	config_t *config = NULL;
-	int err;
-
-	if (!ticket_decide(&commit->next_head, &commit->next, &item->ticket,
-			   &item->result)) {
-		resolve_lost_update(commit, item);
-		return 0;
-	}
-	/* The head moved on without the ticket: the update has failed. */
-	if (commit->head.position > item->maybe_position)
-		item->maybe = false;
-	err = ticket_state_copy(&commit->next, &trial);
-	if (!err)
-		err = ticket_state_apply(&trial, trial.position + 1,
-					 item->ticket.content);
-	if (!err)
-		err = config_build(trial.position, trial.objects, &config,
-				   &item->result.problem);
-	config_release(config);
-	if (err) {
-		ticket_state_free(&trial);
-		item->result.err = err;
-		return err == ERR_TICKET_INVALID ? 0 : err;
-	}
-	ticket_state_free(&commit->next);
-	commit->next = trial;
-	item->result.position = trial.position;
-	return ticket_head_append(&commit->next_head, &item->ticket,
-				  commit->at_unix_ms);
-}
-
-/** Item with the lowest number above `number` that has no final result. */
-static ticket_item_t *next_undecided(ticket_commit_t *commit,
-				     const ticket_item_t *last)
-{
-	ticket_item_t *best = NULL;
-
-	for (size_t i = 0; i < commit->count; i++) {
-		ticket_item_t *item = &commit->items[i];
-
-		if (item->final || item == last)
-			continue;
-		if (last && (item->ticket.number < last->ticket.number ||
-			     (item->ticket.number == last->ticket.number &&
-			      item < last)))
-			continue;
-		if (!best || item->ticket.number < best->ticket.number)
-			best = item;
-	}
-	return best;
-}
-
-/** Size of the entries that the next head adds, bytes. */
-static size_t new_bytes(const ticket_commit_t *commit)
-{
-	uint64_t position = commit->head.position;
-	size_t bytes = 0;
-
-	while (position++ < commit->next_head.position)
-		bytes += json_dumpb(
-			ticket_head_entry(&commit->next_head, position), NULL,
-			0, JSON_COMPACT);
-	return bytes;
-}
-
-static int decide_all(ticket_commit_t *commit)
-{
-	ticket_item_t *item = NULL;
-	int err;
-
-	free_next(commit);
-	err = ticket_state_copy(&commit->state, &commit->next);
-	if (!err)
-		err = ticket_head_copy(&commit->head, &commit->next_head);
-	/* In order of numbers, so that none in the batch makes another stale */
-	while (!err && (item = next_undecided(commit, item))) {
-		item->deferred = new_bytes(commit) > BATCH_BYTES;
-		if (!item->deferred)
-			err = decide_item(commit, item);
-	}
-	return err;
-}
-
 static void make_final(ticket_commit_t *commit)
 {
 	for (size_t i = 0; i < commit->count; i++) {
@@ -483,9 +408,22 @@
 		      ticket_action_t *action)
 {
 	const ticket_commit_options_t *options = &commit->options;
+	uint64_t page = 0;
 
-	if (!ticket_head_is_full(&commit->next_head, options->log_max,
-				 options->log_max_bytes)) {
+	free_value(&commit->value);
+	commit->value = ticket_head_full_page(&commit->next_head,
+					      commit->head.position, &page);
+	if (commit->value) {
+		commit->index = page;
+		enter(commit, TICKET_PHASE_PAGE, now_ms, action);
+		return;
+	}
+	if (ticket_head_trim(&commit->next_head, commit->head.position,
+			     options->head_max_bytes)) {
+		finish(commit, ERR_NO_MEMORY, action);
+		return;
+	}
+	if (!ticket_head_is_full(&commit->next_head, options->log_max)) {
 		enter(commit, TICKET_PHASE_PUT, now_ms, action);
 		return;
 	}
@@ -499,12 +437,30 @@
 	enter(commit, TICKET_PHASE_COMPACT, now_ms, action);
 }
 
+static void on_page(ticket_commit_t *commit, const ticket_event_t *event,
+		    uint64_t now_ms, ticket_action_t *action)
+{
+	/* An existing page was written by a racing writer; it is equal. */
+	if (event->err && event->err != ERR_STORE_CONDITION) {
+		wait_and_retry(commit, now_ms, action);
+		return;
+	}
+	ticket_head_drop_page(&commit->next_head);
+	start_put(commit, now_ms, action);
+}
+
 /** The state is at the head: decides and starts the update. */
 static void decide(ticket_commit_t *commit, uint64_t now_ms,
 		   ticket_action_t *action)
 {
-	int err = decide_all(commit);
+	int err;
 
+	if (ticket_batch_needs_page(commit)) {
+		enter(commit, TICKET_PHASE_LOG, now_ms, action);
+		return;
+	}
+	free_next(commit);
+	err = ticket_batch_decide(commit);
 	if (err) {
 		finish(commit, err, action);
 		return;
@@ -528,6 +484,10 @@
 		enter(commit, TICKET_PHASE_CATCH_UP, now_ms, action);
 		return;
 	}
+	if (commit->state.position >= commit->head.log_position) {
+		enter(commit, TICKET_PHASE_LOG, now_ms, action);
+		return;
+	}
 	free_next(commit);
 	if (ticket_state_init(&commit->next)) {
 		finish(commit, ERR_NO_MEMORY, action);
@@ -542,7 +502,8 @@
 	ticket_head_free(&commit->head);
 	commit->head_version = 0;
 	if (event->err == ERR_NOT_FOUND)
-		return ticket_head_init(&commit->head);
+		return ticket_head_init(&commit->head,
+					commit->options.page_entries);
 	commit->head_version = event->version;
 	return ticket_head_from_json(event->value, &commit->head);
 }
@@ -569,6 +530,24 @@
 	catch_up(commit, now_ms, action);
 }
 
+static void on_log(ticket_commit_t *commit, const ticket_event_t *event,
+		   uint64_t now_ms, ticket_action_t *action)
+{
+	if (event->err) {
+		/* A compaction may have removed the page. */
+		if (event->err == ERR_NOT_FOUND)
+			commit->phase = TICKET_PHASE_HEAD;
+		wait_and_retry(commit, now_ms, action);
+		return;
+	}
+	if (ticket_head_add_page(&commit->head, event->value)) {
+		finish(commit, ERR_INTERNAL, action);
+		return;
+	}
+	commit->attempts = 0;
+	catch_up(commit, now_ms, action);
+}
+
 /** Best effort: a missing row only makes peers read a snapshot. */
 static void note_applied(ticket_commit_t *commit, uint64_t position,
 			 json_t *content)
@@ -643,7 +622,7 @@
 	}
 	ticket_head_compact(&commit->next_head, commit->state.position,
 			    (uint32_t)json_array_size(commit->shards),
-			    options->log_keep, options->log_max_bytes);
+			    options->log_keep);
 	enter(commit, TICKET_PHASE_PUT, now_ms, action);
 }
 
@@ -722,12 +701,18 @@
 	case TICKET_PHASE_HEAD:
 		on_head(commit, event, now_ms, action);
 		return;
+	case TICKET_PHASE_LOG:
+		on_log(commit, event, now_ms, action);
+		return;
 	case TICKET_PHASE_CATCH_UP:
 		on_catch_up(commit, event, now_ms, action);
 		return;
 	case TICKET_PHASE_SNAPSHOT:
 		on_snapshot(commit, event, now_ms, action);
 		return;
+	case TICKET_PHASE_PAGE:
+		on_page(commit, event, now_ms, action);
+		return;
 	case TICKET_PHASE_COMPACT:
 		on_compact(commit, event, now_ms, action);
 		return;
--- a/version/ticket_commit.h
+++ b/version/ticket_commit.h
@@ -8,9 +8,13 @@
  * answers to other than the current action are ignored.
  *
  * The steps are: write each content as `ticket/<N>`; read `config/head`; read
- * the tickets (or snapshot shards) between the state and the head; decide;
- * write snapshot shards if the log is full; update the head under its version.
- * After a failed condition or a lost answer it goes on with reading the head.
+ * the pages, tickets (or snapshot shards) between the state and the head;
+ * decide; write full pages of the log, and snapshot shards if the log is full;
+ * update the head under its version. After a failed condition or a lost answer
+ * it goes on with reading the head.
+ *
+ * A deciding commit reads older pages only for a ticket that an accepted one
+ * has passed and that may have been accepted itself.
  *
  * State: one ticket_commit_t of about 64 KB, two ticket_state_t, and the
  * tickets of the batch.
@@ -26,6 +30,8 @@
 #include "process/rng.h"
 #include "version/ticket.h"
 
+#define TICKET_PAGE_PREFIX "config/log/"
+
 enum {
 	/** Most tickets that share a head update. */
 	TICKET_BATCH_MAX = 64,
@@ -67,7 +73,8 @@
 typedef struct ticket_commit_options {
 	uint32_t log_max;	/**< Entries; 0 for TICKET_LOG_MAX. */
 	uint32_t log_keep;	/**< Entries kept by compaction. */
-	size_t log_max_bytes;	/**< 0 for the default. */
+	uint32_t page_entries;	/**< Of a new head; 0: TICKET_PAGE_ENTRIES. */
+	size_t head_max_bytes;	/**< 0 for the default. */
 	size_t shard_max_bytes; /**< 0 for the default. */
 	uint32_t retry_ms;	/**< Longest first delay; 0: default. */
 	uint32_t action_timeout_ms;
@@ -78,8 +85,10 @@
 	TICKET_PHASE_CONTENT,
 	TICKET_PHASE_COMPARE,
 	TICKET_PHASE_HEAD,
+	TICKET_PHASE_LOG,
 	TICKET_PHASE_CATCH_UP,
 	TICKET_PHASE_SNAPSHOT,
+	TICKET_PHASE_PAGE,
 	TICKET_PHASE_COMPACT,
 	TICKET_PHASE_PUT,
 	TICKET_PHASE_DONE,
@@ -92,6 +101,8 @@
 	bool written; /**< `ticket/<N>` has its content. */
 	bool final;
 	bool deferred; /**< Left to the next head update. */
+	/** It was not accepted at this position or before. */
+	uint64_t since;
 	/** Position of the head that a lost update may have replaced. */
 	uint64_t maybe_position;
 	bool maybe;
@@ -156,6 +167,9 @@
 /** Whether a finished commit wrote a head that names a new snapshot. */
 bool ticket_commit_has_compacted(const ticket_commit_t *commit);
 
+/** Key of a page of the log. */
+void ticket_page_key(uint64_t page, char key[TICKET_KEY_MAX_BYTES]);
+
 /** Key of a snapshot shard. */
 void ticket_shard_key(uint64_t position, size_t shard,
 		      char key[TICKET_KEY_MAX_BYTES]);
