version: read the head once for a change that the watch reports

A watcher listed config/head for its position and then read it again to catch up. It now catches up directly after the watch reports a change.

--- a/version/config_service.c
+++ b/version/config_service.c
@@ -414,6 +414,15 @@
 	note(service, &event);
 }
 
+static void note_adopted(config_service_t *service, uint64_t position)
+{
+	const config_sync_event_t event = { .kind = CONFIG_SYNC_ADOPTED,
+					    .adopted = { position } };
+
+	if (position)
+		note(service, &event);
+}
+
 /** What the watch knows of the head. */
 typedef struct head_watch {
 	uint64_t revision; /**< 0: the head has to be read. */
@@ -446,10 +455,16 @@
 		service->options.client, STORE_PURPOSE_CONFIG, "config/head",
 		watch->revision, service->options.watch_timeout_ms, &changes);
 
-	if (err == ERR_STORE_GONE || (!err && changes.count)) {
+	if (err == ERR_STORE_GONE) {
 		watch->revision = 0;
 		return 0;
 	}
+	if (!err && changes.count) {
+		/* One read of the head, after the change, misses none. */
+		err = fetch_store(service);
+		watch->position = position_of(service);
+		note_adopted(service, watch->position);
+	}
 	if (err)
 		return err;
 	watch->revision = changes.revision;
@@ -557,17 +572,14 @@
 		return;
 	event_log(EVENT_CONFIG_COMPACTED, "snapshot_position=%" PRIu64,
 		  commit->next_head.snapshot_position);
-	config_sweep_snapshot(service->options.client,
-			      commit->head.snapshot_position,
-			      commit->head.snapshot_shards);
-	config_sweep_log(service->options.client, &commit->next_head);
+	config_sweep(service->options.client, &commit->head,
+		     &commit->next_head);
 }
 
 static void commit_batch(config_service_t *service, request_t *const *batch,
 			 size_t count)
 {
 	CLEANUP_FREE ticket_commit_t *commit = calloc(1, sizeof(*commit));
-	config_sync_event_t event = { .kind = CONFIG_SYNC_ADOPTED };
 	size_t index;
 	int err;
 
@@ -581,9 +593,7 @@
 	if (!err) {
 		run_commit(service, commit);
 		adopt(service, &commit->state, commit->applied);
-		event.adopted.position = position_of(service);
-		if (event.adopted.position)
-			note(service, &event);
+		note_adopted(service, position_of(service));
 	}
 	end_requests(service, batch, count, commit, err);
 	sweep(service, commit);
--- a/version/config_sweep.c
+++ b/version/config_sweep.c
@@ -9,7 +9,7 @@
 	SWEEP_PAGES_MAX = 32,
 };
 
-void config_sweep_snapshot(store_client_t *client, uint64_t position,
+static void sweep_snapshot(store_client_t *client, uint64_t position,
 			   uint32_t shards)
 {
 	for (uint32_t i = 0; i < shards; i++) {
@@ -26,7 +26,7 @@
 	}
 }
 
-void config_sweep_log(store_client_t *client, const ticket_head_t *head)
+static void sweep_log(store_client_t *client, const ticket_head_t *head)
 {
 	CLEANUP_STORE_ITEMS store_items_t items = { 0 };
 	char first[TICKET_KEY_MAX_BYTES];
@@ -42,3 +42,11 @@
 					    items.items[i].version);
 	}
 }
+
+void config_sweep(store_client_t *client, const ticket_head_t *old_head,
+		  const ticket_head_t *head)
+{
+	sweep_snapshot(client, old_head->snapshot_position,
+		       old_head->snapshot_shards);
+	sweep_log(client, head);
+}
