--- a/t/test-config-service.c
+++ b/t/test-config-service.c
@@ -97,34 +97,35 @@
 	return answer(connection, 200, object->version, object->text);
 }
 
-/** Lists the objects with the prefix asked for, in no order and one page. */
+/** Lists the objects with the prefix, in any order. */
 static int handle_list(struct mg_connection *connection)
 {
 	const char *query = mg_get_request_info(connection)->query_string;
-	g_autofree char *asked =
-		g_uri_unescape_string(strstr(query, "prefix=") + 7, NULL);
-	g_autofree char *prefix = g_strndup(asked, strcspn(asked, "&"));
-	g_autoptr(GString) text = g_string_new(NULL);
-	GHashTableIter iter;
+	g_autoptr(GString) items = g_string_new(NULL);
+	g_autofree char *text = NULL;
+	GHashTableIter iterator;
 	gpointer key;
-	gpointer value;
+	gpointer object;
+	char prefix[64];
 
-	g_string_printf(text, "{\"revision\":%d,\"more\":false,\"items\":[",
-			(int)store.revision);
-	g_hash_table_iter_init(&iter, store.objects);
-	for (bool first = true; g_hash_table_iter_next(&iter, &key, &value);) {
-		const object_t *object = value;
+	g_assert_cmpint(mg_get_var(query, strlen(query), "prefix", prefix,
+				   sizeof(prefix)),
+			>, 0);
+	g_hash_table_iter_init(&iterator, store.objects);
+	while (g_hash_table_iter_next(&iterator, &key, &object)) {
+		const object_t *found = object;
 
 		if (!g_str_has_prefix(key, prefix))
 			continue;
 		g_string_append_printf(
-			text, "%s{\"key\":\"%s\",\"version\":%d,\"value\":%s}",
-			first ? "" : ",", (char *)key, (int)object->version,
-			object->text);
-		first = false;
+			items, "%s{\"key\":\"%s\",\"version\":%d,\"value\":%s}",
+			items->len ? "," : "", (char *)key, (int)found->version,
+			found->text);
 	}
-	g_string_append(text, "]}");
-	return answer(connection, 200, 0, text->str);
+	text = g_strdup_printf(
+		"{\"revision\":%d,\"more\":false,\"items\":[%s]}",
+		(int)store.revision, items->str);
+	return answer(connection, 200, 0, text);
 }
 
 static int handle_watch(struct mg_connection *connection)
@@ -241,7 +242,9 @@
 		.fetch_peer = fetch_peer,
 		.fetch_user = user,
 		.seed = g_str_hash(name),
-		.commit = { .log_max = log_max, .log_keep = log_max / 2 },
+		.commit = { .log_max = log_max,
+			    .log_keep = log_max / 2,
+			    .page_entries = log_max / 4 },
 		.watch_timeout_ms = 500,
 	};
 
@@ -409,8 +412,9 @@
 		g_assert_cmpint(apply(&first, 100 + i, "model/n", &result), ==,
 				0);
 	WAIT_FOR(is_at(&first, 20));
-	/* Replaced snapshots must not pile up in the store. */
+	/* Replaced snapshots and pages must not pile up in the store. */
 	WAIT_FOR(count_keys("config/snapshot/") == 1);
+	WAIT_FOR(count_keys("config/log/") == 3);
 	set_down(true);
 	second = start_instance("b", store.url, fetch_from_instance, &first,
 				NULL);
