fleet: put off starts at busy engines and release one at a time

On real processes normal and deferrable requests for a hot prefix queued at its engine, and one low reading released a whole queue. A retry and an explanation also counted as demand. The stand-in engine reported whole prompts as queued tokens, while process/endpoint takes them as tokens still to compute, so waits came out up to six times too long.

Change: fleet_choose() takes the started request and may put its start off; due starts stop at the first one until its engine is chosen and the pool is read again. The relay marks every choice after the first as `again`. The stand-in reports uncached tokens, and endpoint.h says so.

--- a/process/endpoint.h
+++ b/process/endpoint.h
@@ -45,6 +45,7 @@
 	uint32_t age_ms; /**< Age of the figures when they were answered. */
 	uint32_t running;
 	uint32_t queued;
+	/** Prompt tokens still to compute: without those it has cached. */
 	uint64_t queued_tokens;
 	uint32_t kv_used_blocks;
 	uint32_t kv_total_blocks;
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -289,30 +289,35 @@
 	pthread_cond_signal(&request->changed);
 }
 
+/**
+ * Carries out what is due, up to the first start: the load that it adds is
+ * known once its engine is chosen, and until then the waits are too low.
+ */
 static void apply_due(fleet_t *fleet, uint64_t now_ms)
 {
 	admission_action_t action;
 
-	while (admission_next(&fleet->admission, now_ms, &action))
+	while (admission_next(&fleet->admission, now_ms, &action)) {
 		apply(fleet, &action);
+		if (action.kind == ADMISSION_START)
+			break;
+	}
 }
 
-static void update_pools(fleet_t *fleet, uint64_t now_ms)
+static void update_pool(fleet_t *fleet, int number, uint64_t now_ms)
 {
-	for (size_t i = 0; i < fleet->pool_count; i++) {
-		fleet_pool_t *pool = &fleet->pools[i];
-		uint32_t wait_ms;
+	const fleet_pool_t *pool = &fleet->pools[number];
+	uint32_t wait_ms;
 
-		if (!pool->routing)
-			continue;
-		wait_ms = routing_pool_wait_ms(pool->routing, pool->endpoints,
-					       pool->count, now_ms);
-		/* A pool without a usable engine is answered at once by the
-		 * choice, so nothing is held back for it. */
-		admission_set_pool(&fleet->admission, (uint32_t)i,
-				   wait_ms == UINT32_MAX ? 0 : wait_ms,
-				   pool->streams_max);
-	}
+	if (!pool->routing)
+		return;
+	wait_ms = routing_pool_wait_ms(pool->routing, pool->endpoints,
+				       pool->count, now_ms);
+	/* A pool without a usable engine is answered at once by the choice, so
+	 * nothing is held back for it. */
+	admission_set_pool(&fleet->admission, (uint32_t)number,
+			   wait_ms == UINT32_MAX ? 0 : wait_ms,
+			   pool->streams_max);
 }
 
 void fleet_submit(fleet_t *fleet, fleet_request_t *request, uint64_t now_ms)
@@ -427,8 +432,22 @@
 	return 0;
 }
 
+static bool put_off(fleet_t *fleet, fleet_request_t *start,
+		    const fleet_choice_t *choice, uint64_t now_ms)
+{
+	const routing_explanation_t *why = &choice->explanation;
+	uint32_t wait_ms = why->candidates[why->chosen].wait_ms;
+
+	if (!admission_put_off(&fleet->admission, start->admission.id, wait_ms,
+			       now_ms))
+		return false;
+	start->state = FLEET_WAITING;
+	return true;
+}
+
 int fleet_choose(fleet_t *fleet, int pool, const routing_request_t *request,
-		 uint64_t now_ms, fleet_choice_t *choice)
+		 fleet_request_t *start, uint64_t now_ms,
+		 fleet_choice_t *choice)
 {
 	fleet_endpoint_t *endpoint;
 	int err;
@@ -437,26 +456,27 @@
 	err = choose(fleet, pool, request, now_ms, choice);
 	if (err < 0)
 		return err;
+	if (start && put_off(fleet, start, choice, now_ms)) {
+		apply_due(fleet, now_ms);
+		return FLEET_PUT_OFF;
+	}
 	endpoint = fleet->slots[choice->slot];
 	endpoint->references++;
 	endpoint->used_ms = now_ms;
 	routing_sent(fleet->pools[pool].routing, &endpoint->state, request,
 		     &choice->explanation, now_ms);
+	update_pool(fleet, pool, now_ms);
+	apply_due(fleet, now_ms);
 	return 0;
 }
 
 int fleet_explain(fleet_t *fleet, int pool, const routing_request_t *request,
 		  uint64_t now_ms, fleet_choice_t *choice)
 {
-	static const uint64_t nobody;
 	routing_request_t asked = *request;
 	SCOPED_LOCK(lock, &fleet->lock);
 
-	/* A choice with an excluded endpoint counts no demand. */
-	if (!asked.excluded_count) {
-		asked.excluded = &nobody;
-		asked.excluded_count = 1;
-	}
+	asked.again = true; /* Counts no demand. */
 	return choose(fleet, pool, &asked, now_ms, choice);
 }
 
@@ -639,7 +659,8 @@
 	uint32_t timer_ms;
 	SCOPED_LOCK(lock, &fleet->lock);
 
-	update_pools(fleet, now_ms);
+	for (size_t i = 0; i < fleet->pool_count; i++)
+		update_pool(fleet, (int)i, now_ms);
 	apply_due(fleet, now_ms);
 	timer_ms = admission_timer_ms(&fleet->admission, now_ms);
 	return timer_ms < TICK_MAX_MS ? timer_ms + 1 : TICK_MAX_MS;
--- a/process/fleet.h
+++ b/process/fleet.h
@@ -122,9 +122,19 @@
 int fleet_retry(fleet_t *fleet, int pool, uint64_t deadline_at_ms,
 		uint64_t now_ms);
 
-/** Chooses an engine and counts the request as sent to it. */
+/** Result of fleet_choose(): the request waits again, nothing is sent. */
+enum { FLEET_PUT_OFF = 1 };
+
+/**
+ * Chooses an engine and counts the request as sent to it.
+ * @param start the started request if the engine's queue may put its start
+ *        off; NULL for a retry, a resumed stream or a suspect
+ * @return 0; FLEET_PUT_OFF, after which the caller waits with fleet_wait() and
+ *         chooses again; an error
+ */
 int fleet_choose(fleet_t *fleet, int pool, const routing_request_t *request,
-		 uint64_t now_ms, fleet_choice_t *choice);
+		 fleet_request_t *start, uint64_t now_ms,
+		 fleet_choice_t *choice);
 
 /** The decision of fleet_choose() alone, counting nothing. */
 int fleet_explain(fleet_t *fleet, int pool, const routing_request_t *request,
--- a/request/relay.c
+++ b/request/relay.c
@@ -260,6 +260,9 @@
 static int choose_once(relay_job_t *job, bool isolated, bool same_weights)
 {
 	routing_request_t *routing = &job->routing;
+	bool first = !isolated && !job->attempt.excluded_count &&
+		     !job->output.position;
+	int err;
 
 	routing->isolated = isolated;
 	routing->excluded = job->attempt.excluded;
@@ -268,8 +271,25 @@
 		same_weights && job->output.position && *job->weights_version
 			? job->weights_version
 			: NULL;
-	return fleet_choose(job->relay->fleet, job->plan.fleet_pool, routing,
-			    upstream_now_ms(), &job->choice);
+	err = fleet_choose(job->relay->fleet, job->plan.fleet_pool, routing,
+			   first ? &job->admission : NULL, upstream_now_ms(),
+			   &job->choice);
+	/* The demand was counted; a retry or a later start is the same. */
+	routing->again = true;
+	return err;
+}
+
+/** Chooses again each time the chosen engine's queue puts the start off. */
+static int choose_in_time(relay_job_t *job, bool same_weights)
+{
+	int err = choose_once(job, false, same_weights);
+
+	while (err == FLEET_PUT_OFF) {
+		err = wait_for_start(job);
+		if (!err)
+			err = choose_once(job, false, same_weights);
+	}
+	return err;
 }
 
 /** Waits for an idle engine to run a suspect alone. */
@@ -300,9 +320,9 @@
 	if (job->attempt.isolated || job->guard_run.isolated)
 		err = choose_isolated(job);
 	if (err == ERR_NO_ENDPOINT)
-		err = choose_once(job, false, true);
+		err = choose_in_time(job, true);
 	if (err == ERR_NO_ENDPOINT && job->output.position)
-		err = choose_once(job, false, false);
+		err = choose_in_time(job, false);
 	return err;
 }
 
--- a/t/lib/batch.c
+++ b/t/lib/batch.c
@@ -97,6 +97,18 @@
 	return NULL;
 }
 
+/** Prompt tokens that a waiting stream would compute now. */
+static uint32_t uncached_tokens(const batch_t *batch, const stream_t *stream)
+{
+	uint32_t held = 0;
+
+	while (held < stream->key_count &&
+	       block_cache_has(batch->cache, stream->keys[held]))
+		held++;
+	held *= batch->settings.block_tokens;
+	return stream->prompt_tokens > held ? stream->prompt_tokens - held : 0;
+}
+
 static void take_snapshot(batch_t *batch, batch_load_t *snapshot)
 {
 	*snapshot = (batch_load_t){
@@ -110,7 +122,8 @@
 
 		snapshot->queued += stream->state == STREAM_QUEUED;
 		if (stream->state < STREAM_PREFILL)
-			snapshot->queued_tokens += stream->prompt_tokens;
+			snapshot->queued_tokens +=
+				uncached_tokens(batch, stream);
 		else if (stream->state == STREAM_PREFILL)
 			snapshot->queued_tokens += (uint64_t)stream->to_compute;
 	}
