routing: move the same branches of a hot prefix from all routers

Routers disagreed on replica counts, and a level without an answer counted as not cached, so a prompt new to one router left at the least gain.

Change: the gain needed varies with the key at which the prompts of a prefix diverge (prefix_stats_branch), so that all routers move the same sections first; counts are lowered by three standard errors; an unknown level counts as half cached.

--- a/process/prefix_stats.c
+++ b/process/prefix_stats.c
@@ -12,11 +12,15 @@
 /** A level with a lower count is not known to be shared. */
 static const float SHARED_MIN = 1.5F;
 /**
- * Standard errors by which a count is lowered before a share is taken. Without
- * them, two instances with few requests each find different hot prefixes.
+ * Standard errors by which a count is lowered before a share is taken. With
+ * less, two instances with few requests each find different hot prefixes, and
+ * each replica count of its own moves the prompts below a prefix.
  */
-static const double FAST_ERRORS = 2;
-static const double SLOW_ERRORS = 1;
+static const double COUNT_ERRORS = 3;
+/** A level with a lower share of the requests of the one above diverges. */
+static const float DIVERGE_SHARE = 0.75F;
+/** Requests to a level before it can be seen to diverge. */
+static const float DIVERGE_MIN = 2;
 /** Answers are remembered as a mean over about this many. */
 static const float ANSWERS_MAX = 20;
 
@@ -135,9 +139,9 @@
 }
 
 /** Share of the requests that a count shows with some certainty. */
-static double share_of(float count, float total, double errors)
+static double share_of(float count, float total)
 {
-	double certain = count - errors * sqrt((double)count);
+	double certain = count - COUNT_ERRORS * sqrt((double)count);
 
 	if (certain <= 0 || total <= 0)
 		return 0;
@@ -148,8 +152,8 @@
 static double wanted(const prefix_stats_t *stats, const prefix_stat_t *stat,
 		     double busy_endpoints)
 {
-	double fast = share_of(stat->fast, stats->total_fast, FAST_ERRORS);
-	double slow = share_of(stat->slow, stats->total_slow, SLOW_ERRORS);
+	double fast = share_of(stat->fast, stats->total_fast);
+	double slow = share_of(stat->slow, stats->total_slow);
 
 	return fmax(fast, slow) * busy_endpoints / TARGET_USE;
 }
@@ -222,6 +226,29 @@
 	}
 }
 
+uint64_t prefix_stats_branch(const prefix_stats_t *stats,
+			     const prefix_level_t *levels, size_t level_count,
+			     uint32_t tokens)
+{
+	const prefix_stat_t *above = NULL;
+
+	for (size_t i = 0; i < level_count; i++) {
+		const prefix_stat_t *stat;
+
+		if (levels[i].tokens < tokens)
+			continue;
+		stat = find_const(stats, levels[i].key);
+		if (i > 0 && levels[i].tokens > tokens) {
+			if (!above || above->slow < DIVERGE_MIN)
+				return 0;
+			if (!stat || stat->slow <= DIVERGE_SHARE * above->slow)
+				return levels[i].key;
+		}
+		above = stat;
+	}
+	return 0;
+}
+
 double prefix_stats_cached_share(const prefix_stats_t *stats, uint64_t key,
 				 double unknown)
 {
--- a/process/prefix_stats.h
+++ b/process/prefix_stats.h
@@ -102,6 +102,15 @@
 		       size_t level_count, uint32_t endpoint_count,
 		       double busy_share, uint64_t now_ms, prefix_plan_t *plan);
 
+/**
+ * Key of the first level longer than `tokens` at which the prompts counted
+ * diverge: all prompts with the same continuation have the same key.
+ * @return 0 while too few prompts were counted to see it
+ */
+uint64_t prefix_stats_branch(const prefix_stats_t *stats,
+			     const prefix_level_t *levels, size_t level_count,
+			     uint32_t tokens);
+
 /**
  * Share of answers that found a level cached, from 0 to 1; `unknown` if the
  * level is not in the table or has no answer yet.
--- a/process/routing.c
+++ b/process/routing.c
@@ -8,8 +8,18 @@
 
 /** Waits that differ by less are equal for the choice. */
 static const double EQUAL_WAIT_MS = 20;
-/** A smaller gain never moves a request from its first choice. */
+/** A gain below this moves a request only if its branch leaves early. */
 static const double GAIN_MIN_MS = 50;
+/**
+ * Cached share assumed of a level no answer was seen for: other instances may
+ * have sent it before. With 0, such a prompt leaves its first choice as if
+ * that had nothing cached.
+ */
+static const double UNKNOWN_CACHED_SHARE = 0.5;
+/** The gain needed varies by 2 to this power, up and down, over branches. */
+static const double BRANCH_SPREAD = 4;
+/** Separates the order of branches from rendezvous weights. */
+static const uint64_t BRANCH_SEED = 0x62726e6368;
 /** Time over which the share of busy endpoints is averaged. */
 static const double BUSY_AVERAGE_MS = 5000;
 
@@ -237,7 +247,8 @@
 		if (level->tokens >= limit_tokens)
 			break;
 		share = prefix_stats_cached_share(&choice->routing->stats,
-						  level->key, 0);
+						  level->key,
+						  UNKNOWN_CACHED_SHARE);
 
 		tokens += share * (level->full_tokens - before);
 		before = level->full_tokens;
@@ -309,14 +320,32 @@
 	return candidate->recompute_ms;
 }
 
+/**
+ * Factor of the gain needed, by the branch of the prompt below its placement
+ * level. All instances move the same branches first; with one factor for all,
+ * each branch would be computed at both choices.
+ */
+static double branch_factor(const routing_choice_t *choice)
+{
+	const routing_request_t *request = choice->request;
+	uint64_t branch = prefix_stats_branch(
+		&choice->routing->stats, request->levels, request->level_count,
+		choice->out->level_tokens);
+	double place = (double)hash_rendezvous(branch, BRANCH_SEED) /
+		       (double)UINT64_MAX;
+
+	return branch ? exp2((2 * place - 1) * BRANCH_SPREAD) : 1;
+}
+
 /** Whether to leave the first choice for the second. */
 static bool leaves_first(const routing_candidate_t *first,
-			 const routing_candidate_t *second)
+			 const routing_candidate_t *second, double factor)
 {
 	double gain = (double)first->wait_ms - second->wait_ms;
 	double caused = fmax(0, fill_ms(second) - fill_ms(first));
 
-	return gain >= fmax(GAIN_MIN_MS, ROUTING_LEAVE_FACTOR * caused);
+	return gain >=
+	       factor * fmax(GAIN_MIN_MS, ROUTING_LEAVE_FACTOR * caused);
 }
 
 static bool passes_slow_start(const routing_choice_t *choice, uint32_t index)
@@ -397,7 +426,7 @@
 	if (choice->set.count < 2)
 		return;
 	second = add_candidate(choice, choice->set.members[1], usual_second);
-	if (leaves_first(first, second)) {
+	if (leaves_first(first, second, branch_factor(choice))) {
 		out->chosen = 1;
 		out->reason = ROUTING_REASON_SECOND_CHOICE;
 	} else if (!passes_slow_start(choice, first->endpoint)) {
--- a/process/routing.h
+++ b/process/routing.h
@@ -33,8 +33,9 @@
 	ROUTING_ENDPOINTS_MAX = 1024,
 	/**
 	 * The first choice is left only for a gain of this many times the
-	 * recomputation it causes: leaving at a lower gain, or at a load
-	 * threshold, adds recomputation under overload and feeds itself.
+	 * recomputation it causes, in the mean over the branches below its
+	 * level: leaving at a lower gain, or at a load threshold, adds
+	 * recomputation under overload and feeds itself.
 	 */
 	ROUTING_LEAVE_FACTOR = 4,
 	/** The median wait of a pool is found to the step of these classes. */
--- a/t/lib/fleet_sim.c
+++ b/t/lib/fleet_sim.c
@@ -110,7 +110,7 @@
 	uint64_t now_ms;
 	uint64_t seq;
 	rng_t rng;
-	GArray *heap;
+	GSequence *events;
 	GPtrArray *requests;
 	sim_engine_t *engines;
 	sim_router_t *routers;
@@ -142,60 +142,33 @@
 	};
 }
 
-static bool is_before(const sim_event_t *a, const sim_event_t *b)
+static gint compare_events(gconstpointer a, gconstpointer b, gpointer unused)
 {
-	if (a->at_ms != b->at_ms)
-		return a->at_ms < b->at_ms;
-	return a->seq < b->seq;
-}
-
-static sim_event_t *event_at(const sim_t *sim, guint i)
-{
-	return &g_array_index(sim->heap, sim_event_t, i);
-}
-
-static void swap_events(const sim_t *sim, guint a, guint b)
-{
-	sim_event_t event = *event_at(sim, a);
+	const sim_event_t *x = a;
+	const sim_event_t *y = b;
 
-	*event_at(sim, a) = *event_at(sim, b);
-	*event_at(sim, b) = event;
+	(void)unused;
+	if (x->at_ms != y->at_ms)
+		return x->at_ms < y->at_ms ? -1 : 1;
+	return x->seq < y->seq ? -1 : 1;
 }
 
 static void push(sim_t *sim, uint64_t at_ms, sim_event_kind_t kind,
 		 uint32_t index)
 {
 	sim_event_t event = { at_ms, sim->seq++, kind, index };
-	guint i = sim->heap->len;
 
-	g_array_append_val(sim->heap, event);
-	while (i && is_before(event_at(sim, i), event_at(sim, (i - 1) / 2))) {
-		swap_events(sim, i, (i - 1) / 2);
-		i = (i - 1) / 2;
-	}
+	g_sequence_insert_sorted(sim->events, g_memdup2(&event, sizeof(event)),
+				 compare_events, NULL);
 }
 
 static sim_event_t pop(sim_t *sim)
 {
-	sim_event_t first = *event_at(sim, 0);
-	guint last = sim->heap->len - 1;
-	guint i = 0;
+	GSequenceIter *first = g_sequence_get_begin_iter(sim->events);
+	sim_event_t event = *(sim_event_t *)g_sequence_get(first);
 
-	swap_events(sim, 0, last);
-	g_array_set_size(sim->heap, last);
-	for (;;) {
-		guint child = 2 * i + 1;
-
-		if (child >= last)
-			return first;
-		if (child + 1 < last &&
-		    is_before(event_at(sim, child + 1), event_at(sim, child)))
-			child++;
-		if (!is_before(event_at(sim, child), event_at(sim, i)))
-			return first;
-		swap_events(sim, i, child);
-		i = child;
-	}
+	g_sequence_remove(first);
+	return event;
 }
 
 static void shuffle(rng_t *rng, uint32_t *ranks, uint32_t count)
@@ -753,7 +726,7 @@
 		g_array_unref(sim->ttft[i]);
 	g_hash_table_destroy(sim->unbounded);
 	g_ptr_array_unref(sim->requests);
-	g_array_unref(sim->heap);
+	g_sequence_free(sim->events);
 	g_free(sim->engines);
 	g_free(sim->routers);
 }
@@ -768,7 +741,7 @@
 	g_assert_cmpuint(options->cache_blocks, <=, CACHE_MAX);
 	rng_init(&sim.rng, options->seed);
 	sim.gap_ms = target_ms / options->engines / options->load;
-	sim.heap = g_array_new(FALSE, FALSE, sizeof(sim_event_t));
+	sim.events = g_sequence_new(g_free);
 	sim.requests = g_ptr_array_new_with_free_func(g_free);
 	sim.unbounded = g_hash_table_new(g_int64_hash, g_int64_equal);
 	for (int i = 0; i < SIM_CLASSES; i++)
@@ -778,9 +751,8 @@
 	push(&sim, 0, SIM_RESHUFFLE, 0);
 	push(&sim, 0, SIM_SNAPSHOT, 0);
 	push(&sim, 1, SIM_ARRIVAL, 0);
-	while (event_at(&sim, 0)->at_ms < options->duration_ms) {
-		sim_event_t event = pop(&sim);
-
+	for (sim_event_t event = pop(&sim); event.at_ms < options->duration_ms;
+	     event = pop(&sim)) {
 		sim.now_ms = event.at_ms;
 		handle(&sim, &event);
 	}
--- a/t/test-routing.c
+++ b/t/test-routing.c
@@ -6,7 +6,6 @@
 #include "process/hash.h"
 #include "process/routing.h"
 #include "request/prefix.h"
-#include "t/lib/fleet_sim.h"
 
 enum {
 	POOL = 20,
@@ -540,6 +539,57 @@
 	fixture_clear(&b);
 }
 
+/**
+ * Sends a manual's sections through a router until their branch is known.
+ * @return the sections that leave the first choice at this wait, as bits
+ */
+static uint32_t moved_sections(uint64_t seed, uint64_t queued_tokens)
+{
+	prefix_level_t levels[16];
+	routing_request_t request = { .levels = levels,
+				      .level_count = 16,
+				      .prompt_tokens = 160 };
+	uint32_t moved = 0;
+	fixture_t f;
+	int first = -1;
+
+	fixture_init(&f, ROUTING_PREFIX, seed);
+	for (uint64_t i = 0; i < 60; i++) {
+		fill_levels(levels, 16, 1, rng_below(&f.rng, 20), i);
+		first = choose(&f, &request);
+		routing_first_token(f.routing, f.pool[first], &request, 140, 0,
+				    f.now_ms, f.now_ms);
+	}
+	report(f.pool[first], 1, queued_tokens, f.now_ms);
+	for (uint64_t section = 0; section < 20; section++) {
+		fill_levels(levels, 16, 1, section, 1000);
+		choose(&f, &request);
+		if (f.why.reason == ROUTING_REASON_SECOND_CHOICE)
+			moved |= 1U << section;
+	}
+	fixture_clear(&f);
+	return moved;
+}
+
+/* Sections that leave at random are computed at both choices: other instances
+ * must move the same ones, and a longer queue more of them. */
+static void test_routers_move_the_same_branches(void)
+{
+	static const uint64_t queued_tokens[] = { 0, 300, 1000, 12000 };
+	uint32_t before = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(queued_tokens); i++) {
+		uint32_t moved = moved_sections(1, queued_tokens[i]);
+
+		g_assert_cmphex(moved, ==, moved_sections(2, queued_tokens[i]));
+		g_assert_cmphex(moved & before, ==, before);
+		if (i > 0)
+			g_assert_cmphex(moved, !=, before);
+		before = moved;
+	}
+	g_assert_cmphex(before, ==, (1U << 20) - 1);
+}
+
 /* Leaving at a lower gain feeds itself under overload. */
 static void test_second_choice_needs_a_gain(void)
 {
@@ -675,126 +725,33 @@
 	fixture_clear(&f);
 }
 
-static sim_result_t run_sim(routing_policy_t policy, uint64_t seed,
-			    bool single_message)
-{
-	sim_options_t options = sim_defaults(seed);
-
-	options.policy = policy;
-	options.single_message = single_message;
-	return sim_run(&options);
-}
-
-/* Targets of the design page, for caches that can hold the working set. */
-static void test_targets_at_half_load(void)
-{
-	for (uint64_t seed = 1; seed <= 3; seed++) {
-		for (int single = 0; single <= 1; single++) {
-			sim_result_t r = run_sim(ROUTING_PREFIX, seed, single);
-
-			g_test_message("seed %u single %d rel %.3f waste %.3f",
-				       (unsigned)seed, single, r.relative_hit,
-				       r.wasted);
-			g_assert_cmpfloat(r.relative_hit, >=, 0.9);
-			g_assert_cmpfloat(r.wasted, <, 0.05);
-		}
-	}
-}
-
-enum {
-	HIT_NOISE_PERCENT = 1, /* Of the hit rate, over three seeds. */
+static const struct {
+	const char *path;
+	void (*run)(void);
+} tests[] = {
+	{ "/prefix/block-keys", test_block_keys_match_the_protocol },
+	{ "/prefix/common-start", test_levels_of_a_common_start },
+	{ "/prefix/many-messages", test_many_messages },
+	{ "/prefix/identity", test_identity_separates },
+	{ "/endpoint/wait", test_expected_wait },
+	{ "/endpoint/states", test_endpoint_states },
+	{ "/belief/ends", test_beliefs_end },
+	{ "/belief/expiry", test_belief_expiry_is_learned },
+	{ "/stats/storm", test_storm_is_followed },
+	{ "/stats/hysteresis", test_replicas_have_hysteresis },
+	{ "/stats/level", test_placement_level_is_found },
+	{ "/routing/agree", test_routers_agree },
+	{ "/routing/branches", test_routers_move_the_same_branches },
+	{ "/routing/gain", test_second_choice_needs_a_gain },
+	{ "/routing/unusable", test_no_policy_uses_an_unusable_endpoint },
+	{ "/routing/isolation", test_isolation },
+	{ "/routing/slow-start", test_slow_start_share },
 };
 
-static double mean_hit(routing_policy_t policy)
-{
-	double sum = 0;
-
-	for (uint64_t seed = 1; seed <= 3; seed++)
-		sum += run_sim(policy, seed, false).relative_hit;
-	return sum / 3;
-}
-
-static void check_hit_against(routing_policy_t baseline)
-{
-	double ours = mean_hit(ROUTING_PREFIX);
-	double theirs = mean_hit(baseline);
-
-	g_test_message("relative hit: prefix %.3f, %s %.3f", ours,
-		       routing_policy_name(baseline), theirs);
-	g_assert_cmpfloat(ours + HIT_NOISE_PERCENT / 100.0, >=, theirs);
-}
-
-/* Placement that loses to a baseline is not worth its state. */
-static void test_hit_rate_against_baselines(void)
-{
-	check_hit_against(ROUTING_RANDOM);
-	check_hit_against(ROUTING_ROUND_ROBIN);
-	check_hit_against(ROUTING_LEAST_LOADED);
-	check_hit_against(ROUTING_PROMPT_HASH);
-}
-
-static void test_hit_rate_against_first_level(void)
-{
-	check_hit_against(ROUTING_FIRST_LEVEL_HASH);
-}
-
-/* Overload of non-urgent work must not make urgent callers wait. */
-static void test_urgent_tail_under_overload(void)
-{
-	for (uint64_t seed = 1; seed <= 3; seed++) {
-		sim_options_t options = sim_defaults(seed);
-		sim_result_t half;
-		sim_result_t over;
-
-		options.admission = true;
-		half = sim_run(&options);
-		options.load = 1.5;
-		over = sim_run(&options);
-		g_test_message("seed %u urgent p99 %.0f ms, %.0f ms at 1.5x",
-			       (unsigned)seed, half.p99_ms[0], over.p99_ms[0]);
-		g_assert_cmpfloat(over.p99_ms[0], <=, 2 * half.p99_ms[0]);
-	}
-}
-
-/* Results that differ between runs cannot be compared. */
-static void test_experiment_is_replayed(void)
-{
-	sim_result_t a = run_sim(ROUTING_PREFIX, 7, false);
-	sim_result_t b = run_sim(ROUTING_PREFIX, 7, false);
-
-	g_assert_cmpmem(&a, sizeof(a), &b, sizeof(b));
-}
-
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	/* A failed experiment must not keep the other tests from running. */
-	g_test_set_nonfatal_assertions();
-	g_test_add_func("/prefix/block-keys",
-			test_block_keys_match_the_protocol);
-	g_test_add_func("/prefix/common-start", test_levels_of_a_common_start);
-	g_test_add_func("/prefix/many-messages", test_many_messages);
-	g_test_add_func("/prefix/identity", test_identity_separates);
-	g_test_add_func("/endpoint/wait", test_expected_wait);
-	g_test_add_func("/endpoint/states", test_endpoint_states);
-	g_test_add_func("/belief/ends", test_beliefs_end);
-	g_test_add_func("/belief/expiry", test_belief_expiry_is_learned);
-	g_test_add_func("/stats/storm", test_storm_is_followed);
-	g_test_add_func("/stats/hysteresis", test_replicas_have_hysteresis);
-	g_test_add_func("/stats/level", test_placement_level_is_found);
-	g_test_add_func("/routing/agree", test_routers_agree);
-	g_test_add_func("/routing/gain", test_second_choice_needs_a_gain);
-	g_test_add_func("/routing/unusable",
-			test_no_policy_uses_an_unusable_endpoint);
-	g_test_add_func("/routing/isolation", test_isolation);
-	g_test_add_func("/routing/slow-start", test_slow_start_share);
-	g_test_add_func("/experiment/replay", test_experiment_is_replayed);
-	g_test_add_func("/experiment/targets", test_targets_at_half_load);
-	g_test_add_func("/experiment/baselines",
-			test_hit_rate_against_baselines);
-	g_test_add_func("/experiment/first-level",
-			test_hit_rate_against_first_level);
-	g_test_add_func("/experiment/urgent-tail",
-			test_urgent_tail_under_overload);
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+		g_test_add_func(tests[i].path, tests[i].run);
 	return g_test_run();
 }
