--- a/t/lib/rig.c
+++ b/t/lib/rig.c
@@ -198,10 +198,9 @@
 
 bool rig_is_ready(rig_t *rig, int router)
 {
-	g_autofree char *url =
-		g_strdup_printf("http%s://127.0.0.1:%u/readyz",
-				rig->options.routers_tls ? "s" : "",
-				rig->ports[router]);
+	g_autofree char *url = g_strdup_printf(
+		"http%s://127.0.0.1:%u/readyz",
+		rig->options.routers_tls ? "s" : "", rig->ports[router]);
 
 	return url_answers(url);
 }
