t: hold the frozen holder's order longer than a takeover takes

test-it-engines /engines/frozen-holder-fencing failed once in two runs on a busy machine (load 17): the takeover took longer than the 6 s by which the old order was delayed, so the old order arrived first and was rightly done. The delay is now 15 s; the checks are unchanged.

--- a/t/test-it-engines.c
+++ b/t/test-it-engines.c
@@ -227,7 +227,7 @@
  * that arrives after the next holder's. */
 static void test_frozen_holder_fencing(void)
 {
-	g_autoptr(rig_t) rig = freeze_holder(true, "{\"delay_ms\":6000}");
+	g_autoptr(rig_t) rig = freeze_holder(true, "{\"delay_ms\":15000}");
 
 	g_assert_true(wait_for_all(rig));
 	g_assert_cmpint(rig_engine_sum(rig, "orders"), ==, 1);
