--- a/cmd/router_engines.c
+++ b/cmd/router_engines.c
@@ -124,20 +124,12 @@
 	engines->position = config->position;
 }
 
-/** Takes the instance list over now and then. */
-static void take_members(engines_t *engines, uint64_t now_ms)
+static void take_list(engines_t *engines, const char **ids)
 {
-	router_t *router = engines->router;
-
-	if (now_ms < engines->members_due_ms)
-		return;
-	engines->members_due_ms = now_ms + MEMBERS_PERIOD_MS;
-	SCOPED_LOCK(guard, &router->list_lock);
-	CLEANUP_FREE const char **ids =
-		calloc(router->list_count + 1, sizeof(*ids));
+	const router_t *router = engines->router;
 	size_t used = 0;
 
-	for (size_t i = 0; ids && i < router->list_count; i++) {
+	for (size_t i = 0; i < router->list_count; i++) {
 		const store_instance_t *instance = &router->list[i];
 
 		if (instance->kind == STORE_INSTANCE_ROUTER &&
@@ -149,6 +141,22 @@
 		controller_service_members(engines->service, ids, used);
 }
 
+/** Takes the instance list over now and then. */
+static void take_members(engines_t *engines, uint64_t now_ms)
+{
+	router_t *router = engines->router;
+	const char **ids;
+
+	if (now_ms < engines->members_due_ms)
+		return;
+	engines->members_due_ms = now_ms + MEMBERS_PERIOD_MS;
+	SCOPED_LOCK(guard, &router->list_lock);
+	ids = calloc(router->list_count + 1, sizeof(*ids));
+	if (ids)
+		take_list(engines, ids);
+	free(ids);
+}
+
 static bool is_ending(router_t *router)
 {
 	return uatomic_read(&router->stopping) || uatomic_read(&router->ending);
