order: answer a repeat from its record when no endpoint is usable

Cause: an order without an endpoint was refused before its key was looked up, so a repeat of a done order got no_endpoint instead of the recorded answer while the route had no usable endpoint (seen by the developer of the order tests).

Change: without an endpoint the record is read and nothing is claimed.

--- a/process/order.c
+++ b/process/order.c
@@ -111,6 +111,11 @@
 static void abandon(order_t *order, order_actions_t *actions, int err,
 		    uint64_t now_ms)
 {
+	/* A request without endpoints has written nothing. */
+	if (!order->claim.endpoint_count) {
+		refuse(order, actions, ERR_NO_ENDPOINT);
+		return;
+	}
 	reply(order, actions, err, NULL, false);
 	order->target = order->claim;
 	order->target.state = ORDER_STATE_NOT_RUN;
@@ -141,6 +146,10 @@
 
 static void write_claim(order_t *order, order_actions_t *actions)
 {
+	if (!order->claim.endpoint_count) {
+		refuse(order, actions, ERR_NO_ENDPOINT);
+		return;
+	}
 	add_write(order, actions, &order->claim, ORDER_PHASE_CLAIM_WRITE);
 }
 
@@ -156,8 +165,6 @@
 	if (strlen(request->key) > ORDER_KEY_MAX_BYTES ||
 	    strlen(request->customer) >= ORDER_ID_MAX_BYTES)
 		return ERR_BAD_FIELD;
-	if (!request->endpoint_count)
-		return ERR_NO_ENDPOINT;
 	return 0;
 }
 
@@ -203,7 +210,11 @@
 	/* Counted from before the claim is issued, so it ends first here. */
 	order->send_by_ms = now_ms + settings->send_window_ms;
 	build_claim(order, request);
-	write_claim(order, actions);
+	/* Without an endpoint a repeat still gets the recorded outcome. */
+	if (request->endpoint_count)
+		write_claim(order, actions);
+	else
+		read_claim(order, actions);
 }
 
 static bool is_closed(const order_record_t *record)
--- a/t/test-order-cases.c
+++ b/t/test-order-cases.c
@@ -39,6 +39,7 @@
 	const char *name;
 	bool fencing;
 	bool other_body;
+	bool no_endpoint;
 	int64_t read_unix_ms;
 	step_t steps[STEPS_MAX];
 } cases[] = {
@@ -135,6 +136,20 @@
 	  .steps = { { W(ERR_STORE_CONDITION), .actions = "R" },
 		     { OTHER(ORDER_STATE_NOT_RUN), .actions = "W" },
 		     { W(0), .actions = "C" } } },
+	{ "without an endpoint nothing is claimed", .no_endpoint = true,
+	  .steps = { { R(ERR_NOT_FOUND), .actions = "PF",
+		       .reply = ERR_NO_ENDPOINT } } },
+	{ "repeat of a done order without an endpoint", .no_endpoint = true,
+	  .steps = { { OTHER(ORDER_STATE_DONE), .actions = "PF" } } },
+	{ "repeat of an order that did not run, without an endpoint",
+	  .no_endpoint = true,
+	  .steps = { { OTHER(ORDER_STATE_NOT_RUN), .actions = "PF",
+		       .reply = ERR_NO_ENDPOINT } } },
+	{ "lost reads without an endpoint write nothing", .no_endpoint = true,
+	  .steps = { { R(ERR_STORE_UNKNOWN), .actions = "T" },
+		     { K(TIMER), .actions = "R" },
+		     { R(ERR_STORE_DOWN), .at_ms = 2000, .actions = "PF",
+		       .reply = ERR_NO_ENDPOINT } } },
 	{ "same key, other body", .other_body = true,
 	  .steps = { { W(ERR_STORE_CONDITION), .actions = "R" },
 		     { OTHER(ORDER_STATE_DONE), .actions = "PF",
@@ -178,7 +193,7 @@
 			.digest = "d",
 			.owner = "n",
 			.endpoints = { "e1", "e2" },
-			.endpoint_count = 2,
+			.endpoint_count = cases[c].no_endpoint ? 0 : 2,
 			.endpoints_check_fencing = cases[c].fencing,
 			.nonce = 7,
 		};
