cmd: take the number of sweeping instances from gossip

Gossip knows the number already.

The watch of the head now begins only after the source of the start was noted, so that its first read is never counted as part of the start.

--- a/cmd/router_sweep.c
+++ b/cmd/router_sweep.c
@@ -9,6 +9,7 @@
 #include "process/cleanup.h"
 #include "process/error.h"
 #include "process/event.h"
+#include "process/metrics.h"
 #include "process/order.h"
 
 enum {
@@ -28,19 +29,12 @@
 	return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
-/** Routers in the instance list; at least this one. */
-static uint32_t count_routers(store_client_t *store)
+/** Instances that share the work, as gossip knows them. */
+static uint32_t count_instances(void)
 {
-	store_instance_t *instances = NULL;
-	uint32_t routers = 0;
-	size_t count = 0;
+	int64_t live = metrics_get(METRIC_MEMBERS_LIVE);
 
-	if (store_client_instances(store, &instances, &count))
-		return 1;
-	for (size_t i = 0; i < count; i++)
-		routers += instances[i].kind == STORE_INSTANCE_ROUTER;
-	free(instances);
-	return routers ? routers : 1;
+	return live > 1 ? (uint32_t)live : 1;
 }
 
 static void list_page(store_client_t *store, order_sweep_t *sweep,
@@ -80,7 +74,7 @@
 		return false;
 	case ORDER_SWEEP_LIST:
 		if (!*action.path)
-			sweep->member_count = count_routers(store);
+			sweep->member_count = count_instances();
 		list_page(store, sweep, &action);
 		return true;
 	case ORDER_SWEEP_DELETE:
@@ -107,8 +101,8 @@
 	rng_init(&rng, seed);
 	settings.retention_ms = router->settings.order_retention_ms;
 	order_sweep_init(&sweep, &settings, &rng,
-			 router->settings.order_sweep_ms,
-			 count_routers(router->store), upstream_now_ms());
+			 router->settings.order_sweep_ms, count_instances(),
+			 upstream_now_ms());
 	while (!uatomic_read(&router->ending)) {
 		if (upstream_now_ms() >= next_ms &&
 		    sweep_step(router->store, &sweep))
--- a/version/config_service.c
+++ b/version/config_service.c
@@ -42,6 +42,7 @@
 	config_service_options_t options;
 	pthread_t sync_thread;
 	pthread_t watch_thread;
+	bool started; /**< The source of the start was noted. */
 	pthread_t commit_thread;
 	pthread_mutex_t adopt_lock; /**< Keeps publications in order. */
 	pthread_mutex_t lock;	    /**< Over the members below. */
@@ -294,6 +295,15 @@
 	return err;
 }
 
+/** Lets the watch begin; its calls are no part of the start. */
+static void note_started(config_service_t *service)
+{
+	bool started = config_source_is_published();
+	SCOPED_LOCK(lock, &service->lock);
+
+	service->started = service->started || started;
+}
+
 /** Performs a fetch; returns the event with its result. */
 static config_sync_event_t fetch(config_service_t *service,
 				 const config_sync_action_t *action)
@@ -317,6 +327,7 @@
 	}
 	if (!was_published && config_source_is_published())
 		config_source_note_start(source);
+	note_started(service);
 	if (err)
 		event_log(EVENT_CONFIG_FETCH_FAILED, "source=%s error=%s",
 			  config_source_name(source), error_type(err));
@@ -462,7 +473,8 @@
 	/* The start does not need the watch, and many that start together
 	 * would all read at once. */
 	while (!service->stopping &&
-	       !(service->sync.watching && service->sync.in_force))
+	       !(service->started && service->sync.watching &&
+		 service->sync.in_force))
 		wait_until(service, mono_ms() + TICK_MS);
 	return !service->stopping;
 }
