--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -10,6 +10,8 @@
 
 #include "cmd/router.h"
 #include "cmd/router_engines.h"
+#include "cmd/router_events.h"
+#include "cmd/router_sweep.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
@@ -52,7 +54,6 @@
 
 static const setting_t rows[] = {
 	TEXT("instance", instance, "unique name; default router-<port>", NULL),
-	TEXT("domain", domain, "failure domain of this instance", "local"),
 	TEXT("address", address, "IP address to listen on", "127.0.0.1"),
 	NUMBER("port", port, "port for callers; 0 picks one and prints it",
 	       "8080", 0, 65535),
@@ -76,6 +77,15 @@
 	       50, 60000),
 	NUMBER("poll-idle-ms", poll_idle_ms, "load poll of other engines, ms",
 	       "5000", 50, 600000),
+	NUMBER("events-bytes-per-s", events_rate,
+	       "traffic for reading cache events, bytes/s; 0 reads none", "0",
+	       0, 8192),
+	NUMBER("order-retention-ms", order_retention_ms,
+	       "age at which an order's record is removed, ms", "86400000",
+	       1000, 4000000000.0),
+	NUMBER("order-sweep-ms", order_sweep_ms,
+	       "time between two removals of old records, ms", "600000", 100,
+	       86400000),
 	NUMBER("polls-per-s", polls_per_s,
 	       "most load polls a second; one is about 335 bytes", "8", 1,
 	       10000),
@@ -97,6 +107,18 @@
 	TEXT("store-url", store_url, "object API, http://address:port", NULL),
 	TEXT("bootstrap", bootstrap,
 	     "JSON file with all configuration objects, read at start", NULL),
+	TEXT("cluster", cluster, "name of the cluster", "amaranthvale"),
+	TEXT("domain", domain, "failure domain of this instance", "local"),
+	TEXT("peer-address", peer_address,
+	     "IP address to listen on for other instances", "127.0.0.1"),
+	NUMBER("peer-port", peer_port,
+	       "port for other instances; 0 picks one and prints it", "0", 0,
+	       65535),
+	TEXT("peer-advertise", peer_advertise,
+	     "address:port that others use; default the one listened on", NULL),
+	TEXT("peers", peers, "instances to join, address:port,...", ""),
+	NUMBER("instances-ms", instances_ms,
+	       "between reads of the instance list, ms", "30000", 100, 3600000),
 	TEXT("tls-certificate", tls_certificate,
 	     "PEM file with certificate and key; callers then use TLS", NULL),
 	TEXT("endpoint-ca", endpoint_ca,
@@ -177,6 +199,10 @@
 	};
 	uint64_t seed = choose_seed();
 
+	router.seed = seed;
+	pthread_rwlock_init(&router.service_lock, NULL);
+	pthread_mutex_init(&router.list_lock, NULL);
+
 	if (settings->instance)
 		snprintf(router.instance, sizeof(router.instance), "%s",
 			 settings->instance);
@@ -197,32 +223,9 @@
 		.fleet = router.fleet,
 		.pool = router.pool,
 		.store = router.store,
+		.backlog = order_backlog_start(plain_retry_order),
 	};
-	return 0;
-}
-
-/** Follows the configuration in the store and commits tickets. */
-static int start_config(void)
-{
-	config_service_options_t options = {
-		.client = router.store,
-		.instance = router.instance,
-		.domain = router.settings.domain,
-		.seed = choose_seed(),
-	};
-	config_sync_member_t self = {
-		.id = hash_string(router.instance),
-		.domain = hash_string(router.settings.domain),
-	};
-	int err = audit_open(router.store, router.instance, options.seed,
-			     &router.audit);
-
-	options.audit = router.audit;
-	if (!err)
-		err = config_service_start(&options, &router.config);
-	if (!err)
-		config_service_set_members(router.config, &self, 1);
-	return err;
+	return router.plain.backlog ? 0 : ERR_NO_MEMORY;
 }
 
 static int open_server(void)
@@ -288,12 +291,12 @@
 
 static void close_state(void)
 {
+	order_backlog_stop(router.plain.backlog);
 	relay_destroy(&router.relay);
+	/* Gossip first: it tells others to take over, and its hooks use the
+	 * parts that follow. */
+	router_members_close(&router);
 	crash_guard_close(router.guard);
-	if (router.config)
-		config_service_stop(router.config);
-	if (router.audit)
-		audit_close(router.audit);
 	upstream_pool_free(router.pool);
 	store_client_close(router.store);
 	fleet_free(router.fleet);
@@ -304,37 +307,53 @@
 {
 	pthread_t poller;
 	pthread_t timer;
+	pthread_t events = 0;
+	pthread_t sweeper = 0;
 	pthread_t engines;
 	bool has_engines = false;
+	pthread_t control;
 	int number;
 	int err = 0;
 
 	if (router.settings.bootstrap)
-		err = router_load_bootstrap(router.settings.bootstrap);
+		err = router_load_bootstrap(router.settings.bootstrap,
+					    !router.settings.store_url);
 	if (err)
 		return fail("bootstrap", err);
 	err = open_state();
-	if (!err && router.store)
-		err = start_config();
 	if (err)
 		return fail("state", err);
+	err = router_members_open(&router);
+	if (err)
+		return fail("peers", err);
 	router_apply_config(&router);
 	err = open_server();
 	if (err)
 		return fail("server", err);
 	pthread_create(&poller, NULL, router_poll_thread, &router);
 	pthread_create(&timer, NULL, router_timer_thread, &router);
+	if (router.settings.events_rate)
+		pthread_create(&events, NULL, router_events_thread, &router);
+	if (router.store)
+		pthread_create(&sweeper, NULL, router_sweep_thread, &router);
 	if (router.store)
 		has_engines = !pthread_create(&engines, NULL,
 					      router_engines_thread, &router);
+	pthread_create(&control, NULL, router_control_thread, &router);
 	sigwait(signals, &number);
 	stop_requests();
 	server_stop(router.server);
 	uatomic_set(&router.ending, true);
 	pthread_join(poller, NULL);
 	pthread_join(timer, NULL);
+	if (router.settings.events_rate)
+		pthread_join(events, NULL);
+	if (router.store)
+		pthread_join(sweeper, NULL);
 	if (has_engines)
 		pthread_join(engines, NULL);
+	pthread_join(control, NULL);
+	router_tickets_close(&router);
 	close_state();
 	event_log(EVENT_STOPPED, NULL);
 	return EXIT_SUCCESS;
@@ -343,8 +362,11 @@
 int main(int argc, char **argv)
 {
 	sigset_t signals;
-	int result = settings_read(argc, (const char **)argv, rows, "[options]",
-				   NULL);
+	int result;
+
+	router.started_ms = upstream_now_ms();
+	result = settings_read(argc, (const char **)argv, rows, "[options]",
+			       NULL);
 
 	if (result == SETTINGS_EXIT)
 		return EXIT_SUCCESS;
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -25,9 +25,13 @@
 	bool configured;
 	bool configured_leaving;
 	bool engine;
+	bool listed_leaving; /**< By the last row of the instance list. */
+	bool spread_leaving; /**< What other instances were told last. */
+	uint64_t spread_incarnation;
 	uint32_t references; /**< Attempts in progress. */
 	uint64_t used_ms;
 	uint64_t next_poll_ms;
+	uint64_t events_read_ms; /**< Last read of cache events. */
 } fleet_endpoint_t;
 
 typedef struct fleet_pool {
@@ -290,30 +294,35 @@
 	pthread_cond_signal(&request->changed);
 }
 
+/**
+ * Carries out what is due, up to the first start: the load that it adds is
+ * known once its engine is chosen, and until then the waits are too low.
+ */
 static void apply_due(fleet_t *fleet, uint64_t now_ms)
 {
 	admission_action_t action;
 
-	while (admission_next(&fleet->admission, now_ms, &action))
+	while (admission_next(&fleet->admission, now_ms, &action)) {
 		apply(fleet, &action);
+		if (action.kind == ADMISSION_START)
+			break;
+	}
 }
 
-static void update_pools(fleet_t *fleet, uint64_t now_ms)
+static void update_pool(fleet_t *fleet, int number, uint64_t now_ms)
 {
-	for (size_t i = 0; i < fleet->pool_count; i++) {
-		fleet_pool_t *pool = &fleet->pools[i];
-		uint32_t wait_ms;
+	const fleet_pool_t *pool = &fleet->pools[number];
+	uint32_t wait_ms;
 
-		if (!pool->routing)
-			continue;
-		wait_ms = routing_pool_wait_ms(pool->routing, pool->endpoints,
-					       pool->count, now_ms);
-		/* A pool without a usable engine is answered at once by the
-		 * choice, so nothing is held back for it. */
-		admission_set_pool(&fleet->admission, (uint32_t)i,
-				   wait_ms == UINT32_MAX ? 0 : wait_ms,
-				   pool->streams_max);
-	}
+	if (!pool->routing)
+		return;
+	wait_ms = routing_pool_wait_ms(pool->routing, pool->endpoints,
+				       pool->count, now_ms);
+	/* A pool without a usable engine is answered at once by the choice, so
+	 * nothing is held back for it. */
+	admission_set_pool(&fleet->admission, (uint32_t)number,
+			   wait_ms == UINT32_MAX ? 0 : wait_ms,
+			   pool->streams_max);
 }
 
 void fleet_submit(fleet_t *fleet, fleet_request_t *request, uint64_t now_ms)
@@ -428,8 +437,22 @@
 	return 0;
 }
 
+static bool put_off(fleet_t *fleet, fleet_request_t *start,
+		    const fleet_choice_t *choice, uint64_t now_ms)
+{
+	const routing_explanation_t *why = &choice->explanation;
+	uint32_t wait_ms = why->candidates[why->chosen].wait_ms;
+
+	if (!admission_put_off(&fleet->admission, start->admission.id, wait_ms,
+			       now_ms))
+		return false;
+	start->state = FLEET_WAITING;
+	return true;
+}
+
 int fleet_choose(fleet_t *fleet, int pool, const routing_request_t *request,
-		 uint64_t now_ms, fleet_choice_t *choice)
+		 fleet_request_t *start, uint64_t now_ms,
+		 fleet_choice_t *choice)
 {
 	fleet_endpoint_t *endpoint;
 	int err;
@@ -438,26 +461,27 @@
 	err = choose(fleet, pool, request, now_ms, choice);
 	if (err < 0)
 		return err;
+	if (start && put_off(fleet, start, choice, now_ms)) {
+		apply_due(fleet, now_ms);
+		return FLEET_PUT_OFF;
+	}
 	endpoint = fleet->slots[choice->slot];
 	endpoint->references++;
 	endpoint->used_ms = now_ms;
 	routing_sent(fleet->pools[pool].routing, &endpoint->state, request,
 		     &choice->explanation, now_ms);
+	update_pool(fleet, pool, now_ms);
+	apply_due(fleet, now_ms);
 	return 0;
 }
 
 int fleet_explain(fleet_t *fleet, int pool, const routing_request_t *request,
 		  uint64_t now_ms, fleet_choice_t *choice)
 {
-	static const uint64_t nobody;
 	routing_request_t asked = *request;
 	SCOPED_LOCK(lock, &fleet->lock);
 
-	/* A choice with an excluded endpoint counts no demand. */
-	if (!asked.excluded_count) {
-		asked.excluded = &nobody;
-		asked.excluded_count = 1;
-	}
+	asked.again = true; /* Counts no demand. */
 	return choose(fleet, pool, &asked, now_ms, choice);
 }
 
@@ -590,14 +614,98 @@
 			       now_ms);
 }
 
-void fleet_set_leaving(fleet_t *fleet, uint64_t id_hash, bool leaving)
+void fleet_tell_leaving(fleet_t *fleet, uint64_t id_hash, uint64_t incarnation,
+			bool leaving, uint64_t now_ms)
+{
+	fleet_endpoint_t *endpoint;
+	int slot;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	slot = find_slot(fleet, id_hash);
+	if (slot < 0)
+		return;
+	endpoint = fleet->slots[slot];
+	endpoint_tell_leaving(&endpoint->state, incarnation, leaving, now_ms);
+	endpoint->spread_leaving = leaving;
+	endpoint->spread_incarnation = incarnation;
+}
+
+void fleet_listed(fleet_t *fleet, uint64_t id_hash, bool leaving,
+		  uint64_t now_ms)
 {
+	fleet_endpoint_t *endpoint;
 	int slot;
 	SCOPED_LOCK(lock, &fleet->lock);
 
 	slot = find_slot(fleet, id_hash);
-	if (slot >= 0)
-		endpoint_set_leaving(&fleet->slots[slot]->state, leaving);
+	if (slot < 0)
+		return;
+	endpoint = fleet->slots[slot];
+	/* The list lags, so a repeated row must not mark a new incarnation. */
+	if (endpoint->listed_leaving == leaving)
+		return;
+	endpoint->listed_leaving = leaving;
+	endpoint_tell_leaving(&endpoint->state, endpoint->state.incarnation,
+			      leaving, now_ms);
+}
+
+static bool is_leaving_news(fleet_endpoint_t *endpoint, uint64_t now_ms)
+{
+	const endpoint_t *state = &endpoint->state;
+	bool leaving = endpoint_is_told_leaving(state, now_ms);
+	bool is_new = leaving != endpoint->spread_leaving ||
+		      (leaving &&
+		       state->incarnation != endpoint->spread_incarnation &&
+		       state->incarnation);
+	/* A new incarnation is known to the others from its own answers. */
+	bool is_ended =
+		!leaving && state->incarnation != endpoint->spread_incarnation;
+
+	endpoint->spread_leaving = leaving;
+	if (is_new)
+		endpoint->spread_incarnation = state->incarnation;
+	return is_new && !is_ended;
+}
+
+size_t fleet_leaving_news(fleet_t *fleet, fleet_leaving_t *news, size_t max,
+			  uint64_t now_ms)
+{
+	size_t count = 0;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	for (size_t i = 0; i < fleet->slot_count && count < max; i++) {
+		fleet_endpoint_t *endpoint = fleet->slots[i];
+
+		if (!is_leaving_news(endpoint, now_ms))
+			continue;
+		news[count++] = (fleet_leaving_t){
+			.id_hash = endpoint->target.id_hash,
+			.incarnation = endpoint->spread_incarnation,
+			.leaving = endpoint->spread_leaving,
+		};
+	}
+	return count;
+}
+
+size_t fleet_status(fleet_t *fleet, fleet_status_t *out, size_t max,
+		    uint64_t now_ms)
+{
+	size_t count = 0;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	for (size_t i = 0; i < fleet->slot_count && count < max; i++) {
+		const fleet_endpoint_t *endpoint = fleet->slots[i];
+		fleet_status_t *row = &out[count];
+
+		if (!endpoint->configured)
+			continue;
+		memcpy(row->id, endpoint->target.id, sizeof(row->id));
+		row->incarnation = endpoint->state.incarnation;
+		row->state = endpoint_state(&endpoint->state, now_ms);
+		row->running = endpoint->state.running;
+		count++;
+	}
+	return count;
 }
 
 static bool is_polled(const fleet_endpoint_t *endpoint)
@@ -605,14 +713,18 @@
 	return endpoint->configured && endpoint->engine;
 }
 
+static bool is_in_use(const fleet_endpoint_t *endpoint, uint64_t now_ms)
+{
+	return is_polled(endpoint) && endpoint->used_ms &&
+	       now_ms - endpoint->used_ms < FLEET_IN_USE_MS;
+}
+
 static uint32_t poll_delay_ms(const fleet_endpoint_t *endpoint,
 			      const fleet_poll_interval_t *interval,
 			      uint64_t now_ms)
 {
-	bool in_use = endpoint->used_ms &&
-		      now_ms - endpoint->used_ms < FLEET_IN_USE_MS;
-
-	return in_use ? interval->in_use_ms : interval->idle_ms;
+	return is_in_use(endpoint, now_ms) ? interval->in_use_ms
+					   : interval->idle_ms;
 }
 
 /** Factor that brings all polls together down to the limit; at least 1. */
@@ -668,12 +780,81 @@
 		endpoint_report(&fleet->slots[slot]->state, load, now_ms);
 }
 
+int fleet_events_due(fleet_t *fleet, uint32_t interval_ms, uint64_t now_ms,
+		     fleet_target_t *target, uint64_t *since)
+{
+	fleet_endpoint_t *oldest = NULL;
+	uint64_t next_seq;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	for (size_t i = 0; i < fleet->slot_count; i++) {
+		fleet_endpoint_t *endpoint = fleet->slots[i];
+
+		if (is_in_use(endpoint, now_ms) &&
+		    now_ms - endpoint->events_read_ms >= interval_ms &&
+		    (!oldest ||
+		     endpoint->events_read_ms < oldest->events_read_ms))
+			oldest = endpoint;
+	}
+	if (!oldest)
+		return ERR_NO_ENDPOINT;
+	oldest->events_read_ms = now_ms;
+	next_seq = oldest->state.event_seq;
+	*target = oldest->target;
+	*since = next_seq ? next_seq - 1 : 0;
+	return 0;
+}
+
+/** Whether no number is missing from the one asked for to the last one. */
+static bool is_contiguous(const fleet_events_t *events)
+{
+	for (size_t i = 0; i < events->count; i++) {
+		if (events->events[i].seq != events->since + i + 1)
+			return false;
+	}
+	return true;
+}
+
+int fleet_take_events(fleet_t *fleet, const fleet_target_t *target,
+		      const fleet_events_t *events, uint64_t now_ms)
+{
+	uint64_t first_seq = events->first_seq;
+	uint64_t next_seq = events->since + 1;
+	fleet_endpoint_t *endpoint;
+	routing_t *routing;
+	int tracked = 0;
+	int slot;
+	SCOPED_LOCK(lock, &fleet->lock);
+
+	slot = find_slot(fleet, target->id_hash);
+	if (slot < 0)
+		return ERR_NO_ENDPOINT;
+	endpoint = fleet->slots[slot];
+	routing = fleet->pools[endpoint->pool].routing;
+	if (events->count) {
+		next_seq = events->events[events->count - 1].seq + 1;
+		if (!is_contiguous(events))
+			first_seq = next_seq;
+	} else if (first_seq > next_seq) {
+		next_seq = first_seq;
+	}
+	if (!endpoint_events(&endpoint->state, events->incarnation, first_seq,
+			     next_seq, now_ms))
+		return ERR_NOT_FOUND;
+	for (size_t i = 0; routing && i < events->count; i++)
+		tracked += belief_event(&routing->beliefs, &endpoint->state,
+					events->events[i].key,
+					events->events[i].added, now_ms);
+	return tracked;
+}
+
 uint32_t fleet_tick(fleet_t *fleet, uint64_t now_ms)
 {
 	uint32_t timer_ms;
 	SCOPED_LOCK(lock, &fleet->lock);
 
-	update_pools(fleet, now_ms);
+	for (size_t i = 0; i < fleet->pool_count; i++)
+		update_pool(fleet, (int)i, now_ms);
 	apply_due(fleet, now_ms);
 	timer_ms = admission_timer_ms(&fleet->admission, now_ms);
 	return timer_ms < TICK_MAX_MS ? timer_ms + 1 : TICK_MAX_MS;
--- a/process/fleet.h
+++ b/process/fleet.h
@@ -122,9 +122,19 @@
 int fleet_retry(fleet_t *fleet, int pool, uint64_t deadline_at_ms,
 		uint64_t now_ms);
 
-/** Chooses an engine and counts the request as sent to it. */
+/** Result of fleet_choose(): the request waits again, nothing is sent. */
+enum { FLEET_PUT_OFF = 1 };
+
+/**
+ * Chooses an engine and counts the request as sent to it.
+ * @param start the started request if the engine's queue may put its start
+ *        off; NULL for a retry, a resumed stream or a suspect
+ * @return 0; FLEET_PUT_OFF, after which the caller waits with fleet_wait() and
+ *         chooses again; an error
+ */
 int fleet_choose(fleet_t *fleet, int pool, const routing_request_t *request,
-		 uint64_t now_ms, fleet_choice_t *choice);
+		 fleet_request_t *start, uint64_t now_ms,
+		 fleet_choice_t *choice);
 
 /** The decision of fleet_choose() alone, counting nothing. */
 int fleet_explain(fleet_t *fleet, int pool, const routing_request_t *request,
@@ -168,8 +178,40 @@
 		 const routing_request_t *request, endpoint_outcome_t outcome,
 		 uint64_t now_ms);
 
-/** Marks an endpoint as leaving, or no longer so. */
-void fleet_set_leaving(fleet_t *fleet, uint64_t id_hash, bool leaving);
+/** Takes a mark from gossip; see endpoint_tell_leaving(). */
+void fleet_tell_leaving(fleet_t *fleet, uint64_t id_hash, uint64_t incarnation,
+			bool leaving, uint64_t now_ms);
+
+/** Takes a row of the instance list; only a change of the row counts. */
+void fleet_listed(fleet_t *fleet, uint64_t id_hash, bool leaving,
+		  uint64_t now_ms);
+
+/** An endpoint that began or ended to leave. */
+typedef struct fleet_leaving {
+	uint64_t id_hash;
+	uint64_t incarnation; /**< 0 if it is not known. */
+	bool leaving;
+} fleet_leaving_t;
+
+/**
+ * Changes seen by this instance or in the list that were not returned before,
+ * for other instances. What gossip told is not returned.
+ * @return count, at most `max`
+ */
+size_t fleet_leaving_news(fleet_t *fleet, fleet_leaving_t *news, size_t max,
+			  uint64_t now_ms);
+
+/** What an operator is shown of an endpoint. */
+typedef struct fleet_status {
+	char id[FLEET_ID_MAX_BYTES];
+	uint64_t incarnation;
+	endpoint_state_t state;
+	uint32_t running; /**< Requests of this instance. */
+} fleet_status_t;
+
+/** Copies the state of the configured endpoints. @return count */
+size_t fleet_status(fleet_t *fleet, fleet_status_t *out, size_t max,
+		    uint64_t now_ms);
 
 /**
  * How often endpoints are polled; each delay varies by a quarter. If all polls
@@ -189,6 +231,39 @@
 void fleet_report(fleet_t *fleet, const fleet_target_t *target,
 		  const endpoint_load_t *load, uint64_t now_ms);
 
+/** One cache event of an engine. */
+typedef struct fleet_event {
+	uint64_t seq;
+	uint64_t key;
+	bool added; /**< False for an eviction. */
+} fleet_event_t;
+
+/** An answer to `GET /engine/events`. */
+typedef struct fleet_events {
+	uint64_t incarnation;
+	uint64_t first_seq; /**< Oldest event that the engine still has. */
+	uint64_t since;	    /**< Sequence number that was asked for. */
+	const fleet_event_t *events;
+	size_t count;
+} fleet_events_t;
+
+/**
+ * Engine in use whose cache events were read longest ago.
+ * @param interval_ms shortest time between two reads of one engine
+ * @param since sequence number of the last event read
+ * @return 0, or ERR_NO_ENDPOINT if none is due
+ */
+int fleet_events_due(fleet_t *fleet, uint32_t interval_ms, uint64_t now_ms,
+		     fleet_target_t *target, uint64_t *since);
+
+/**
+ * Applies cache events of tracked prefixes. Missing events and a new
+ * incarnation end all beliefs about the engine.
+ * @return events of tracked prefixes, or ERR_NOT_FOUND after a gap
+ */
+int fleet_take_events(fleet_t *fleet, const fleet_target_t *target,
+		      const fleet_events_t *events, uint64_t now_ms);
+
 /**
  * Updates the pools' waits and starts what may start.
  * @return milliseconds until the next call is due
--- a/process/prefix_stats.h
+++ b/process/prefix_stats.h
@@ -47,8 +47,16 @@
 	uint32_t tokens; /**< Prompt tokens before it, rounded up. */
 	/** Of these, tokens in full blocks: what an engine can cache. */
 	uint32_t full_tokens;
+	/** Key of the last of these blocks; 0 if the level ends with it. */
+	uint64_t block_key;
 } prefix_level_t;
 
+/** Key under which engines report the last full block of a level. */
+static inline uint64_t prefix_level_block_key(const prefix_level_t *level)
+{
+	return level->block_key ? level->block_key : level->key;
+}
+
 typedef struct prefix_stat {
 	uint64_t key; /**< 0 when free. */
 	uint64_t updated_ms;
@@ -102,6 +110,15 @@
 		       size_t level_count, uint32_t endpoint_count,
 		       double busy_share, uint64_t now_ms, prefix_plan_t *plan);
 
+/**
+ * Key of the first level longer than `tokens` at which the prompts counted
+ * diverge: all prompts with the same continuation have the same key.
+ * @return 0 while too few prompts were counted to see it
+ */
+uint64_t prefix_stats_branch(const prefix_stats_t *stats,
+			     const prefix_level_t *levels, size_t level_count,
+			     uint32_t tokens);
+
 /**
  * Share of answers that found a level cached, from 0 to 1; `unknown` if the
  * level is not in the table or has no answer yet.
--- a/process/routing.h
+++ b/process/routing.h
@@ -33,8 +33,9 @@
 	ROUTING_ENDPOINTS_MAX = 1024,
 	/**
 	 * The first choice is left only for a gain of this many times the
-	 * recomputation it causes: leaving at a lower gain, or at a load
-	 * threshold, adds recomputation under overload and feeds itself.
+	 * recomputation it causes, in the mean over the branches below its
+	 * level: leaving at a lower gain, or at a load threshold, adds
+	 * recomputation under overload and feeds itself.
 	 */
 	ROUTING_LEAVE_FACTOR = 4,
 	/** The median wait of a pool is found to the step of these classes. */
@@ -106,6 +107,8 @@
 	uint32_t endpoint; /**< Index in the pool's array. */
 	endpoint_state_t state;
 	uint32_t cached_tokens; /**< Expected. */
+	/** The part of them that beliefs about this endpoint say. */
+	uint32_t believed_tokens;
 	uint32_t wait_ms;
 	uint32_t recompute_ms; /**< Computing all tokens not cached. */
 	/** Import and rest of the computing; UINT32_MAX without import. */
--- a/request/relay.c
+++ b/request/relay.c
@@ -260,6 +260,9 @@
 static int choose_once(relay_job_t *job, bool isolated, bool same_weights)
 {
 	routing_request_t *routing = &job->routing;
+	bool first = !isolated && !job->attempt.excluded_count &&
+		     !job->output.position;
+	int err;
 
 	routing->isolated = isolated;
 	routing->excluded = job->attempt.excluded;
@@ -268,8 +271,25 @@
 		same_weights && job->output.position && *job->weights_version
 			? job->weights_version
 			: NULL;
-	return fleet_choose(job->relay->fleet, job->plan.fleet_pool, routing,
-			    upstream_now_ms(), &job->choice);
+	err = fleet_choose(job->relay->fleet, job->plan.fleet_pool, routing,
+			   first ? &job->admission : NULL, upstream_now_ms(),
+			   &job->choice);
+	/* The demand was counted; a retry or a later start is the same. */
+	routing->again = true;
+	return err;
+}
+
+/** Chooses again each time the chosen engine's queue puts the start off. */
+static int choose_in_time(relay_job_t *job, bool same_weights)
+{
+	int err = choose_once(job, false, same_weights);
+
+	while (err == FLEET_PUT_OFF) {
+		err = wait_for_start(job);
+		if (!err)
+			err = choose_once(job, false, same_weights);
+	}
+	return err;
 }
 
 /** Waits for an idle engine to run a suspect alone. */
@@ -300,9 +320,9 @@
 	if (job->attempt.isolated || job->guard_run.isolated)
 		err = choose_isolated(job);
 	if (err == ERR_NO_ENDPOINT)
-		err = choose_once(job, false, true);
+		err = choose_in_time(job, true);
 	if (err == ERR_NO_ENDPOINT && job->output.position)
-		err = choose_once(job, false, false);
+		err = choose_in_time(job, false);
 	return err;
 }
 
@@ -590,9 +610,11 @@
 	char id[FLEET_ID_MAX_BYTES];
 
 	fleet_endpoint_name(relay->fleet, pool, candidate->endpoint, id);
-	return json_pack("{s:s,s:s,s:I,s:I,s:I,s:I}", "endpoint", id, "state",
-			 endpoint_state_name(candidate->state), "cached_tokens",
-			 (json_int_t)candidate->cached_tokens, "wait_ms",
+	return json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:I}", "endpoint", id,
+			 "state", endpoint_state_name(candidate->state),
+			 "cached_tokens", (json_int_t)candidate->cached_tokens,
+			 "believed_tokens",
+			 (json_int_t)candidate->believed_tokens, "wait_ms",
 			 (json_int_t)candidate->wait_ms, "recompute_ms",
 			 (json_int_t)candidate->recompute_ms, "ttft_ms",
 			 (json_int_t)candidate->ttft_ms);
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -17,8 +17,8 @@
 enum {
 	RIG_ENGINES_MAX = 6,
 	RIG_PLAINS_MAX = 2,
-	RIG_ROUTERS_MAX = 3,
-	RIG_ARGS_MAX = 8,
+	RIG_ROUTERS_MAX = 6,
+	RIG_ARGS_MAX = 12,
 };
 
 #define RIG_KEY_1 "Authorization: Bearer key-of-customer-1"
@@ -31,6 +31,7 @@
 	int plains;
 	int routers;
 	bool plains_check_fencing;
+	bool routers_tls; /**< See http_trust(). */
 	bool engines_check_fencing;
 	/** A weight store that the engines load from, 8 transfers at once. */
 	bool weights;
@@ -43,6 +44,11 @@
 	int plain_timeout_ms;
 	/** State of pool/models as JSON, instead of weights version 1. */
 	const char *models_pool;
+	/**
+	 * With domains the routers know each other as r0, r1, ... of d0, d1,
+	 * ..., reach the store through a proxy, and are configured by ticket 1.
+	 */
+	int domains;
 	/** More arguments, ended by NULL. */
 	const char *engine_args[RIG_ARGS_MAX];
 	const char *router_args[RIG_ARGS_MAX];
@@ -65,14 +71,18 @@
 	program_t *weights;
 	uint16_t weights_port;
 	char *weights_url;
+	program_t *store_proxy; /**< NULL without domains. */
 	uint16_t store_port;
+	uint16_t store_control; /**< Of the proxy. */
+	uint16_t peer_ports[RIG_ROUTERS_MAX];
 	uint16_t engine_ports[RIG_ENGINES_MAX];
 	uint16_t plain_ports[RIG_PLAINS_MAX];
 	uint16_t ports[RIG_ROUTERS_MAX]; /**< Of the routers. */
 	rig_proxy_t engine_proxies[RIG_ENGINES_MAX];
 	rig_proxy_t plain_proxies[RIG_PLAINS_MAX];
 	rig_proxy_t store_proxies[RIG_ROUTERS_MAX];
-	char *bootstrap;
+	char *bootstrap; /**< File with `objects`. */
+	char *objects;	 /**< Configuration at the start, as JSON. */
 } rig_t;
 
 /** Starts everything and waits until the routers are ready. */
@@ -85,6 +95,22 @@
 
 /** Kills a router at once. */
 void rig_kill_router(rig_t *rig, int router);
+/** Starts a router again on its peer port; does not wait until it is ready. */
+void rig_restart_router(rig_t *rig, int router);
+
+/** Whether a router says that it is ready. */
+bool rig_is_ready(rig_t *rig, int router);
+
+/** Cuts the routers off the store and its instance list, or ends that. */
+void rig_set_store_out(rig_t *rig, bool out);
+
+/** Calls `/admin/<path>` of a router as an operator. */
+http_answer_t *rig_admin(rig_t *rig, int router, const char *path,
+			 const char *body);
+
+/** Applies a ticket with the given objects; the answer of the router. */
+http_answer_t *rig_ticket(rig_t *rig, int router, int number,
+			  const char *objects);
 
 /** Kills an engine at once. */
 void rig_kill_engine(rig_t *rig, int engine);
@@ -95,6 +121,9 @@
 /** Engine with an open stream, or -1. */
 int rig_busy_engine(rig_t *rig);
 
+/** Number of engines that run. */
+int rig_running_engines(rig_t *rig);
+
 /** Number in `/control/stats`, summed over the engines that run. */
 int64_t rig_engine_sum(rig_t *rig, const char *member);
 
--- a/version/config_service.c
+++ b/version/config_service.c
@@ -13,6 +13,8 @@
 #include "process/hash.h"
 #include "process/metrics.h"
 #include "version/config.h"
+#include "version/config_find.h"
+#include "version/config_source.h"
 #include "version/config_sweep.h"
 
 enum {
@@ -40,6 +42,7 @@
 	config_service_options_t options;
 	pthread_t sync_thread;
 	pthread_t watch_thread;
+	bool started; /**< The source of the start was noted. */
 	pthread_t commit_thread;
 	pthread_mutex_t adopt_lock; /**< Keeps publications in order. */
 	pthread_mutex_t lock;	    /**< Over the members below. */
@@ -280,45 +283,25 @@
 	return err;
 }
 
-/**
- * Puts the bootstrap file into force. With numbers it is a snapshot and the
- * base for later tickets. Without, it has position 0, so that whatever another
- * source has replaces it.
- */
 static int load_bootstrap(config_service_t *service)
 {
-	CLEANUP_JSON json_t *root =
-		json_load_file(service->options.bootstrap_file, 0, NULL);
-	json_t *objects = json_object_get(root, "objects");
-	config_problem_t problem = { 0 };
-	ticket_state_t state;
-	config_t *config;
-	int err;
+	ticket_state_t state = { 0 };
+	int err = config_source_bootstrap(service->options.bootstrap_file,
+					  &state);
 
-	if (json_object_get(root, "numbers")) {
-		err = ticket_state_from_json(root, &state);
-		if (err)
-			return err;
+	if (!err && state.objects)
 		adopt(service, &state, NULL);
-		ticket_state_free(&state);
-		return 0;
-	}
-	err = config_build(0, objects, &config, &problem);
-	if (!err)
-		config_publish(config);
+	ticket_state_free(&state);
 	return err;
 }
 
-static const char *source_name(config_sync_action_kind_t kind)
+/** Lets the watch begin; its calls are no part of the start. */
+static void note_started(config_service_t *service)
 {
-	switch (kind) {
-	case CONFIG_SYNC_FETCH_PEER:
-		return "peer";
-	case CONFIG_SYNC_FETCH_STORE:
-		return "store";
-	default:
-		return "bootstrap";
-	}
+	bool started = config_source_is_published();
+	SCOPED_LOCK(lock, &service->lock);
+
+	service->started = service->started || started;
 }
 
 /** Performs a fetch; returns the event with its result. */
@@ -326,6 +309,8 @@
 				 const config_sync_action_t *action)
 {
 	config_sync_event_t event = { .kind = CONFIG_SYNC_FETCHED };
+	config_sync_action_kind_t source = action->kind;
+	bool was_published = config_source_is_published();
 	int err = 0;
 
 	if (action->kind == CONFIG_SYNC_FETCH_PEER)
@@ -334,9 +319,18 @@
 		err = fetch_store(service);
 	else
 		err = load_bootstrap(service);
+	/* A store that nothing was written to yet is no source. */
+	if (!err && source == CONFIG_SYNC_FETCH_STORE &&
+	    !config_source_is_published() && service->options.bootstrap_file) {
+		source = CONFIG_SYNC_LOAD_BOOTSTRAP;
+		err = load_bootstrap(service);
+	}
+	if (!was_published && config_source_is_published())
+		config_source_note_start(source);
+	note_started(service);
 	if (err)
 		event_log(EVENT_CONFIG_FETCH_FAILED, "source=%s error=%s",
-			  source_name(action->kind), error_type(err));
+			  config_source_name(source), error_type(err));
 	event.fetched.id = action->id;
 	event.fetched.err = err;
 	event.fetched.position = position_of(service);
@@ -414,6 +408,15 @@
 	note(service, &event);
 }
 
+static void note_adopted(config_service_t *service, uint64_t position)
+{
+	const config_sync_event_t event = { .kind = CONFIG_SYNC_ADOPTED,
+					    .adopted = { position } };
+
+	if (position)
+		note(service, &event);
+}
+
 /** What the watch knows of the head. */
 typedef struct head_watch {
 	uint64_t revision; /**< 0: the head has to be read. */
@@ -446,10 +449,16 @@
 		service->options.client, STORE_PURPOSE_CONFIG, "config/head",
 		watch->revision, service->options.watch_timeout_ms, &changes);
 
-	if (err == ERR_STORE_GONE || (!err && changes.count)) {
+	if (err == ERR_STORE_GONE) {
 		watch->revision = 0;
 		return 0;
 	}
+	if (!err && changes.count) {
+		/* One read of the head, after the change, misses none. */
+		err = fetch_store(service);
+		watch->position = position_of(service);
+		note_adopted(service, watch->position);
+	}
 	if (err)
 		return err;
 	watch->revision = changes.revision;
@@ -461,7 +470,11 @@
 {
 	SCOPED_LOCK(lock, &service->lock);
 
-	while (!service->stopping && !service->sync.watching)
+	/* The start does not need the watch, and many that start together
+	 * would all read at once. */
+	while (!service->stopping &&
+	       !(service->started && service->sync.watching &&
+		 service->sync.in_force))
 		wait_until(service, mono_ms() + TICK_MS);
 	return !service->stopping;
 }
@@ -550,23 +563,21 @@
 	pthread_cond_broadcast(&service->changed);
 }
 
-/** Removes the snapshot that a compaction has replaced. */
+/** Removes the snapshot and pages that a compaction has replaced. */
 static void sweep(config_service_t *service, const ticket_commit_t *commit)
 {
 	if (!ticket_commit_has_compacted(commit))
 		return;
 	event_log(EVENT_CONFIG_COMPACTED, "snapshot_position=%" PRIu64,
 		  commit->next_head.snapshot_position);
-	config_sweep_snapshot(service->options.client,
-			      commit->head.snapshot_position,
-			      commit->head.snapshot_shards);
+	config_sweep(service->options.client, &commit->head,
+		     &commit->next_head);
 }
 
 static void commit_batch(config_service_t *service, request_t *const *batch,
 			 size_t count)
 {
 	CLEANUP_FREE ticket_commit_t *commit = calloc(1, sizeof(*commit));
-	config_sync_event_t event = { .kind = CONFIG_SYNC_ADOPTED };
 	size_t index;
 	int err;
 
@@ -580,9 +591,7 @@
 	if (!err) {
 		run_commit(service, commit);
 		adopt(service, &commit->state, commit->applied);
-		event.adopted.position = position_of(service);
-		if (event.adopted.position)
-			note(service, &event);
+		note_adopted(service, position_of(service));
 	}
 	end_requests(service, batch, count, commit, err);
 	sweep(service, commit);
@@ -609,6 +618,9 @@
 		if (service->options.audit)
 			audit_flush(service->options.audit);
 	}
+	/* One try for what the last tickets left. */
+	if (service->options.audit)
+		audit_flush(service->options.audit);
 	return NULL;
 }
 
@@ -676,6 +688,22 @@
 	return config_sync_answer(&service->log, &service->state, from);
 }
 
+static uint64_t find_own(config_service_t *service, uint64_t number)
+{
+	SCOPED_LOCK(lock, &service->lock);
+
+	return config_find_in_rows(service->log.rows, "content", number);
+}
+
+int config_service_find_ticket(config_service_t *service, uint64_t number,
+			       uint64_t *position)
+{
+	*position = find_own(service, number);
+	if (*position)
+		return 0;
+	return config_find_in_store(service->options.client, number, position);
+}
+
 void config_service_status(config_service_t *service,
 			   config_service_status_t *status)
 {
@@ -749,6 +777,12 @@
 			 hash_string(options->domain),
 			 options->bootstrap_file != NULL, options->seed,
 			 mono_ms());
+	config_sync_note(
+		&service->sync,
+		&(config_sync_event_t){ .kind = CONFIG_SYNC_MEMBERS,
+					.members = { options->members,
+						     options->member_count } },
+		mono_ms());
 }
 
 int config_service_start(const config_service_options_t *options,
