--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -12,6 +12,7 @@
 #include "cmd/router_engines.h"
 #include "cmd/router_events.h"
 #include "cmd/router_sweep.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
@@ -251,25 +252,15 @@
 	return 0;
 }
 
-static void sleep_ms(uint32_t duration_ms)
-{
-	struct timespec pause = {
-		.tv_sec = duration_ms / 1000,
-		.tv_nsec = (long)(duration_ms % 1000) * 1000000L,
-	};
-
-	nanosleep(&pause, NULL);
-}
-
 /** Waits for the open requests to end. @return whether they did in time */
 static bool wait_for_requests(uint32_t limit_ms)
 {
-	uint64_t until_ms = upstream_now_ms() + limit_ms;
+	uint64_t until_ms = clock_now_ms() + limit_ms;
 
 	while (uatomic_read(&router.open_requests)) {
-		if (upstream_now_ms() >= until_ms)
+		if (clock_now_ms() >= until_ms)
 			return false;
-		sleep_ms(WAIT_STEP_MS);
+		clock_sleep_ms(WAIT_STEP_MS);
 	}
 	return true;
 }
@@ -280,7 +271,7 @@
 	uatomic_set(&router.stopping, true);
 	event_log(EVENT_STOPPING, "open=%lu",
 		  uatomic_read(&router.open_requests));
-	sleep_ms(router.settings.drain_ms);
+	clock_sleep_ms(router.settings.drain_ms);
 	if (wait_for_requests(router.settings.stop_limit_ms))
 		return;
 	event_log(EVENT_STOP_LIMIT, "open=%lu",
@@ -364,7 +355,7 @@
 	sigset_t signals;
 	int result;
 
-	router.started_ms = upstream_now_ms();
+	router.started_ms = clock_now_ms();
 	result = settings_read(argc, (const char **)argv, rows, "[options]",
 			       NULL);
 
--- a/cmd/router_config.c
+++ b/cmd/router_config.c
@@ -5,6 +5,7 @@
 
 #include "cmd/router.h"
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/metrics.h"
@@ -96,7 +97,7 @@
 	return fleet_configure(router->fleet, pools, config->pool_count,
 			       config->limits.queue_max,
 			       config->limits.retry_budget_percent,
-			       upstream_now_ms());
+			       clock_now_ms());
 }
 
 static int configure(router_t *router, const config_t *config)
@@ -116,7 +117,7 @@
 
 static void note_ready(router_t *router, const config_t *config)
 {
-	uint64_t start_ms = upstream_now_ms() - router->started_ms;
+	uint64_t start_ms = clock_now_ms() - router->started_ms;
 
 	metrics_set(METRIC_START_MS, (int64_t)start_ms);
 	event_log(EVENT_READY, "position=%llu start_ms=%llu store_calls=%lld",
@@ -137,7 +138,7 @@
 	if (err)
 		event_log(EVENT_FLEET_LIMIT, "error=%s", error_type(err));
 	router->applied_position = config->position;
-	uatomic_set(&router->applied_at_ms, upstream_now_ms());
+	uatomic_set(&router->applied_at_ms, clock_now_ms());
 	cmm_smp_mb();
 	uatomic_set(&router->has_applied, true);
 	crash_guard_set_block(router->guard, config->limits.quarantine_ms);
--- a/cmd/router_control.c
+++ b/cmd/router_control.c
@@ -11,6 +11,7 @@
 
 #include "cmd/router.h"
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/rng.h"
@@ -81,7 +82,7 @@
 	if (!endpoints)
 		return rows;
 	count = fleet_status(router->fleet, endpoints, FLEET_ENDPOINTS_MAX,
-			     upstream_now_ms());
+			     clock_now_ms());
 	for (size_t i = 0; i < count; i++)
 		json_array_append_new(
 			rows,
@@ -122,16 +123,6 @@
 	kill(getpid(), SIGTERM);
 }
 
-static void pause_ms(uint32_t duration_ms)
-{
-	struct timespec pause = {
-		.tv_sec = duration_ms / 1000,
-		.tv_nsec = (long)(duration_ms % 1000) * 1000000L,
-	};
-
-	nanosleep(&pause, NULL);
-}
-
 static bool is_ending(router_t *router)
 {
 	return uatomic_read(&router->ending);
@@ -140,12 +131,12 @@
 /** Waits until a seed answered, so that its configuration is used first. */
 static void find_peers(router_t *router)
 {
-	uint64_t until_ms = upstream_now_ms() + START_PEERS_MS;
+	uint64_t until_ms = clock_now_ms() + START_PEERS_MS;
 	const char *seeds = router->settings.peers;
 
 	while (seeds && *seeds && !is_ending(router) &&
-	       !router_members_known(router) && upstream_now_ms() < until_ms)
-		pause_ms(STEP_MS);
+	       !router_members_known(router) && clock_now_ms() < until_ms)
+		clock_sleep_ms(STEP_MS);
 	if (!router_members_known(router))
 		router_members_read_list(router);
 }
@@ -154,14 +145,14 @@
 {
 	uint32_t interval_ms = router->settings.instances_ms;
 
-	return upstream_now_ms() + interval_ms * 3 / 4 +
+	return clock_now_ms() + interval_ms * 3 / 4 +
 	       rng_below(rng, interval_ms / 2 + 1);
 }
 
 /** A start from a peer is not held up by the list, and needs no store. */
 static bool is_list_due(router_t *router, uint64_t read_ms)
 {
-	uint64_t now_ms = upstream_now_ms();
+	uint64_t now_ms = clock_now_ms();
 	bool started = uatomic_read(&router->has_applied) ||
 		       !router_members_known(router) ||
 		       now_ms >= router->started_ms + START_LIST_MS;
@@ -183,10 +174,10 @@
 		event_log(EVENT_START_FAILED, "part=config error=%s",
 			  error_type(err));
 	/* The first one too, since many instances start together. */
-	read_ms = upstream_now_ms() +
-		  rng_below(&rng, router->settings.instances_ms);
+	read_ms =
+		clock_now_ms() + rng_below(&rng, router->settings.instances_ms);
 	while (!is_ending(router)) {
-		pause_ms(STEP_MS);
+		clock_sleep_ms(STEP_MS);
 		if (!is_list_due(router, read_ms))
 			continue;
 		router_members_read_list(router);
--- a/cmd/router_events.c
+++ b/cmd/router_events.c
@@ -8,6 +8,7 @@
 
 #include "cmd/router.h"
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/hash.h"
 #include "process/metrics.h"
@@ -119,7 +120,7 @@
 	events.incarnation = (uint64_t)incarnation;
 	events.first_seq = (uint64_t)first_seq;
 	count_result(fleet_take_events(router->fleet, target, &events,
-				       upstream_now_ms()),
+				       clock_now_ms()),
 		     events.count);
 }
 
@@ -132,8 +133,8 @@
 	uint64_t bytes;
 	long status = 0;
 
-	if (fleet_events_due(router->fleet, ENGINE_INTERVAL_MS,
-			     upstream_now_ms(), &target, &since))
+	if (fleet_events_due(router->fleet, ENGINE_INTERVAL_MS, clock_now_ms(),
+			     &target, &since))
 		return 0;
 	answer->len = 0;
 	set_url(easy, &target, since);
@@ -172,10 +173,10 @@
 	uint64_t next_ms = 0;
 
 	while (easy && !uatomic_read(&router->ending)) {
-		if (upstream_now_ms() >= next_ms) {
+		if (clock_now_ms() >= next_ms) {
 			uint64_t bytes = read_events(router, easy, &answer);
 
-			next_ms = upstream_now_ms() +
+			next_ms = clock_now_ms() +
 				  bytes * 1000 / router->settings.events_rate;
 		}
 		nanosleep(&step, NULL);
--- a/cmd/router_http.c
+++ b/cmd/router_http.c
@@ -6,6 +6,7 @@
 
 #include "cmd/router.h"
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/metrics.h"
 
@@ -246,7 +247,7 @@
 		return;
 	}
 	if (age_ms == CONFIG_AGE_UNKNOWN)
-		age_ms = upstream_now_ms() - at_ms;
+		age_ms = clock_now_ms() - at_ms;
 	answer =
 		json_pack("{s:s,s:I,s:I,s:b}", "instance", router->instance,
 			  "position", (json_int_t)config->position, "age_ms",
--- a/cmd/router_members.c
+++ b/cmd/router_members.c
@@ -29,7 +29,7 @@
 	if (rumor->kind == PEER_RUMOR_ENDPOINT)
 		fleet_tell_leaving(router->fleet, endpoint->endpoint,
 				   endpoint->incarnation, endpoint->leaving,
-				   upstream_now_ms());
+				   clock_now_ms());
 	else
 		crash_guard_on_rumor(router->guard, rumor);
 }
@@ -58,7 +58,7 @@
 {
 	fleet_leaving_t news[LEAVING_MAX];
 	size_t count = fleet_leaving_news(router->fleet, news, LEAVING_MAX,
-					  upstream_now_ms());
+					  clock_now_ms());
 
 	for (size_t i = 0; i < count; i++) {
 		peer_rumor_t rumor = { .kind = PEER_RUMOR_ENDPOINT };
@@ -260,7 +260,7 @@
 {
 	if (row->kind != STORE_INSTANCE_ROUTER)
 		fleet_listed(router->fleet, hash_string(row->id), row->leaving,
-			     upstream_now_ms());
+			     clock_now_ms());
 	else if (!row->leaving)
 		gossip_learn(router->gossip, row->id, row->address, row->port,
 			     row->domain);
--- a/cmd/router_poll.c
+++ b/cmd/router_poll.c
@@ -5,6 +5,7 @@
 
 #include "cmd/router.h"
 #include "process/cleanup.h"
+#include "process/clock.h"
 
 enum {
 	/** Polls that run at the same time. */
@@ -105,7 +106,7 @@
 
 	if (!json_is_object(report) || !load.incarnation)
 		return;
-	fleet_report(router->fleet, &poll->target, &load, upstream_now_ms());
+	fleet_report(router->fleet, &poll->target, &load, clock_now_ms());
 }
 
 static void end_polls(const router_t *router, CURLM *multi)
@@ -140,7 +141,7 @@
 	for (size_t i = 0; i < POLLS_MAX; i++) {
 		if (polls[i].easy)
 			continue;
-		if (!fleet_poll_due(router->fleet, &interval, upstream_now_ms(),
+		if (!fleet_poll_due(router->fleet, &interval, clock_now_ms(),
 				    &polls[i].target, 1))
 			return;
 		start_poll(router, multi, &polls[i]);
@@ -184,7 +185,7 @@
 		uint32_t wait_ms;
 
 		router_apply_config(router);
-		wait_ms = fleet_tick(router->fleet, upstream_now_ms());
+		wait_ms = fleet_tick(router->fleet, clock_now_ms());
 		pause.tv_nsec = (long)wait_ms * 1000000L;
 		nanosleep(&pause, NULL);
 	}
--- a/cmd/router_sweep.c
+++ b/cmd/router_sweep.c
@@ -7,6 +7,7 @@
 
 #include "cmd/router.h"
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/metrics.h"
@@ -21,14 +22,6 @@
 
 #define ORDER_PREFIX "order/"
 
-static int64_t unix_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 /** Instances that share the work, as gossip knows them. */
 static uint32_t count_instances(void)
 {
@@ -60,14 +53,13 @@
 						   : INT64_MAX;
 	}
 	order_sweep_page(sweep, action->call, err, items, err ? 0 : count,
-			 page.more, unix_ms());
+			 page.more, (int64_t)clock_unix_ms());
 }
 
 /** One step. @return whether it called the store */
 static bool sweep_step(store_client_t *store, order_sweep_t *sweep)
 {
-	order_sweep_action_t action =
-		order_sweep_step(sweep, upstream_now_ms());
+	order_sweep_action_t action = order_sweep_step(sweep, clock_now_ms());
 
 	switch (action.kind) {
 	case ORDER_SWEEP_NONE:
@@ -102,11 +94,11 @@
 	settings.retention_ms = router->settings.order_retention_ms;
 	order_sweep_init(&sweep, &settings, &rng,
 			 router->settings.order_sweep_ms, count_instances(),
-			 upstream_now_ms());
+			 clock_now_ms());
 	while (!uatomic_read(&router->ending)) {
-		if (upstream_now_ms() >= next_ms &&
+		if (clock_now_ms() >= next_ms &&
 		    sweep_step(router->store, &sweep))
-			next_ms = upstream_now_ms() + CALL_INTERVAL_MS;
+			next_ms = clock_now_ms() + CALL_INTERVAL_MS;
 		nanosleep(&step, NULL);
 	}
 	return NULL;
--- a/connection/server.c
+++ b/connection/server.c
@@ -20,6 +20,7 @@
 #include "connection/tls_front.h"
 #include "connection/upstream.h"
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/event.h"
 #include "process/metrics.h"
 
@@ -65,7 +66,7 @@
 	struct timespec pause = { .tv_nsec = WATCH_STEP_MS * 1000000L };
 
 	while (!uatomic_read(&server->stopping)) {
-		uint64_t now_ms = upstream_now_ms();
+		uint64_t now_ms = clock_now_ms();
 
 		pthread_mutex_lock(&server->lock);
 		for (reading_t *at = server->readings; at; at = at->next) {
@@ -427,7 +428,7 @@
 	uint64_t expected = stated > 0 ? (uint64_t)stated : body_max_bytes;
 	reading_t reading = {
 		.fd = request->fd,
-		.deadline_ms = upstream_now_ms() +
+		.deadline_ms = clock_now_ms() +
 			       server->settings.caller_timeout_ms +
 			       expected / BODY_MIN_BYTES_PER_MS,
 	};
--- a/connection/tls_front.c
+++ b/connection/tls_front.c
@@ -20,6 +20,7 @@
 
 #include "connection/upstream.h"
 #include "process/cleanup.h"
+#include "process/clock.h"
 
 enum {
 	BUFFER_BYTES = 16384,
@@ -96,9 +97,9 @@
 static bool handshake(link_t *link)
 {
 	uint64_t until_ms =
-		upstream_now_ms() + link->front->settings.handshake_timeout_ms;
+		clock_now_ms() + link->front->settings.handshake_timeout_ms;
 
-	while (upstream_now_ms() < until_ms &&
+	while (clock_now_ms() < until_ms &&
 	       !uatomic_read(&link->front->stopping)) {
 		int result;
 
--- a/connection/upstream.c
+++ b/connection/upstream.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 
 enum {
@@ -42,14 +43,6 @@
 	bool has_head;
 } transfer_t;
 
-uint64_t upstream_now_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
-
 bool upstream_peer_gone(int fd)
 {
 	struct pollfd poller = { .fd = fd, .events = POLLRDHUP };
@@ -232,7 +225,7 @@
 	long status = 0;
 
 	transfer->result->received = true;
-	transfer->last_byte_ms = upstream_now_ms();
+	transfer->last_byte_ms = clock_now_ms();
 	if (transfer->has_head || len > 2 || *bytes != '\r')
 		return len;
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
@@ -255,7 +248,7 @@
 	if (call->take_body)
 		transfer->err = call->take_body(call->context, bytes, len);
 	/* Taken after the callback, which may wait for a slow caller. */
-	transfer->last_byte_ms = upstream_now_ms();
+	transfer->last_byte_ms = clock_now_ms();
 	return transfer->err < 0 ? CURL_WRITEFUNC_ERROR : len;
 }
 
@@ -310,7 +303,7 @@
 static int check_limits(const transfer_t *transfer, uint64_t start_ms)
 {
 	const upstream_call_t *call = transfer->call;
-	uint64_t now_ms = upstream_now_ms();
+	uint64_t now_ms = clock_now_ms();
 	int reason = call->cancel ? upstream_cancel_reason(call->cancel) : 0;
 
 	if (reason)
@@ -349,7 +342,7 @@
 /** Drives the transfer and returns the error it ends with. */
 static int drive(link_t *link, transfer_t *transfer)
 {
-	uint64_t start_ms = upstream_now_ms();
+	uint64_t start_ms = clock_now_ms();
 	int running = 1;
 
 	for (;;) {
--- a/connection/upstream.h
+++ b/connection/upstream.h
@@ -103,7 +103,4 @@
 /** Whether a socket's other side has closed or reset the connection. */
 bool upstream_peer_gone(int fd);
 
-/** Monotonic time in milliseconds. */
-uint64_t upstream_now_ms(void);
-
 #endif
--- a/t/lib/clock.c
+++ b/process/clock.c
@@ -1,16 +1,26 @@
-#include "t/lib/clock.h"
+#include "process/clock.h"
 
 #include <errno.h>
 #include <time.h>
 
-uint64_t clock_now_ms(void)
+static uint64_t read_ms(clockid_t clock)
 {
 	struct timespec now;
 
-	clock_gettime(CLOCK_MONOTONIC, &now);
+	clock_gettime(clock, &now);
 	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
 }
 
+uint64_t clock_now_ms(void)
+{
+	return read_ms(CLOCK_MONOTONIC);
+}
+
+uint64_t clock_unix_ms(void)
+{
+	return read_ms(CLOCK_REALTIME);
+}
+
 void clock_sleep_us(uint64_t duration_us)
 {
 	struct timespec rest = {
@@ -22,6 +32,11 @@
 		;
 }
 
+void clock_sleep_ms(uint64_t duration_ms)
+{
+	clock_sleep_us(duration_ms * 1000);
+}
+
 void clock_cond_init(pthread_cond_t *cond)
 {
 	pthread_condattr_t attributes;
@@ -32,14 +47,19 @@
 	pthread_condattr_destroy(&attributes);
 }
 
-void clock_cond_wait(pthread_cond_t *cond, pthread_mutex_t *lock,
-		     uint64_t timeout_ms)
+bool clock_cond_wait_until(pthread_cond_t *cond, pthread_mutex_t *lock,
+			   uint64_t until_ms)
 {
-	uint64_t until_ms = clock_now_ms() + timeout_ms;
 	struct timespec until = {
 		.tv_sec = (time_t)(until_ms / 1000),
 		.tv_nsec = (long)(until_ms % 1000) * 1000000,
 	};
 
-	pthread_cond_timedwait(cond, lock, &until);
+	return !pthread_cond_timedwait(cond, lock, &until);
+}
+
+bool clock_cond_wait(pthread_cond_t *cond, pthread_mutex_t *lock,
+		     uint64_t timeout_ms)
+{
+	return clock_cond_wait_until(cond, lock, clock_now_ms() + timeout_ms);
 }
--- a/process/crash_guard.c
+++ b/process/crash_guard.c
@@ -267,16 +267,6 @@
 	return 0;
 }
 
-static void sleep_ms(uint64_t duration_ms)
-{
-	struct timespec pause = {
-		.tv_sec = (time_t)(duration_ms / 1000),
-		.tv_nsec = (long)(duration_ms % 1000) * 1000000L,
-	};
-
-	nanosleep(&pause, NULL);
-}
-
 /**
  * Asks the home for an isolated run until it decides.
  * @return 0, ERR_QUARANTINED or ERR_DEADLINE
@@ -308,7 +298,7 @@
 		}
 		if (clock_now_ms() + wait_ms >= deadline_ms)
 			break;
-		sleep_ms(wait_ms);
+		clock_sleep_ms(wait_ms);
 	}
 	return ERR_DEADLINE;
 }
--- a/process/fleet.c
+++ b/process/fleet.c
@@ -1,12 +1,11 @@
-#include "process/fleet.h"
+#include "process/fleet_state.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/hash.h"
 #include "process/metrics.h"
@@ -14,46 +13,6 @@
 enum {
 	/** Longest time between two updates of the pools' waits. */
 	TICK_MAX_MS = 50,
-	MILLISECONDS_PER_SECOND = 1000,
-	NANOSECONDS_PER_MILLISECOND = 1000000,
-};
-
-typedef struct fleet_endpoint {
-	endpoint_t state;
-	fleet_target_t target;
-	int pool;
-	bool configured;
-	bool configured_leaving;
-	bool engine;
-	bool listed_leaving; /**< By the last row of the instance list. */
-	bool spread_leaving; /**< What other instances were told last. */
-	uint64_t spread_incarnation;
-	uint32_t references; /**< Attempts in progress. */
-	uint64_t used_ms;
-	uint64_t next_poll_ms;
-	uint64_t events_read_ms; /**< Last read of cache events. */
-} fleet_endpoint_t;
-
-typedef struct fleet_pool {
-	char id[FLEET_ID_MAX_BYTES];
-	bool engines;
-	uint32_t streams_max;
-	routing_t *routing; /**< Engines only. */
-	endpoint_t **endpoints;
-	int *slots; /**< Slot of each endpoint. */
-	size_t count;
-} fleet_pool_t;
-
-struct fleet {
-	pthread_mutex_t lock;
-	routing_policy_t policy;
-	rng_t rng;
-	admission_t admission;
-	fleet_request_t *requests;
-	fleet_pool_t pools[ADMISSION_POOLS_MAX];
-	size_t pool_count;
-	fleet_endpoint_t *slots[FLEET_ENDPOINTS_MAX];
-	size_t slot_count;
 };
 
 fleet_t *fleet_new(routing_policy_t policy, uint64_t seed)
@@ -92,7 +51,7 @@
 	free(fleet);
 }
 
-static int find_slot(const fleet_t *fleet, uint64_t id_hash)
+int fleet_find_slot(const fleet_t *fleet, uint64_t id_hash)
 {
 	for (size_t i = 0; i < fleet->slot_count; i++) {
 		if (fleet->slots[i]->target.id_hash == id_hash)
@@ -136,7 +95,7 @@
 static int configure_endpoint(fleet_t *fleet, int pool,
 			      const fleet_endpoint_setup_t *setup)
 {
-	int slot = find_slot(fleet, setup->id_hash);
+	int slot = fleet_find_slot(fleet, setup->id_hash);
 	fleet_endpoint_t *endpoint;
 	fleet_target_t *target;
 
@@ -327,14 +286,10 @@
 
 void fleet_submit(fleet_t *fleet, fleet_request_t *request, uint64_t now_ms)
 {
-	pthread_condattr_t attributes;
 	admission_action_t action;
 	SCOPED_LOCK(lock, &fleet->lock);
 
-	pthread_condattr_init(&attributes);
-	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	pthread_cond_init(&request->changed, &attributes);
-	pthread_condattr_destroy(&attributes);
+	clock_cond_init(&request->changed);
 	request->state = FLEET_WAITING;
 	request->preempting = false;
 	request->next = fleet->requests;
@@ -348,20 +303,12 @@
 fleet_state_t fleet_wait(fleet_t *fleet, fleet_request_t *request,
 			 uint32_t timeout_ms)
 {
-	struct timespec until;
+	uint64_t until_ms = clock_now_ms() + timeout_ms;
 	SCOPED_LOCK(lock, &fleet->lock);
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += timeout_ms / MILLISECONDS_PER_SECOND;
-	until.tv_nsec += (long)(timeout_ms % MILLISECONDS_PER_SECOND) *
-			 NANOSECONDS_PER_MILLISECOND;
-	if (until.tv_nsec >= 1000L * NANOSECONDS_PER_MILLISECOND) {
-		until.tv_sec++;
-		until.tv_nsec -= 1000L * NANOSECONDS_PER_MILLISECOND;
-	}
 	while (request->state == FLEET_WAITING) {
-		if (pthread_cond_timedwait(&request->changed, &fleet->lock,
-					   &until))
+		if (!clock_cond_wait_until(&request->changed, &fleet->lock,
+					   until_ms))
 			break;
 	}
 	return request->state;
@@ -542,7 +489,7 @@
 	int slot;
 	SCOPED_LOCK(lock, &fleet->lock);
 
-	slot = find_slot(fleet, target->id_hash);
+	slot = fleet_find_slot(fleet, target->id_hash);
 	choice->slot = slot;
 	if (slot < 0)
 		return;
@@ -557,7 +504,7 @@
 	int slot;
 	SCOPED_LOCK(lock, &fleet->lock);
 
-	slot = find_slot(fleet, hash_string(id));
+	slot = fleet_find_slot(fleet, hash_string(id));
 	if (slot < 0 || !fleet->slots[slot]->configured ||
 	    fleet->slots[slot]->pool != pool)
 		return ERR_NO_ENDPOINT;
@@ -614,240 +561,6 @@
 			       now_ms);
 }
 
-void fleet_tell_leaving(fleet_t *fleet, uint64_t id_hash, uint64_t incarnation,
-			bool leaving, uint64_t now_ms)
-{
-	fleet_endpoint_t *endpoint;
-	int slot;
-	SCOPED_LOCK(lock, &fleet->lock);
-
-	slot = find_slot(fleet, id_hash);
-	if (slot < 0)
-		return;
-	endpoint = fleet->slots[slot];
-	endpoint_tell_leaving(&endpoint->state, incarnation, leaving, now_ms);
-	endpoint->spread_leaving = leaving;
-	endpoint->spread_incarnation = incarnation;
-}
-
-void fleet_listed(fleet_t *fleet, uint64_t id_hash, bool leaving,
-		  uint64_t now_ms)
-{
-	fleet_endpoint_t *endpoint;
-	int slot;
-	SCOPED_LOCK(lock, &fleet->lock);
-
-	slot = find_slot(fleet, id_hash);
-	if (slot < 0)
-		return;
-	endpoint = fleet->slots[slot];
-	/* The list lags, so a repeated row must not mark a new incarnation. */
-	if (endpoint->listed_leaving == leaving)
-		return;
-	endpoint->listed_leaving = leaving;
-	endpoint_tell_leaving(&endpoint->state, endpoint->state.incarnation,
-			      leaving, now_ms);
-}
-
-static bool is_leaving_news(fleet_endpoint_t *endpoint, uint64_t now_ms)
-{
-	const endpoint_t *state = &endpoint->state;
-	bool leaving = endpoint_is_told_leaving(state, now_ms);
-	bool is_new = leaving != endpoint->spread_leaving ||
-		      (leaving &&
-		       state->incarnation != endpoint->spread_incarnation &&
-		       state->incarnation);
-	/* A new incarnation is known to the others from its own answers. */
-	bool is_ended =
-		!leaving && state->incarnation != endpoint->spread_incarnation;
-
-	endpoint->spread_leaving = leaving;
-	if (is_new)
-		endpoint->spread_incarnation = state->incarnation;
-	return is_new && !is_ended;
-}
-
-size_t fleet_leaving_news(fleet_t *fleet, fleet_leaving_t *news, size_t max,
-			  uint64_t now_ms)
-{
-	size_t count = 0;
-	SCOPED_LOCK(lock, &fleet->lock);
-
-	for (size_t i = 0; i < fleet->slot_count && count < max; i++) {
-		fleet_endpoint_t *endpoint = fleet->slots[i];
-
-		if (!is_leaving_news(endpoint, now_ms))
-			continue;
-		news[count++] = (fleet_leaving_t){
-			.id_hash = endpoint->target.id_hash,
-			.incarnation = endpoint->spread_incarnation,
-			.leaving = endpoint->spread_leaving,
-		};
-	}
-	return count;
-}
-
-size_t fleet_status(fleet_t *fleet, fleet_status_t *out, size_t max,
-		    uint64_t now_ms)
-{
-	size_t count = 0;
-	SCOPED_LOCK(lock, &fleet->lock);
-
-	for (size_t i = 0; i < fleet->slot_count && count < max; i++) {
-		const fleet_endpoint_t *endpoint = fleet->slots[i];
-		fleet_status_t *row = &out[count];
-
-		if (!endpoint->configured)
-			continue;
-		memcpy(row->id, endpoint->target.id, sizeof(row->id));
-		row->incarnation = endpoint->state.incarnation;
-		row->state = endpoint_state(&endpoint->state, now_ms);
-		row->running = endpoint->state.running;
-		count++;
-	}
-	return count;
-}
-
-static bool is_polled(const fleet_endpoint_t *endpoint)
-{
-	return endpoint->configured && endpoint->engine;
-}
-
-static bool is_in_use(const fleet_endpoint_t *endpoint, uint64_t now_ms)
-{
-	return is_polled(endpoint) && endpoint->used_ms &&
-	       now_ms - endpoint->used_ms < FLEET_IN_USE_MS;
-}
-
-static uint32_t poll_delay_ms(const fleet_endpoint_t *endpoint,
-			      const fleet_poll_interval_t *interval,
-			      uint64_t now_ms)
-{
-	return is_in_use(endpoint, now_ms) ? interval->in_use_ms
-					   : interval->idle_ms;
-}
-
-/** Factor that brings all polls together down to the limit; at least 1. */
-static double poll_stretch(const fleet_t *fleet,
-			   const fleet_poll_interval_t *interval,
-			   uint64_t now_ms)
-{
-	double wanted_per_s = 0;
-
-	for (size_t i = 0; i < fleet->slot_count; i++) {
-		if (is_polled(fleet->slots[i]))
-			wanted_per_s +=
-				1000.0 / poll_delay_ms(fleet->slots[i],
-						       interval, now_ms);
-	}
-	return fmax(1.0, wanted_per_s / interval->polls_per_s);
-}
-
-size_t fleet_poll_due(fleet_t *fleet, const fleet_poll_interval_t *interval,
-		      uint64_t now_ms, fleet_target_t *targets, size_t max)
-{
-	double stretch = 0;
-	size_t count = 0;
-	SCOPED_LOCK(lock, &fleet->lock);
-
-	for (size_t i = 0; i < fleet->slot_count && count < max; i++) {
-		fleet_endpoint_t *endpoint = fleet->slots[i];
-		uint64_t delay_ms;
-
-		if (!is_polled(endpoint) || endpoint->next_poll_ms > now_ms)
-			continue;
-		if (stretch == 0)
-			stretch = poll_stretch(fleet, interval, now_ms);
-		delay_ms =
-			(uint64_t)(stretch *
-				   poll_delay_ms(endpoint, interval, now_ms));
-		endpoint->next_poll_ms =
-			now_ms + delay_ms * 3 / 4 +
-			rng_below(&fleet->rng, delay_ms / 2 + 1);
-		targets[count++] = endpoint->target;
-	}
-	return count;
-}
-
-void fleet_report(fleet_t *fleet, const fleet_target_t *target,
-		  const endpoint_load_t *load, uint64_t now_ms)
-{
-	int slot;
-	SCOPED_LOCK(lock, &fleet->lock);
-
-	slot = find_slot(fleet, target->id_hash);
-	if (slot >= 0 && load)
-		endpoint_report(&fleet->slots[slot]->state, load, now_ms);
-}
-
-int fleet_events_due(fleet_t *fleet, uint32_t interval_ms, uint64_t now_ms,
-		     fleet_target_t *target, uint64_t *since)
-{
-	fleet_endpoint_t *oldest = NULL;
-	uint64_t next_seq;
-	SCOPED_LOCK(lock, &fleet->lock);
-
-	for (size_t i = 0; i < fleet->slot_count; i++) {
-		fleet_endpoint_t *endpoint = fleet->slots[i];
-
-		if (is_in_use(endpoint, now_ms) &&
-		    now_ms - endpoint->events_read_ms >= interval_ms &&
-		    (!oldest ||
-		     endpoint->events_read_ms < oldest->events_read_ms))
-			oldest = endpoint;
-	}
-	if (!oldest)
-		return ERR_NO_ENDPOINT;
-	oldest->events_read_ms = now_ms;
-	next_seq = oldest->state.event_seq;
-	*target = oldest->target;
-	*since = next_seq ? next_seq - 1 : 0;
-	return 0;
-}
-
-/** Whether no number is missing from the one asked for to the last one. */
-static bool is_contiguous(const fleet_events_t *events)
-{
-	for (size_t i = 0; i < events->count; i++) {
-		if (events->events[i].seq != events->since + i + 1)
-			return false;
-	}
-	return true;
-}
-
-int fleet_take_events(fleet_t *fleet, const fleet_target_t *target,
-		      const fleet_events_t *events, uint64_t now_ms)
-{
-	uint64_t first_seq = events->first_seq;
-	uint64_t next_seq = events->since + 1;
-	fleet_endpoint_t *endpoint;
-	routing_t *routing;
-	int tracked = 0;
-	int slot;
-	SCOPED_LOCK(lock, &fleet->lock);
-
-	slot = find_slot(fleet, target->id_hash);
-	if (slot < 0)
-		return ERR_NO_ENDPOINT;
-	endpoint = fleet->slots[slot];
-	routing = fleet->pools[endpoint->pool].routing;
-	if (events->count) {
-		next_seq = events->events[events->count - 1].seq + 1;
-		if (!is_contiguous(events))
-			first_seq = next_seq;
-	} else if (first_seq > next_seq) {
-		next_seq = first_seq;
-	}
-	if (!endpoint_events(&endpoint->state, events->incarnation, first_seq,
-			     next_seq, now_ms))
-		return ERR_NOT_FOUND;
-	for (size_t i = 0; routing && i < events->count; i++)
-		tracked += belief_event(&routing->beliefs, &endpoint->state,
-					events->events[i].key,
-					events->events[i].added, now_ms);
-	return tracked;
-}
-
 uint32_t fleet_tick(fleet_t *fleet, uint64_t now_ms)
 {
 	uint32_t timer_ms;
--- a/process/gossip.c
+++ b/process/gossip.c
@@ -398,18 +398,12 @@
 /** Waits for the next tick or for news. @return whether to go on */
 static bool wait_for_tick(gossip_t *gossip)
 {
-	struct timespec until;
+	uint64_t until_ms = clock_now_ms() + GOSSIP_TICK_MS;
 	SCOPED_LOCK(guard, &gossip->lock);
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_nsec += GOSSIP_TICK_MS * 1000000L;
-	if (until.tv_nsec >= 1000000000L) {
-		until.tv_nsec -= 1000000000L;
-		until.tv_sec++;
-	}
 	while (!gossip->stopping && !gossip->wake) {
-		if (pthread_cond_timedwait(&gossip->changed, &gossip->lock,
-					   &until))
+		if (!clock_cond_wait_until(&gossip->changed, &gossip->lock,
+					   until_ms))
 			break;
 	}
 	gossip->wake = false;
@@ -548,12 +542,7 @@
 
 static void init_locks(gossip_t *gossip)
 {
-	pthread_condattr_t attributes;
-
-	pthread_condattr_init(&attributes);
-	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	pthread_cond_init(&gossip->changed, &attributes);
-	pthread_condattr_destroy(&attributes);
+	clock_cond_init(&gossip->changed);
 	pthread_mutex_init(&gossip->lock, NULL);
 }
 
--- a/process/store_client.c
+++ b/process/store_client.c
@@ -9,6 +9,7 @@
 #include <time.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/metrics.h"
@@ -61,14 +62,6 @@
 
 #define CLEANUP_CALL __attribute__((cleanup(free_call)))
 
-static uint64_t clock_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
-
 static int status_error(const store_answer_t *answer)
 {
 	switch (answer->status) {
@@ -126,7 +119,7 @@
 					: TOTAL_TIMEOUT_MS;
 	pthread_mutex_init(&own->lock, NULL);
 	store_budget_init(&own->budget, &options->budget, options->seed,
-			  clock_ms());
+			  clock_now_ms());
 	*client = own;
 	return 0;
 }
@@ -157,7 +150,7 @@
 {
 	SCOPED_LOCK(lock, &client->lock);
 	store_verdict_t verdict =
-		store_budget_ask(&client->budget, purpose, clock_ms());
+		store_budget_ask(&client->budget, purpose, clock_now_ms());
 
 	switch (verdict.kind) {
 	case STORE_VERDICT_ALLOW:
@@ -195,7 +188,7 @@
 	pthread_mutex_lock(&client->lock);
 	was_down = store_budget_is_down(&client->budget);
 	store_budget_report(&client->budget, outcome_of(call, err),
-			    call->retry_after_ms, clock_ms());
+			    call->retry_after_ms, clock_now_ms());
 	is_down = store_budget_is_down(&client->budget);
 	pthread_mutex_unlock(&client->lock);
 	if (is_down && !was_down)
--- a/request/order_backlog.c
+++ b/request/order_backlog.c
@@ -7,13 +7,12 @@
 
 #include "connection/upstream.h"
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/metrics.h"
 
 enum {
 	/** Between two tasks, each of which reads and writes a record. */
 	TASK_INTERVAL_MS = 500,
-	MILLISECONDS_PER_SECOND = 1000,
-	NANOSECONDS_PER_MILLISECOND = 1000000,
 };
 
 typedef struct task {
@@ -43,17 +42,6 @@
 	return first;
 }
 
-static void wait_until(order_backlog_t *backlog, uint64_t until_ms)
-{
-	struct timespec until = {
-		.tv_sec = (time_t)(until_ms / MILLISECONDS_PER_SECOND),
-		.tv_nsec = (long)(until_ms % MILLISECONDS_PER_SECOND) *
-			   NANOSECONDS_PER_MILLISECOND,
-	};
-
-	pthread_cond_timedwait(&backlog->changed, &backlog->lock, &until);
-}
-
 /**
  * Waits for a task that is due. It keeps its place meanwhile, so that the
  * bound counts the task in progress too.
@@ -67,12 +55,13 @@
 		task_t *task = backlog->count ? first_task(backlog) : NULL;
 
 		*last = backlog->stopping;
-		if (task && (*last || task->due_ms <= upstream_now_ms()))
+		if (task && (*last || task->due_ms <= clock_now_ms()))
 			return task->context;
 		if (*last)
 			return NULL;
 		if (task)
-			wait_until(backlog, task->due_ms);
+			clock_cond_wait_until(&backlog->changed, &backlog->lock,
+					      task->due_ms);
 		else
 			pthread_cond_wait(&backlog->changed, &backlog->lock);
 	}
@@ -96,11 +85,12 @@
 /** Leaves store calls to new orders; a stop ends the pause. */
 static void pause_between(order_backlog_t *backlog)
 {
-	uint64_t until_ms = upstream_now_ms() + TASK_INTERVAL_MS;
+	uint64_t until_ms = clock_now_ms() + TASK_INTERVAL_MS;
 	SCOPED_LOCK(lock, &backlog->lock);
 
-	while (!backlog->stopping && upstream_now_ms() < until_ms)
-		wait_until(backlog, until_ms);
+	while (!backlog->stopping && clock_now_ms() < until_ms)
+		clock_cond_wait_until(&backlog->changed, &backlog->lock,
+				      until_ms);
 }
 
 static void *run_tasks(void *argument)
@@ -122,16 +112,12 @@
 order_backlog_t *order_backlog_start(order_backlog_fn *run)
 {
 	order_backlog_t *backlog = calloc(1, sizeof(*backlog));
-	pthread_condattr_t attributes;
 
 	if (!backlog)
 		return NULL;
 	backlog->run = run;
 	pthread_mutex_init(&backlog->lock, NULL);
-	pthread_condattr_init(&attributes);
-	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	pthread_cond_init(&backlog->changed, &attributes);
-	pthread_condattr_destroy(&attributes);
+	clock_cond_init(&backlog->changed);
 	if (!pthread_create(&backlog->thread, NULL, run_tasks, backlog))
 		return backlog;
 	pthread_cond_destroy(&backlog->changed);
--- a/request/plain.c
+++ b/request/plain.c
@@ -7,6 +7,7 @@
 #include <strings.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/metrics.h"
@@ -239,10 +240,10 @@
 	fleet_t *fleet = transfer->plain->fleet;
 	fleet_choice_t choice = { 0 };
 
-	fleet_sent(fleet, target, upstream_now_ms(), &choice);
+	fleet_sent(fleet, target, clock_now_ms(), &choice);
 	plain_send(transfer, target, result);
 	fleet_ended(fleet, &choice, NULL, outcome_of(&transfer->answer, result),
-		    upstream_now_ms());
+		    clock_now_ms());
 }
 
 /** Whether another endpoint may be tried, and whether that needs budget. */
@@ -285,7 +286,7 @@
 {
 	fleet_target_t targets[PLAIN_TRIES_MAX];
 	size_t count = fleet_list(plain->fleet, pool, targets, PLAIN_TRIES_MAX,
-				  upstream_now_ms());
+				  clock_now_ms());
 	plain_transfer_t transfer = {
 		.plain = plain,
 		.request = request,
@@ -301,9 +302,8 @@
 		send_counted(&transfer, &targets[i], &result);
 		ran = ran || (result.sent && !transfer.answer.is_not_run);
 		if (!may_retry(&transfer.answer, &result, &needs_budget) ||
-		    (needs_budget &&
-		     fleet_retry(plain->fleet, pool, deadline_ms,
-				 upstream_now_ms())))
+		    (needs_budget && fleet_retry(plain->fleet, pool,
+						 deadline_ms, clock_now_ms())))
 			break;
 	}
 	if (result.err)
@@ -333,5 +333,5 @@
 		return;
 	}
 	serve_idempotent(plain, request, pool,
-			 upstream_now_ms() + route->timeout_ms);
+			 clock_now_ms() + route->timeout_ms);
 }
--- a/request/plain_fencing.c
+++ b/request/plain_fencing.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 
 #define FENCING_PATH "/fencing"
@@ -93,8 +94,7 @@
 		.connect_timeout_ms = question->connect_timeout_ms,
 		.first_byte_timeout_ms = question->answer_timeout_ms,
 		.idle_timeout_ms = question->answer_timeout_ms,
-		.deadline_ms = upstream_now_ms() +
-			       question->connect_timeout_ms +
+		.deadline_ms = clock_now_ms() + question->connect_timeout_ms +
 			       question->answer_timeout_ms,
 		.fresh_connection = true,
 		.caller_fd = -1,
--- a/request/plain_order.c
+++ b/request/plain_order.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "request/order_record.h"
@@ -30,14 +31,6 @@
 	bool finished;
 } order_run_t;
 
-static int64_t unix_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 static void sleep_until(uint64_t until_ms)
 {
 	struct timespec until = {
@@ -84,7 +77,7 @@
 		event.read.record = &run->held.record;
 	}
 	event.read.result = err;
-	event.read.unix_ms = unix_ms();
+	event.read.unix_ms = (int64_t)clock_unix_ms();
 	return event;
 }
 
@@ -101,7 +94,7 @@
 	};
 
 	run->was_connected = true;
-	order_step(&run->order, &event, upstream_now_ms(), &run->actions);
+	order_step(&run->order, &event, clock_now_ms(), &run->actions);
 	run->may_send = run->actions.count == 1 &&
 			run->actions.items[0].kind == ORDER_ACTION_SEND;
 	return run->may_send ? 0 : ERR_ORDER_NOT_RUN;
@@ -163,7 +156,7 @@
 {
 	plain_transfer_t *transfer = &run->transfer;
 	fleet_choice_t choice = { 0 };
-	uint64_t now_ms = upstream_now_ms();
+	uint64_t now_ms = clock_now_ms();
 	uint64_t left_ms = send_by_ms > now_ms ? send_by_ms - now_ms : 1;
 	uint32_t connect_ms = run->plain->settings.connect_timeout_ms;
 
@@ -175,7 +168,7 @@
 	fleet_sent(run->plain->fleet, target, now_ms, &choice);
 	plain_send(transfer, target, result);
 	fleet_ended(run->plain->fleet, &choice, NULL, outcome_of(run, result),
-		    upstream_now_ms());
+		    clock_now_ms());
 }
 
 /** @return whether there is an event; else `actions` are to be performed */
@@ -305,8 +298,7 @@
 		if (!perform(run, &actions.items[i], &event))
 			continue;
 		event.call = actions.items[i].call;
-		order_step(&run->order, &event, upstream_now_ms(),
-			   &run->actions);
+		order_step(&run->order, &event, clock_now_ms(), &run->actions);
 		has_event = true;
 	}
 	/* Without either, the state machine would wait for ever. */
@@ -418,7 +410,7 @@
 		.key = server_header(request->caller, "Idempotency-Key"),
 		.digest = digest,
 		.owner = run->plain->settings.instance,
-		.unix_ms = unix_ms(),
+		.unix_ms = (int64_t)clock_unix_ms(),
 	};
 
 	randombytes_buf(&order.nonce, sizeof(order.nonce));
@@ -426,14 +418,14 @@
 	if (pool >= 0)
 		run->target_count =
 			fleet_list(fleet, pool, run->targets,
-				   ORDER_ENDPOINTS_MAX, upstream_now_ms());
+				   ORDER_ENDPOINTS_MAX, clock_now_ms());
 	for (size_t i = 0; i < run->target_count; i++)
 		order.endpoints[i] = run->targets[i].id;
 	order.endpoint_count = run->target_count;
 	order.endpoints_check_fencing = all_check_fencing(run);
 	run->settings = order_default_settings;
 	run->settings.endpoint_timeout_ms = route->timeout_ms;
-	order_begin(&run->order, &run->settings, &order, upstream_now_ms(),
+	order_begin(&run->order, &run->settings, &order, clock_now_ms(),
 		    &run->actions);
 }
 
--- a/request/relay.c
+++ b/request/relay.c
@@ -8,6 +8,7 @@
 #include <time.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
@@ -234,7 +235,7 @@
 	};
 	job->admission.preempt = preempt;
 	job->admission.context = &job->cancel;
-	fleet_submit(job->relay->fleet, &job->admission, upstream_now_ms());
+	fleet_submit(job->relay->fleet, &job->admission, clock_now_ms());
 	job->admitted = true;
 }
 
@@ -272,7 +273,7 @@
 			? job->weights_version
 			: NULL;
 	err = fleet_choose(job->relay->fleet, job->plan.fleet_pool, routing,
-			   first ? &job->admission : NULL, upstream_now_ms(),
+			   first ? &job->admission : NULL, clock_now_ms(),
 			   &job->choice);
 	/* The demand was counted; a retry or a later start is the same. */
 	routing->again = true;
@@ -295,11 +296,11 @@
 /** Waits for an idle engine to run a suspect alone. */
 static int choose_isolated(relay_job_t *job)
 {
-	uint64_t until_ms = upstream_now_ms() + ISOLATION_WAIT_MS;
+	uint64_t until_ms = clock_now_ms() + ISOLATION_WAIT_MS;
 	struct timespec step = { .tv_nsec = ISOLATION_STEP_MS * 1000000L };
 	int err = choose_once(job, true, true);
 
-	while (err == ERR_NO_ENDPOINT && upstream_now_ms() < until_ms &&
+	while (err == ERR_NO_ENDPOINT && clock_now_ms() < until_ms &&
 	       !upstream_cancel_reason(&job->cancel) &&
 	       !server_caller_gone(job->request->caller)) {
 		nanosleep(&step, NULL);
@@ -341,7 +342,7 @@
 /** Asks whether the request may run; a suspect waits for its permission. */
 static int begin_guarded(relay_job_t *job)
 {
-	uint64_t until_ms = upstream_now_ms() + PERMISSION_WAIT_MS;
+	uint64_t until_ms = clock_now_ms() + PERMISSION_WAIT_MS;
 	uint64_t retry_after_ms = 0;
 	int err;
 
@@ -418,7 +419,7 @@
 
 	if (action->kind == ATTEMPT_RETRY && action->retry.needs_budget)
 		err = fleet_retry(job->relay->fleet, job->plan.fleet_pool,
-				  job->deadline_at_ms, upstream_now_ms());
+				  job->deadline_at_ms, clock_now_ms());
 	return err ? attempt_refused(&job->attempt, err) : *action;
 }
 
@@ -426,7 +427,7 @@
 static int requeue(relay_job_t *job)
 {
 	upstream_cancel_clear(&job->cancel, RELAY_PREEMPTED);
-	fleet_requeue(job->relay->fleet, &job->admission, upstream_now_ms());
+	fleet_requeue(job->relay->fleet, &job->admission, clock_now_ms());
 	return wait_for_start(job);
 }
 
@@ -572,7 +573,7 @@
 		fail(job, err, &not_run, NULL);
 	else
 		run_attempts(job);
-	fleet_finished(job->relay->fleet, &job->admission, upstream_now_ms());
+	fleet_finished(job->relay->fleet, &job->admission, clock_now_ms());
 }
 
 void relay_serve(relay_t *relay, const relay_request_t *request)
@@ -588,7 +589,7 @@
 	}
 	job->relay = relay;
 	job->request = request;
-	job->started_ms = upstream_now_ms();
+	job->started_ms = clock_now_ms();
 	upstream_cancel_init(&job->cancel);
 	relay_output_init(&job->output);
 	job->output.caller = request->caller;
@@ -656,7 +657,7 @@
 
 	fill_routing(plan, &routing);
 	error->err = fleet_explain(relay->fleet, plan->fleet_pool, &routing,
-				   upstream_now_ms(), &choice);
+				   clock_now_ms(), &choice);
 	return explain_choice(relay, plan, &choice, error->err);
 }
 
--- a/request/relay_attempt.c
+++ b/request/relay_attempt.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/event.h"
 #include "process/hash.h"
 #include "process/metrics.h"
@@ -47,7 +48,7 @@
 		return;
 	fleet_first_token(job->relay->fleet, job->plan.fleet_pool, &job->choice,
 			  &job->routing, prefill->cached_tokens,
-			  prefill->queue_ms, upstream_now_ms());
+			  prefill->queue_ms, clock_now_ms());
 	metrics_add(METRIC_PROMPT_TOKENS, prefill->prompt_tokens);
 	metrics_add(METRIC_CACHED_TOKENS, prefill->cached_tokens);
 }
@@ -61,7 +62,7 @@
 		job->call.deadline_ms = 0;
 	if (!job->had_token)
 		metrics_observe_ms(ttft_histogram(job->plan.urgency),
-				   upstream_now_ms() - job->started_ms);
+				   clock_now_ms() - job->started_ms);
 	job->had_token = true;
 }
 
@@ -126,7 +127,7 @@
 	fleet_identity(job->relay->fleet, &job->choice,
 		       incarnation_number(job->incarnation),
 		       *job->weights_version ? job->weights_version : NULL,
-		       upstream_now_ms());
+		       clock_now_ms());
 	if (!job->is_replay)
 		name_stream(job);
 	return 0;
@@ -175,7 +176,7 @@
 	const relay_request_t *request = job->request;
 	const config_customer_t *customer =
 		&request->config->customers[request->customer];
-	uint64_t now_ms = upstream_now_ms();
+	uint64_t now_ms = clock_now_ms();
 	bool ok = add_header(headers, "Content-Type: application/json") &&
 		  add_header(headers, "Expect:") &&
 		  add_header(headers, "X-Attempt: %s", job->attempt_id) &&
@@ -320,7 +321,7 @@
 		.body = body,
 		.body_bytes = body ? strlen(body) : 0,
 		.connect_timeout_ms = CANCEL_CONNECT_MS,
-		.deadline_ms = upstream_now_ms() + CANCEL_TOTAL_MS,
+		.deadline_ms = clock_now_ms() + CANCEL_TOTAL_MS,
 		.caller_fd = -1,
 	};
 	upstream_result_t result = { 0 };
@@ -370,7 +371,7 @@
 		.method = "GET",
 		.path = "/engine/load",
 		.connect_timeout_ms = CANCEL_CONNECT_MS,
-		.deadline_ms = upstream_now_ms() + CANCEL_TOTAL_MS,
+		.deadline_ms = clock_now_ms() + CANCEL_TOTAL_MS,
 		.fresh_connection = true,
 		.caller_fd = -1,
 		.take_body = take_probe,
@@ -455,7 +456,7 @@
 	sse_parser_free(&job->parser);
 	end = end_attempt(job, &result);
 	fleet_ended(job->relay->fleet, &job->choice, &job->routing,
-		    outcome_of(job, end.kind), upstream_now_ms());
+		    outcome_of(job, end.kind), clock_now_ms());
 	return end;
 }
 
@@ -490,14 +491,14 @@
 	job->call.path = path;
 	sse_parser_init(&job->parser, RELAY_EVENT_MAX_BYTES,
 			RELAY_EVENT_MAX_BYTES, relay_output_take, &job->output);
-	fleet_sent(job->relay->fleet, &job->choice.target, upstream_now_ms(),
+	fleet_sent(job->relay->fleet, &job->choice.target, clock_now_ms(),
 		   &job->choice);
 	if (job->choice.slot >= 0)
 		upstream_run(job->relay->pool, &job->call, &result);
 	sse_parser_free(&job->parser);
 	end = end_attempt(job, &result);
 	fleet_ended(job->relay->fleet, &job->choice, NULL,
-		    outcome_of(job, end.kind), upstream_now_ms());
+		    outcome_of(job, end.kind), clock_now_ms());
 	end_replay(job, &end);
 	return end;
 }
--- a/t/fault-proxy.c
+++ b/t/fault-proxy.c
@@ -16,7 +16,7 @@
 #include <unistd.h>
 
 #include "process/cleanup.h"
-#include "t/lib/clock.h"
+#include "process/clock.h"
 #include "t/lib/http_server.h"
 
 enum {
--- a/t/lib/block_cache.c
+++ b/t/lib/block_cache.c
@@ -4,7 +4,7 @@
 
 #include "process/hash.h"
 #include "process/rng.h"
-#include "t/lib/clock.h"
+#include "process/clock.h"
 
 enum {
 	/** Events kept for readers; older ones are gone. */
--- a/t/lib/harness.h
+++ b/t/lib/harness.h
@@ -12,7 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "t/lib/clock.h"
+#include "process/clock.h"
 #include "t/lib/http_client.h"
 
 enum {
--- a/t/lib/http_client.c
+++ b/t/lib/http_client.c
@@ -6,7 +6,7 @@
 #include <unistd.h>
 
 #include "process/cleanup.h"
-#include "t/lib/clock.h"
+#include "process/clock.h"
 
 enum {
 	CALL_TIMEOUT_MS = 60000,
--- a/t/lib/http_server.c
+++ b/t/lib/http_server.c
@@ -9,7 +9,7 @@
 #include <sys/socket.h>
 
 #include "process/cleanup.h"
-#include "t/lib/clock.h"
+#include "process/clock.h"
 
 enum {
 	BODY_MAX_BYTES = 16 << 20,
--- a/t/lib/sim.c
+++ b/t/lib/sim.c
@@ -283,11 +283,11 @@
 
 void sim_seeds(uint64_t count, uint64_t *first, uint64_t *last)
 {
-	const char *text = getenv("AMV_SEED");
+	const char *text = getenv("AMV_TEST_SEED");
 
 	*first = text ? strtoull(text, NULL, 10) : 1;
 	*last = text ? *first : count;
 	printf("# seeds %" PRIu64 " to %" PRIu64
-	       " (AMV_SEED=n runs one of them)\n",
+	       " (AMV_TEST_SEED=n runs one of them)\n",
 	       *first, *last);
 }
--- a/t/lib/sim.h
+++ b/t/lib/sim.h
@@ -99,7 +99,7 @@
 	       void *context, uint64_t argument);
 
 /**
- * Seeds to run: `count` from a fixed start, or the one in AMV_SEED.
+ * Seeds to run: `count` from a fixed start, or the one in AMV_TEST_SEED.
  * Prints them.
  */
 void sim_seeds(uint64_t count, uint64_t *first, uint64_t *last);
--- a/t/standin-engine.c
+++ b/t/standin-engine.c
@@ -16,7 +16,7 @@
 #include "process/hash.h"
 #include "t/lib/batch.h"
 #include "t/lib/block_cache.h"
-#include "t/lib/clock.h"
+#include "process/clock.h"
 #include "t/lib/generate.h"
 #include "t/lib/http_client.h"
 #include "t/lib/http_server.h"
--- a/t/standin-plain.c
+++ b/t/standin-plain.c
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 #include "process/cleanup.h"
-#include "t/lib/clock.h"
+#include "process/clock.h"
 #include "t/lib/http_server.h"
 
 #define NOT_RUN "X-Not-Run: 1\r\n"
--- a/t/standin-store.c
+++ b/t/standin-store.c
@@ -12,7 +12,7 @@
 #include <string.h>
 
 #include "process/cleanup.h"
-#include "t/lib/clock.h"
+#include "process/clock.h"
 #include "t/lib/http_server.h"
 
 enum {
--- a/t/standin-weights.c
+++ b/t/standin-weights.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "process/cleanup.h"
-#include "t/lib/clock.h"
+#include "process/clock.h"
 #include "t/lib/http_server.h"
 
 static const char *const roles[] = { "weights", "kv", NULL };
--- a/t/test-it-engines.c
+++ b/t/test-it-engines.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "process/controller_service.h"
+#include "process/clock.h"
 #include "process/hash.h"
 #include "t/lib/rig.h"
 
--- a/t/test-it-fleet.c
+++ b/t/test-it-fleet.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "t/lib/rig.h"
 
 enum {
--- a/t/test-it-model.c
+++ b/t/test-it-model.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "t/lib/generate.h"
 #include "t/lib/rig.h"
 
--- a/t/test-it-orders.c
+++ b/t/test-it-orders.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "request/plain_fencing.h"
+#include "process/clock.h"
 #include "t/lib/rig.h"
 
 enum {
--- a/t/test-it-plain.c
+++ b/t/test-it-plain.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "t/lib/rig.h"
+#include "process/clock.h"
 
 #define DISPATCH "/svc/dispatch/crews"
 
--- a/t/test-it-standins.c
+++ b/t/test-it-standins.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/hash.h"
 #include "t/lib/generate.h"
 #include "t/lib/harness.h"
--- a/version/config_service.c
+++ b/version/config_service.c
@@ -8,6 +8,7 @@
 #include <time.h>
 
 #include "process/cleanup.h"
+#include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
@@ -15,6 +16,7 @@
 #include "version/config.h"
 #include "version/config_find.h"
 #include "version/config_source.h"
+#include "version/ticket_audit.h"
 #include "version/config_sweep.h"
 
 enum {
@@ -56,30 +58,12 @@
 	uint64_t commits; /**< Started; makes seeds differ. */
 };
 
-static uint64_t clock_ms(clockid_t clock)
-{
-	struct timespec now;
-
-	clock_gettime(clock, &now);
-	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
-
-static uint64_t mono_ms(void)
-{
-	return clock_ms(CLOCK_MONOTONIC);
-}
-
 /** Waits until the condition, the time given or the stop; holds the lock. */
 static void wait_until(config_service_t *service, uint64_t until_ms)
 {
-	struct timespec until = {
-		.tv_sec = (time_t)(until_ms / 1000),
-		.tv_nsec = (long)(until_ms % 1000) * 1000000,
-	};
-
 	if (!service->stopping)
-		pthread_cond_timedwait(&service->changed, &service->lock,
-				       &until);
+		clock_cond_wait_until(&service->changed, &service->lock,
+				      until_ms);
 }
 
 /** Sleeps unless the service stops. */
@@ -87,7 +71,7 @@
 {
 	SCOPED_LOCK(lock, &service->lock);
 
-	while (!service->stopping && mono_ms() < until_ms)
+	while (!service->stopping && clock_now_ms() < until_ms)
 		wait_until(service, until_ms);
 }
 
@@ -214,7 +198,7 @@
 	store_object_t object = { 0 };
 
 	while (action.kind != TICKET_ACTION_DONE) {
-		uint64_t now_ms = mono_ms();
+		uint64_t now_ms = clock_now_ms();
 
 		if (is_stopping(service)) {
 			/* The delays do not hold up the stop. */
@@ -237,8 +221,7 @@
 
 	options.seed = service->options.seed + ++service->commits;
 	return ticket_commit_init(commit, &options, &service->state,
-				  clock_ms(CLOCK_REALTIME),
-				  mono_ms() + timeout_ms);
+				  clock_unix_ms(), clock_now_ms() + timeout_ms);
 }
 
 /** Catches up with the head in the store. */
@@ -342,7 +325,7 @@
 {
 	SCOPED_LOCK(lock, &service->lock);
 	config_sync_action_t action;
-	uint64_t now_ms = mono_ms();
+	uint64_t now_ms = clock_now_ms();
 	uint64_t age_ms;
 
 	config_sync_step(&service->sync, event, now_ms, &action);
@@ -357,7 +340,7 @@
 {
 	SCOPED_LOCK(lock, &service->lock);
 
-	config_sync_note(&service->sync, event, mono_ms());
+	config_sync_note(&service->sync, event, clock_now_ms());
 	service->sync_pending = true;
 	pthread_cond_broadcast(&service->changed);
 }
@@ -367,7 +350,7 @@
 	SCOPED_LOCK(lock, &service->lock);
 
 	if (!service->sync_pending)
-		wait_until(service, mono_ms() + TICK_MS);
+		wait_until(service, clock_now_ms() + TICK_MS);
 	service->sync_pending = false;
 }
 
@@ -475,7 +458,7 @@
 	while (!service->stopping &&
 	       !(service->started && service->sync.watching &&
 		 service->sync.in_force))
-		wait_until(service, mono_ms() + TICK_MS);
+		wait_until(service, clock_now_ms() + TICK_MS);
 	return !service->stopping;
 }
 
@@ -493,45 +476,12 @@
 		if (!err)
 			continue;
 		watch.revision = 0;
-		pause_until(service, mono_ms() + WATCH_RETRY_MS / 2 +
+		pause_until(service, clock_now_ms() + WATCH_RETRY_MS / 2 +
 					     rng_below(&rng, WATCH_RETRY_MS));
 	}
 	return NULL;
 }
 
-static void record_result(config_service_t *service, const char *operator,
-			  const ticket_result_t * result, uint64_t before)
-{
-	char which[32];
-	char before_text[24];
-	char after_text[24] = "";
-	const audit_entry_t entry = {
-		.at_unix_ms = clock_ms(CLOCK_REALTIME),
-		.who = operator,
-		.what = "ticket",
-		.which = which,
-		.before = before_text,
-		.after = after_text,
-		.outcome = result->err ? error_type(result->err) : "accepted",
-	};
-
-	snprintf(which, sizeof(which), "ticket/%" PRIu64, result->number);
-	snprintf(before_text, sizeof(before_text), "%" PRIu64, before);
-	if (!result->err)
-		snprintf(after_text, sizeof(after_text), "%" PRIu64,
-			 result->position);
-	metrics_add(result->err ? METRIC_TICKETS_REFUSED
-				: METRIC_TICKETS_ACCEPTED,
-		    1);
-	event_log(EVENT_TICKET_DECIDED,
-		  "ticket=%" PRIu64 " operator=%s outcome=%s position=%" PRIu64
-		  " object=%s field=%s",
-		  result->number, operator, entry.outcome, result->position,
-		  result->problem.object, result->problem.field);
-	if (service->options.audit)
-		audit_add(service->options.audit, &entry);
-}
-
 /** Takes waiting tickets; an empty batch after a while or at the stop. */
 static size_t take_batch(config_service_t *service,
 			 request_t *batch[TICKET_BATCH_MAX])
@@ -540,7 +490,7 @@
 	size_t count = 0;
 
 	if (!service->waiting)
-		wait_until(service, mono_ms() + AUDIT_PERIOD_MS);
+		wait_until(service, clock_now_ms() + AUDIT_PERIOD_MS);
 	while (service->waiting && count < TICKET_BATCH_MAX) {
 		batch[count++] = service->waiting;
 		service->waiting = service->waiting->next;
@@ -655,7 +605,7 @@
 	request.result.err = err;
 	ticket_free(&request.ticket);
 	*result = request.result;
-	record_result(service, operator, result, before);
+	ticket_audit_result(service->options.audit, operator, result, before);
 	return err;
 }
 
@@ -711,20 +661,15 @@
 
 	status->in_force = service->sync.in_force;
 	status->position = service->sync.position;
-	status->age_ms = config_sync_age_ms(&service->sync, mono_ms());
+	status->age_ms = config_sync_age_ms(&service->sync, clock_now_ms());
 	status->watching = service->sync.watching;
 }
 
 static void init_locks(config_service_t *service)
 {
-	pthread_condattr_t attributes;
-
 	pthread_mutex_init(&service->adopt_lock, NULL);
 	pthread_mutex_init(&service->lock, NULL);
-	pthread_condattr_init(&attributes);
-	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	pthread_cond_init(&service->changed, &attributes);
-	pthread_condattr_destroy(&attributes);
+	clock_cond_init(&service->changed);
 }
 
 static void free_service(config_service_t *service)
@@ -776,13 +721,13 @@
 	config_sync_init(&service->sync, hash_string(options->instance),
 			 hash_string(options->domain),
 			 options->bootstrap_file != NULL, options->seed,
-			 mono_ms());
+			 clock_now_ms());
 	config_sync_note(
 		&service->sync,
 		&(config_sync_event_t){ .kind = CONFIG_SYNC_MEMBERS,
 					.members = { options->members,
 						     options->member_count } },
-		mono_ms());
+		clock_now_ms());
 }
 
 int config_service_start(const config_service_options_t *options,
