order: log lost claims, closed claims and reused keys

Cause: the catalogue listed five events that no code logged (found by comparing the list with the sources). Change: 1300, 1301 and 1305 are logged by the driver of orders; 1413 and 1414 (ready_min_blocks, slot_expired) are taken out until the controller reports them.

--- a/process/event_list.h
+++ b/process/event_list.h
@@ -74,11 +74,6 @@
 EVENT(1412, ENGINE_ORDER_UNKNOWN, "engine_order_unknown", EVENT_WARN,
       "An engine order has no known outcome; its slot is kept until the "
       "engine reports or the longest duration has passed.")
-EVENT(1413, READY_MIN_BLOCKS, "ready_min_blocks", EVENT_WARN,
-      "A roll-out waits because too few engines are in service. Add engines "
-      "or lower ready_min.")
-EVENT(1414, SLOT_EXPIRED, "slot_expired", EVENT_WARN,
-      "A load slot of another pool was freed after its longest duration.")
 EVENT(1500, PEER_REJECTED, "peer_rejected", EVENT_WARN,
       "A message was not authentic or was seen before. Check that all "
       "instances have the same cluster name, secret and time.")
--- a/request/plain_order.c
+++ b/request/plain_order.c
@@ -212,6 +212,9 @@
 		if (error.err == ERR_ORDER_UNKNOWN)
 			event_log(EVENT_ORDER_UNKNOWN, "order=%s",
 				  run->order.path);
+		if (error.err == ERR_KEY_REUSED)
+			event_log(EVENT_ORDER_KEY_REUSED, "order=%s",
+				  run->order.path);
 		server_answer_error(caller, &error);
 		return;
 	}
@@ -240,6 +243,21 @@
 				 &question);
 }
 
+/** Logs what an operator should know about a write of the record. */
+static void log_write(const order_run_t *run, const order_action_t *action,
+		      const order_event_t *event)
+{
+	const order_record_t *record = &action->write.record;
+
+	if (record->state == ORDER_STATE_OPEN &&
+	    event->written.result == ERR_STORE_UNKNOWN)
+		event_log(EVENT_ORDER_CLAIM_LOST, "order=%s", run->order.path);
+	/* Only a claim of another request has another nonce. */
+	if (record->state == ORDER_STATE_UNKNOWN && !event->written.result &&
+	    record->nonce != run->order.claim.nonce)
+		event_log(EVENT_ORDER_CLOSED, "order=%s", run->order.path);
+}
+
 /** Performs one action. @return whether it gave an event */
 static bool perform(order_run_t *run, const order_action_t *action,
 		    order_event_t *event)
@@ -247,6 +265,7 @@
 	switch (action->kind) {
 	case ORDER_ACTION_WRITE:
 		*event = write_record(run, action);
+		log_write(run, action, event);
 		return true;
 	case ORDER_ACTION_READ:
 		*event = read_record(run);
