--- a/cmd/router_sweep.c
+++ b/cmd/router_sweep.c
@@ -10,7 +10,6 @@
 #include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
-#include "process/metrics.h"
 #include "process/order.h"
 
 enum {
@@ -22,12 +21,10 @@
 
 #define ORDER_PREFIX "order/"
 
-/** Instances that share the work, as gossip knows them. */
-static uint32_t count_instances(void)
+/** Instances that share the work. */
+static uint32_t count_instances(const router_t *router)
 {
-	int64_t live = metrics_get(METRIC_MEMBERS_LIVE);
-
-	return live > 1 ? (uint32_t)live : 1;
+	return router->gossip ? (uint32_t)gossip_live_count(router->gossip) : 1;
 }
 
 static void list_page(store_client_t *store, order_sweep_t *sweep,
@@ -57,7 +54,7 @@
 }
 
 /** One step. @return whether it called the store */
-static bool sweep_step(store_client_t *store, order_sweep_t *sweep)
+static bool sweep_step(const router_t *router, order_sweep_t *sweep)
 {
 	order_sweep_action_t action = order_sweep_step(sweep, clock_now_ms());
 
@@ -66,12 +63,12 @@
 		return false;
 	case ORDER_SWEEP_LIST:
 		if (!*action.path)
-			sweep->member_count = count_instances();
-		list_page(store, sweep, &action);
+			sweep->member_count = count_instances(router);
+		list_page(router->store, sweep, &action);
 		return true;
 	case ORDER_SWEEP_DELETE:
 		/* Another instance may have been faster. */
-		if (!store_client_delete(store, STORE_PURPOSE_STATUS,
+		if (!store_client_delete(router->store, STORE_PURPOSE_STATUS,
 					 action.path, action.version))
 			event_log(EVENT_ORDER_SWEEP, "order=%s", action.path);
 		return true;
@@ -93,11 +90,10 @@
 	rng_init(&rng, seed);
 	settings.retention_ms = router->settings.order_retention_ms;
 	order_sweep_init(&sweep, &settings, &rng,
-			 router->settings.order_sweep_ms, count_instances(),
-			 clock_now_ms());
+			 router->settings.order_sweep_ms,
+			 count_instances(router), clock_now_ms());
 	while (!uatomic_read(&router->ending)) {
-		if (clock_now_ms() >= next_ms &&
-		    sweep_step(router->store, &sweep))
+		if (clock_now_ms() >= next_ms && sweep_step(router, &sweep))
 			next_ms = clock_now_ms() + CALL_INTERVAL_MS;
 		nanosleep(&step, NULL);
 	}
--- a/process/gossip.c
+++ b/process/gossip.c
@@ -688,6 +688,13 @@
 		wake(gossip);
 }
 
+size_t gossip_live_count(gossip_t *gossip)
+{
+	SCOPED_LOCK(guard, &gossip->lock);
+
+	return membership_live_count(&gossip->membership);
+}
+
 size_t gossip_live(gossip_t *gossip, peer_member_t *out, size_t max)
 {
 	SCOPED_LOCK(guard, &gossip->lock);
--- a/process/gossip.h
+++ b/process/gossip.h
@@ -105,6 +105,9 @@
 /** Spreads a rumor to all instances. */
 void gossip_spread(gossip_t *gossip, const peer_rumor_t *rumor);
 
+/** Number of live members with this instance. */
+size_t gossip_live_count(gossip_t *gossip);
+
 /** Copies the live members, this instance first. */
 size_t gossip_live(gossip_t *gossip, peer_member_t *out, size_t max);
 
