store: give a start its own allowance of configuration reads

Cause: an instance that starts without a peer reads the tickets of the log one by one, and the bucket (burst 50, 5 a second, 30% kept for others) let it take into force an old position and catch up for some 20 s.

Change: 256 calls for the configuration in the first 30 s beside the bucket; backoff and the store's own limit hold as before. New test /store-budget/start.

--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -176,6 +176,7 @@
 	store_client_options_t options = {
 		.url = router.settings.store_url,
 		.seed = seed,
+		.budget.start_calls = STORE_BUDGET_START_CALLS,
 	};
 
 	return options.url ? store_client_open(&options, &router.store) : 0;
--- a/process/store_budget.c
+++ b/process/store_budget.c
@@ -53,6 +53,8 @@
 	rng_init(&budget->rng, seed);
 	budget->tokens = own->burst;
 	budget->refilled_ms = now_ms;
+	budget->start_calls = own->start_calls;
+	budget->start_until_ms = now_ms + STORE_BUDGET_START_MS;
 }
 
 bool store_budget_is_down(const store_budget_t *budget)
@@ -84,6 +86,17 @@
 	};
 }
 
+/** Takes one call of the allowance for the start. */
+static bool take_start_call(store_budget_t *budget, store_purpose_t purpose,
+			    uint64_t now_ms)
+{
+	if (purpose != STORE_PURPOSE_CONFIG || !budget->start_calls ||
+	    now_ms >= budget->start_until_ms)
+		return false;
+	budget->start_calls--;
+	return true;
+}
+
 /** Takes a token if enough are left for the more important purposes. */
 static store_verdict_t take(store_budget_t *budget, store_purpose_t purpose,
 			    uint64_t now_ms)
@@ -92,6 +105,8 @@
 	double needed = 1.0 + options->burst * reserve[purpose];
 	double wait_ms;
 
+	if (take_start_call(budget, purpose, now_ms))
+		return (store_verdict_t){ .kind = STORE_VERDICT_ALLOW };
 	refill(budget, now_ms);
 	/* A small bucket must not shut out a purpose for good. */
 	if (needed > options->burst)
--- a/process/store_budget.h
+++ b/process/store_budget.h
@@ -7,7 +7,14 @@
  * failures the store counts as down: calls are refused at once, except one
  * probe at a time after each backoff.
  *
- * State: one store_budget_t, under 128 bytes.
+ * An instance that starts without a peer has to read the log of tickets, up
+ * to 256 objects, which took 21 s at 5 calls a second. It has an allowance of
+ * its own for that, only for the configuration and only for a short time; the
+ * store's rate limit and the backoff hold for it as well. If all 340 instances
+ * of a large fleet start with no peer, they ask for at most 87,000 reads, 44 s
+ * of the object API's rate; as soon as one is ready, the others read from it.
+ *
+ * State: one store_budget_t, under 144 bytes.
  */
 #ifndef PROCESS_STORE_BUDGET_H
 #define PROCESS_STORE_BUDGET_H
@@ -36,8 +43,17 @@
 	uint32_t backoff_max_ms;   /**< Longest one; 0 for the default. */
 	uint32_t outage_failures;  /**< Failures in a row; 0 for default. */
 	uint32_t probe_timeout_ms; /**< When a probe counts as lost. */
+	/** Calls for the configuration beside the bucket after the start. */
+	uint32_t start_calls;
 } store_budget_options_t;
 
+enum {
+	/** Allowance that covers a log that was not compacted yet. */
+	STORE_BUDGET_START_CALLS = 256,
+	/** Time after which the rest of the allowance ends. */
+	STORE_BUDGET_START_MS = 30000,
+};
+
 typedef struct store_budget {
 	store_budget_options_t options;
 	rng_t rng;
@@ -46,7 +62,9 @@
 	uint64_t blocked_until_ms;
 	uint64_t throttled_until_ms;
 	uint64_t probe_until_ms; /**< 0 when no probe is open. */
-	uint32_t failures;	 /**< Consecutive. */
+	uint64_t start_until_ms;
+	uint32_t start_calls; /**< Left of the allowance. */
+	uint32_t failures;    /**< Consecutive. */
 } store_budget_t;
 
 typedef enum store_verdict_kind {
--- a/t/test-store-budget.c
+++ b/t/test-store-budget.c
@@ -54,6 +54,28 @@
 	}
 }
 
+/* A start that waits for the bucket takes 21 s; a lasting allowance would let
+ * every instance exceed its rate. */
+static void test_start_allowance(void)
+{
+	static const store_budget_options_t options = { .rate_per_s = 10,
+							.burst = 20,
+							.start_calls = 100 };
+	store_budget_t budget;
+
+	store_budget_init(&budget, &options, 1, 1000);
+	g_assert_cmpint(count_allowed(&budget, STORE_PURPOSE_STATUS), ==, 8);
+	/* 12 tokens are left, of which 6 are kept for others. */
+	g_assert_cmpint(count_allowed(&budget, STORE_PURPOSE_CONFIG), ==,
+			100 + 12 - 6);
+	store_budget_init(&budget, &options, 1, 1000);
+	for (int i = 0; i < 14; i++)
+		g_assert_true(is_allowed(&budget, STORE_PURPOSE_CONFIG,
+					 1000 + STORE_BUDGET_START_MS));
+	g_assert_false(is_allowed(&budget, STORE_PURPOSE_CONFIG,
+				  1000 + STORE_BUDGET_START_MS));
+}
+
 /* A rate above the setting would use more of the store than is paid for. */
 static void test_rate_over_time(void)
 {
@@ -192,6 +214,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/store-budget/reserve", test_reserve_by_purpose);
+	g_test_add_func("/store-budget/start", test_start_allowance);
 	g_test_add_func("/store-budget/rate", test_rate_over_time);
 	g_test_add_func("/store-budget/retry-after",
 			test_retry_after_is_sufficient);
