t: keep the delay of what the fault proxy got before a change

The test freezes the holder when its order counts as sent and then lifts the proxy's delay; if the proxy read the order's bytes only after that, the order was not delayed, reached the engine first and was rightly done.

Change: a new delay is applied, and the call answered, only when no input waits. The checks of the test are unchanged.

--- a/t/fault-proxy.c
+++ b/t/fault-proxy.c
@@ -60,16 +60,19 @@
 
 static struct {
 	pthread_mutex_t lock;
+	pthread_cond_t delay_changed;
 	pthread_t thread;
 	bool stopping;
 	int listener; /**< -1 while connections are refused. */
 	uint64_t delay_ms;
+	uint64_t next_delay_ms; /**< Applied when no input waits. */
 	uint64_t refuse;
 	uint64_t blackhole;
 	uint64_t answer_limit_bytes;
 	uint64_t accepted;
 	GPtrArray *connections;
 } proxy = { .lock = PTHREAD_MUTEX_INITIALIZER,
+	    .delay_changed = PTHREAD_COND_INITIALIZER,
 	    .listener = -1,
 	    .answer_limit_bytes = UINT64_MAX };
 
@@ -243,9 +246,10 @@
 	g_array_append_val(fds, entry);
 }
 
-/** Waits for input; the lock is released meanwhile. */
-static void wait_for_input(GArray *fds)
+/** Waits for input; the lock is released meanwhile. @return as poll() */
+static int wait_for_input(GArray *fds)
 {
+	int ready;
 	struct pollfd listener = { .fd = proxy.listener, .events = POLLIN };
 
 	g_array_set_size(fds, 0);
@@ -260,8 +264,9 @@
 		add_poll(fds, &connection->answer);
 	}
 	pthread_mutex_unlock(&proxy.lock);
-	poll((struct pollfd *)(void *)fds->data, fds->len, POLL_MS);
+	ready = poll((struct pollfd *)(void *)fds->data, fds->len, POLL_MS);
 	pthread_mutex_lock(&proxy.lock);
+	return ready;
 }
 
 /** Moves data in one direction; returns false if the connection is broken. */
@@ -302,7 +307,14 @@
 
 	(void)unused;
 	while (!proxy.stopping) {
-		wait_for_input(fds);
+		uint64_t next_ms = proxy.next_delay_ms;
+
+		/* What was sent before a change keeps the delay of that time.
+		 */
+		if (!wait_for_input(fds) && proxy.delay_ms != next_ms) {
+			proxy.delay_ms = next_ms;
+			pthread_cond_broadcast(&proxy.delay_changed);
+		}
 		/* A control call may have changed the connections. */
 		if (fds->len == 1 + 2 * proxy.connections->len &&
 		    !proxy.blackhole)
@@ -329,7 +341,9 @@
 {
 	SCOPED_LOCK(held, &proxy.lock);
 
-	http_take_number(request, "delay_ms", &proxy.delay_ms);
+	http_take_number(request, "delay_ms", &proxy.next_delay_ms);
+	while (proxy.delay_ms != proxy.next_delay_ms && !proxy.stopping)
+		pthread_cond_wait(&proxy.delay_changed, &proxy.lock);
 	http_take_number(request, "blackhole", &proxy.blackhole);
 	http_take_number(request, "refuse", &proxy.refuse);
 	/* A negative number is above every count of bytes. */
@@ -397,6 +411,7 @@
 {
 	pthread_mutex_lock(&proxy.lock);
 	proxy.stopping = true;
+	pthread_cond_broadcast(&proxy.delay_changed);
 	pthread_mutex_unlock(&proxy.lock);
 	pthread_join(proxy.thread, NULL);
 	close_listener();
