--- a/Makefile
+++ b/Makefile
@@ -65,9 +65,11 @@
 progs: $(LIB) $(PROGS) $(STANDINS)
 
 $(LIB): $(call obj,$(LIB_SRC) $(GEN_SRC))
+	rm -f $@
 	$(AR) rcs $@ $^
 
 $(TESTLIB): $(call obj,$(TESTLIB_SRC))
+	rm -f $@
 	$(AR) rcs $@ $^
 
 # Generated XDR code is exempt from warnings.
@@ -79,6 +81,7 @@
 
 # An archive, so that each program takes only the parts it uses.
 $(CMDLIB): $(call obj,$(CMD_LIB_SRC))
+	rm -f $@
 	$(AR) rcs $@ $^
 
 $(PROGS): $(BUILD)/%: $(BUILD)/cmd/%.o $(CMDLIB) $(LIB)
