--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -1,15 +1,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cmd/gateway.h"
-#include "connection/http_call.h"
+#include "cmd/gateway_control.h"
 #include "platform/platform_desired.h"
 #include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
-#include "process/object_watch.h"
-#include "version/assembly.h"
 
 enum {
 	/** Interval of the control thread's housekeeping, ms. */
@@ -22,27 +19,17 @@
 	STORE_CONNECT_MS = 500,
 	/** Unacknowledged bytes to the store for so long, ms. */
 	STORE_USER_TIMEOUT_MS = 1500,
+	/** Pause between two watches after a change, ms: a quarter of the
+	 * bound on a leaving endpoint, a tenth of that on a configuration. */
+	ENDPOINTS_GAP_MS = 500,
+	CHANGES_GAP_MS = 150,
 };
 
 static const object_kind_t watched[] = { OBJECT_DESIRED, OBJECT_ENDPOINTS,
-					 OBJECT_WEIGHTS };
+					 OBJECT_WEIGHTS, OBJECT_MEMBERS };
 
 #define WATCHED_COUNT (sizeof(watched) / sizeof(watched[0]))
 
-struct gateway_control {
-	gateway_t *gateway;
-	pthread_t thread;
-	struct event_base *base;
-	struct event *tick;
-	struct event *rebuild;
-	outbound_t *outbound;
-	rng_t rng;
-	assembly_t assembly;
-	object_watch_t *watches[OBJECT_KIND_COUNT];
-	_Atomic bool ending;
-	bool was_ready;
-};
-
 static void on_rebuild(evutil_socket_t fd, short what, void *context)
 {
 	gateway_control_t *control = context;
@@ -58,8 +45,7 @@
 	}
 }
 
-/* Several changes that come together make one view. */
-static void rebuild_soon(gateway_control_t *control)
+void gateway_control_rebuild(gateway_control_t *control)
 {
 	struct timeval now = { 0 };
 
@@ -69,8 +55,24 @@
 
 static void on_changed(void *context, object_kind_t kind)
 {
-	(void)kind;
-	rebuild_soon(context);
+	/* Members take no part in a view. */
+	if (kind != OBJECT_MEMBERS)
+		gateway_control_rebuild(context);
+}
+
+http_call_t *gateway_control_store_call(gateway_control_t *control,
+					struct evbuffer *message,
+					http_call_fn *done, void *context)
+{
+	return http_call_send(control->outbound, control->base, &control->store,
+			      message, OBJECT_CALL_TIMEOUT_MS, done, context);
+}
+
+int gateway_control_store_error(int err, uint16_t status)
+{
+	if (err == ERR_CONNECT)
+		return ERR_STORE_DOWN;
+	return err ? ERR_STORE_UNKNOWN : platform_store_error(status);
 }
 
 static void on_contact(void *context, object_kind_t kind, int err)
@@ -97,7 +99,14 @@
 	}
 	if (object_table_expire(&control->assembly.tables[OBJECT_ENDPOINTS],
 				now_ms))
-		rebuild_soon(control);
+		gateway_control_rebuild(control);
+	if (atomic_load(&control->gateway->stopping) && !control->released) {
+		control->released = true;
+		gateway_duty_release(control->duty);
+		gateway_peers_tell(control->peers);
+	}
+	gateway_peers_tick(control->peers, now_ms);
+	gateway_duty_tick(control->duty, now_ms);
 }
 
 static int start_watches(gateway_control_t *control)
@@ -105,21 +114,18 @@
 	object_watch_options_t options = {
 		.base = control->base,
 		.outbound = control->outbound,
-		.target = { .key = "store",
-			    .connections_max = STORE_CONNECTIONS_MAX,
-			    .connect_timeout_ms = STORE_CONNECT_MS,
-			    .user_timeout_ms = STORE_USER_TIMEOUT_MS },
+		.target = control->store,
 		.rng = &control->rng,
 		.changed = on_changed,
 		.contact = on_contact,
 		.context = control,
 	};
 
-	if (platform_read_address(control->gateway->settings.store,
-				  &options.target.address))
-		return ERR_SETTING;
 	for (size_t i = 0; i < WATCHED_COUNT; i++) {
 		options.kind = watched[i];
+		options.gap_ms = watched[i] == OBJECT_ENDPOINTS
+					 ? ENDPOINTS_GAP_MS
+					 : CHANGES_GAP_MS;
 		options.table = &control->assembly.tables[watched[i]];
 		control->watches[watched[i]] = object_watch_start(&options);
 		if (!control->watches[watched[i]])
@@ -130,6 +136,8 @@
 
 static void control_free(gateway_control_t *control)
 {
+	gateway_peers_close(control->peers);
+	gateway_duty_close(control->duty);
 	for (int i = 0; i < OBJECT_KIND_COUNT; i++)
 		object_watch_stop(control->watches[i]);
 	if (control->tick)
@@ -160,7 +168,21 @@
 		return ERR_NO_MEMORY;
 	rng_init(&control->rng,
 		 clock_unix_ms() ^ hash_string(control->gateway->settings.name));
+	control->incarnation = clock_unix_ms();
 	control->assembly.tables[OBJECT_ENDPOINTS].hold_ms = LAPSED_HOLD_MS;
+	control->store = (outbound_target_t){
+		.key = "store",
+		.connections_max = STORE_CONNECTIONS_MAX,
+		.connect_timeout_ms = STORE_CONNECT_MS,
+		.user_timeout_ms = STORE_USER_TIMEOUT_MS,
+	};
+	if (platform_read_address(control->gateway->settings.store,
+				  &control->store.address))
+		return ERR_SETTING;
+	control->peers = gateway_peers_open(control);
+	control->duty = gateway_duty_open(control);
+	if (!control->peers || !control->duty)
+		return ERR_NO_MEMORY;
 	return start_watches(control);
 }
 
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -341,6 +341,7 @@
 	front->env.base = front->base;
 	front->env.domain = settings->domain;
 	front->env.instances = 1;
+	front->env.weights_ms = settings->weights_ms;
 	front->env.outbound = outbound_open(front->base);
 	rng_init(&front->env.rng,
 		 clock_unix_ms() ^ hash_string(settings->name));
--- /dev/null
+++ b/cmd/gateway_peers.c
@@ -0,0 +1,607 @@
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "cmd/gateway_control.h"
+#include "connection/inbound.h"
+#include "platform/platform_desired.h"
+#include "process/cleanup.h"
+#include "process/clock.h"
+#include "process/error.h"
+#include "process/event.h"
+#include "process/hash.h"
+#include "process/metrics.h"
+
+enum {
+	/** Instances that are followed; the plan has 340 nodes. */
+	PEERS_MAX = 400,
+	/** Interval of news, ms: loads are this old at most. Each costs a
+	 * datagram to every instance. */
+	NEWS_MS = 200,
+	/** A peer that was not heard for so long does not count, ms. */
+	PEER_LIVE_MS = 1500,
+	/** A holder that was not heard for so long may be gone, ms. */
+	HOLDER_LIVE_MS = 700,
+	/** A peer's newer state is fetched if the store has not told it within
+	 * this time, ms; a small part of the bound on changes. */
+	BEHIND_MS = 300,
+	FETCH_TIMEOUT_MS = 800,
+	/** Time between two fetches of state, ms. */
+	FETCH_GAP_MS = 250,
+	/** Time between two attempts to register, ms. */
+	REGISTER_RETRY_MS = 1000,
+	PEER_CONNECTIONS_MAX = 64,
+	STATE_HEAD_BYTES = 4096,
+};
+
+/** Path of the state that instances fetch from each other. */
+#define STATE_PATH "/state"
+
+typedef struct peer {
+	struct sockaddr_in address;
+	uint64_t heard_ms; /**< 0: never. */
+	peer_news_t news;
+} peer_t;
+
+struct gateway_peers {
+	gateway_control_t *control;
+	int fd;
+	struct event *readable;
+	inbound_t *inbound;
+	http_call_t *fetch;
+	uint64_t fetch_after_ms;
+	http_call_t *registering;
+	bool registered;
+	bool exists; /**< The object is there: it is replaced. */
+	uint64_t register_after_ms;
+	uint64_t told_ms;
+	uint32_t sequence;
+	uint64_t behind_since_ms[OBJECT_KIND_COUNT];
+	struct sockaddr_in targets[PEERS_MAX];
+	size_t target_count;
+	peer_t *peers[PEERS_MAX];
+	size_t peer_count;
+};
+
+/* Serving state to other instances. */
+
+static inbound_limits_t state_limits(void *context)
+{
+	(void)context;
+	return (inbound_limits_t){ STATE_HEAD_BYTES, STATE_HEAD_BYTES, 3000,
+				   30000 };
+}
+
+static char *print_state(const gateway_control_t *control)
+{
+	CLEANUP_JSON json_t *state = json_object();
+
+	for (int i = 0; i < OBJECT_LEASES; i++)
+		json_object_set_new(
+			state, object_kind_name((object_kind_t)i),
+			object_table_export(&control->assembly.tables[i]));
+	return json_dumps(state, JSON_COMPACT);
+}
+
+static void answer_state(void *context, inbound_request_t *request)
+{
+	const gateway_peers_t *peers = context;
+	CLEANUP_FREE char *text = NULL;
+
+	if (strcmp(http_head_target(request->head), STATE_PATH)) {
+		inbound_answer(request, 404, NULL, NULL, 0);
+		return;
+	}
+	text = print_state(peers->control);
+	if (text)
+		inbound_answer(request, 200, NULL, text, strlen(text));
+	else
+		inbound_answer(request, 503, NULL, NULL, 0);
+}
+
+static void nobody_gone(void *context, inbound_request_t *request)
+{
+	(void)context;
+	(void)request;
+}
+
+static void note_refused(void *context, int err)
+{
+	(void)context;
+	event_log(EVENT_PEER_REJECTED, "kind=%s", error_type(err));
+}
+
+static const inbound_calls_t state_calls = {
+	.limits = state_limits,
+	.request = answer_state,
+	.gone = nobody_gone,
+	.drained = nobody_gone,
+	.refused = note_refused,
+};
+
+/* Fetching state from another instance. */
+
+static void import_state(gateway_control_t *control, const json_t *state,
+			 uint64_t now_ms)
+{
+	bool changed = false;
+
+	for (int i = 0; i < OBJECT_LEASES; i++) {
+		const json_t *table = json_object_get(
+			state, object_kind_name((object_kind_t)i));
+
+		if (table && object_table_import(&control->assembly.tables[i],
+						 table, now_ms) > 0)
+			changed = true;
+	}
+	event_log(EVENT_PEER_STATE, "changed=%d", changed);
+	if (changed)
+		gateway_control_rebuild(control);
+}
+
+static void on_state(void *context, int err, uint16_t status, const char *body,
+		     size_t len)
+{
+	gateway_peers_t *peers = context;
+	CLEANUP_JSON json_t *state = NULL;
+
+	peers->fetch = NULL;
+	if (!err && status == 200)
+		state = json_loadb(body, len, 0, NULL);
+	if (state)
+		import_state(peers->control, state, clock_now_ms());
+}
+
+static void fetch_state(gateway_peers_t *peers, const peer_t *peer,
+			uint64_t now_ms)
+{
+	struct evbuffer *message = evbuffer_new();
+	outbound_target_t target = {
+		.address = peer->address,
+		.connections_max = 1,
+		.connect_timeout_ms = FETCH_TIMEOUT_MS / 2,
+		.user_timeout_ms = FETCH_TIMEOUT_MS,
+	};
+
+	if (!message)
+		return;
+	snprintf(target.key, sizeof(target.key), "peer/%s", peer->news.name);
+	evbuffer_add_printf(message, "GET " STATE_PATH " HTTP/1.1\r\n"
+				     "Host: peer\r\n\r\n");
+	peers->fetch = http_call_send(peers->control->outbound,
+				      peers->control->base, &target, message,
+				      FETCH_TIMEOUT_MS, on_state, peers);
+	peers->fetch_after_ms = now_ms + FETCH_GAP_MS;
+	evbuffer_free(message);
+}
+
+static bool is_live(const peer_t *peer, uint64_t now_ms)
+{
+	return peer->heard_ms && now_ms - peer->heard_ms < PEER_LIVE_MS;
+}
+
+/* The live peer that has read this kind farthest, if it knows other things. */
+static const peer_t *peer_ahead(const gateway_peers_t *peers, object_kind_t kind,
+				uint64_t now_ms)
+{
+	const object_table_t *table =
+		&peers->control->assembly.tables[kind];
+	uint64_t digest = object_table_digest(table);
+	const peer_t *best = NULL;
+
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		const peer_t *peer = peers->peers[i];
+		const peer_table_t *theirs = &peer->news.tables[kind];
+
+		if (!is_live(peer, now_ms) || !theirs->revision ||
+		    (table->complete && (theirs->revision <= table->revision ||
+					 theirs->digest == digest)))
+			continue;
+		if (!best ||
+		    theirs->revision > best->news.tables[kind].revision)
+			best = peer;
+	}
+	return best;
+}
+
+static void catch_up(gateway_peers_t *peers, uint64_t now_ms)
+{
+	for (int i = 0; i < OBJECT_LEASES; i++) {
+		const peer_t *peer =
+			peer_ahead(peers, (object_kind_t)i, now_ms);
+
+		if (!peer) {
+			peers->behind_since_ms[i] = 0;
+			continue;
+		}
+		if (!peers->behind_since_ms[i])
+			peers->behind_since_ms[i] = now_ms;
+		if (now_ms - peers->behind_since_ms[i] < BEHIND_MS ||
+		    peers->fetch || now_ms < peers->fetch_after_ms)
+			continue;
+		event_log(EVENT_PEER_AHEAD, "kind=%s peer=%s revision=%llu",
+			  object_kind_name((object_kind_t)i), peer->news.name,
+			  (unsigned long long)peer->news.tables[i].revision);
+		fetch_state(peers, peer, now_ms);
+	}
+}
+
+/* News. */
+
+static void fill_loads(const view_t *view, peer_news_t *news)
+{
+	for (size_t i = 0; view && i < view->endpoint_count; i++) {
+		const endpoint_load_t *load = view->endpoints[i].load;
+		peer_load_t *told = &news->loads[news->load_count];
+
+		if (!atomic_load(&load->own_runs) ||
+		    news->load_count == PEER_LOADS_MAX)
+			continue;
+		told->endpoint =
+			peer_endpoint_key(load->id_hash, load->born_ms);
+		told->runs = atomic_load(&load->own_runs);
+		told->tokens = atomic_load(&load->own_tokens);
+		told->prefill = atomic_load(&load->own_prefill);
+		news->load_count++;
+	}
+}
+
+void gateway_peers_tell(gateway_peers_t *peers)
+{
+	gateway_control_t *control = peers->control;
+	uint64_t now_ms = clock_now_ms();
+	peer_news_t news = { .incarnation = control->incarnation,
+			     .sequence = ++peers->sequence,
+			     .stopping = control->gateway->stopping,
+			     .fencing = gateway_duty_fencing(control->duty) };
+	char bytes[PEER_NEWS_MAX_BYTES];
+	int len;
+
+	snprintf(news.name, sizeof(news.name), "%s",
+		 control->gateway->settings.name);
+	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+		const object_table_t *table = &control->assembly.tables[i];
+
+		if (!table->complete)
+			continue;
+		news.tables[i].revision = table->revision;
+		news.tables[i].digest = object_table_digest(table);
+	}
+	fill_loads(control->assembly.view, &news);
+	gateway_duty_news(control->duty, &news, now_ms);
+	len = peer_news_encode(&news, bytes, sizeof(bytes));
+	peers->told_ms = now_ms;
+	for (size_t i = 0; len > 0 && i < peers->target_count; i++) {
+		/* A lost datagram is made good by the next one. */
+		(void)sendto(peers->fd, bytes, (size_t)len, 0,
+			     (struct sockaddr *)&peers->targets[i],
+			     sizeof(peers->targets[i]));
+		metrics_add(METRIC_PEER_BYTES_SENT, len);
+	}
+}
+
+static void take_weights(gateway_peers_t *peers, const peer_news_t *news,
+			 uint64_t now_ms)
+{
+	const view_t *view = peers->control->assembly.view;
+
+	for (uint32_t w = 0; view && w < news->weights_count; w++) {
+		const peer_weights_t *told = &news->weights[w];
+
+		for (size_t i = 0; i < view->endpoint_count; i++) {
+			endpoint_load_t *load = view->endpoints[i].load;
+
+			if (peer_endpoint_key(load->id_hash, load->born_ms) !=
+			    told->endpoint)
+				continue;
+			if (told->weights > atomic_load(&load->seen_weights))
+				atomic_store(&load->seen_weights,
+					     told->weights);
+			atomic_store(&load->loading_until_ms,
+				     told->loading_ms
+					     ? now_ms + told->loading_ms
+					     : 0);
+		}
+	}
+}
+
+static peer_t *obtain_peer(gateway_peers_t *peers, const char *name)
+{
+	peer_t *peer;
+
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		if (!strcmp(peers->peers[i]->news.name, name))
+			return peers->peers[i];
+	}
+	if (peers->peer_count == PEERS_MAX)
+		return NULL;
+	peer = calloc(1, sizeof(*peer));
+	if (peer)
+		peers->peers[peers->peer_count++] = peer;
+	return peer;
+}
+
+static void take_news(gateway_peers_t *peers, const peer_news_t *news,
+		      const struct sockaddr_in *from)
+{
+	uint64_t now_ms = clock_now_ms();
+	peer_t *peer;
+
+	if (!strcmp(news->name, peers->control->gateway->settings.name))
+		return;
+	peer = obtain_peer(peers, news->name);
+	if (!peer || news->incarnation < peer->news.incarnation ||
+	    (news->incarnation == peer->news.incarnation &&
+	     news->sequence <= peer->news.sequence))
+		return;
+	if (!is_live(peer, now_ms))
+		event_log(EVENT_PEER_HEARD, "peer=%s incarnation=%llu",
+			  news->name, (unsigned long long)news->incarnation);
+	peer->news = *news;
+	peer->address = *from;
+	peer->heard_ms = now_ms;
+	if (news->fencing)
+		take_weights(peers, news, now_ms);
+}
+
+static void on_readable(evutil_socket_t fd, short what, void *context)
+{
+	gateway_peers_t *peers = context;
+	char bytes[PEER_NEWS_MAX_BYTES];
+	struct sockaddr_in from;
+	socklen_t from_len = sizeof(from);
+	peer_news_t news;
+	ssize_t len;
+
+	(void)what;
+	while ((len = recvfrom(fd, bytes, sizeof(bytes), MSG_DONTWAIT,
+			       (struct sockaddr *)&from, &from_len)) > 0) {
+		metrics_add(METRIC_PEER_BYTES_RECEIVED, len);
+		if (peer_news_decode(&news, bytes, (size_t)len))
+			metrics_add(METRIC_PEER_REJECTED, 1);
+		else
+			take_news(peers, &news, &from);
+		from_len = sizeof(from);
+	}
+}
+
+/* Work of the others at each endpoint. */
+
+static void add_loads(const peer_t *peer, const view_t *view)
+{
+	for (uint32_t l = 0; l < peer->news.load_count; l++) {
+		const peer_load_t *told = &peer->news.loads[l];
+
+		for (size_t i = 0; i < view->endpoint_count; i++) {
+			endpoint_load_t *load = view->endpoints[i].load;
+
+			if (peer_endpoint_key(load->id_hash, load->born_ms) !=
+			    told->endpoint)
+				continue;
+			load->peer_runs += told->runs;
+			load->peer_tokens += told->tokens;
+			load->peer_prefill += told->prefill;
+		}
+	}
+}
+
+static void sum_loads(gateway_peers_t *peers, uint64_t now_ms)
+{
+	const view_t *view = peers->control->assembly.view;
+
+	if (!view)
+		return;
+	for (size_t i = 0; i < view->endpoint_count; i++) {
+		endpoint_load_t *load = view->endpoints[i].load;
+
+		atomic_store(&load->peer_runs, 0);
+		atomic_store(&load->peer_tokens, 0);
+		atomic_store(&load->peer_prefill, 0);
+	}
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		if (is_live(peers->peers[i], now_ms))
+			add_loads(peers->peers[i], view);
+	}
+}
+
+static void count_instances(const gateway_peers_t *peers, uint64_t now_ms)
+{
+	uint32_t live = 1;
+
+	for (size_t i = 0; i < peers->peer_count; i++)
+		live += is_live(peers->peers[i], now_ms);
+	atomic_store(&peers->control->gateway->instances, live);
+	metrics_set(METRIC_MEMBERS_LIVE, live);
+}
+
+const char *gateway_peers_holder(const gateway_peers_t *peers, uint64_t now_ms)
+{
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		const peer_t *peer = peers->peers[i];
+
+		if (peer->heard_ms && peer->news.fencing &&
+		    now_ms - peer->heard_ms < HOLDER_LIVE_MS)
+			return peer->news.name;
+	}
+	return NULL;
+}
+
+/* Registration, and the addresses that news go to. */
+
+static void on_registered(void *context, int err, uint16_t status,
+			  const char *body, size_t len)
+{
+	gateway_peers_t *peers = context;
+	int result = gateway_control_store_error(err, status);
+
+	(void)body;
+	(void)len;
+	peers->registering = NULL;
+	if (!result)
+		peers->registered = true;
+	else if (result == ERR_STORE_CONDITION)
+		peers->exists = true;
+	else if (result == ERR_NOT_FOUND)
+		peers->exists = false;
+	if (result == ERR_STORE_CONDITION || result == ERR_NOT_FOUND)
+		peers->register_after_ms = 0;
+}
+
+static void register_self(gateway_peers_t *peers, uint64_t now_ms)
+{
+	gateway_control_t *control = peers->control;
+	const gateway_settings_t *settings = &control->gateway->settings;
+	struct evbuffer *message = evbuffer_new();
+	char address[64];
+	CLEANUP_JSON json_t *spec = NULL;
+	int err;
+
+	snprintf(address, sizeof(address), "%s:%u", settings->peer_ip,
+		 settings->peer_port);
+	spec = json_pack("{s:s,s:s,s:I}", "address", address, "domain",
+			 settings->domain, "incarnation",
+			 (json_int_t)control->incarnation);
+	peers->register_after_ms = now_ms + REGISTER_RETRY_MS;
+	if (peers->exists)
+		err = platform_write_replace(message, OBJECT_MEMBERS,
+					     settings->name, 0, spec);
+	else
+		err = platform_write_create(message, OBJECT_MEMBERS,
+					    settings->name, spec);
+	if (!err)
+		peers->registering = gateway_control_store_call(
+			control, message, on_registered, peers);
+	evbuffer_free(message);
+}
+
+static void add_target(gateway_peers_t *peers, const char *text)
+{
+	const gateway_settings_t *settings = &peers->control->gateway->settings;
+	struct sockaddr_in address;
+	char host[INET_ADDRSTRLEN];
+
+	if (platform_read_address(text, &address))
+		return;
+	/* Ports are the same on all machines. */
+	address.sin_port = htons((uint16_t)settings->peer_port);
+	inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
+	if (!strcmp(host, settings->peer_ip) || peers->target_count == PEERS_MAX)
+		return;
+	for (size_t i = 0; i < peers->target_count; i++) {
+		if (peers->targets[i].sin_addr.s_addr ==
+		    address.sin_addr.s_addr)
+			return;
+	}
+	peers->targets[peers->target_count++] = address;
+}
+
+static void add_seeds(gateway_peers_t *peers)
+{
+	CLEANUP_FREE char *seeds =
+		strdup(peers->control->gateway->settings.seeds);
+	char *rest = NULL;
+
+	for (char *seed = seeds ? strtok_r(seeds, ",", &rest) : NULL; seed;
+	     seed = strtok_r(NULL, ",", &rest))
+		add_target(peers, seed);
+}
+
+static void read_targets(gateway_peers_t *peers)
+{
+	const object_table_t *members =
+		&peers->control->assembly.tables[OBJECT_MEMBERS];
+
+	peers->target_count = 0;
+	for (size_t i = 0; i < members->count; i++) {
+		const char *text = json_string_value(
+			json_object_get(members->rows[i].spec, "address"));
+
+		if (text)
+			add_target(peers, text);
+	}
+	if (!members->complete)
+		add_seeds(peers);
+}
+
+void gateway_peers_tick(gateway_peers_t *peers, uint64_t now_ms)
+{
+	read_targets(peers);
+	if (!peers->registered && !peers->registering &&
+	    now_ms >= peers->register_after_ms)
+		register_self(peers, now_ms);
+	sum_loads(peers, now_ms);
+	count_instances(peers, now_ms);
+	catch_up(peers, now_ms);
+	if (now_ms - peers->told_ms >= NEWS_MS)
+		gateway_peers_tell(peers);
+}
+
+static int open_sockets(gateway_peers_t *peers)
+{
+	const gateway_settings_t *settings = &peers->control->gateway->settings;
+	inbound_options_t options = {
+		.connections_max = PEER_CONNECTIONS_MAX,
+		.body_total_max_bytes = STATE_HEAD_BYTES,
+		.calls = &state_calls,
+		.context = peers,
+	};
+	char text[64];
+	int err;
+
+	snprintf(text, sizeof(text), "%s:%u", settings->peer_ip,
+		 settings->peer_port);
+	if (platform_read_address(text, &options.address))
+		return ERR_SETTING;
+	err = inbound_open(peers->control->base, &options, &peers->inbound);
+	if (err)
+		return err;
+	peers->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+			   0);
+	if (peers->fd < 0 || bind(peers->fd,
+				  (struct sockaddr *)&options.address,
+				  sizeof(options.address)) < 0)
+		return ERR_LIMIT;
+	peers->readable = event_new(peers->control->base, peers->fd,
+				    EV_READ | EV_PERSIST, on_readable, peers);
+	return peers->readable && !event_add(peers->readable, NULL)
+		       ? 0
+		       : ERR_NO_MEMORY;
+}
+
+gateway_peers_t *gateway_peers_open(gateway_control_t *control)
+{
+	gateway_peers_t *peers = calloc(1, sizeof(*peers));
+
+	if (!peers)
+		return NULL;
+	peers->control = control;
+	peers->fd = -1;
+	if (open_sockets(peers)) {
+		event_log(EVENT_START_FAILED, "part=peers port=%u",
+			  control->gateway->settings.peer_port);
+		gateway_peers_close(peers);
+		return NULL;
+	}
+	return peers;
+}
+
+void gateway_peers_close(gateway_peers_t *peers)
+{
+	if (!peers)
+		return;
+	if (peers->fetch)
+		http_call_cancel(peers->fetch);
+	if (peers->registering)
+		http_call_cancel(peers->registering);
+	if (peers->readable)
+		event_free(peers->readable);
+	if (peers->inbound)
+		inbound_close(peers->inbound);
+	if (peers->fd >= 0)
+		close(peers->fd);
+	for (size_t i = 0; i < peers->peer_count; i++)
+		free(peers->peers[i]);
+	free(peers);
+}
--- a/process/clock.c
+++ b/process/clock.c
@@ -16,6 +16,11 @@
 	return read_ms(CLOCK_MONOTONIC);
 }
 
+uint64_t clock_boot_ms(void)
+{
+	return read_ms(CLOCK_BOOTTIME);
+}
+
 uint64_t clock_unix_ms(void)
 {
 	return read_ms(CLOCK_REALTIME);
--- a/process/clock.h
+++ b/process/clock.h
@@ -13,6 +13,12 @@
 /** Milliseconds of the monotonic clock. */
 uint64_t clock_now_ms(void);
 
+/**
+ * Milliseconds of a clock that goes on while the machine is suspended; for
+ * leases, whose time passes for the others too.
+ */
+uint64_t clock_boot_ms(void);
+
 /** Milliseconds since the epoch. */
 uint64_t clock_unix_ms(void);
 
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -129,3 +129,12 @@
       "The settings were read again.")
 EVENT(1907, LOG_DROPPED, "log_dropped", EVENT_WARN,
       "Log lines were dropped because of their number or a slow reader.")
+EVENT(1908, PEER_HEARD, "peer_heard", EVENT_INFO,
+      "News came from an instance that was not heard before, or not lately.")
+EVENT(1909, PEER_AHEAD, "peer_ahead", EVENT_INFO,
+      "An instance has read newer state than the store has told this one; "
+      "the state is fetched from it.")
+EVENT(1910, PEER_STATE, "peer_state", EVENT_INFO,
+      "State was fetched from an instance.")
+EVENT(1911, ENGINE_REPORT, "engine_report", EVENT_INFO,
+      "An engine said which weights it has and whether an order runs.")
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -121,8 +121,8 @@
 		return;
 	}
 	wait_then_send(watch, clock_now_ms() - watch->sent_ms <
-					      OBJECT_WATCH_GAP_MS
-				      ? OBJECT_WATCH_GAP_MS
+					      watch->options.gap_ms
+				      ? watch->options.gap_ms
 				      : 0);
 }
 
--- /dev/null
+++ b/process/peer_news.c
@@ -0,0 +1,90 @@
+#include "process/peer_news.h"
+
+#include <rpc/rpc.h>
+#include <string.h>
+
+#include "process/error.h"
+
+/** First number of each datagram; its end rises with the format. */
+#define NEWS_MAGIC 0x616d7601U
+
+static bool code_load(XDR *xdr, peer_load_t *load)
+{
+	return xdr_uint64_t(xdr, &load->endpoint) &&
+	       xdr_uint32_t(xdr, &load->runs) &&
+	       xdr_uint32_t(xdr, &load->tokens) &&
+	       xdr_uint32_t(xdr, &load->prefill);
+}
+
+static bool code_weights(XDR *xdr, peer_weights_t *weights)
+{
+	return xdr_uint64_t(xdr, &weights->endpoint) &&
+	       xdr_uint64_t(xdr, &weights->weights) &&
+	       xdr_uint32_t(xdr, &weights->loading_ms);
+}
+
+static bool code_head(XDR *xdr, peer_news_t *news)
+{
+	uint32_t magic = NEWS_MAGIC;
+	uint32_t stopping = news->stopping;
+	char *name = news->name;
+
+	if (!xdr_uint32_t(xdr, &magic) || magic != NEWS_MAGIC ||
+	    !xdr_string(xdr, &name, PEER_NAME_MAX_BYTES - 1) ||
+	    !xdr_uint64_t(xdr, &news->incarnation) ||
+	    !xdr_uint32_t(xdr, &news->sequence) ||
+	    !xdr_uint32_t(xdr, &stopping) ||
+	    !xdr_uint64_t(xdr, &news->fencing))
+		return false;
+	news->stopping = stopping != 0;
+	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+		if (!xdr_uint64_t(xdr, &news->tables[i].revision) ||
+		    !xdr_uint64_t(xdr, &news->tables[i].digest))
+			return false;
+	}
+	return true;
+}
+
+/* One function for both directions, so that they cannot differ. */
+static bool code_news(XDR *xdr, peer_news_t *news)
+{
+	if (!code_head(xdr, news) || !xdr_uint32_t(xdr, &news->load_count) ||
+	    news->load_count > PEER_LOADS_MAX)
+		return false;
+	for (uint32_t i = 0; i < news->load_count; i++) {
+		if (!code_load(xdr, &news->loads[i]))
+			return false;
+	}
+	if (!xdr_uint32_t(xdr, &news->weights_count) ||
+	    news->weights_count > PEER_WEIGHTS_MAX)
+		return false;
+	for (uint32_t i = 0; i < news->weights_count; i++) {
+		if (!code_weights(xdr, &news->weights[i]))
+			return false;
+	}
+	return true;
+}
+
+int peer_news_encode(const peer_news_t *news, char *bytes, size_t size)
+{
+	peer_news_t copy = *news;
+	XDR xdr;
+	int len;
+
+	xdrmem_create(&xdr, bytes, (u_int)size, XDR_ENCODE);
+	len = code_news(&xdr, &copy) ? (int)xdr_getpos(&xdr) : ERR_LIMIT;
+	xdr_destroy(&xdr);
+	return len;
+}
+
+int peer_news_decode(peer_news_t *news, char *bytes, size_t len)
+{
+	XDR xdr;
+	bool good;
+
+	memset(news, 0, sizeof(*news));
+	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
+	good = code_news(&xdr, news) && news->name[0];
+	xdr_destroy(&xdr);
+	return good ? 0 : ERR_BAD_FIELD;
+}
--- /dev/null
+++ b/process/peer_news.h
@@ -0,0 +1,73 @@
+/**
+ * @file
+ * What instances tell each other in one datagram: how far each has read the
+ * store, the work that each has at the endpoints, and the holder's news about
+ * weights. Encoded as XDR.
+ */
+#ifndef PROCESS_PEER_NEWS_H
+#define PROCESS_PEER_NEWS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "platform/platform_objects.h"
+
+enum {
+	/** Longest name of an instance with its NUL, bytes. */
+	PEER_NAME_MAX_BYTES = 64,
+	/** Largest datagram, bytes: one packet without fragments. */
+	PEER_NEWS_MAX_BYTES = 1400,
+	/** Endpoints whose load is told; 20 bytes each. */
+	PEER_LOADS_MAX = 40,
+	/** Endpoints whose weights are told; 24 bytes each. */
+	PEER_WEIGHTS_MAX = 12,
+};
+
+/** How far a table was read. */
+typedef struct peer_table {
+	uint64_t revision;
+	uint64_t digest;
+} peer_table_t;
+
+/** Work of one instance at one endpoint. */
+typedef struct peer_load {
+	uint64_t endpoint; /**< See peer_endpoint_key(). */
+	uint32_t runs;
+	uint32_t tokens;
+	uint32_t prefill;
+} peer_load_t;
+
+/** What the holder of the weights duty knows of one endpoint. */
+typedef struct peer_weights {
+	uint64_t endpoint;
+	uint64_t weights;     /**< Version it holds; 0: not known. */
+	uint32_t loading_ms;  /**< No new work for so long; 0: none. */
+} peer_weights_t;
+
+typedef struct peer_news {
+	char name[PEER_NAME_MAX_BYTES];
+	uint64_t incarnation; /**< Rises with each start of an instance. */
+	uint32_t sequence;    /**< Rises with each datagram. */
+	bool stopping;
+	uint64_t fencing; /**< Of the weights lease; 0: not the holder. */
+	peer_table_t tables[OBJECT_KIND_COUNT];
+	uint32_t load_count;
+	peer_load_t loads[PEER_LOADS_MAX];
+	uint32_t weights_count;
+	peer_weights_t weights[PEER_WEIGHTS_MAX];
+} peer_news_t;
+
+/** Number that names one lifetime of an endpoint. */
+static inline uint64_t peer_endpoint_key(uint64_t id_hash, uint64_t born_ms)
+{
+	return id_hash + born_ms;
+}
+
+/** Encodes; the length in bytes, or ERR_LIMIT. */
+int peer_news_encode(const peer_news_t *news, char *bytes, size_t size);
+
+/** Decodes; 0 or ERR_BAD_FIELD. */
+int peer_news_decode(peer_news_t *news, char *bytes, size_t len);
+
+#endif
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -26,6 +26,9 @@
  * many times its target, at least so late, ms. */
 #define SLOW_TARGETS 2
 #define SLOW_MIN_MS 300
+/** No request is sent to old weights so shortly before the bound, ms: it may
+ * wait in the engine's queue before it begins. */
+#define OLD_WEIGHTS_MARGIN_MS 1500
 /** Longest cache salt with its NUL, bytes. */
 #define SALT_MAX_BYTES (DESIRED_NAME_MAX_BYTES + 24)
 /** Bounds of the priority that engines take. */
@@ -506,7 +509,7 @@
 {
 	const answer_facts_t *answer = &exchange->answer;
 	endpoint_load_t *load = exchange->endpoint->load;
-	const model_weights_t *named;
+	const named_weights_t *named;
 
 	if (answer->instance && strcmp(answer->instance, load->id)) {
 		atomic_store(&load->leaving, true);
@@ -518,7 +521,7 @@
 			? view_weights(exchange->view, exchange->facts.model)
 			: NULL;
 	if (named && !answer->weights)
-		atomic_store(&load->seen_weights, named->version);
+		atomic_store(&load->seen_weights, named->versions[0]);
 }
 
 static void end_of_plain(exchange_t *exchange)
@@ -622,7 +625,7 @@
 
 static void fill_candidate(const exchange_t *exchange,
 			   const endpoint_entry_t *entry, uint64_t now_ms,
-			   const model_weights_t *named,
+			   const named_weights_t *named,
 			   placement_candidate_t *candidate)
 {
 	const desired_service_t *service =
@@ -646,10 +649,16 @@
 		.cold_left_ms = entry->cold_left_ms,
 		.same_domain = !strcmp(entry->domain, exchange->env->domain),
 	};
-	if (named)
-		candidate->old_weights =
-			endpoint_weights(entry, exchange->facts.model) <
-			named->version;
+	if (named) {
+		uint64_t overdue_ms = named_weights_overdue(
+			named, endpoint_weights(entry, exchange->facts.model),
+			now_ms);
+
+		candidate->old_weights = overdue_ms > 0;
+		if (overdue_ms + OLD_WEIGHTS_MARGIN_MS >
+		    exchange->env->weights_ms)
+			candidate->state = CANDIDATE_BARRED;
+	}
 }
 
 /* Shared beginning: all parts but the last, with what walls them off. */
@@ -768,7 +777,7 @@
 			    placement_choice_t *choice)
 {
 	const view_group_t *group = &exchange->view->groups[exchange->service];
-	const model_weights_t *named =
+	const named_weights_t *named =
 		exchange->facts.model
 			? view_weights(exchange->view, exchange->facts.model)
 			: NULL;
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -48,6 +48,7 @@
 	rng_t rng;
 	const char *domain;  /**< Failure domain of this instance. */
 	uint32_t instances;  /**< Of the whole system, this one included. */
+	uint32_t weights_ms; /**< Old weights are not used for longer. */
 	uint32_t open;	     /**< Requests in progress. */
 } exchange_env_t;
 
--- a/version/assembly.c
+++ b/version/assembly.c
@@ -68,24 +68,19 @@
 static void take_weights(assembly_t *assembly, const model_weights_t *read,
 			 uint64_t now_ms)
 {
-	for (uint32_t i = 0; i < assembly->weights_count; i++) {
-		model_weights_t *held = &assembly->weights[i];
+	named_weights_t *named = NULL;
 
-		if (strcmp(held->model, read->model))
-			continue;
-		if (read->version > held->version) {
-			held->version = read->version;
-			held->learned_ms = now_ms;
-		}
-		return;
+	for (uint32_t i = 0; i < assembly->weights_count; i++) {
+		if (!strcmp(assembly->weights[i].model, read->model))
+			named = &assembly->weights[i];
 	}
-	if (assembly->weights_count < VIEW_MODELS_MAX) {
-		model_weights_t *held =
-			&assembly->weights[assembly->weights_count++];
-
-		*held = *read;
-		held->learned_ms = now_ms;
+	if (!named) {
+		if (assembly->weights_count == VIEW_MODELS_MAX)
+			return;
+		named = &assembly->weights[assembly->weights_count++];
+		memcpy(named->model, read->model, sizeof(named->model));
 	}
+	named_weights_add(named, read->version, now_ms);
 }
 
 static void read_weights(assembly_t *assembly, uint64_t now_ms)
@@ -163,7 +158,7 @@
 		  (unsigned long long)
 			  assembly->tables[OBJECT_ENDPOINTS].revision,
 		  (unsigned long long)(assembly->weights_count
-					       ? assembly->weights[0].version
+					       ? assembly->weights[0].versions[0]
 					       : 0));
 	return 0;
 }
--- a/version/assembly.h
+++ b/version/assembly.h
@@ -17,7 +17,7 @@
 	object_table_t tables[OBJECT_KIND_COUNT];
 	desired_state_t *desired; /**< In force; NULL before the first. */
 	view_t *view;		  /**< The last one made. */
-	model_weights_t weights[VIEW_MODELS_MAX];
+	named_weights_t weights[VIEW_MODELS_MAX];
 	uint32_t weights_count;
 	uint64_t rejected_revision; /**< Of a desired state that was refused. */
 } assembly_t;
--- a/version/view.c
+++ b/version/view.c
@@ -45,7 +45,7 @@
 }
 
 view_t *view_new(desired_state_t *desired, const endpoint_entry_t *endpoints,
-		 size_t endpoint_count, const model_weights_t *weights,
+		 size_t endpoint_count, const named_weights_t *weights,
 		 uint32_t weights_count)
 {
 	view_t *view = calloc(1, sizeof(*view));
@@ -97,7 +97,7 @@
 	return view;
 }
 
-const model_weights_t *view_weights(const view_t *view, const char *model)
+const named_weights_t *view_weights(const view_t *view, const char *model)
 {
 	for (uint32_t i = 0; i < view->weights_count; i++) {
 		if (!strcmp(view->weights[i].model, model))
@@ -106,6 +106,35 @@
 	return NULL;
 }
 
+void named_weights_add(named_weights_t *named, uint64_t version,
+		       uint64_t now_ms)
+{
+	uint32_t kept = named->count < VIEW_NAMED_MAX ? named->count
+						      : VIEW_NAMED_MAX - 1;
+
+	if (named->count && version <= named->versions[0])
+		return;
+	memmove(named->versions + 1, named->versions,
+		kept * sizeof(named->versions[0]));
+	memmove(named->learned_ms + 1, named->learned_ms,
+		kept * sizeof(named->learned_ms[0]));
+	named->versions[0] = version;
+	named->learned_ms[0] = now_ms;
+	named->count = kept + 1;
+}
+
+uint64_t named_weights_overdue(const named_weights_t *named, uint64_t version,
+			       uint64_t now_ms)
+{
+	uint64_t overdue_ms = 0;
+
+	for (uint32_t i = 0; i < named->count; i++) {
+		if (named->versions[i] > version)
+			overdue_ms = now_ms - named->learned_ms[i];
+	}
+	return overdue_ms;
+}
+
 void endpoint_key(const endpoint_entry_t *endpoint, char *key, size_t size)
 {
 	snprintf(key, size, "%s/%llx", endpoint->id,
--- a/version/view.h
+++ b/version/view.h
@@ -19,15 +19,25 @@
 	/** Most models that an endpoint's entry or the view names; the plan for
 	 * two years has 15 models. */
 	VIEW_MODELS_MAX = 16,
+	/** Named versions of a model that are remembered; those that are named
+	 * within the bound of 8 s, one every second. */
+	VIEW_NAMED_MAX = 8,
 };
 
-/** Weights of one model. */
+/** Weights of one model at an endpoint. */
 typedef struct model_weights {
 	char model[DESIRED_NAME_MAX_BYTES];
 	uint64_t version;
-	uint64_t learned_ms; /**< Monotonic time; of named weights. */
 } model_weights_t;
 
+/** Versions of one model that were named, the newest first. */
+typedef struct named_weights {
+	char model[DESIRED_NAME_MAX_BYTES];
+	uint32_t count; /**< At least 1. */
+	uint64_t versions[VIEW_NAMED_MAX];
+	uint64_t learned_ms[VIEW_NAMED_MAX]; /**< Monotonic times. */
+} named_weights_t;
+
 /** One entry of the list of endpoints. */
 typedef struct endpoint_entry {
 	char id[ENDPOINT_ID_MAX_BYTES];
@@ -59,7 +69,7 @@
 	view_group_t *groups; /**< One for each service. */
 	const endpoint_entry_t **grouped;
 	uint32_t weights_count;
-	model_weights_t weights[VIEW_MODELS_MAX]; /**< Newest named. */
+	named_weights_t weights[VIEW_MODELS_MAX];
 } view_t;
 
 /**
@@ -68,7 +78,7 @@
  * @return NULL when out of memory
  */
 view_t *view_new(desired_state_t *desired, const endpoint_entry_t *endpoints,
-		 size_t endpoint_count, const model_weights_t *weights,
+		 size_t endpoint_count, const named_weights_t *weights,
 		 uint32_t weights_count);
 
 /** Publishes a view for view_acquire() and drops the one before. */
@@ -80,8 +90,19 @@
 /** Drops a reference; NULL is allowed. */
 void view_put(view_t *view);
 
-/** Newest named weights of a model; NULL if none are named. */
-const model_weights_t *view_weights(const view_t *view, const char *model);
+/** Named weights of a model; NULL if none are named. */
+const named_weights_t *view_weights(const view_t *view, const char *model);
+
+/** Adds a version to the named ones if it is newer than all of them. */
+void named_weights_add(named_weights_t *named, uint64_t version,
+		       uint64_t now_ms);
+
+/**
+ * How long newer weights than `version` have been known, ms; 0 if there are
+ * none.
+ */
+uint64_t named_weights_overdue(const named_weights_t *named, uint64_t version,
+			       uint64_t now_ms);
 
 /** Text that names one lifetime of an endpoint. */
 void endpoint_key(const endpoint_entry_t *endpoint, char *key, size_t size);
