request: place by believed caches, fetch from engines, save within the link

Change: instances tell each other which engine has read which beginning; the existing belief table holds it. Placement weighs cached, fetchable and missing tokens; a beginning is fetched from the engine that has it, else the store; saves only what the store is not believed to have, within a part of its link. A stop refuses streams after the balancer has taken the instance out. Ruled out: a home by hashing alone (homes move while engines load weights).

--- a/cmd/gateway.h
+++ b/cmd/gateway.h
@@ -12,6 +12,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "process/note_ring.h"
+
 /** Settings of the process, from flags or the settings file. */
 typedef struct gateway_settings {
 	const char *name;
@@ -41,6 +43,8 @@
 	gateway_settings_t settings;
 	_Atomic uint32_t instances; /**< Of the system, with this one. */
 	_Atomic bool stopping;
+	note_ring_t own_notes;	/**< Front to control. */
+	note_ring_t peer_notes; /**< Control to front. */
 } gateway_t;
 
 /**
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -23,8 +23,9 @@
 	/** Descriptors that are not for connections: files, pipes, sockets. */
 	DESCRIPTORS_OTHER = 240,
 	/** New connections come for so long after a stop began, ms: the
-	 * balancer asks once a second and acts on the second miss. */
-	STOP_ARRIVALS_MS = 3500,
+	 * balancer asks once a second and acts on the second miss. What comes
+	 * later may last longer than the rest of the grace period. */
+	STOP_ARRIVALS_MS = 2700,
 	/** A stop ends so long before the process would be killed, ms. */
 	STOP_MARGIN_MS = 700,
 	/** Limits before a desired state is known. */
@@ -200,6 +201,7 @@
 	uint64_t limit_ms = front->gateway->settings.grace_s * 1000ULL;
 
 	limit_ms = limit_ms > STOP_MARGIN_MS ? limit_ms - STOP_MARGIN_MS : 0;
+	front->env.refuse_streams = past_ms >= STOP_ARRIVALS_MS;
 	if (past_ms >= STOP_ARRIVALS_MS || past_ms >= limit_ms)
 		inbound_close_idle(front->callers);
 	if (past_ms >= limit_ms) {
@@ -342,6 +344,10 @@
 	front->env.domain = settings->domain;
 	front->env.instances = 1;
 	front->env.weights_ms = settings->weights_ms;
+	front->env.own_notes = &front->gateway->own_notes;
+	front->env.peer_notes = &front->gateway->peer_notes;
+	front->env.save_filled_ms = clock_now_ms();
+	belief_init(&front->env.beliefs);
 	front->env.outbound = outbound_open(front->base);
 	rng_init(&front->env.rng,
 		 clock_unix_ms() ^ hash_string(settings->name));
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -271,6 +271,10 @@
 	}
 	fill_loads(control->assembly.view, &news);
 	gateway_duty_news(control->duty, &news, now_ms);
+	while (news.note_count < PEER_NOTES_MAX &&
+	       note_ring_take(&control->gateway->own_notes,
+			      &news.notes[news.note_count]))
+		news.note_count++;
 	len = peer_news_encode(&news, bytes, sizeof(bytes));
 	peers->told_ms = now_ms;
 	for (size_t i = 0; len > 0 && i < peers->target_count; i++) {
@@ -344,6 +348,9 @@
 	peer->heard_ms = now_ms;
 	if (news->fencing)
 		take_weights(peers, news, now_ms);
+	for (uint32_t i = 0; i < news->note_count; i++)
+		note_ring_put(&peers->control->gateway->peer_notes,
+			      &news->notes[i]);
 }
 
 static void on_readable(evutil_socket_t fd, short what, void *context)
--- a/process/belief.c
+++ b/process/belief.c
@@ -18,9 +18,9 @@
 	memset(belief, 0, sizeof(*belief));
 }
 
-static uint64_t tag_of(const endpoint_t *endpoint, uint64_t key)
+static uint64_t tag_of(const belief_source_t *source, uint64_t key)
 {
-	uint64_t tag = hash_rendezvous(endpoint->belief_source, key);
+	uint64_t tag = hash_rendezvous(source->id, key);
 
 	return tag ? tag : 1;
 }
@@ -43,13 +43,13 @@
 	return (double)(now_ms - entry->confirmed_ms);
 }
 
-uint32_t belief_tokens(const belief_t *belief, const endpoint_t *endpoint,
+uint32_t belief_tokens(const belief_t *belief, const belief_source_t *source,
 		       uint64_t key, uint64_t now_ms)
 {
-	const belief_entry_t *entry = find(belief, tag_of(endpoint, key));
+	const belief_entry_t *entry = find(belief, tag_of(source, key));
 
 	if (!entry || entry->evicted ||
-	    age_ms(entry, now_ms) > endpoint->belief_expiry_ms)
+	    age_ms(entry, now_ms) > source->expiry_ms)
 		return 0;
 	return entry->tokens;
 }
@@ -70,10 +70,10 @@
 	return oldest;
 }
 
-void belief_confirm(belief_t *belief, const endpoint_t *endpoint, uint64_t key,
+void belief_confirm(belief_t *belief, const belief_source_t *source, uint64_t key,
 		    uint32_t tokens, uint64_t now_ms)
 {
-	uint64_t tag = tag_of(endpoint, key);
+	uint64_t tag = tag_of(source, key);
 	belief_entry_t *entry = claim(belief, tag);
 
 	entry->tag = tag;
@@ -82,11 +82,11 @@
 	entry->evicted = false;
 }
 
-void belief_answer(belief_t *belief, endpoint_t *endpoint, uint64_t key,
+void belief_answer(belief_t *belief, belief_source_t *source, uint64_t key,
 		   uint32_t tokens, uint32_t cached_tokens, uint64_t now_ms)
 {
-	const belief_entry_t *entry = find(belief, tag_of(endpoint, key));
-	double *expiry = &endpoint->belief_expiry_ms;
+	const belief_entry_t *entry = find(belief, tag_of(source, key));
+	double *expiry = &source->expiry_ms;
 	double age;
 
 	if (!entry || entry->evicted)
@@ -102,10 +102,10 @@
 		fmin(fmax(*expiry, BELIEF_EXPIRY_MIN_MS), BELIEF_EXPIRY_MAX_MS);
 }
 
-bool belief_event(belief_t *belief, const endpoint_t *endpoint, uint64_t key,
+bool belief_event(belief_t *belief, const belief_source_t *source, uint64_t key,
 		  bool added, uint64_t now_ms)
 {
-	uint64_t tag = tag_of(endpoint, key);
+	uint64_t tag = tag_of(source, key);
 	belief_entry_t *entry = NULL;
 
 	if (!find(belief, tag))
--- a/process/belief.h
+++ b/process/belief.h
@@ -2,7 +2,7 @@
  * @file
  * Bounded, expiring table of prefixes believed to be cached at endpoints.
  *
- * An entry is keyed by endpoint_t.belief_source and a level or block key. The
+ * An entry is keyed by belief_source_t.id and a level or block key. The
  * source covers id, incarnation, weights version and event generation, so a
  * restart, new weights or a gap in the events end all beliefs about an
  * endpoint at once without a pass over the table.
@@ -16,8 +16,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "process/endpoint.h"
-
 enum {
 	BELIEF_SETS = 1024,
 	BELIEF_WAYS = 8,
@@ -27,6 +25,13 @@
 	BELIEF_EXPIRY_MAX_MS = 3600000,
 };
 
+/** One state of one endpoint that beliefs are about. */
+typedef struct belief_source {
+	uint64_t id;
+	/** Age up to which a belief is relied on, ms. */
+	double expiry_ms;
+} belief_source_t;
+
 typedef struct belief_entry {
 	uint64_t tag; /**< Hash of source and key; 0 when free. */
 	uint64_t confirmed_ms;
@@ -46,11 +51,11 @@
  * @return 0 if nothing is known or the belief is older than the endpoint's
  *         learned expiry
  */
-uint32_t belief_tokens(const belief_t *belief, const endpoint_t *endpoint,
+uint32_t belief_tokens(const belief_t *belief, const belief_source_t *source,
 		       uint64_t key, uint64_t now_ms);
 
 /** Records that an endpoint has the prefix of a key in its cache. */
-void belief_confirm(belief_t *belief, const endpoint_t *endpoint, uint64_t key,
+void belief_confirm(belief_t *belief, const belief_source_t *source, uint64_t key,
 		    uint32_t tokens, uint64_t now_ms);
 
 /**
@@ -59,7 +64,7 @@
  * shortens the endpoint's expiry; one that is there beyond half the expiry
  * lengthens it.
  */
-void belief_answer(belief_t *belief, endpoint_t *endpoint, uint64_t key,
+void belief_answer(belief_t *belief, belief_source_t *source, uint64_t key,
 		   uint32_t tokens, uint32_t cached_tokens, uint64_t now_ms);
 
 /**
@@ -67,7 +72,7 @@
  * @param added false for an eviction
  * @return whether the key is tracked
  */
-bool belief_event(belief_t *belief, const endpoint_t *endpoint, uint64_t key,
+bool belief_event(belief_t *belief, const belief_source_t *source, uint64_t key,
 		  bool added, uint64_t now_ms);
 
 #endif
--- a/process/endpoint.c
+++ b/process/endpoint.c
@@ -22,7 +22,7 @@
 
 	key = hash_rendezvous(key, endpoint->id_hash);
 	key = hash_rendezvous(key, endpoint->incarnation);
-	endpoint->belief_source =
+	endpoint->belief.id =
 		hash_rendezvous(key, endpoint->event_generation);
 }
 
@@ -31,7 +31,7 @@
 	memset(endpoint, 0, sizeof(*endpoint));
 	endpoint->id_hash = id_hash;
 	endpoint->slowness = 1;
-	endpoint->belief_expiry_ms = BELIEF_EXPIRY_START_MS;
+	endpoint->belief.expiry_ms = BELIEF_EXPIRY_START_MS;
 	update_source(endpoint);
 }
 
--- a/process/endpoint.h
+++ b/process/endpoint.h
@@ -16,6 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "process/belief.h"
 #include "process/rng.h"
 
 enum {
@@ -89,10 +90,8 @@
 	char adapter[ENDPOINT_NAME_MAX_BYTES];
 	char weights_version[ENDPOINT_NAME_MAX_BYTES];
 	char role[ENDPOINT_NAME_MAX_BYTES];
-	/** Binds beliefs to id, incarnation, weights and generation. */
-	uint64_t belief_source;
-	/** Age up to which a belief about this endpoint is relied on, ms. */
-	double belief_expiry_ms;
+	/** Bound to id, incarnation, weights and generation. */
+	belief_source_t belief;
 	/* Last load report. */
 	uint64_t report_at_ms; /**< Time the figures were true; 0 if none. */
 	uint64_t report_seq;
--- a/process/peer_news.c
+++ b/process/peer_news.c
@@ -23,6 +23,13 @@
 	       xdr_uint32_t(xdr, &weights->loading_ms);
 }
 
+static bool code_note(XDR *xdr, cache_note_t *note)
+{
+	return xdr_uint64_t(xdr, &note->source) &&
+	       xdr_uint64_t(xdr, &note->key) &&
+	       xdr_uint32_t(xdr, &note->tokens);
+}
+
 static bool code_head(XDR *xdr, peer_news_t *news)
 {
 	uint32_t magic = NEWS_MAGIC;
@@ -62,6 +69,13 @@
 		if (!code_weights(xdr, &news->weights[i]))
 			return false;
 	}
+	if (!xdr_uint32_t(xdr, &news->note_count) ||
+	    news->note_count > PEER_NOTES_MAX)
+		return false;
+	for (uint32_t i = 0; i < news->note_count; i++) {
+		if (!code_note(xdr, &news->notes[i]))
+			return false;
+	}
 	return true;
 }
 
--- a/process/peer_news.h
+++ b/process/peer_news.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "platform/platform_objects.h"
+#include "process/note_ring.h"
 
 enum {
 	/** Longest name of an instance with its NUL, bytes. */
@@ -19,9 +20,11 @@
 	/** Largest datagram, bytes: one packet without fragments. */
 	PEER_NEWS_MAX_BYTES = 1400,
 	/** Endpoints whose load is told; 20 bytes each. */
-	PEER_LOADS_MAX = 40,
+	PEER_LOADS_MAX = 24,
 	/** Endpoints whose weights are told; 24 bytes each. */
 	PEER_WEIGHTS_MAX = 12,
+	/** Notes about cached beginnings; 20 bytes each. */
+	PEER_NOTES_MAX = 16,
 };
 
 /** How far a table was read. */
@@ -56,6 +59,8 @@
 	peer_load_t loads[PEER_LOADS_MAX];
 	uint32_t weights_count;
 	peer_weights_t weights[PEER_WEIGHTS_MAX];
+	uint32_t note_count;
+	cache_note_t notes[PEER_NOTES_MAX];
 } peer_news_t;
 
 /** Number that names one lifetime of an endpoint. */
--- a/process/placement.c
+++ b/process/placement.c
@@ -6,9 +6,12 @@
 
 /** Prompt tokens that an engine reads in a ms: the sheets of both sites. */
 #define PREFILL_TOKENS_PER_MS 38.4
-/** A beginning is fetched at about so many tokens a ms: 163 KB a token over a
- * store's link of 280 Gbit/s that several engines share. */
-#define FETCH_TOKENS_PER_MS 100.0
+/** A beginning is fetched at about so many tokens a ms: 163 KB a token over an
+ * engine's link of 1,100 Gbit/s, twice as long between domains, with others. */
+#define FETCH_TOKENS_PER_MS 200.0
+/** Reading a beginning again takes the engine's time from others and is
+ * wasted; it counts so many times. */
+#define REREAD_WEIGHT 2.0
 /** Longer decode steps of the others with each run more, ms of one answer. */
 #define RUN_COST_MS 0.4
 /** An engine whose memory is full makes the newest run wait about as long as
@@ -25,6 +28,8 @@
 #define PLAIN_WORK_MS 30.0
 /** Keeps the order among the farther homes, ms for each place. */
 #define RANK_COST_MS 6.0
+/** Places after which all are equally far. */
+#define RANK_MAX 4
 /** Part of the memory that runs may fill before they get in each other's way:
  * the rest holds the shared beginnings. */
 #define MEMORY_PART 0.85
@@ -55,14 +60,18 @@
 	return rank;
 }
 
-static double bring_cost(const placement_request_t *request, uint32_t rank)
+/* Getting the beginning there: what can be fetched, and what must be read. */
+static double bring_cost(const placement_candidate_t *candidate,
+			 const placement_request_t *request)
 {
-	double rate = request->cache_store ? FETCH_TOKENS_PER_MS
-					   : PREFILL_TOKENS_PER_MS;
-
-	if (!rank || !request->shared_key)
-		return 0;
-	return request->shared_tokens / rate + RANK_COST_MS * rank;
+	uint32_t held = candidate->held_tokens;
+	uint32_t reach = candidate->fetchable_tokens > held
+				 ? candidate->fetchable_tokens
+				 : held;
+
+	return (reach - held) / FETCH_TOKENS_PER_MS +
+	       REREAD_WEIGHT * (request->shared_tokens - reach) /
+		       PREFILL_TOKENS_PER_MS;
 }
 
 static bool overflows(const placement_candidate_t *candidate,
@@ -83,7 +92,10 @@
 	double cost = ((double)candidate->prefill + request->own_tokens) /
 		      PREFILL_TOKENS_PER_MS;
 
-	return cost + bring_cost(request, rank) + RUN_COST_MS * candidate->runs;
+	if (request->shared_key)
+		cost += RANK_COST_MS * (rank < RANK_MAX ? rank : RANK_MAX);
+	return cost + bring_cost(candidate, request) +
+	       RUN_COST_MS * candidate->runs;
 }
 
 static double plain_cost(const placement_candidate_t *candidate)
--- a/process/placement.h
+++ b/process/placement.h
@@ -5,9 +5,10 @@
  * Answers the load of many long prompts that share their beginnings over
  * engines whose memory holds only a part of them. Each shared beginning has a
  * home, the highest in rendezvous hashing, so that all instances agree without
- * talking. A request leaves its home only when waiting there costs more than
- * bringing the beginning elsewhere; the next homes in the same order stay
- * warm, so that a hot beginning spreads over a few engines and not over all.
+ * talking. What is believed to be cached decides before that: a request goes
+ * where its beginning is, unless waiting there costs more than fetching it, or
+ * much more than reading it again. A hot beginning spreads over a few engines
+ * in the order of the homes.
  */
 #ifndef PROCESS_PLACEMENT_H
 #define PROCESS_PLACEMENT_H
@@ -39,6 +40,10 @@
 	uint64_t cache_tokens; /**< Memory of the engine; 0: a plain service. */
 	uint32_t error_rate;   /**< In 1/1024. */
 	uint32_t cold_left_ms;
+	uint32_t held_tokens;  /**< Of the beginning, in its cache. */
+	/** Of the beginning, in another's cache or the store; these can be
+	 * fetched. */
+	uint32_t fetchable_tokens;
 	bool same_domain;
 	bool old_weights; /**< Newer ones are named. */
 } placement_candidate_t;
@@ -49,12 +54,11 @@
 	uint32_t own_tokens;	/**< Of the rest of the prompt. */
 	uint32_t output_tokens; /**< Expected. */
 	uint64_t tie_break;	/**< Spreads requests without a beginning. */
-	bool cache_store;	/**< A store to fetch the beginning from. */
 } placement_request_t;
 
 typedef struct placement_choice {
 	int32_t index;	 /**< Or PLACEMENT_NONE. */
-	int32_t home;	 /**< Where the beginning is expected. */
+	int32_t home;	 /**< First in the order of the homes. */
 	double cost_ms;	 /**< Estimated time to the first token. */
 	bool overflows;	 /**< Its memory or slots are taken. */
 } placement_choice_t;
--- a/process/routing.c
+++ b/process/routing.c
@@ -220,7 +220,7 @@
 
 	for (size_t i = request->level_count; i > 0; i--) {
 		uint32_t tokens = belief_tokens(
-			&choice->routing->beliefs, endpoint,
+			&choice->routing->beliefs, &endpoint->belief,
 			prefix_level_block_key(&request->levels[i - 1]),
 			choice->now_ms);
 
@@ -562,7 +562,7 @@
 		const prefix_level_t *level = &request->levels[i];
 
 		if (level->full_tokens)
-			belief_answer(&routing->beliefs, endpoint,
+			belief_answer(&routing->beliefs, &endpoint->belief,
 				      prefix_level_block_key(level),
 				      level->full_tokens, cached_tokens,
 				      now_ms);
@@ -593,7 +593,7 @@
 
 		if (level->full_tokens &&
 		    prefix_stats_is_shared(&routing->stats, level->key))
-			belief_confirm(&routing->beliefs, endpoint,
+			belief_confirm(&routing->beliefs, &endpoint->belief,
 				       prefix_level_block_key(level),
 				       level->full_tokens, now_ms);
 	}
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -10,6 +10,7 @@
 #include "process/event.h"
 #include "process/hash.h"
 #include "process/metrics.h"
+#include "process/peer_news.h"
 #include "process/placement.h"
 #include "request/event_cut.h"
 #include "version/view.h"
@@ -29,6 +30,16 @@
 /** No request is sent to old weights so shortly before the bound, ms: it may
  * wait in the engine's queue before it begins. */
 #define OLD_WEIGHTS_MARGIN_MS 1500
+/** A beginning is believed to be in an engine's cache for so long after its
+ * last use, ms: prompts of their own push it out in about ten seconds. */
+#define ENGINE_BELIEF_MS 9000.0
+/** The same for the store, which only gets beginnings and their last parts. */
+#define STORE_BELIEF_MS 20000.0
+/** Part of the store's link that saves may fill, over all instances; the rest
+ * is for fetches. */
+#define SAVE_LINK_PART 0.4
+/** Shorter beginnings are not worth a save, tokens. */
+#define SAVE_MIN_TOKENS 500
 /** Longest cache salt with its NUL, bytes. */
 #define SALT_MAX_BYTES (DESIRED_NAME_MAX_BYTES + 24)
 /** Bounds of the priority that engines take. */
@@ -67,6 +78,11 @@
 	uint16_t status;
 	bool answered;	/**< The attempt's head came. */
 	bool lengthless;
+	/* The beginning: a key for each of its parts and the ones before. */
+	uint32_t level_count;
+	uint64_t level_keys[REQUEST_PARTS_MAX];
+	uint32_t level_tokens[REQUEST_PARTS_MAX];
+	bool saving; /**< The attempt saves in the store. */
 	/* Over all attempts. */
 	uint64_t tried[EXCHANGE_REFUSALS_MAX + 8];
 	uint32_t tried_count;
@@ -81,6 +97,7 @@
 } exchange_t;
 
 static void place(exchange_t *exchange);
+static void note_read(exchange_t *exchange);
 
 static bool may_repeat(const exchange_t *exchange)
 {
@@ -130,20 +147,107 @@
 }
 
 static void count_begin(exchange_t *exchange, const endpoint_entry_t *endpoint,
-			const placement_request_t *need, bool at_home)
+			const placement_request_t *need,
+			const placement_candidate_t *candidate)
 {
 	endpoint_load_t *load = endpoint->load;
 
 	exchange->endpoint = endpoint;
 	exchange->counted_tokens = need->own_tokens + need->output_tokens;
-	exchange->counted_prefill = need->own_tokens;
-	if (!at_home && !need->cache_store)
-		exchange->counted_prefill += need->shared_tokens;
+	/* One more, so that it is never 0 while the prompt is being read. */
+	exchange->counted_prefill =
+		need->own_tokens + need->shared_tokens + 1 -
+		(candidate->fetchable_tokens > candidate->held_tokens
+			 ? candidate->fetchable_tokens
+			 : candidate->held_tokens);
 	atomic_fetch_add(&load->own_runs, 1);
 	atomic_fetch_add(&load->own_tokens, exchange->counted_tokens);
 	atomic_fetch_add(&load->own_prefill, exchange->counted_prefill);
 }
 
+/* Beliefs about cached beginnings. */
+
+static uint64_t source_of(const endpoint_load_t *load)
+{
+	return peer_endpoint_key(load->id_hash, load->born_ms);
+}
+
+/* Engines bind nothing to weights: the key does. */
+static uint64_t key_under(uint64_t level_key, uint64_t weights)
+{
+	return hash_rendezvous(level_key, weights);
+}
+
+static void note(exchange_t *exchange, uint64_t source, uint64_t weights)
+{
+	exchange_env_t *env = exchange->env;
+	belief_source_t about = { .id = source };
+	uint64_t now_ms = clock_now_ms();
+
+	for (uint32_t i = 0; i < exchange->level_count; i++) {
+		cache_note_t said = {
+			.source = source,
+			.key = key_under(exchange->level_keys[i], weights),
+			.tokens = exchange->level_tokens[i],
+		};
+
+		belief_confirm(&env->beliefs, &about, said.key, said.tokens,
+			       now_ms);
+		note_ring_put(env->own_notes, &said);
+	}
+}
+
+static void take_peer_notes(exchange_env_t *env, uint64_t now_ms)
+{
+	cache_note_t said;
+
+	while (note_ring_take(env->peer_notes, &said)) {
+		belief_source_t about = { .id = said.source };
+
+		belief_confirm(&env->beliefs, &about, said.key, said.tokens,
+			       now_ms);
+	}
+}
+
+/* Tokens of the beginning that a cache is believed to hold. */
+static uint32_t believed_tokens(const exchange_t *exchange, uint64_t source,
+				double expiry_ms, uint64_t weights,
+				uint64_t now_ms)
+{
+	belief_source_t about = { .id = source, .expiry_ms = expiry_ms };
+
+	for (uint32_t i = exchange->level_count; i-- > 0;) {
+		uint32_t tokens = belief_tokens(
+			&exchange->env->beliefs, &about,
+			key_under(exchange->level_keys[i], weights), now_ms);
+
+		if (tokens)
+			return tokens;
+	}
+	return 0;
+}
+
+/* All parts but the last are shared; customers that are walled off share with
+ * nobody. */
+static void read_levels(exchange_t *exchange)
+{
+	const request_facts_t *facts = &exchange->facts;
+	bool walled = exchange->customer && exchange->customer->isolated;
+	uint64_t key = walled ? hash_string(exchange->customer->name) : 1;
+	uint32_t tokens = 0;
+
+	if (facts->model)
+		key = hash_chain(key, facts->model, strlen(facts->model));
+	for (uint32_t i = 0; i + 1 < facts->part_count; i++) {
+		tokens += facts->parts[i].tokens;
+		key = hash_chain(key, &facts->parts[i].id,
+				 sizeof(facts->parts[i].id));
+		exchange->level_keys[i] = key;
+		exchange->level_tokens[i] = tokens;
+		exchange->level_count = i + 1;
+	}
+}
+
 /* The end of a request. */
 
 static void log_end(const exchange_t *exchange, const char *outcome,
@@ -450,6 +554,8 @@
 				   exchange->first_event_ms -
 					   exchange->began_ms);
 	}
+	if (exchange->counted_prefill)
+		note_read(exchange);
 	count_prefill_done(exchange);
 	if (exchange->request &&
 	    !inbound_write(exchange->request, bytes, len) && exchange->call)
@@ -661,29 +767,6 @@
 	}
 }
 
-/* Shared beginning: all parts but the last, with what walls them off. */
-static void read_need(const exchange_t *exchange, placement_request_t *need)
-{
-	const request_facts_t *facts = &exchange->facts;
-	bool walled = exchange->customer && exchange->customer->isolated;
-
-	memset(need, 0, sizeof(*need));
-	need->output_tokens = facts->output_tokens_max;
-	need->tie_break = rng_next(&exchange->env->rng);
-	need->shared_key = walled ? hash_string(exchange->customer->name) : 0;
-	for (uint32_t i = 0; i + 1 < facts->part_count; i++) {
-		need->shared_tokens += facts->parts[i].tokens;
-		need->shared_key = hash_chain(need->shared_key,
-					      &facts->parts[i].id,
-					      sizeof(facts->parts[i].id));
-	}
-	if (facts->part_count < 2)
-		need->shared_key = 0;
-	need->own_tokens = facts->prompt_tokens > need->shared_tokens
-				   ? facts->prompt_tokens - need->shared_tokens
-				   : 0;
-}
-
 static const desired_service_t *cache_store_of(const exchange_t *exchange)
 {
 	const desired_state_t *desired = exchange->view->desired;
@@ -724,8 +807,35 @@
 	return share > 2 ? share : 2;
 }
 
+/* Saves are spread over the instances, and over the store's link. */
+static bool take_save(exchange_t *exchange, const desired_service_t *store,
+		      uint64_t weights, uint64_t now_ms)
+{
+	exchange_env_t *env = exchange->env;
+	const desired_service_t *service =
+		&exchange->view->desired->services[exchange->service];
+	double rate = SAVE_LINK_PART * store->engine.link_mbps * 125 /
+		      ((double)service->engine.token_bytes + 1) /
+		      env->instances;
+	uint32_t shared = exchange->level_count
+				  ? exchange->level_tokens
+					    [exchange->level_count - 1]
+				  : 0;
+
+	env->save_tokens += rate * (double)(now_ms - env->save_filled_ms);
+	if (env->save_tokens > rate * 1000)
+		env->save_tokens = rate * 1000;
+	env->save_filled_ms = now_ms;
+	if (shared < SAVE_MIN_TOKENS || env->save_tokens <= 0 ||
+	    believed_tokens(exchange, hash_string(store->cache_address),
+			    STORE_BELIEF_MS, weights, now_ms) >= shared)
+		return false;
+	env->save_tokens -= exchange->facts.prompt_tokens;
+	return true;
+}
+
 static int send_to(exchange_t *exchange, const endpoint_entry_t *endpoint,
-		   uint64_t now_ms)
+		   const char *cache_source, uint64_t now_ms)
 {
 	const desired_service_t *service =
 		&exchange->view->desired->services[exchange->service];
@@ -752,14 +862,19 @@
 
 	if (!message)
 		return ERR_NO_MEMORY;
+	exchange->saving = false;
 	if (service->role == SERVICE_ENGINE) {
 		store = cache_store_of(exchange);
+		exchange->saving =
+			store && take_save(exchange, store, exchange->weights,
+					   now_ms);
 		write_salt(exchange, salt);
 		dispatch.cache_salt = salt;
 		dispatch.weights = exchange->weights;
 		dispatch.priority = priority_of(exchange);
-		dispatch.cache_from = store ? store->cache_address : NULL;
-		dispatch.cache_to = store ? store->cache_address : NULL;
+		dispatch.cache_from = cache_source;
+		dispatch.cache_to =
+			exchange->saving ? store->cache_address : NULL;
 	}
 	endpoint_key(endpoint, target.key, sizeof(target.key));
 	platform_write_request(message, exchange->request->head, &dispatch);
@@ -772,27 +887,94 @@
 	return err;
 }
 
-static bool choose_endpoint(exchange_t *exchange, uint64_t now_ms,
-			    placement_request_t *need,
-			    placement_choice_t *choice)
+/* Candidates for one placement, and where each beginning can be fetched. */
+typedef struct candidates {
+	placement_candidate_t items[PLACEMENT_CANDIDATES_MAX];
+	uint64_t weights[PLACEMENT_CANDIDATES_MAX];
+	const char *sources[PLACEMENT_CANDIDATES_MAX];
+	size_t count;
+} candidates_t;
+
+/* The best other cache for each candidate: another engine with the same
+ * weights, or the store. */
+static void find_sources(const exchange_t *exchange, candidates_t *all,
+			 const desired_service_t *store, uint64_t now_ms)
+{
+	const view_group_t *group = &exchange->view->groups[exchange->service];
+	uint64_t store_id = store ? hash_string(store->cache_address) : 0;
+
+	for (size_t i = 0; i < all->count; i++) {
+		placement_candidate_t *item = &all->items[i];
+
+		all->sources[i] = store ? store->cache_address : NULL;
+		if (store)
+			item->fetchable_tokens = believed_tokens(
+				exchange, store_id, STORE_BELIEF_MS,
+				all->weights[i], now_ms);
+		for (size_t j = 0; j < all->count; j++) {
+			if (j == i || all->weights[j] != all->weights[i] ||
+			    all->items[j].state != CANDIDATE_USABLE ||
+			    all->items[j].held_tokens <= item->held_tokens ||
+			    all->items[j].held_tokens <=
+				    item->fetchable_tokens)
+				continue;
+			item->fetchable_tokens = all->items[j].held_tokens;
+			all->sources[i] = group->entries[j]->address_text;
+		}
+	}
+}
+
+static void fill_candidates(const exchange_t *exchange, uint64_t now_ms,
+			    candidates_t *all)
 {
 	const view_group_t *group = &exchange->view->groups[exchange->service];
+	const char *model = exchange->facts.model;
 	const named_weights_t *named =
-		exchange->facts.model
-			? view_weights(exchange->view, exchange->facts.model)
-			: NULL;
-	placement_candidate_t candidates[PLACEMENT_CANDIDATES_MAX];
-	size_t count = 0;
+		model ? view_weights(exchange->view, model) : NULL;
+
+	all->count = 0;
+	while (all->count < group->count &&
+	       all->count < PLACEMENT_CANDIDATES_MAX) {
+		const endpoint_entry_t *entry = group->entries[all->count];
+		placement_candidate_t *item = &all->items[all->count];
+		uint64_t weights = model ? endpoint_weights(entry, model) : 0;
+
+		fill_candidate(exchange, entry, now_ms, named, item);
+		item->held_tokens = believed_tokens(
+			exchange, source_of(entry->load), ENGINE_BELIEF_MS,
+			weights, now_ms);
+		all->weights[all->count++] = weights;
+	}
+	if (exchange->level_count)
+		find_sources(exchange, all, cache_store_of(exchange), now_ms);
+}
+
+static void read_need(const exchange_t *exchange, placement_request_t *need)
+{
+	const request_facts_t *facts = &exchange->facts;
+	uint32_t last = exchange->level_count;
 
-	read_need(exchange, need);
-	need->cache_store = cache_store_of(exchange) != NULL;
-	while (count < group->count && count < PLACEMENT_CANDIDATES_MAX) {
-		fill_candidate(exchange, group->entries[count], now_ms, named,
-			       &candidates[count]);
-		count++;
+	memset(need, 0, sizeof(*need));
+	need->output_tokens = facts->output_tokens_max;
+	need->tie_break = rng_next(&exchange->env->rng);
+	if (last) {
+		need->shared_key = exchange->level_keys[last - 1];
+		need->shared_tokens = exchange->level_tokens[last - 1];
 	}
-	placement_choose(candidates, count, need, choice);
-	return choice->index != PLACEMENT_NONE;
+	need->own_tokens = facts->prompt_tokens > need->shared_tokens
+				   ? facts->prompt_tokens - need->shared_tokens
+				   : 0;
+}
+
+/* The prompt has been read: its beginning is in the engine's cache. */
+static void note_read(exchange_t *exchange)
+{
+	const desired_service_t *store = cache_store_of(exchange);
+
+	note(exchange, source_of(exchange->endpoint->load), exchange->weights);
+	if (exchange->saving && store)
+		note(exchange, hash_string(store->cache_address),
+		     exchange->weights);
 }
 
 static void start_attempt(exchange_t *exchange, uint64_t now_ms)
@@ -819,28 +1001,35 @@
 	uint64_t now_ms = clock_now_ms();
 	placement_request_t need;
 	placement_choice_t choice;
+	candidates_t all;
 	const endpoint_entry_t *endpoint;
 	int err;
 
-	if (!choose_endpoint(exchange, now_ms, &need, &choice)) {
+	take_peer_notes(exchange->env, now_ms);
+	read_need(exchange, &need);
+	fill_candidates(exchange, now_ms, &all);
+	placement_choose(all.items, all.count, &need, &choice);
+	if (choice.index == PLACEMENT_NONE) {
 		refuse(exchange, exchange->runs ? ERR_ENDPOINT_LOST
 						: ERR_NO_ENDPOINT);
 		return;
 	}
 	endpoint = group->entries[choice.index];
-	exchange->weights = exchange->facts.model
-				    ? endpoint_weights(endpoint,
-						       exchange->facts.model)
-				    : 0;
-	err = send_to(exchange, endpoint, now_ms);
+	exchange->weights = all.weights[choice.index];
+	err = send_to(exchange, endpoint, all.sources[choice.index], now_ms);
 	exchange->tried[exchange->tried_count++] = endpoint->load->id_hash;
 	exchange->runs++;
-	count_begin(exchange, endpoint, &need, choice.index == choice.home);
+	count_begin(exchange, endpoint, &need, &all.items[choice.index]);
 	event_log(EVENT_REQUEST_PLACED,
 		  "id=%s endpoint=%s home=%d weights=%llu cost_ms=%.0f "
+		  "shared=%u held=%u fetchable=%u saving=%d prefill=%u runs=%u "
 		  "left_ms=%llu reused=%d err=%s",
 		  exchange->id, endpoint->id, choice.index == choice.home,
 		  (unsigned long long)exchange->weights, choice.cost_ms,
+		  need.shared_tokens, all.items[choice.index].held_tokens,
+		  all.items[choice.index].fetchable_tokens, exchange->saving,
+		  all.items[choice.index].prefill,
+		  all.items[choice.index].runs,
 		  (unsigned long long)time_left(exchange, now_ms),
 		  !err && outbound_was_reused(exchange->call), error_type(err));
 	start_attempt(exchange, now_ms);
@@ -869,6 +1058,8 @@
 		if (!exchange->customer)
 			return ERR_UNAUTHENTICATED;
 	}
+	if (exchange->env->refuse_streams && is_stream(exchange))
+		return ERR_STOPPING;
 	return 0;
 }
 
@@ -930,6 +1121,7 @@
 		return;
 	}
 	set_time_limit(exchange);
+	read_levels(exchange);
 	exchange->service =
 		desired_pick_service(exchange->route, rng_next(&env->rng));
 	retry_budget_request(
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -17,6 +17,8 @@
 
 #include "connection/inbound.h"
 #include "connection/outbound.h"
+#include "process/belief.h"
+#include "process/note_ring.h"
 #include "process/retry_budget.h"
 #include "process/rng.h"
 
@@ -46,9 +48,15 @@
 	outbound_t *outbound;
 	retry_budget_t retries;
 	rng_t rng;
+	belief_t beliefs;	  /**< Beginnings in caches. */
+	note_ring_t *own_notes;	  /**< To the other instances. */
+	note_ring_t *peer_notes;  /**< From the other instances. */
+	double save_tokens;	  /**< That may be saved in the store now. */
+	uint64_t save_filled_ms;
 	const char *domain;  /**< Failure domain of this instance. */
 	uint32_t instances;  /**< Of the whole system, this one included. */
 	uint32_t weights_ms; /**< Old weights are not used for longer. */
+	bool refuse_streams; /**< A planned stop would cut them. */
 	uint32_t open;	     /**< Requests in progress. */
 } exchange_env_t;
 
