process: share failures of endpoints among instances

Change: an unreachable endpoint is ejected at the first failure, and news carry the ejection; an own answer of the last 400 ms outweighs it, and an instance that sees half of the endpoints fail is not believed. Ruled out: shorter connect time-outs (a lost packet takes 200 ms and more).

--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -248,6 +248,23 @@
 	}
 }
 
+static void fill_failed(const view_t *view, peer_news_t *news, uint64_t now_ms)
+{
+	for (size_t i = 0; view && i < view->endpoint_count; i++) {
+		const endpoint_load_t *load = view->endpoints[i].load;
+		uint64_t until_ms = atomic_load(&load->ejected_until_ms);
+
+		/* Only what was seen here: hearsay would never end. */
+		if (until_ms <= now_ms || !atomic_load(&load->failures) ||
+		    news->failed_count == PEER_FAILED_MAX)
+			continue;
+		news->failed[news->failed_count++] = (peer_failed_t){
+			peer_endpoint_key(load->id_hash, load->born_ms),
+			(uint32_t)(until_ms - now_ms)
+		};
+	}
+}
+
 void gateway_peers_tell(gateway_peers_t *peers)
 {
 	gateway_control_t *control = peers->control;
@@ -270,6 +287,7 @@
 		news.tables[i].digest = object_table_digest(table);
 	}
 	fill_loads(control->assembly.view, &news);
+	fill_failed(control->assembly.view, &news, now_ms);
 	gateway_duty_news(control->duty, &news, now_ms);
 	while (news.note_count < PEER_NOTES_MAX &&
 	       note_ring_take(&control->gateway->own_notes,
@@ -286,28 +304,53 @@
 	}
 }
 
+static endpoint_load_t *find_load(const gateway_peers_t *peers, uint64_t key)
+{
+	const view_t *view = peers->control->assembly.view;
+
+	for (size_t i = 0; view && i < view->endpoint_count; i++) {
+		endpoint_load_t *load = view->endpoints[i].load;
+
+		if (peer_endpoint_key(load->id_hash, load->born_ms) == key)
+			return load;
+	}
+	return NULL;
+}
+
 static void take_weights(gateway_peers_t *peers, const peer_news_t *news,
 			 uint64_t now_ms)
 {
-	const view_t *view = peers->control->assembly.view;
+	for (uint32_t i = 0; i < news->weights_count; i++) {
+		const peer_weights_t *told = &news->weights[i];
+		endpoint_load_t *load = find_load(peers, told->endpoint);
 
-	for (uint32_t w = 0; view && w < news->weights_count; w++) {
-		const peer_weights_t *told = &news->weights[w];
+		if (!load)
+			continue;
+		if (told->weights > atomic_load(&load->seen_weights))
+			atomic_store(&load->seen_weights, told->weights);
+		atomic_store(&load->loading_until_ms,
+			     told->loading_ms ? now_ms + told->loading_ms : 0);
+	}
+}
 
-		for (size_t i = 0; i < view->endpoint_count; i++) {
-			endpoint_load_t *load = view->endpoints[i].load;
+/* An instance that sees many endpoints fail is cut off itself. */
+static void take_failed(gateway_peers_t *peers, const peer_news_t *news,
+			uint64_t now_ms)
+{
+	const view_t *view = peers->control->assembly.view;
 
-			if (peer_endpoint_key(load->id_hash, load->born_ms) !=
-			    told->endpoint)
-				continue;
-			if (told->weights > atomic_load(&load->seen_weights))
-				atomic_store(&load->seen_weights,
-					     told->weights);
-			atomic_store(&load->loading_until_ms,
-				     told->loading_ms
-					     ? now_ms + told->loading_ms
-					     : 0);
-		}
+	if (!view || news->failed_count * 2 > view->endpoint_count ||
+	    news->failed_count == PEER_FAILED_MAX)
+		return;
+	for (uint32_t i = 0; i < news->failed_count; i++) {
+		const peer_failed_t *told = &news->failed[i];
+		endpoint_load_t *load = find_load(peers, told->endpoint);
+
+		if (load && endpoint_load_peer_failed(load, told->ejected_ms,
+						      now_ms))
+			event_log(EVENT_ENDPOINT_EJECTED,
+				  "endpoint=%s peer=%s for_ms=%u", load->id,
+				  news->name, told->ejected_ms);
 	}
 }
 
@@ -348,6 +391,7 @@
 	peer->heard_ms = now_ms;
 	if (news->fencing)
 		take_weights(peers, news, now_ms);
+	take_failed(peers, news, now_ms);
 	for (uint32_t i = 0; i < news->note_count; i++)
 		note_ring_put(&peers->control->gateway->peer_notes,
 			      &news->notes[i]);
--- a/process/endpoint_load.c
+++ b/process/endpoint_load.c
@@ -57,9 +57,26 @@
 	add_sample(load, 0);
 }
 
-bool endpoint_load_failed(endpoint_load_t *load, uint64_t now_ms)
+bool endpoint_load_peer_failed(endpoint_load_t *load, uint32_t ejected_ms,
+			       uint64_t now_ms)
 {
-	uint32_t failures = atomic_fetch_add(&load->failures, 1) + 1;
+	uint64_t until_ms;
+
+	if (now_ms - atomic_load(&load->last_byte_ms) < ENDPOINT_DOUBT_MS)
+		return false;
+	if (ejected_ms > ENDPOINT_EJECT_MAX_MS)
+		ejected_ms = ENDPOINT_EJECT_MAX_MS;
+	until_ms = now_ms + ejected_ms;
+	if (until_ms > atomic_load(&load->ejected_until_ms))
+		atomic_store(&load->ejected_until_ms, until_ms);
+	return true;
+}
+
+bool endpoint_load_failed(endpoint_load_t *load, failure_weight_t weight,
+			  uint64_t now_ms)
+{
+	uint32_t count = weight == FAILURE_DOWN ? ENDPOINT_FAILURES_MAX : 1;
+	uint32_t failures = atomic_fetch_add(&load->failures, count) + count;
 	uint64_t time_ms = ENDPOINT_EJECT_MIN_MS;
 	uint32_t ejections;
 
--- a/process/endpoint_load.h
+++ b/process/endpoint_load.h
@@ -26,6 +26,8 @@
 	 * the time limits that callers have. */
 	ENDPOINT_EJECT_MIN_MS = 300,
 	ENDPOINT_EJECT_MAX_MS = 3000,
+	/** An own answer so recent outweighs what others say, ms. */
+	ENDPOINT_DOUBT_MS = 400,
 	/** Weight of a new sample in the running error rate, in 1/1024. */
 	ENDPOINT_ERROR_WEIGHT = 96,
 };
@@ -67,10 +69,25 @@
 /** An answer came that speaks for the endpoint's health. */
 void endpoint_load_succeeded(endpoint_load_t *load, uint64_t now_ms);
 
+/** How much a failure says about an endpoint. */
+typedef enum failure_weight {
+	FAILURE_ONE, /**< It failed one request. */
+	FAILURE_DOWN, /**< It could not be reached. */
+} failure_weight_t;
+
 /**
  * An attempt failed in a way that speaks against the endpoint.
  * @return true if the endpoint gets no work now because of it
  */
-bool endpoint_load_failed(endpoint_load_t *load, uint64_t now_ms);
+bool endpoint_load_failed(endpoint_load_t *load, failure_weight_t weight,
+			  uint64_t now_ms);
+
+/**
+ * Another instance gives an endpoint no work for `ejected_ms` because it
+ * failed there. Own answers of the last ENDPOINT_DOUBT_MS speak against it.
+ * @return true if it gets no work here either
+ */
+bool endpoint_load_peer_failed(endpoint_load_t *load, uint32_t ejected_ms,
+			       uint64_t now_ms);
 
 #endif
--- a/process/peer_news.c
+++ b/process/peer_news.c
@@ -52,31 +52,35 @@
 	return true;
 }
 
+static bool code_failed(XDR *xdr, peer_failed_t *failed)
+{
+	return xdr_uint64_t(xdr, &failed->endpoint) &&
+	       xdr_uint32_t(xdr, &failed->ejected_ms);
+}
+
+static bool code_count(XDR *xdr, uint32_t *count, uint32_t most)
+{
+	return xdr_uint32_t(xdr, count) && *count <= most;
+}
+
 /* One function for both directions, so that they cannot differ. */
 static bool code_news(XDR *xdr, peer_news_t *news)
 {
-	if (!code_head(xdr, news) || !xdr_uint32_t(xdr, &news->load_count) ||
-	    news->load_count > PEER_LOADS_MAX)
-		return false;
-	for (uint32_t i = 0; i < news->load_count; i++) {
-		if (!code_load(xdr, &news->loads[i]))
-			return false;
-	}
-	if (!xdr_uint32_t(xdr, &news->weights_count) ||
-	    news->weights_count > PEER_WEIGHTS_MAX)
-		return false;
-	for (uint32_t i = 0; i < news->weights_count; i++) {
-		if (!code_weights(xdr, &news->weights[i]))
-			return false;
-	}
-	if (!xdr_uint32_t(xdr, &news->note_count) ||
-	    news->note_count > PEER_NOTES_MAX)
-		return false;
-	for (uint32_t i = 0; i < news->note_count; i++) {
-		if (!code_note(xdr, &news->notes[i]))
-			return false;
-	}
-	return true;
+	bool good = code_head(xdr, news) &&
+		    code_count(xdr, &news->load_count, PEER_LOADS_MAX);
+
+	for (uint32_t i = 0; good && i < news->load_count; i++)
+		good = code_load(xdr, &news->loads[i]);
+	good = good && code_count(xdr, &news->weights_count, PEER_WEIGHTS_MAX);
+	for (uint32_t i = 0; good && i < news->weights_count; i++)
+		good = code_weights(xdr, &news->weights[i]);
+	good = good && code_count(xdr, &news->note_count, PEER_NOTES_MAX);
+	for (uint32_t i = 0; good && i < news->note_count; i++)
+		good = code_note(xdr, &news->notes[i]);
+	good = good && code_count(xdr, &news->failed_count, PEER_FAILED_MAX);
+	for (uint32_t i = 0; good && i < news->failed_count; i++)
+		good = code_failed(xdr, &news->failed[i]);
+	return good;
 }
 
 int peer_news_encode(const peer_news_t *news, char *bytes, size_t size)
--- a/process/peer_news.h
+++ b/process/peer_news.h
@@ -25,6 +25,8 @@
 	PEER_WEIGHTS_MAX = 12,
 	/** Notes about cached beginnings; 20 bytes each. */
 	PEER_NOTES_MAX = 16,
+	/** Endpoints that fail; 12 bytes each. */
+	PEER_FAILED_MAX = 12,
 };
 
 /** How far a table was read. */
@@ -48,6 +50,12 @@
 	uint32_t loading_ms;  /**< No new work for so long; 0: none. */
 } peer_weights_t;
 
+/** An endpoint that gets no work from the sender because it failed. */
+typedef struct peer_failed {
+	uint64_t endpoint;
+	uint32_t ejected_ms; /**< For so long from now. */
+} peer_failed_t;
+
 typedef struct peer_news {
 	char name[PEER_NAME_MAX_BYTES];
 	uint64_t incarnation; /**< Rises with each start of an instance. */
@@ -61,6 +69,8 @@
 	peer_weights_t weights[PEER_WEIGHTS_MAX];
 	uint32_t note_count;
 	cache_note_t notes[PEER_NOTES_MAX];
+	uint32_t failed_count;
+	peer_failed_t failed[PEER_FAILED_MAX];
 } peer_news_t;
 
 /** Number that names one lifetime of an endpoint. */
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -376,12 +376,12 @@
 			  : (long long)exchange->last_event);
 }
 
-static void note_endpoint_failed(exchange_t *exchange)
+static void note_endpoint_failed(exchange_t *exchange, failure_weight_t weight)
 {
 	endpoint_load_t *load = exchange->endpoint->load;
 	uint64_t now_ms = clock_now_ms();
 
-	if (endpoint_load_failed(load, now_ms))
+	if (endpoint_load_failed(load, weight, now_ms))
 		event_log(EVENT_ENDPOINT_EJECTED,
 			  "endpoint=%s failures=%u for_ms=%llu", load->id,
 			  atomic_load(&load->failures),
@@ -474,7 +474,7 @@
 			return;
 		}
 		note_failure(exchange, "slow");
-		note_endpoint_failed(exchange);
+		note_endpoint_failed(exchange, FAILURE_ONE);
 		leave_endpoint(exchange);
 		place(exchange);
 		return;
@@ -645,7 +645,7 @@
 		after_attempt(exchange, ATTEMPT_NOT_RUN);
 	} else if (success && !exchange->answer.has_receipt) {
 		note_failure(exchange, "no_receipt");
-		note_endpoint_failed(exchange);
+		note_endpoint_failed(exchange, FAILURE_ONE);
 		after_attempt(exchange, ATTEMPT_UNKNOWN);
 	} else if (exchange->passing_on) {
 		finish(exchange);
@@ -661,7 +661,7 @@
 		relay_held_answer(exchange);
 	} else {
 		note_failure(exchange, "server_error");
-		note_endpoint_failed(exchange);
+		note_endpoint_failed(exchange, FAILURE_ONE);
 		after_attempt(exchange, status == 503 ? ATTEMPT_UNKNOWN
 						      : ATTEMPT_FAILED);
 	}
@@ -684,14 +684,14 @@
 		return;
 	case OUTBOUND_NOT_SENT:
 		note_failure(exchange, "not_sent");
-		note_endpoint_failed(exchange);
+		note_endpoint_failed(exchange, FAILURE_DOWN);
 		after_attempt(exchange, ATTEMPT_NOT_SENT);
 		return;
 	case OUTBOUND_LOST:
 	case OUTBOUND_MALFORMED:
 		note_failure(exchange, result == OUTBOUND_LOST ? "lost"
 							       : "malformed");
-		note_endpoint_failed(exchange);
+		note_endpoint_failed(exchange, FAILURE_ONE);
 		event_cut_reset(&exchange->cut);
 		exchange->answered = false;
 		after_attempt(exchange, ATTEMPT_UNKNOWN);
