version: count weights named before a start as known for some time

Change: what is named before a start counts as known for so long that old weights are kept out once the instance is settled; a lease whose holder has the name of this process is taken over at once; the duty goes on at each report. Ruled out: storing the time of naming (a write and 14 watch answers for each).

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -7,6 +7,7 @@
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
+#include "request/exchange.h"
 
 enum {
 	/** Interval of the control thread's housekeeping, ms. */
@@ -23,6 +24,8 @@
 	 * bound on a leaving endpoint, a tenth of that on a configuration. */
 	ENDPOINTS_GAP_MS = 500,
 	CHANGES_GAP_MS = 150,
+	/** Before the end of the time after a start, ms. */
+	START_MARGIN_MS = 300,
 };
 
 static const object_kind_t watched[] = { OBJECT_DESIRED, OBJECT_ENDPOINTS,
@@ -152,6 +155,22 @@
 	free(control);
 }
 
+/* Old weights are used for a time after a start in which the instance does not
+ * count as settled, and not longer: they may have been named long ago. */
+static uint32_t named_before(const gateway_t *gateway)
+{
+	const gateway_settings_t *settings = &gateway->settings;
+	uint32_t used_ms = settings->stable_ms > START_MARGIN_MS
+				   ? settings->stable_ms - START_MARGIN_MS
+				   : 0;
+	uint32_t bound_ms =
+		settings->weights_ms > EXCHANGE_OLD_WEIGHTS_MARGIN_MS
+			? settings->weights_ms - EXCHANGE_OLD_WEIGHTS_MARGIN_MS
+			: 0;
+
+	return bound_ms > used_ms ? bound_ms - used_ms : 0;
+}
+
 static int control_open(gateway_control_t *control)
 {
 	struct timeval tick = { .tv_usec = TICK_MS * 1000 };
@@ -169,6 +188,7 @@
 	rng_init(&control->rng,
 		 clock_unix_ms() ^ hash_string(control->gateway->settings.name));
 	control->incarnation = clock_unix_ms();
+	control->assembly.named_before_ms = named_before(control->gateway);
 	control->assembly.tables[OBJECT_ENDPOINTS].hold_ms = LAPSED_HOLD_MS;
 	control->store = (outbound_target_t){
 		.key = "store",
--- a/cmd/gateway_duty.c
+++ b/cmd/gateway_duty.c
@@ -66,6 +66,7 @@
 };
 
 static void run_lease_actions(gateway_duty_t *duty, lease_actions_t *actions);
+static void step_roll(gateway_duty_t *duty, uint64_t now_ms);
 
 static void step_lease(gateway_duty_t *duty, const lease_event_t *event)
 {
@@ -208,6 +209,8 @@
 		    control->incarnation ^ rng_next(&control->rng),
 		    control->gateway->settings.lease_ms / LEASE_PART,
 		    &control->rng, &actions);
+	/* The platform starts a process again after it has ended. */
+	lease_bind_name(&duty->lease);
 	run_lease_actions(duty, &actions);
 }
 
@@ -330,6 +333,8 @@
 		weights_roll_reported(&duty->roll, call->key, &read,
 				      clock_now_ms());
 	call_free(call);
+	if (gateway_duty_fencing(duty))
+		step_roll(duty, clock_now_ms());
 }
 
 static void on_ordered(void *context, int err, uint16_t status,
--- a/process/lease.c
+++ b/process/lease.c
@@ -172,7 +172,10 @@
 	if (!lease->have_record ||
 	    (!lease->record.holder[0] && may_take_released(lease)) ||
 	    /* Nobody else may have taken our own lapsed record. */
-	    lease->record.nonce == lease->nonce || now_ms >= expiry_ms) {
+	    lease->record.nonce == lease->nonce ||
+	    (lease->name_is_bound &&
+	     !strcmp(lease->record.holder, lease->self)) ||
+	    now_ms >= expiry_ms) {
 		try_acquire(lease, actions, now_ms);
 		return;
 	}
--- a/process/lease.h
+++ b/process/lease.h
@@ -54,6 +54,7 @@
 	uint32_t call;
 	uint32_t failures;
 	bool acquiring; /**< `written` would make us the holder. */
+	bool name_is_bound; /**< See lease_bind_name(). */
 	uint64_t last_write_id;
 	char self[LEASE_ID_MAX_BYTES];
 	uint64_t nonce;
@@ -130,6 +131,15 @@
 void lease_begin(lease_t *lease, const char *self, uint64_t nonce,
 		 uint32_t duration_ms, rng_t *rng, lease_actions_t *actions);
 
+/**
+ * Says that only one process at a time can have this name: a record of an
+ * earlier process under it is taken over at once, since that one has ended.
+ */
+static inline void lease_bind_name(lease_t *lease)
+{
+	lease->name_is_bound = true;
+}
+
 /** Advances the lease by one event. */
 void lease_step(lease_t *lease, const lease_event_t *event, uint64_t now_ms,
 		lease_actions_t *actions);
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -27,9 +27,6 @@
  * many times its target, at least so late, ms. */
 #define SLOW_TARGETS 2
 #define SLOW_MIN_MS 300
-/** No request is sent to old weights so shortly before the bound, ms: it may
- * wait in the engine's queue before it begins. */
-#define OLD_WEIGHTS_MARGIN_MS 1500
 /** The wait there is taken so many times: it is an estimate, and what other
  * instances sent since their last news is not in it. */
 #define OLD_WEIGHTS_WAITS 2
@@ -764,7 +761,7 @@
 			now_ms);
 
 		candidate->old_weights = overdue_ms > 0;
-		if (overdue_ms + OLD_WEIGHTS_MARGIN_MS +
+		if (overdue_ms + EXCHANGE_OLD_WEIGHTS_MARGIN_MS +
 			    OLD_WEIGHTS_WAITS * placement_wait_ms(candidate) >
 		    exchange->env->weights_ms)
 			candidate->state = CANDIDATE_BARRED;
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -37,6 +37,9 @@
 	/** Unacknowledged bytes to an endpoint for so long, ms: a retransmitted
 	 * packet arrives within it. */
 	EXCHANGE_USER_TIMEOUT_MS = 1000,
+	/** No request is sent to old weights so shortly before the bound, ms:
+	 * it may wait in the engine's queue before it begins. */
+	EXCHANGE_OLD_WEIGHTS_MARGIN_MS = 1500,
 	/** Part of an endpoint's connections that all instances leave free, in
 	 * percent: some are held by callers beside this system. */
 	EXCHANGE_CONNECTIONS_FREE_PERCENT = 15,
--- a/version/assembly.c
+++ b/version/assembly.c
@@ -87,6 +87,9 @@
 {
 	const object_table_t *table = &assembly->tables[OBJECT_WEIGHTS];
 
+	/* The first view shows what was named earlier. */
+	if (!assembly->view)
+		now_ms -= assembly->named_before_ms;
 	for (size_t i = 0; i < table->count; i++) {
 		model_weights_t read;
 
--- a/version/assembly.h
+++ b/version/assembly.h
@@ -19,6 +19,9 @@
 	view_t *view;		  /**< The last one made. */
 	named_weights_t weights[VIEW_MODELS_MAX];
 	uint32_t weights_count;
+	/** Weights that were named before this instance knew of them count as
+	 * known for so long, ms: nobody tells when they were named. */
+	uint32_t named_before_ms;
 	uint64_t rejected_revision; /**< Of a desired state that was refused. */
 } assembly_t;
 
