gateway: let one instance of a domain ask the store, pass changes on

Change: the first of each failure domain watches; the others fetch what changed from any instance whose news show more, and ask the store themselves when no watcher is heard for 0.4 s. News are rarer the more instances there are; their room is shared out by use. Connections to endpoints and the store have keep-alive probes. Ruled out: stale reads (a tenth of the price each, but seconds old).

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -58,9 +58,28 @@
 
 static void on_changed(void *context, object_kind_t kind)
 {
+	gateway_control_t *control = context;
+
 	/* Members take no part in a view. */
 	if (kind != OBJECT_MEMBERS)
 		gateway_control_rebuild(context);
+	/* Those that do not watch learn it from this. */
+	gateway_peers_tell(control->peers);
+}
+
+void gateway_control_watch(gateway_control_t *control, bool watching)
+{
+	for (size_t i = 0; i < WATCHED_COUNT; i++)
+		object_watch_set_active(control->watches[watched[i]], watching);
+}
+
+bool gateway_control_in_contact(const gateway_control_t *control)
+{
+	for (size_t i = 0; i < WATCHED_COUNT; i++) {
+		if (!object_watch_in_contact(control->watches[watched[i]]))
+			return false;
+	}
+	return true;
 }
 
 http_call_t *gateway_control_store_call(gateway_control_t *control,
--- a/cmd/gateway_control.h
+++ b/cmd/gateway_control.h
@@ -37,6 +37,12 @@
 /** Makes a new view soon; several changes together make one. */
 void gateway_control_rebuild(gateway_control_t *control);
 
+/** Begins or ends to ask the store for changes. */
+void gateway_control_watch(gateway_control_t *control, bool watching);
+
+/** Whether the store answers. */
+bool gateway_control_in_contact(const gateway_control_t *control);
+
 /** Sends a call to the store; NULL if it could not be sent. */
 http_call_t *gateway_control_store_call(gateway_control_t *control,
 					struct evbuffer *message,
--- a/cmd/gateway_duty.c
+++ b/cmd/gateway_duty.c
@@ -528,7 +528,8 @@
 		uint64_t key = peer_endpoint_key(load->id_hash, load->born_ms);
 
 		if (weights_roll_is_loading(&duty->roll, key) &&
-		    news->weights_count < PEER_WEIGHTS_MAX)
+		    news->weights_count < PEER_WEIGHTS_MAX &&
+		    peer_news_room(news) >= PEER_WEIGHTS_BYTES)
 			news->weights[news->weights_count++] =
 				(peer_weights_t){ key, 0, ROLL_LOADING_MS };
 	}
@@ -537,7 +538,8 @@
 
 		if (row->until_ms > now_ms &&
 		    !weights_roll_is_loading(&duty->roll, row->key) &&
-		    news->weights_count < PEER_WEIGHTS_MAX)
+		    news->weights_count < PEER_WEIGHTS_MAX &&
+		    peer_news_room(news) >= PEER_WEIGHTS_BYTES)
 			news->weights[news->weights_count++] =
 				(peer_weights_t){ row->key, row->weights, 0 };
 	}
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -17,11 +17,22 @@
 enum {
 	/** Instances that are followed; the plan has 340 nodes. */
 	PEERS_MAX = 400,
-	/** Interval of news, ms: loads are this old at most. Each costs a
-	 * datagram to every instance. */
+	/** Interval of news, ms: loads are this old at most. It grows with the
+	 * number of instances, each of which gets them all. */
 	NEWS_MS = 200,
-	/** A peer that was not heard for so long does not count, ms. */
-	PEER_LIVE_MS = 1500,
+	NEWS_PER_INSTANCE_MS = 3,
+	NEWS_SMALL_SITE = 20,
+	/** A peer that was not heard for so many intervals does not count. */
+	PEER_LIVE_NEWS = 6,
+	/** Instances of each failure domain that ask the store for changes; the
+	 * others get them from these. */
+	WATCHERS_PER_DOMAIN = 1,
+	/** Without a watcher for so long an instance asks the store itself, ms;
+	 * a part of the bound on changes. */
+	UNWATCHED_MS = 400,
+	/** All ask the store until the others have been heard, ms after the
+	 * start. */
+	START_WATCH_MS = 3000,
 	/** A holder that was not heard for so long may be gone, ms. */
 	HOLDER_LIVE_MS = 700,
 	/** A peer's newer state is fetched if the store has not told it within
@@ -36,8 +47,9 @@
 	STATE_HEAD_BYTES = 4096,
 };
 
-/** Path of the state that instances fetch from each other. */
-#define STATE_PATH "/state"
+/** Path of the state that instances fetch from each other; the revision of
+ * each table that the asker has follows. */
+#define STATE_PATH "/state?"
 
 typedef struct peer {
 	struct sockaddr_in address;
@@ -59,6 +71,10 @@
 	uint64_t told_ms;
 	uint32_t sequence;
 	uint64_t behind_since_ms[OBJECT_KIND_COUNT];
+	uint64_t watched_ms; /**< A watcher was heard last. */
+	uint64_t started_ms;
+	bool watching;
+	bool fetch_whole; /**< What a peer left out was not known here. */
 	struct sockaddr_in targets[PEERS_MAX];
 	size_t target_count;
 	peer_t *peers[PEERS_MAX];
@@ -74,14 +90,19 @@
 				   30000 };
 }
 
-static char *print_state(const gateway_control_t *control)
+static char *print_state(const gateway_control_t *control, const char *query)
 {
 	CLEANUP_JSON json_t *state = json_object();
 
-	for (int i = 0; i < OBJECT_LEASES; i++)
+	for (int i = 0; i < OBJECT_LEASES; i++) {
+		uint64_t since = strtoull(query, (char **)&query, 10);
+
+		query += *query == ',';
 		json_object_set_new(
 			state, object_kind_name((object_kind_t)i),
-			object_table_export(&control->assembly.tables[i]));
+			object_table_export(&control->assembly.tables[i],
+					    since));
+	}
 	return json_dumps(state, JSON_COMPACT);
 }
 
@@ -89,12 +110,13 @@
 {
 	const gateway_peers_t *peers = context;
 	CLEANUP_FREE char *text = NULL;
+	const char *target = http_head_target(request->head);
 
-	if (strcmp(http_head_target(request->head), STATE_PATH)) {
+	if (strncmp(target, STATE_PATH, strlen(STATE_PATH))) {
 		inbound_answer(request, 404, NULL, NULL, 0);
 		return;
 	}
-	text = print_state(peers->control);
+	text = print_state(peers->control, target + strlen(STATE_PATH));
 	if (text)
 		inbound_answer(request, 200, NULL, text, strlen(text));
 	else
@@ -123,20 +145,24 @@
 
 /* Fetching state from another instance. */
 
-static void import_state(gateway_control_t *control, const json_t *state,
+static void import_state(gateway_peers_t *peers, const json_t *state,
 			 uint64_t now_ms)
 {
+	gateway_control_t *control = peers->control;
 	bool changed = false;
 
+	peers->fetch_whole = false;
 	for (int i = 0; i < OBJECT_LEASES; i++) {
 		const json_t *table = json_object_get(
 			state, object_kind_name((object_kind_t)i));
+		int result = object_table_import(&control->assembly.tables[i],
+						 table, now_ms);
 
-		if (table && object_table_import(&control->assembly.tables[i],
-						 table, now_ms) > 0)
-			changed = true;
+		changed |= result > 0;
+		peers->fetch_whole |= result < 0;
 	}
-	event_log(EVENT_PEER_STATE, "changed=%d", changed);
+	event_log(EVENT_PEER_STATE, "changed=%d whole_next=%d", changed,
+		  peers->fetch_whole);
 	if (changed)
 		gateway_control_rebuild(control);
 }
@@ -151,7 +177,7 @@
 	if (!err && status == 200)
 		state = json_loadb(body, len, 0, NULL);
 	if (state)
-		import_state(peers->control, state, clock_now_ms());
+		import_state(peers, state, clock_now_ms());
 }
 
 static void fetch_state(gateway_peers_t *peers, const peer_t *peer,
@@ -168,8 +194,16 @@
 	if (!message)
 		return;
 	snprintf(target.key, sizeof(target.key), "peer/%s", peer->news.name);
-	evbuffer_add_printf(message, "GET " STATE_PATH " HTTP/1.1\r\n"
-				     "Host: peer\r\n\r\n");
+	evbuffer_add_printf(message, "GET " STATE_PATH);
+	for (int i = 0; i < OBJECT_LEASES; i++)
+		evbuffer_add_printf(
+			message, "%llu,",
+			peers->fetch_whole
+				? 0ULL
+				: (unsigned long long)
+					  peers->control->assembly.tables[i]
+						  .revision);
+	evbuffer_add_printf(message, " HTTP/1.1\r\nHost: peer\r\n\r\n");
 	peers->fetch = http_call_send(peers->control->outbound,
 				      peers->control->base, &target, message,
 				      FETCH_TIMEOUT_MS, on_state, peers);
@@ -177,9 +211,22 @@
 	evbuffer_free(message);
 }
 
-static bool is_live(const peer_t *peer, uint64_t now_ms)
+/* The more instances there are, the rarer each tells its news. */
+static uint64_t news_interval(const gateway_peers_t *peers)
 {
-	return peer->heard_ms && now_ms - peer->heard_ms < PEER_LIVE_MS;
+	size_t count = peers->target_count;
+
+	return NEWS_MS + (count > NEWS_SMALL_SITE
+				  ? (count - NEWS_SMALL_SITE) *
+					    NEWS_PER_INSTANCE_MS
+				  : 0);
+}
+
+static bool is_live(const gateway_peers_t *peers, const peer_t *peer,
+		    uint64_t now_ms)
+{
+	return peer->heard_ms &&
+	       now_ms - peer->heard_ms < PEER_LIVE_NEWS * news_interval(peers);
 }
 
 /* The live peer that has read this kind farthest, if it knows other things. */
@@ -195,7 +242,7 @@
 		const peer_t *peer = peers->peers[i];
 		const peer_table_t *theirs = &peer->news.tables[kind];
 
-		if (!is_live(peer, now_ms) || !theirs->revision ||
+		if (!is_live(peers, peer, now_ms) || !theirs->revision ||
 		    (table->complete && (theirs->revision <= table->revision ||
 					 theirs->digest == digest)))
 			continue;
@@ -218,7 +265,8 @@
 		}
 		if (!peers->behind_since_ms[i])
 			peers->behind_since_ms[i] = now_ms;
-		if (now_ms - peers->behind_since_ms[i] < BEHIND_MS ||
+		if ((peers->watching &&
+		     now_ms - peers->behind_since_ms[i] < BEHIND_MS) ||
 		    peers->fetch || now_ms < peers->fetch_after_ms)
 			continue;
 		event_log(EVENT_PEER_AHEAD, "kind=%s peer=%s revision=%llu",
@@ -237,7 +285,8 @@
 		peer_load_t *told = &news->loads[news->load_count];
 
 		if (!atomic_load(&load->own_runs) ||
-		    news->load_count == PEER_LOADS_MAX)
+		    news->load_count == PEER_LOADS_MAX ||
+		    peer_news_room(news) < PEER_LOAD_BYTES)
 			continue;
 		told->endpoint =
 			peer_endpoint_key(load->id_hash, load->born_ms);
@@ -265,6 +314,11 @@
 	}
 }
 
+static uint32_t domain_of(const gateway_control_t *control)
+{
+	return (uint32_t)hash_string(control->gateway->settings.domain);
+}
+
 void gateway_peers_tell(gateway_peers_t *peers)
 {
 	gateway_control_t *control = peers->control;
@@ -272,6 +326,10 @@
 	peer_news_t news = { .incarnation = control->incarnation,
 			     .sequence = ++peers->sequence,
 			     .stopping = control->gateway->stopping,
+			     .watching = peers->watching,
+			     .refused = peers->watching &&
+					!gateway_control_in_contact(control),
+			     .domain = domain_of(control),
 			     .fencing = gateway_duty_fencing(control->duty) };
 	char bytes[PEER_NEWS_MAX_BYTES];
 	int len;
@@ -286,10 +344,11 @@
 		news.tables[i].revision = table->revision;
 		news.tables[i].digest = object_table_digest(table);
 	}
-	fill_loads(control->assembly.view, &news);
-	fill_failed(control->assembly.view, &news, now_ms);
 	gateway_duty_news(control->duty, &news, now_ms);
+	fill_failed(control->assembly.view, &news, now_ms);
+	fill_loads(control->assembly.view, &news);
 	while (news.note_count < PEER_NOTES_MAX &&
+	       peer_news_room(&news) >= PEER_NOTE_BYTES &&
 	       note_ring_take(&control->gateway->own_notes,
 			      &news.notes[news.note_count]))
 		news.note_count++;
@@ -383,7 +442,7 @@
 	    (news->incarnation == peer->news.incarnation &&
 	     news->sequence <= peer->news.sequence))
 		return;
-	if (!is_live(peer, now_ms))
+	if (!is_live(peers, peer, now_ms))
 		event_log(EVENT_PEER_HEARD, "peer=%s incarnation=%llu",
 			  news->name, (unsigned long long)news->incarnation);
 	peer->news = *news;
@@ -452,7 +511,7 @@
 		atomic_store(&load->peer_prefill, 0);
 	}
 	for (size_t i = 0; i < peers->peer_count; i++) {
-		if (is_live(peers->peers[i], now_ms))
+		if (is_live(peers, peers->peers[i], now_ms))
 			add_loads(peers->peers[i], view);
 	}
 }
@@ -462,7 +521,7 @@
 	uint32_t live = 1;
 
 	for (size_t i = 0; i < peers->peer_count; i++)
-		live += is_live(peers->peers[i], now_ms);
+		live += is_live(peers, peers->peers[i], now_ms);
 	atomic_store(&peers->control->gateway->instances, live);
 	metrics_set(METRIC_MEMBERS_LIVE, live);
 }
@@ -479,6 +538,62 @@
 	return NULL;
 }
 
+/* Who asks the store for changes. */
+
+static uint64_t rank_of(const char *name)
+{
+	return hash_rendezvous(hash_string(name), WATCHERS_PER_DOMAIN);
+}
+
+/* Whether this instance is one of the first of its domain, among those that
+ * the store answers. */
+static bool is_first_of_domain(const gateway_peers_t *peers, uint64_t now_ms)
+{
+	const gateway_control_t *control = peers->control;
+	uint64_t mine = rank_of(control->gateway->settings.name);
+	uint32_t before = 0;
+
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		const peer_t *peer = peers->peers[i];
+
+		if (is_live(peers, peer, now_ms) && !peer->news.refused &&
+		    !peer->news.stopping &&
+		    peer->news.domain == domain_of(control) &&
+		    rank_of(peer->news.name) > mine)
+			before++;
+	}
+	return before < WATCHERS_PER_DOMAIN;
+}
+
+static bool hears_watcher(const gateway_peers_t *peers, uint64_t now_ms)
+{
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		const peer_t *peer = peers->peers[i];
+
+		if (is_live(peers, peer, now_ms) && peer->news.watching &&
+		    !peer->news.refused)
+			return true;
+	}
+	return false;
+}
+
+static void choose_watching(gateway_peers_t *peers, uint64_t now_ms)
+{
+	bool watching;
+
+	if (hears_watcher(peers, now_ms))
+		peers->watched_ms = now_ms;
+	watching = now_ms - peers->started_ms < START_WATCH_MS ||
+		   now_ms - peers->watched_ms > UNWATCHED_MS ||
+		   !assembly_is_complete(&peers->control->assembly) ||
+		   is_first_of_domain(peers, now_ms);
+	if (watching == peers->watching)
+		return;
+	peers->watching = watching;
+	event_log(EVENT_WATCHING, "watching=%d", watching);
+	gateway_control_watch(peers->control, watching);
+}
+
 /* Registration, and the addresses that news go to. */
 
 static void on_registered(void *context, int err, uint16_t status,
@@ -584,8 +699,11 @@
 		register_self(peers, now_ms);
 	sum_loads(peers, now_ms);
 	count_instances(peers, now_ms);
+	choose_watching(peers, now_ms);
 	catch_up(peers, now_ms);
-	if (now_ms - peers->told_ms >= NEWS_MS)
+	if (now_ms - peers->told_ms >=
+	    (gateway_duty_fencing(peers->control->duty) ? NEWS_MS
+							: news_interval(peers)))
 		gateway_peers_tell(peers);
 }
 
@@ -628,6 +746,9 @@
 	if (!peers)
 		return NULL;
 	peers->control = control;
+	peers->watching = true;
+	peers->started_ms = clock_now_ms();
+	peers->watched_ms = peers->started_ms;
 	peers->fd = -1;
 	if (open_sockets(peers)) {
 		event_log(EVENT_START_FAILED, "part=peers port=%u",
--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -14,6 +14,12 @@
 
 /** Buckets of the table of targets; endpoints of a small site. */
 #define TARGET_BUCKETS 128
+/** A connection that went silent, with a call waiting on it, is found after
+ * the idle time and the probes: within the time after which a disturbance
+ * counts as over (3 s). */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
 /** Bytes read ahead of what was passed on. */
 #define READ_AHEAD_BYTES (64 * 1024)
 
@@ -292,9 +298,17 @@
 static void set_options(evutil_socket_t fd, const outbound_target_t *target)
 {
 	unsigned int user_timeout_ms = target->user_timeout_ms;
+	int idle_s = KEEPALIVE_IDLE_S;
+	int interval_s = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
 	int on = 1;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+		   sizeof(interval_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 	if (user_timeout_ms)
 		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
 			   sizeof(user_timeout_ms));
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -138,3 +138,6 @@
       "State was fetched from an instance.")
 EVENT(1911, ENGINE_REPORT, "engine_report", EVENT_INFO,
       "An engine said which weights it has and whether an order runs.")
+EVENT(1912, WATCHING, "watching", EVENT_INFO,
+      "This instance begins or ends to ask the store for changes; the others "
+      "get them from those that do.")
--- a/process/object_table.c
+++ b/process/object_table.c
@@ -178,7 +178,7 @@
 	return digest;
 }
 
-json_t *object_table_export(const object_table_t *table)
+json_t *object_table_export(const object_table_t *table, uint64_t since)
 {
 	json_t *rows = json_array();
 
@@ -189,13 +189,33 @@
 			continue;
 		json_array_append_new(
 			rows, json_pack("[s,I,O?]", row->name,
-					(json_int_t)row->revision, row->spec));
+					(json_int_t)row->revision,
+					row->revision > since ? row->spec
+							      : NULL));
 	}
 	return json_pack("{s:I,s:b,s:o}", "revision",
 			 (json_int_t)table->revision, "complete",
 			 table->complete, "rows", rows);
 }
 
+/* One row of a peer's table; as put_item(). */
+static int import_row(object_table_t *table, const json_t *row)
+{
+	object_item_t item = {
+		.name = json_string_value(json_array_get(row, 0)),
+		.revision = (uint64_t)json_integer_value(json_array_get(row, 1)),
+		.spec = json_array_get(row, 2),
+	};
+	const object_row_t *mine;
+
+	if (!item.name)
+		return ERR_BAD_JSON;
+	mine = find_row(table, item.name);
+	if (json_is_null(item.spec) && (!mine || mine->revision < item.revision))
+		return ERR_BAD_JSON;
+	return put_item(table, &item);
+}
+
 int object_table_import(object_table_t *table, const json_t *peer_table,
 			uint64_t now_ms)
 {
@@ -213,17 +233,8 @@
 		return 0;
 	object_table_list_begin(table);
 	json_array_foreach(rows, at, row) {
-		object_item_t item = {
-			.name = json_string_value(json_array_get(row, 0)),
-			.revision = (uint64_t)json_integer_value(
-				json_array_get(row, 1)),
-			.spec = json_array_get(row, 2),
-		};
-		int result;
-
-		if (!item.name)
-			return ERR_BAD_JSON;
-		result = put_item(table, &item);
+		int result = import_row(table, row);
+
 		if (result < 0)
 			return result;
 		changed |= result;
--- a/process/object_table.h
+++ b/process/object_table.h
@@ -61,12 +61,17 @@
 /** Hash of names and revisions, the same at all instances that agree. */
 uint64_t object_table_digest(const object_table_t *table);
 
-/** The table for a peer; NULL when out of memory. */
-json_t *object_table_export(const object_table_t *table);
+/**
+ * The table for a peer; NULL when out of memory. Names and revisions are
+ * whole; content goes along for revisions above `since` only.
+ */
+json_t *object_table_export(const object_table_t *table, uint64_t since);
 
 /**
  * Takes a peer's table if it is of a higher revision of the store.
- * @return 1 if it changed something, 0, ERR_BAD_JSON or ERR_NO_MEMORY
+ * @return 1 if it changed something, 0, ERR_NO_MEMORY, or ERR_BAD_JSON if it
+ *         is none or leaves out content that is not known here; then the table
+ *         stays at its revision
  */
 int object_table_import(object_table_t *table, const json_t *peer_table,
 			uint64_t now_ms);
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -15,6 +15,7 @@
 	struct event *timer;
 	http_call_t *call;
 	struct evbuffer *message;
+	bool active;
 	bool listing;
 	bool in_contact;
 	bool contact_known;
@@ -191,6 +192,7 @@
 		return NULL;
 	watch->options = *options;
 	watch->listing = true;
+	watch->active = true;
 	watch->message = evbuffer_new();
 	watch->timer = evtimer_new(options->base, on_timer, watch);
 	if (!watch->message || !watch->timer) {
@@ -220,11 +222,20 @@
 	return watch->in_contact;
 }
 
-void object_watch_restart(object_watch_t *watch)
+void object_watch_set_active(object_watch_t *watch, bool active)
 {
+	if (watch->active == active)
+		return;
+	watch->active = active;
+	watch->contact_known = false;
+	if (active) {
+		watch->listing = !watch->options.table->complete;
+		wait_then_send(watch, 0);
+		return;
+	}
 	if (watch->call)
 		http_call_cancel(watch->call);
 	watch->call = NULL;
 	forget_list(watch);
-	wait_then_send(watch, 0);
+	evtimer_del(watch->timer);
 }
--- a/process/object_watch.h
+++ b/process/object_watch.h
@@ -53,7 +53,10 @@
 /** Whether the last call was answered. */
 bool object_watch_in_contact(const object_watch_t *watch);
 
-/** Starts anew with a list, on a new connection. */
-void object_watch_restart(object_watch_t *watch);
+/**
+ * Begins or ends to ask the store. A watch that begins goes on from the table's
+ * revision.
+ */
+void object_watch_set_active(object_watch_t *watch, bool active);
 
 #endif
--- a/process/peer_news.c
+++ b/process/peer_news.c
@@ -6,7 +6,11 @@
 #include "process/error.h"
 
 /** First number of each datagram; its end rises with the format. */
-#define NEWS_MAGIC 0x616d7601U
+#define NEWS_MAGIC 0x616d7602U
+
+#define FLAG_STOPPING 1U
+#define FLAG_WATCHING 2U
+#define FLAG_REFUSED 4U
 
 static bool code_load(XDR *xdr, peer_load_t *load)
 {
@@ -33,17 +37,21 @@
 static bool code_head(XDR *xdr, peer_news_t *news)
 {
 	uint32_t magic = NEWS_MAGIC;
-	uint32_t stopping = news->stopping;
+	uint32_t flags = (news->stopping ? FLAG_STOPPING : 0) |
+			 (news->watching ? FLAG_WATCHING : 0) |
+			 (news->refused ? FLAG_REFUSED : 0);
 	char *name = news->name;
 
 	if (!xdr_uint32_t(xdr, &magic) || magic != NEWS_MAGIC ||
 	    !xdr_string(xdr, &name, PEER_NAME_MAX_BYTES - 1) ||
 	    !xdr_uint64_t(xdr, &news->incarnation) ||
 	    !xdr_uint32_t(xdr, &news->sequence) ||
-	    !xdr_uint32_t(xdr, &stopping) ||
+	    !xdr_uint32_t(xdr, &news->domain) || !xdr_uint32_t(xdr, &flags) ||
 	    !xdr_uint64_t(xdr, &news->fencing))
 		return false;
-	news->stopping = stopping != 0;
+	news->stopping = flags & FLAG_STOPPING;
+	news->watching = flags & FLAG_WATCHING;
+	news->refused = flags & FLAG_REFUSED;
 	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
 		if (!xdr_uint64_t(xdr, &news->tables[i].revision) ||
 		    !xdr_uint64_t(xdr, &news->tables[i].digest))
@@ -83,6 +91,17 @@
 	return good;
 }
 
+size_t peer_news_room(const peer_news_t *news)
+{
+	size_t used = PEER_NEWS_HEAD_BYTES +
+		      news->weights_count * PEER_WEIGHTS_BYTES +
+		      news->failed_count * PEER_FAILED_BYTES +
+		      news->load_count * PEER_LOAD_BYTES +
+		      news->note_count * PEER_NOTE_BYTES;
+
+	return used < PEER_NEWS_MAX_BYTES ? PEER_NEWS_MAX_BYTES - used : 0;
+}
+
 int peer_news_encode(const peer_news_t *news, char *bytes, size_t size)
 {
 	peer_news_t copy = *news;
--- a/process/peer_news.h
+++ b/process/peer_news.h
@@ -19,14 +19,21 @@
 	PEER_NAME_MAX_BYTES = 64,
 	/** Largest datagram, bytes: one packet without fragments. */
 	PEER_NEWS_MAX_BYTES = 1400,
-	/** Endpoints whose load is told; 20 bytes each. */
-	PEER_LOADS_MAX = 24,
-	/** Endpoints whose weights are told; 24 bytes each. */
-	PEER_WEIGHTS_MAX = 12,
-	/** Notes about cached beginnings; 20 bytes each. */
-	PEER_NOTES_MAX = 16,
-	/** Endpoints that fail; 12 bytes each. */
+	/** Bytes of a datagram that lists of other length leave. */
+	PEER_NEWS_HEAD_BYTES = 240,
+	/** Endpoints whose weights are told: a third of 90, and those that
+	 * were finished lately. */
+	PEER_WEIGHTS_MAX = 50,
+	PEER_WEIGHTS_BYTES = 20,
+	/** Endpoints that fail. */
 	PEER_FAILED_MAX = 12,
+	PEER_FAILED_BYTES = 12,
+	/** Endpoints whose load is told. */
+	PEER_LOADS_MAX = 40,
+	PEER_LOAD_BYTES = 20,
+	/** Notes about cached beginnings. */
+	PEER_NOTES_MAX = 30,
+	PEER_NOTE_BYTES = 20,
 };
 
 /** How far a table was read. */
@@ -60,7 +67,10 @@
 	char name[PEER_NAME_MAX_BYTES];
 	uint64_t incarnation; /**< Rises with each start of an instance. */
 	uint32_t sequence;    /**< Rises with each datagram. */
+	uint32_t domain; /**< Hash of its failure domain. */
 	bool stopping;
+	bool watching;	/**< It asks the store for changes. */
+	bool refused;	/**< The store does not answer it. */
 	uint64_t fencing; /**< Of the weights lease; 0: not the holder. */
 	peer_table_t tables[OBJECT_KIND_COUNT];
 	uint32_t load_count;
@@ -79,6 +89,9 @@
 	return id_hash + born_ms;
 }
 
+/** Bytes that are left for more rows. */
+size_t peer_news_room(const peer_news_t *news);
+
 /** Encodes; the length in bytes, or ERR_LIMIT. */
 int peer_news_encode(const peer_news_t *news, char *bytes, size_t size);
 
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -151,15 +151,19 @@
 static void fill_news(peer_news_t *news)
 {
 	memset(news, 0, sizeof(*news));
-	strcpy(news->name, "front-a-1");
 	news->incarnation = 1ULL << 41;
 	news->fencing = 3;
-	news->load_count = PEER_LOADS_MAX;
-	news->weights_count = PEER_WEIGHTS_MAX;
-	news->note_count = PEER_NOTES_MAX;
+	memset(news->name, 'n', sizeof(news->name) - 1);
+	news->watching = true;
+	news->weights_count = 20;
 	news->failed_count = PEER_FAILED_MAX;
-	news->loads[PEER_LOADS_MAX - 1].tokens = 17;
 	news->failed[PEER_FAILED_MAX - 1].ejected_ms = 300;
+	while (peer_news_room(news) >= PEER_LOAD_BYTES &&
+	       news->load_count < PEER_LOADS_MAX)
+		news->loads[news->load_count++].tokens = 17;
+	while (peer_news_room(news) >= PEER_NOTE_BYTES &&
+	       news->note_count < PEER_NOTES_MAX)
+		news->notes[news->note_count++].tokens = 18;
 }
 
 /* Failure: full news did not fit into a datagram and were never told. */
--- a/t/test-object-table.c
+++ b/t/test-object-table.c
@@ -97,10 +97,10 @@
 
 	fill_two(&table);
 	fill_two(&peer);
-	older = object_table_export(&peer);
+	older = object_table_export(&peer, 0);
 	watch_one(&peer, "b", 9, true, 2000);
 	watch_one(&peer, "c", 10, false, 2000);
-	newer = object_table_export(&peer);
+	newer = object_table_export(&peer, 6);
 	g_assert_cmpuint(object_table_digest(&table), !=,
 			 object_table_digest(&peer));
 	g_assert_cmpint(object_table_import(&table, newer, 3000), ==, 1);
@@ -117,7 +117,7 @@
 {
 	object_table_t table;
 	object_table_t peer = { .revision = 99 };
-	CLEANUP_JSON json_t *state = object_table_export(&peer);
+	CLEANUP_JSON json_t *state = object_table_export(&peer, 0);
 
 	fill_two(&table);
 	g_assert_cmpint(object_table_import(&table, state, 3000), ==, 0);
@@ -125,6 +125,25 @@
 	object_table_free(&table);
 }
 
+/* Failure: an instance that had missed more than the peer sent took part of
+ * the peer's table and counted as up to date. */
+static void test_from_peer_with_gap(void)
+{
+	object_table_t table;
+	object_table_t peer;
+	CLEANUP_JSON json_t *part = NULL;
+
+	fill_two(&table);
+	fill_two(&peer);
+	watch_one(&peer, "c", 9, false, 2000);
+	watch_one(&peer, "d", 12, false, 2000);
+	part = object_table_export(&peer, 10);
+	g_assert_cmpint(object_table_import(&table, part, 3000), <, 0);
+	g_assert_cmpuint(table.revision, ==, 6);
+	object_table_free(&table);
+	object_table_free(&peer);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -133,5 +152,7 @@
 	g_test_add_func("/object-table/lapsed", test_lapsed);
 	g_test_add_func("/object-table/from-peer", test_from_peer);
 	g_test_add_func("/object-table/from-empty-peer", test_from_empty_peer);
+	g_test_add_func("/object-table/from-peer-with-gap",
+			test_from_peer_with_gap);
 	return g_test_run();
 }
