gateway: fetch changes from any instance that is ahead, take fractions

Change: a peer is drawn among those ahead, of the same domain if there is one; only the kinds that are behind are fetched; the widest link of a domain watches; figures of the platform may be fractions.

--- a/Makefile
+++ b/Makefile
@@ -93,7 +93,7 @@
 $(PROGS): $(BUILD)/%: $(BUILD)/cmd/%.o $(CMDLIB) $(LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) $(SANFLAGS) -o $@ $^ $(PKG_LIBS)
 
-$(BUILD)/t/%: $(BUILD)/t/%.o $(TESTLIB) $(LIB)
+$(BUILD)/t/%: $(BUILD)/t/%.o $(TESTLIB) $(CMDLIB) $(LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) $(SANFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/t/fuzz-%: $(BUILD)/t/fuzz-%.o $(LIB)
--- a/cmd/gateway.h
+++ b/cmd/gateway.h
@@ -25,17 +25,18 @@
 	uint32_t metrics_port;
 	const char *store;
 	const char *seeds;
-	uint32_t memory_mb;
+	double memory_mb;
 	uint32_t descriptors;
-	uint32_t drain_ms;
-	uint32_t grace_s;
+	double link_mbps;
+	double drain_ms;
+	double grace_s;
 	double retry_ratio;
-	uint32_t retry_window_s;
-	uint32_t retry_slack;
-	uint32_t lease_ms;
-	uint32_t weights_ms;
-	uint32_t stable_ms;
-	uint32_t heartbeat_ms;
+	double retry_window_s;
+	double retry_slack;
+	double lease_ms;
+	double weights_ms;
+	double stable_ms;
+	double heartbeat_ms;
 	uint32_t log_level;
 } gateway_settings_t;
 
--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -179,12 +179,13 @@
 static uint32_t named_before(const gateway_t *gateway)
 {
 	const gateway_settings_t *settings = &gateway->settings;
-	uint32_t used_ms = settings->stable_ms > START_MARGIN_MS
-				   ? settings->stable_ms - START_MARGIN_MS
-				   : 0;
+	uint32_t stable_ms = (uint32_t)settings->stable_ms;
+	uint32_t weights_ms = (uint32_t)settings->weights_ms;
+	uint32_t used_ms =
+		stable_ms > START_MARGIN_MS ? stable_ms - START_MARGIN_MS : 0;
 	uint32_t bound_ms =
-		settings->weights_ms > EXCHANGE_OLD_WEIGHTS_MARGIN_MS
-			? settings->weights_ms - EXCHANGE_OLD_WEIGHTS_MARGIN_MS
+		weights_ms > EXCHANGE_OLD_WEIGHTS_MARGIN_MS
+			? weights_ms - EXCHANGE_OLD_WEIGHTS_MARGIN_MS
 			: 0;
 
 	return bound_ms > used_ms ? bound_ms - used_ms : 0;
--- a/cmd/gateway_duty.c
+++ b/cmd/gateway_duty.c
@@ -155,7 +155,7 @@
 {
 	duty->term++;
 	weights_roll_init(&duty->roll,
-			  duty->control->gateway->settings.weights_ms);
+			  (uint32_t)duty->control->gateway->settings.weights_ms);
 	metrics_add(METRIC_LEASES_ACQUIRED, 1);
 	event_log(EVENT_LEASE_ACQUIRED, "lease=%s fencing=%llu", LEASE_NAME,
 		  (unsigned long long)fencing);
@@ -166,7 +166,7 @@
 {
 	duty->term++;
 	weights_roll_init(&duty->roll,
-			  duty->control->gateway->settings.weights_ms);
+			  (uint32_t)duty->control->gateway->settings.weights_ms);
 	metrics_add(METRIC_LEASES_LOST, 1);
 	event_log(EVENT_LEASE_LOST, "lease=%s", LEASE_NAME);
 }
@@ -207,7 +207,7 @@
 	duty->lease_begun = true;
 	lease_begin(&duty->lease, control->gateway->settings.name,
 		    control->incarnation ^ rng_next(&control->rng),
-		    control->gateway->settings.lease_ms / LEASE_PART,
+		    (uint32_t)(control->gateway->settings.lease_ms / LEASE_PART),
 		    &control->rng, &actions);
 	/* The platform starts a process again after it has ended. */
 	lease_bind_name(&duty->lease);
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -198,7 +198,8 @@
 static void go_on_stopping(front_t *front)
 {
 	uint64_t past_ms = clock_now_ms() - front->stop_began_ms;
-	uint64_t limit_ms = front->gateway->settings.grace_s * 1000ULL;
+	uint64_t limit_ms =
+		(uint64_t)(front->gateway->settings.grace_s * 1000);
 
 	limit_ms = limit_ms > STOP_MARGIN_MS ? limit_ms - STOP_MARGIN_MS : 0;
 	front->env.refuse_streams = past_ms >= STOP_ARRIVALS_MS;
@@ -259,9 +260,9 @@
 		/* Addresses and names hold until the next start. */
 		now->grace_s = read.grace_s;
 		front->env.retries.ratio = read.retry_ratio;
-		front->env.retries.slack = read.retry_slack;
+		front->env.retries.slack = (uint32_t)read.retry_slack;
 	}
-	event_log(EVENT_SETTINGS_RELOADED, "result=%s grace_s=%u",
+	event_log(EVENT_SETTINGS_RELOADED, "result=%s grace_s=%.1f",
 		  error_type(err < 0 ? err : 0), now->grace_s);
 }
 
@@ -272,7 +273,8 @@
 	const gateway_settings_t *settings = &front->gateway->settings;
 	inbound_options_t options = {
 		.connections_max = connections_max,
-		.body_total_max_bytes = settings->memory_mb * 1048576ULL / 4,
+		.body_total_max_bytes =
+			(uint64_t)(settings->memory_mb * 1048576 / 4),
 		.calls = calls,
 		.context = front,
 	};
@@ -343,7 +345,7 @@
 	front->env.base = front->base;
 	front->env.domain = settings->domain;
 	front->env.instances = 1;
-	front->env.weights_ms = settings->weights_ms;
+	front->env.weights_ms = (uint32_t)settings->weights_ms;
 	front->env.own_notes = &front->gateway->own_notes;
 	front->env.peer_notes = &front->gateway->peer_notes;
 	front->env.save_filled_ms = clock_now_ms();
@@ -352,8 +354,8 @@
 	rng_init(&front->env.rng,
 		 clock_unix_ms() ^ hash_string(settings->name));
 	retry_budget_init(&front->env.retries, settings->retry_ratio,
-			  settings->retry_slack,
-			  settings->retry_window_s * 1000);
+			  (uint32_t)settings->retry_slack,
+			  (uint32_t)(settings->retry_window_s * 1000));
 	if (!front->env.outbound)
 		return ERR_NO_MEMORY;
 	return open_listeners(front);
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -48,7 +48,7 @@
 };
 
 /** Path of the state that instances fetch from each other; the revision of
- * each table that the asker has follows. */
+ * each table that the asker has follows, after a minus if it is not wanted. */
 #define STATE_PATH "/state?"
 
 typedef struct peer {
@@ -95,9 +95,12 @@
 	CLEANUP_JSON json_t *state = json_object();
 
 	for (int i = 0; i < OBJECT_LEASES; i++) {
-		uint64_t since = strtoull(query, (char **)&query, 10);
+		bool wanted = *query != '-';
+		uint64_t since = strtoull(query + !wanted, (char **)&query, 10);
 
 		query += *query == ',';
+		if (!wanted)
+			continue;
 		json_object_set_new(
 			state, object_kind_name((object_kind_t)i),
 			object_table_export(&control->assembly.tables[i],
@@ -155,9 +158,11 @@
 	for (int i = 0; i < OBJECT_LEASES; i++) {
 		const json_t *table = json_object_get(
 			state, object_kind_name((object_kind_t)i));
-		int result = object_table_import(&control->assembly.tables[i],
-						 table, now_ms);
+		int result = 0;
 
+		if (table)
+			result = object_table_import(
+				&control->assembly.tables[i], table, now_ms);
 		changed |= result > 0;
 		peers->fetch_whole |= result < 0;
 	}
@@ -195,14 +200,16 @@
 		return;
 	snprintf(target.key, sizeof(target.key), "peer/%s", peer->news.name);
 	evbuffer_add_printf(message, "GET " STATE_PATH);
-	for (int i = 0; i < OBJECT_LEASES; i++)
-		evbuffer_add_printf(
-			message, "%llu,",
+	for (int i = 0; i < OBJECT_LEASES; i++) {
+		uint64_t since =
 			peers->fetch_whole
-				? 0ULL
-				: (unsigned long long)
-					  peers->control->assembly.tables[i]
-						  .revision);
+				? 0
+				: peers->control->assembly.tables[i].revision;
+
+		evbuffer_add_printf(message, "%s%llu,",
+				    peers->behind_since_ms[i] ? "" : "-",
+				    (unsigned long long)since);
+	}
 	evbuffer_add_printf(message, " HTTP/1.1\r\nHost: peer\r\n\r\n");
 	peers->fetch = http_call_send(peers->control->outbound,
 				      peers->control->base, &target, message,
@@ -229,28 +236,49 @@
 	       now_ms - peer->heard_ms < PEER_LIVE_NEWS * news_interval(peers);
 }
 
-/* The live peer that has read this kind farthest, if it knows other things. */
+static uint32_t domain_of(const gateway_control_t *control)
+{
+	return (uint32_t)hash_string(control->gateway->settings.domain);
+}
+
+static bool is_ahead(const gateway_peers_t *peers, const peer_t *peer,
+		     object_kind_t kind, uint64_t digest, uint64_t now_ms)
+{
+	const object_table_t *table = &peers->control->assembly.tables[kind];
+	const peer_table_t *theirs = &peer->news.tables[kind];
+
+	if (!is_live(peers, peer, now_ms) || !theirs->revision)
+		return false;
+	return !table->complete || (theirs->revision > table->revision &&
+				    theirs->digest != digest);
+}
+
+/* A live peer that has read this kind farther and knows other things. Drawn, so
+ * that not all ask the same one, and of the same domain if there is one. */
 static const peer_t *peer_ahead(const gateway_peers_t *peers, object_kind_t kind,
 				uint64_t now_ms)
 {
-	const object_table_t *table =
-		&peers->control->assembly.tables[kind];
-	uint64_t digest = object_table_digest(table);
-	const peer_t *best = NULL;
+	uint64_t digest =
+		object_table_digest(&peers->control->assembly.tables[kind]);
+	uint32_t domain = domain_of(peers->control);
+	const peer_t *drawn = NULL;
+	uint64_t seen = 0;
+	bool near = false;
 
 	for (size_t i = 0; i < peers->peer_count; i++) {
 		const peer_t *peer = peers->peers[i];
-		const peer_table_t *theirs = &peer->news.tables[kind];
 
-		if (!is_live(peers, peer, now_ms) || !theirs->revision ||
-		    (table->complete && (theirs->revision <= table->revision ||
-					 theirs->digest == digest)))
+		if (!is_ahead(peers, peer, kind, digest, now_ms) ||
+		    (near && peer->news.domain != domain))
 			continue;
-		if (!best ||
-		    theirs->revision > best->news.tables[kind].revision)
-			best = peer;
+		if (!near && peer->news.domain == domain) {
+			near = true;
+			seen = 0;
+		}
+		if (!rng_below(&peers->control->rng, ++seen))
+			drawn = peer;
 	}
-	return best;
+	return drawn;
 }
 
 static void catch_up(gateway_peers_t *peers, uint64_t now_ms)
@@ -314,11 +342,6 @@
 	}
 }
 
-static uint32_t domain_of(const gateway_control_t *control)
-{
-	return (uint32_t)hash_string(control->gateway->settings.domain);
-}
-
 void gateway_peers_tell(gateway_peers_t *peers)
 {
 	gateway_control_t *control = peers->control;
@@ -330,6 +353,8 @@
 			     .refused = peers->watching &&
 					!gateway_control_in_contact(control),
 			     .domain = domain_of(control),
+			     .link_mbps = (uint32_t)control->gateway->settings
+						  .link_mbps,
 			     .fencing = gateway_duty_fencing(control->duty) };
 	char bytes[PEER_NEWS_MAX_BYTES];
 	int len;
@@ -540,9 +565,10 @@
 
 /* Who asks the store for changes. */
 
-static uint64_t rank_of(const char *name)
+/* The widest links first: a watcher hands each change to many. */
+static uint64_t rank_of(const char *name, uint32_t link_mbps)
 {
-	return hash_rendezvous(hash_string(name), WATCHERS_PER_DOMAIN);
+	return ((uint64_t)link_mbps << 32) + (uint32_t)hash_string(name);
 }
 
 /* Whether this instance is one of the first of its domain, among those that
@@ -550,7 +576,9 @@
 static bool is_first_of_domain(const gateway_peers_t *peers, uint64_t now_ms)
 {
 	const gateway_control_t *control = peers->control;
-	uint64_t mine = rank_of(control->gateway->settings.name);
+	const gateway_settings_t *settings = &control->gateway->settings;
+	uint64_t mine =
+		rank_of(settings->name, (uint32_t)settings->link_mbps);
 	uint32_t before = 0;
 
 	for (size_t i = 0; i < peers->peer_count; i++) {
@@ -559,7 +587,7 @@
 		if (is_live(peers, peer, now_ms) && !peer->news.refused &&
 		    !peer->news.stopping &&
 		    peer->news.domain == domain_of(control) &&
-		    rank_of(peer->news.name) > mine)
+		    rank_of(peer->news.name, peer->news.link_mbps) > mine)
 			before++;
 	}
 	return before < WATCHERS_PER_DOMAIN;
--- a/cmd/gateway_settings.c
+++ b/cmd/gateway_settings.c
@@ -23,6 +23,13 @@
 		.value = &settings->member, .text = (help),             \
 		.fallback = (normal), .min = (lowest), .max = (highest) \
 	}
+/* What the platform states as whole numbers or fractions. */
+#define REAL(flag_name, member, help, normal, lowest, highest)          \
+	{                                                               \
+		.flag = (flag_name), .type = SETTING_REAL,              \
+		.value = &settings->member, .text = (help),             \
+		.fallback = (normal), .min = (lowest), .max = (highest) \
+	}
 #define TEXT(flag_name, member, help, normal)               \
 	{                                                   \
 		.flag = (flag_name), .type = SETTING_TEXT,  \
@@ -75,37 +82,36 @@
 		     "127.0.0.1:8083"),
 		TEXT("seeds", seeds, "IP:PORT of other instances, by comma",
 		     ""),
-		NUMBER("memory-mb", memory_mb, "memory of the machine, MB",
+		REAL("memory-mb", memory_mb, "memory of the machine, MB",
 		       "96", 16, 1048576),
 		NUMBER("descriptors", descriptors, "descriptors of the process",
 		       "1024", 64, 1048576),
-		NUMBER("drain-ms", drain_ms,
+		REAL("link-mbps", link_mbps,
+		       "bandwidth of the machine's link, Mbit/s", "1000", 1,
+		       10000000),
+		REAL("drain-ms", drain_ms,
 		       "a leaving endpoint gets no request later, ms", "2000",
 		       1, 600000),
-		NUMBER("grace-s", grace_s,
+		REAL("grace-s", grace_s,
 		       "time of a planned stop until it is killed, s", "8", 1,
 		       3600),
-		{ .flag = "retry-ratio",
-		  .type = SETTING_REAL,
-		  .value = &settings->retry_ratio,
-		  .text = "repeats for each request, of the whole fleet",
-		  .fallback = "0.2",
-		  .min = 0,
-		  .max = 10 },
-		NUMBER("retry-window-s", retry_window_s,
+		REAL("retry-ratio", retry_ratio,
+		     "repeats for each request, of the whole fleet", "0.2", 0,
+		     10),
+		REAL("retry-window-s", retry_window_s,
 		       "window of the retry budget, s", "10", 1, 3600),
-		NUMBER("retry-slack", retry_slack,
+		REAL("retry-slack", retry_slack,
 		       "repeats in a window beside the ratio", "100", 0,
 		       1000000),
-		NUMBER("lease-ms", lease_ms, "lease of the weights duty, ms",
+		REAL("lease-ms", lease_ms, "lease of the weights duty, ms",
 		       "3000", 300, 600000),
-		NUMBER("weights-ms", weights_ms,
+		REAL("weights-ms", weights_ms,
 		       "named weights are in place everywhere after, ms",
 		       "8000", 100, 3600000),
-		NUMBER("stable-ms", stable_ms,
+		REAL("stable-ms", stable_ms,
 		       "time after which a disturbance counts as over, ms",
 		       "3000", 1, 600000),
-		NUMBER("heartbeat-ms", heartbeat_ms,
+		REAL("heartbeat-ms", heartbeat_ms,
 		       "interval of the endpoints' heartbeats, ms", "1200", 1,
 		       600000),
 		{ .flag = "log-level",
--- a/process/peer_news.c
+++ b/process/peer_news.c
@@ -6,7 +6,7 @@
 #include "process/error.h"
 
 /** First number of each datagram; its end rises with the format. */
-#define NEWS_MAGIC 0x616d7602U
+#define NEWS_MAGIC 0x616d7603U
 
 #define FLAG_STOPPING 1U
 #define FLAG_WATCHING 2U
@@ -46,7 +46,9 @@
 	    !xdr_string(xdr, &name, PEER_NAME_MAX_BYTES - 1) ||
 	    !xdr_uint64_t(xdr, &news->incarnation) ||
 	    !xdr_uint32_t(xdr, &news->sequence) ||
-	    !xdr_uint32_t(xdr, &news->domain) || !xdr_uint32_t(xdr, &flags) ||
+	    !xdr_uint32_t(xdr, &news->domain) ||
+	    !xdr_uint32_t(xdr, &news->link_mbps) ||
+	    !xdr_uint32_t(xdr, &flags) ||
 	    !xdr_uint64_t(xdr, &news->fencing))
 		return false;
 	news->stopping = flags & FLAG_STOPPING;
--- a/process/peer_news.h
+++ b/process/peer_news.h
@@ -68,6 +68,7 @@
 	uint64_t incarnation; /**< Rises with each start of an instance. */
 	uint32_t sequence;    /**< Rises with each datagram. */
 	uint32_t domain; /**< Hash of its failure domain. */
+	uint32_t link_mbps; /**< Of its machine. */
 	bool stopping;
 	bool watching;	/**< It asks the store for changes. */
 	bool refused;	/**< The store does not answer it. */
