--- a/connection/inbound.c
+++ b/connection/inbound.c
@@ -520,6 +520,14 @@
 {
 	connection_t *connection = connection_of(request);
 
+	forget_body(connection);
+	request->owner = NULL;
+	/* A missing last chunk tells the caller, and a reset would take what
+	 * it has not read yet. */
+	if (connection->chunked) {
+		linger(connection);
+		return;
+	}
 	connection->state = CONNECTION_LINGERING;
 	if (connection->in_reader) {
 		/* The caller of hand_on() still uses the connection. */
--- /dev/null
+++ b/t/lib/raw_server.c
@@ -0,0 +1,221 @@
+#include "t/lib/raw_server.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	CONNECTIONS_MAX = 256,
+	READ_BYTES = 65536,
+	CALL_TIMEOUT_S = 20,
+};
+
+typedef struct raw_connection {
+	raw_server_t *server;
+	pthread_t thread;
+	int fd;
+} raw_connection_t;
+
+struct raw_server {
+	raw_handler_t *handler;
+	void *context;
+	int fd;
+	uint16_t port;
+	pthread_t thread;
+	pthread_mutex_t lock;
+	raw_connection_t connections[CONNECTIONS_MAX];
+	size_t count;
+	bool stopping;
+};
+
+static size_t body_length(const char *head)
+{
+	char *value = raw_header(head, "Content-Length");
+	size_t len = value ? strtoul(value, NULL, 10) : 0;
+
+	free(value);
+	return len;
+}
+
+/* Reads until a whole request stands at the begin; false at the end. */
+static bool read_request(int fd, GString *input, size_t *head_len)
+{
+	char bytes[READ_BYTES];
+
+	for (;;) {
+		const char *end = strstr(input->str, "\r\n\r\n");
+		ssize_t len;
+
+		if (end) {
+			*head_len = (size_t)(end - input->str) + 4;
+			if (input->len >=
+			    *head_len + body_length(input->str))
+				return true;
+		}
+		len = recv(fd, bytes, sizeof(bytes), 0);
+		if (len <= 0)
+			return false;
+		g_string_append_len(input, bytes, len);
+	}
+}
+
+static raw_next_t answer(raw_connection_t *connection, GString *input,
+			 size_t head_len, uint32_t before)
+{
+	char *head = g_strndup(input->str, head_len);
+	size_t len = body_length(head);
+	char *body = g_strndup(input->str + head_len, len);
+	raw_request_t request = { connection->fd, head, body, before };
+	raw_next_t next = connection->server->handler(
+		connection->server->context, &request);
+
+	g_string_erase(input, 0, (gssize)(head_len + len));
+	g_free(head);
+	g_free(body);
+	return next;
+}
+
+static void *connection_main(void *context)
+{
+	raw_connection_t *connection = context;
+	struct linger now = { 1, 0 };
+	GString *input = g_string_new(NULL);
+	raw_next_t next = RAW_KEEP;
+	uint32_t before = 0;
+	size_t head_len;
+
+	while (next == RAW_KEEP &&
+	       read_request(connection->fd, input, &head_len))
+		next = answer(connection, input, head_len, before++);
+	if (next == RAW_RESET)
+		setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &now,
+			   sizeof(now));
+	pthread_mutex_lock(&connection->server->lock);
+	close(connection->fd);
+	connection->fd = -1;
+	pthread_mutex_unlock(&connection->server->lock);
+	g_string_free(input, TRUE);
+	return NULL;
+}
+
+static void *accept_main(void *context)
+{
+	raw_server_t *server = context;
+	int fd;
+
+	while ((fd = accept(server->fd, NULL, NULL)) >= 0) {
+		raw_connection_t *connection;
+
+		pthread_mutex_lock(&server->lock);
+		if (server->stopping || server->count == CONNECTIONS_MAX) {
+			close(fd);
+		} else {
+			connection = &server->connections[server->count++];
+			connection->server = server;
+			connection->fd = fd;
+			pthread_create(&connection->thread, NULL,
+				       connection_main, connection);
+		}
+		pthread_mutex_unlock(&server->lock);
+	}
+	return NULL;
+}
+
+raw_server_t *raw_server_start(raw_handler_t *handler, void *context)
+{
+	raw_server_t *server = g_new0(raw_server_t, 1);
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+
+	server->handler = handler;
+	server->context = context;
+	pthread_mutex_init(&server->lock, NULL);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	g_assert_cmpint(bind(server->fd, (struct sockaddr *)&address, len), ==,
+			0);
+	g_assert_cmpint(listen(server->fd, 64), ==, 0);
+	getsockname(server->fd, (struct sockaddr *)&address, &len);
+	server->port = ntohs(address.sin_port);
+	g_assert_cmpint(pthread_create(&server->thread, NULL, accept_main,
+				       server),
+			==, 0);
+	return server;
+}
+
+void raw_server_stop(raw_server_t *server)
+{
+	pthread_mutex_lock(&server->lock);
+	server->stopping = true;
+	for (size_t i = 0; i < server->count; i++) {
+		if (server->connections[i].fd >= 0)
+			shutdown(server->connections[i].fd, SHUT_RDWR);
+	}
+	pthread_mutex_unlock(&server->lock);
+	shutdown(server->fd, SHUT_RDWR);
+	pthread_join(server->thread, NULL);
+	for (size_t i = 0; i < server->count; i++)
+		pthread_join(server->connections[i].thread, NULL);
+	close(server->fd);
+	pthread_mutex_destroy(&server->lock);
+	g_free(server);
+}
+
+uint16_t raw_server_port(const raw_server_t *server)
+{
+	return server->port;
+}
+
+void raw_send(const raw_request_t *request, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	(void)send(request->fd, text, strlen(text), MSG_NOSIGNAL);
+	g_free(text);
+}
+
+char *raw_header(const char *head, const char *name)
+{
+	size_t len = strlen(name);
+
+	for (const char *line = strstr(head, "\r\n"); line;
+	     line = strstr(line + 2, "\r\n")) {
+		const char *value = line + 2 + len;
+
+		if (strncasecmp(line + 2, name, len) || *value != ':')
+			continue;
+		value += 1 + strspn(value + 1, " ");
+		return strndup(value, strcspn(value, "\r\n"));
+	}
+	return NULL;
+}
+
+char *raw_call(uint16_t port, const char *request)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port) };
+	struct timeval limit = { .tv_sec = CALL_TIMEOUT_S };
+	GString *answer_text = g_string_new(NULL);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	char bytes[READ_BYTES];
+	ssize_t len = -1;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	if (!connect(fd, (struct sockaddr *)&address, sizeof(address)) &&
+	    send(fd, request, strlen(request), MSG_NOSIGNAL) > 0) {
+		while ((len = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+			g_string_append_len(answer_text, bytes, len);
+	}
+	close(fd);
+	return g_string_free(answer_text, FALSE);
+}
