--- a/cmd/gateway.h
+++ b/cmd/gateway.h
@@ -28,7 +28,6 @@
 	double memory_mb;
 	uint32_t descriptors;
 	double link_mbps;
-	double drain_ms;
 	double grace_s;
 	double retry_ratio;
 	double retry_window_s;
@@ -36,7 +35,6 @@
 	double lease_ms;
 	double weights_ms;
 	double stable_ms;
-	double heartbeat_ms;
 	uint32_t log_level;
 } gateway_settings_t;
 
--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -24,6 +24,14 @@
 	 * bound on a leaving endpoint, a tenth of that on a configuration. */
 	ENDPOINTS_GAP_MS = 500,
 	CHANGES_GAP_MS = 150,
+	/** Longest wait of a watch, ms: each call is priced. */
+	WATCH_WAIT_MS = 20000,
+	WATCH_LATE_MS = 1500,
+	/** The watch of the desired state also shows whether the store still
+	 * answers this instance: the others depend on it, and the bound on
+	 * changes is 2 s. A slow store answers within 300 ms. */
+	PROOF_WAIT_MS = 1000,
+	PROOF_LATE_MS = 450,
 	/** Before the end of the time after a start, ms. */
 	START_MARGIN_MS = 300,
 };
@@ -42,9 +50,9 @@
 	(void)what;
 	if (!err && !control->was_ready) {
 		control->was_ready = true;
-		event_log(EVENT_READY, "desired_version=%llu",
-			  (unsigned long long)
-				  control->assembly.desired->version);
+		event_log(
+			EVENT_READY, "desired_version=%llu",
+			(unsigned long long)control->assembly.desired->version);
 	}
 }
 
@@ -106,6 +114,7 @@
 	if (!err)
 		object_table_hold(&control->assembly.tables[kind],
 				  clock_now_ms());
+	gateway_peers_tell(control->peers);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *context)
@@ -148,6 +157,10 @@
 		options.gap_ms = watched[i] == OBJECT_ENDPOINTS
 					 ? ENDPOINTS_GAP_MS
 					 : CHANGES_GAP_MS;
+		options.wait_ms = watched[i] == OBJECT_DESIRED ? PROOF_WAIT_MS
+							       : WATCH_WAIT_MS;
+		options.late_ms = watched[i] == OBJECT_DESIRED ? PROOF_LATE_MS
+							       : WATCH_LATE_MS;
 		options.table = &control->assembly.tables[watched[i]];
 		control->watches[watched[i]] = object_watch_start(&options);
 		if (!control->watches[watched[i]])
@@ -206,7 +219,8 @@
 	    event_add(control->tick, &tick))
 		return ERR_NO_MEMORY;
 	rng_init(&control->rng,
-		 clock_unix_ms() ^ hash_string(control->gateway->settings.name));
+		 clock_unix_ms() ^
+			 hash_string(control->gateway->settings.name));
 	control->incarnation = clock_unix_ms();
 	control->assembly.named_before_ms = named_before(control->gateway);
 	control->assembly.tables[OBJECT_ENDPOINTS].hold_ms = LAPSED_HOLD_MS;
--- a/cmd/gateway_duty.c
+++ b/cmd/gateway_duty.c
@@ -55,7 +55,7 @@
 	uint32_t lease_call_id;
 	bool lease_call_writes;
 	bool lease_begun;
-	bool waiting;	       /**< For the lease's timer. */
+	bool waiting; /**< For the lease's timer. */
 	uint32_t wait_call_id;
 	uint64_t wait_until_ms;
 	uint64_t term; /**< Counts the terms of this process. */
@@ -126,10 +126,9 @@
 			lease_record_to_json(&action->write.record);
 
 		if (action->write.if_version)
-			err = platform_write_replace(message, OBJECT_LEASES,
-						     LEASE_NAME,
-						     action->write.if_version,
-						     spec);
+			err = platform_write_replace(
+				message, OBJECT_LEASES, LEASE_NAME,
+				action->write.if_version, spec);
 		else
 			err = platform_write_create(message, OBJECT_LEASES,
 						    LEASE_NAME, spec);
@@ -154,8 +153,9 @@
 static void begin_term(gateway_duty_t *duty, uint64_t fencing)
 {
 	duty->term++;
-	weights_roll_init(&duty->roll,
-			  (uint32_t)duty->control->gateway->settings.weights_ms);
+	weights_roll_init(
+		&duty->roll,
+		(uint32_t)duty->control->gateway->settings.weights_ms);
 	metrics_add(METRIC_LEASES_ACQUIRED, 1);
 	event_log(EVENT_LEASE_ACQUIRED, "lease=%s fencing=%llu", LEASE_NAME,
 		  (unsigned long long)fencing);
@@ -165,8 +165,9 @@
 static void end_term(gateway_duty_t *duty)
 {
 	duty->term++;
-	weights_roll_init(&duty->roll,
-			  (uint32_t)duty->control->gateway->settings.weights_ms);
+	weights_roll_init(
+		&duty->roll,
+		(uint32_t)duty->control->gateway->settings.weights_ms);
 	metrics_add(METRIC_LEASES_LOST, 1);
 	event_log(EVENT_LEASE_LOST, "lease=%s", LEASE_NAME);
 }
@@ -205,10 +206,11 @@
 	lease_actions_t actions;
 
 	duty->lease_begun = true;
-	lease_begin(&duty->lease, control->gateway->settings.name,
-		    control->incarnation ^ rng_next(&control->rng),
-		    (uint32_t)(control->gateway->settings.lease_ms / LEASE_PART),
-		    &control->rng, &actions);
+	lease_begin(
+		&duty->lease, control->gateway->settings.name,
+		control->incarnation ^ rng_next(&control->rng),
+		(uint32_t)(control->gateway->settings.lease_ms / LEASE_PART),
+		&control->rng, &actions);
 	/* The platform starts a process again after it has ended. */
 	lease_bind_name(&duty->lease);
 	run_lease_actions(duty, &actions);
@@ -256,8 +258,8 @@
 /* Calls to engines. */
 
 static engine_call_t *call_new(gateway_duty_t *duty,
-			       const endpoint_entry_t *entry,
-			       const char *model, uint64_t key)
+			       const endpoint_entry_t *entry, const char *model,
+			       uint64_t key)
 {
 	engine_call_t *call = calloc(1, sizeof(*call));
 
@@ -283,8 +285,7 @@
 	free(call);
 }
 
-static void send_engine_call(engine_call_t *call,
-			     const endpoint_entry_t *entry,
+static void send_engine_call(engine_call_t *call, const endpoint_entry_t *entry,
 			     struct evbuffer *message, http_call_fn *done)
 {
 	gateway_control_t *control = call->duty->control;
@@ -349,8 +350,8 @@
 		  "endpoint=%s result=%s status=%u", call->id, error_type(err),
 		  status);
 	if (call->term == duty->term)
-		weights_roll_answered(&duty->roll, call->key,
-				      err ? 0 : status, clock_now_ms());
+		weights_roll_answered(&duty->roll, call->key, err ? 0 : status,
+				      clock_now_ms());
 	call_free(call);
 }
 
@@ -388,12 +389,13 @@
 		return;
 	call = call_new(duty, entry, model, action->key);
 	message = evbuffer_new();
-	event_log(EVENT_ENGINE_ORDER,
-		  "endpoint=%s model=%s version=%llu fencing=%llu accepted=%llu "
-		  "runs_left=%d",
-		  entry->id, model, (unsigned long long)action->version,
-		  (unsigned long long)fencing,
-		  (unsigned long long)action->accepted, action->runs_left);
+	event_log(
+		EVENT_ENGINE_ORDER,
+		"endpoint=%s model=%s version=%llu fencing=%llu accepted=%llu "
+		"runs_left=%d",
+		entry->id, model, (unsigned long long)action->version,
+		(unsigned long long)fencing,
+		(unsigned long long)action->accepted, action->runs_left);
 	metrics_add(METRIC_ENGINE_ORDERS_SENT, 1);
 	if (call && message && !platform_write_order(message, &sent))
 		send_engine_call(call, entry, message, on_ordered);
@@ -486,8 +488,8 @@
 		endpoint_load_t *load = view->endpoints[i].load;
 
 		if (weights_roll_is_loading(
-			    &duty->roll, peer_endpoint_key(load->id_hash,
-							   load->born_ms)))
+			    &duty->roll,
+			    peer_endpoint_key(load->id_hash, load->born_ms)))
 			atomic_store(&load->loading_until_ms,
 				     now_ms + ROLL_LOADING_MS);
 	}
@@ -580,10 +582,13 @@
 		return;
 	if (duty->lease_call)
 		http_call_cancel(duty->lease_call);
-	while (duty->calls) {
-		if (duty->calls->call)
-			http_call_cancel(duty->calls->call);
-		call_free(duty->calls);
+	for (engine_call_t *call = duty->calls; call;) {
+		engine_call_t *next = call->next;
+
+		if (call->call)
+			http_call_cancel(call->call);
+		free(call);
+		call = next;
 	}
 	free(duty);
 }
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -198,8 +198,7 @@
 static void go_on_stopping(front_t *front)
 {
 	uint64_t past_ms = clock_now_ms() - front->stop_began_ms;
-	uint64_t limit_ms =
-		(uint64_t)(front->gateway->settings.grace_s * 1000);
+	uint64_t limit_ms = (uint64_t)(front->gateway->settings.grace_s * 1000);
 
 	limit_ms = limit_ms > STOP_MARGIN_MS ? limit_ms - STOP_MARGIN_MS : 0;
 	front->env.refuse_streams = past_ms >= STOP_ARRIVALS_MS;
@@ -242,8 +241,8 @@
 	front->stop_began_ms = clock_now_ms();
 	atomic_store(&front->gateway->stopping, true);
 	inbound_stop(front->callers);
-	event_log(EVENT_STOPPING, "requests=%u connections=%u",
-		  front->env.open, inbound_connections(front->callers));
+	event_log(EVENT_STOPPING, "requests=%u connections=%u", front->env.open,
+		  inbound_connections(front->callers));
 }
 
 static void on_reload_signal(evutil_socket_t number, short what, void *context)
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -29,7 +29,7 @@
 	WATCHERS_PER_DOMAIN = 1,
 	/** Without a watcher for so long an instance asks the store itself, ms;
 	 * a part of the bound on changes. */
-	UNWATCHED_MS = 400,
+	UNWATCHED_MS = 150,
 	/** All ask the store until the others have been heard, ms after the
 	 * start. */
 	START_WATCH_MS = 3000,
@@ -115,7 +115,7 @@
 	CLEANUP_FREE char *text = NULL;
 	const char *target = http_head_target(request->head);
 
-	if (strncmp(target, STATE_PATH, strlen(STATE_PATH))) {
+	if (strncmp(target, STATE_PATH, strlen(STATE_PATH)) != 0) {
 		inbound_answer(request, 404, NULL, NULL, 0);
 		return;
 	}
@@ -223,10 +223,9 @@
 {
 	size_t count = peers->target_count;
 
-	return NEWS_MS + (count > NEWS_SMALL_SITE
-				  ? (count - NEWS_SMALL_SITE) *
-					    NEWS_PER_INSTANCE_MS
-				  : 0);
+	return NEWS_MS + (count > NEWS_SMALL_SITE ? (count - NEWS_SMALL_SITE) *
+							    NEWS_PER_INSTANCE_MS
+						  : 0);
 }
 
 static bool is_live(const gateway_peers_t *peers, const peer_t *peer,
@@ -249,14 +248,14 @@
 
 	if (!is_live(peers, peer, now_ms) || !theirs->revision)
 		return false;
-	return !table->complete || (theirs->revision > table->revision &&
-				    theirs->digest != digest);
+	return !table->complete ||
+	       (theirs->revision > table->revision && theirs->digest != digest);
 }
 
 /* A live peer that has read this kind farther and knows other things. Drawn, so
  * that not all ask the same one, and of the same domain if there is one. */
-static const peer_t *peer_ahead(const gateway_peers_t *peers, object_kind_t kind,
-				uint64_t now_ms)
+static const peer_t *peer_ahead(const gateway_peers_t *peers,
+				object_kind_t kind, uint64_t now_ms)
 {
 	uint64_t digest =
 		object_table_digest(&peers->control->assembly.tables[kind]);
@@ -335,10 +334,10 @@
 		if (until_ms <= now_ms || !atomic_load(&load->failures) ||
 		    news->failed_count == PEER_FAILED_MAX)
 			continue;
-		news->failed[news->failed_count++] = (peer_failed_t){
-			peer_endpoint_key(load->id_hash, load->born_ms),
-			(uint32_t)(until_ms - now_ms)
-		};
+		news->failed[news->failed_count++] =
+			(peer_failed_t){ peer_endpoint_key(load->id_hash,
+							   load->born_ms),
+					 (uint32_t)(until_ms - now_ms) };
 	}
 }
 
@@ -346,16 +345,17 @@
 {
 	gateway_control_t *control = peers->control;
 	uint64_t now_ms = clock_now_ms();
-	peer_news_t news = { .incarnation = control->incarnation,
-			     .sequence = ++peers->sequence,
-			     .stopping = control->gateway->stopping,
-			     .watching = peers->watching,
-			     .refused = peers->watching &&
-					!gateway_control_in_contact(control),
-			     .domain = domain_of(control),
-			     .link_mbps = (uint32_t)control->gateway->settings
-						  .link_mbps,
-			     .fencing = gateway_duty_fencing(control->duty) };
+	peer_news_t news = {
+		.incarnation = control->incarnation,
+		.sequence = ++peers->sequence,
+		.stopping = control->gateway->stopping,
+		.watching = peers->watching,
+		.refused =
+			peers->watching && !gateway_control_in_contact(control),
+		.domain = domain_of(control),
+		.link_mbps = (uint32_t)control->gateway->settings.link_mbps,
+		.fencing = gateway_duty_fencing(control->duty)
+	};
 	char bytes[PEER_NEWS_MAX_BYTES];
 	int len;
 
@@ -430,8 +430,8 @@
 		const peer_failed_t *told = &news->failed[i];
 		endpoint_load_t *load = find_load(peers, told->endpoint);
 
-		if (load && endpoint_load_peer_failed(load, told->ejected_ms,
-						      now_ms))
+		if (load &&
+		    endpoint_load_peer_failed(load, told->ejected_ms, now_ms))
 			event_log(EVENT_ENDPOINT_EJECTED,
 				  "endpoint=%s peer=%s for_ms=%u", load->id,
 				  news->name, told->ejected_ms);
@@ -577,8 +577,7 @@
 {
 	const gateway_control_t *control = peers->control;
 	const gateway_settings_t *settings = &control->gateway->settings;
-	uint64_t mine =
-		rank_of(settings->name, (uint32_t)settings->link_mbps);
+	uint64_t mine = rank_of(settings->name, (uint32_t)settings->link_mbps);
 	uint32_t before = 0;
 
 	for (size_t i = 0; i < peers->peer_count; i++) {
@@ -681,7 +680,8 @@
 	/* Ports are the same on all machines. */
 	address.sin_port = htons((uint16_t)settings->peer_port);
 	inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
-	if (!strcmp(host, settings->peer_ip) || peers->target_count == PEERS_MAX)
+	if (!strcmp(host, settings->peer_ip) ||
+	    peers->target_count == PEERS_MAX)
 		return;
 	for (size_t i = 0; i < peers->target_count; i++) {
 		if (peers->targets[i].sin_addr.s_addr ==
@@ -693,13 +693,19 @@
 
 static void add_seeds(gateway_peers_t *peers)
 {
-	CLEANUP_FREE char *seeds =
-		strdup(peers->control->gateway->settings.seeds);
-	char *rest = NULL;
+	const char *seeds = peers->control->gateway->settings.seeds;
+	char seed[64];
+
+	while (*seeds) {
+		size_t len = strcspn(seeds, ",");
 
-	for (char *seed = seeds ? strtok_r(seeds, ",", &rest) : NULL; seed;
-	     seed = strtok_r(NULL, ",", &rest))
-		add_target(peers, seed);
+		if (len < sizeof(seed)) {
+			memcpy(seed, seeds, len);
+			seed[len] = '\0';
+			add_target(peers, seed);
+		}
+		seeds += len + (seeds[len] == ',');
+	}
 }
 
 static void read_targets(gateway_peers_t *peers)
@@ -754,11 +760,11 @@
 	err = inbound_open(peers->control->base, &options, &peers->inbound);
 	if (err)
 		return err;
-	peers->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-			   0);
-	if (peers->fd < 0 || bind(peers->fd,
-				  (struct sockaddr *)&options.address,
-				  sizeof(options.address)) < 0)
+	peers->fd =
+		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (peers->fd < 0 ||
+	    bind(peers->fd, (struct sockaddr *)&options.address,
+		 sizeof(options.address)) < 0)
 		return ERR_LIMIT;
 	peers->readable = event_new(peers->control->base, peers->fd,
 				    EV_READ | EV_PERSIST, on_readable, peers);
--- a/connection/http_head.c
+++ b/connection/http_head.c
@@ -177,7 +177,7 @@
 			lengths++;
 		if (!strcasecmp(name, "Transfer-Encoding")) {
 			codings++;
-			if (strcasecmp(http_head_value(head, i), "chunked"))
+			if (strcasecmp(http_head_value(head, i), "chunked") != 0)
 				return false;
 		}
 	}
@@ -193,8 +193,7 @@
 		return 1;
 	/* A name without a value points at its own end. */
 	if (head->header_count && !reader->in_value)
-		head->headers[head->header_count - 1].value_at =
-			head->used - 1;
+		head->headers[head->header_count - 1].value_at = head->used - 1;
 	if (!framing_is_plain(head) || parser->upgrade)
 		return fail(reader, ERR_BAD_FIELD);
 	head->method = (uint8_t)parser->method;
@@ -235,8 +234,8 @@
 };
 
 void http_reader_init(http_reader_t *reader, enum http_parser_type type,
-		      uint32_t head_max_bytes,
-		      const http_reader_calls_t *calls, void *context)
+		      uint32_t head_max_bytes, const http_reader_calls_t *calls,
+		      void *context)
 {
 	memset(reader, 0, sizeof(*reader));
 	http_parser_init(&reader->parser, type);
--- a/connection/http_head.h
+++ b/connection/http_head.h
@@ -76,8 +76,8 @@
 
 /** Starts a reader of requests or of answers. */
 void http_reader_init(http_reader_t *reader, enum http_parser_type type,
-		      uint32_t head_max_bytes,
-		      const http_reader_calls_t *calls, void *context);
+		      uint32_t head_max_bytes, const http_reader_calls_t *calls,
+		      void *context);
 
 /** Frees the head. */
 void http_reader_free(http_reader_t *reader);
--- a/connection/inbound.c
+++ b/connection/inbound.c
@@ -134,11 +134,11 @@
 
 	options->calls->refused(options->context, err);
 	forget_body(connection);
-	evbuffer_add_printf(
-		bufferevent_get_output(connection->stream),
-		"HTTP/1.1 %u %s\r\nConnection: close\r\n"
-		"Content-Length: 0\r\n\r\n",
-		answer->http_status, reason_of(answer->http_status));
+	evbuffer_add_printf(bufferevent_get_output(connection->stream),
+			    "HTTP/1.1 %u %s\r\nConnection: close\r\n"
+			    "Content-Length: 0\r\n\r\n",
+			    answer->http_status,
+			    reason_of(answer->http_status));
 	linger(connection);
 }
 
@@ -414,8 +414,14 @@
 
 void inbound_close(inbound_t *inbound)
 {
-	while (!LIST_EMPTY(&inbound->connections))
-		connection_free(LIST_FIRST(&inbound->connections));
+	connection_t *connection = LIST_FIRST(&inbound->connections);
+
+	while (connection) {
+		connection_t *next = LIST_NEXT(connection, entry);
+
+		connection_free(connection);
+		connection = next;
+	}
 	evconnlistener_free(inbound->listener);
 	free(inbound);
 }
--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -2,6 +2,7 @@
 
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -48,11 +49,11 @@
 	http_reader_t reader;
 	outbound_call_t *call; /**< NULL while kept. */
 	bool connected;
-	bool skipping;	  /**< The current answer belongs to nobody. */
-	bool keep;	  /**< The other side keeps the connection. */
-	bool idle;	  /**< In the row's list. */
-	bool in_input;	  /**< On the stack of read_input(). */
-	bool dead;	  /**< Free it when read_input() returns. */
+	bool skipping;		/**< The current answer belongs to nobody. */
+	bool keep;		/**< The other side keeps the connection. */
+	bool idle;		/**< In the row's list. */
+	bool in_input;		/**< On the stack of read_input(). */
+	bool dead;		/**< Free it when read_input() returns. */
 	uint64_t idle_until_ms; /**< Reuse before this time. */
 	LIST_ENTRY(link) entry; /**< In the row's idle list. */
 };
@@ -90,8 +91,7 @@
 
 static outbound_result_t broken_result(const link_t *link)
 {
-	if (!link->connected ||
-	    unsent_bytes(link) >= link->call->message_bytes)
+	if (!link->connected || unsent_bytes(link) >= link->call->message_bytes)
 		return OUTBOUND_NOT_SENT;
 	return OUTBOUND_LOST;
 }
@@ -266,14 +266,15 @@
 	size_t bucket = hash_string(key) % TARGET_BUCKETS;
 	target_row_t *row;
 
-	LIST_FOREACH(row, &outbound->rows[bucket], entry) {
+	LIST_FOREACH(row, &outbound->rows[bucket], entry)
+	{
 		if (!strcmp(row->key, key))
 			return row;
 	}
 	row = calloc(1, sizeof(*row));
 	if (!row)
 		return NULL;
-	strcpy(row->key, key);
+	snprintf(row->key, sizeof(row->key), "%s", key);
 	LIST_INIT(&row->idle);
 	LIST_INSERT_HEAD(&outbound->rows[bucket], row, entry);
 	return row;
@@ -282,17 +283,19 @@
 static link_t *take_idle(target_row_t *row)
 {
 	uint64_t now_ms = clock_now_ms();
-	link_t *link;
+	link_t *link = LIST_FIRST(&row->idle);
+
+	while (link && now_ms >= link->idle_until_ms) {
+		link_t *next = LIST_NEXT(link, entry);
 
-	while ((link = LIST_FIRST(&row->idle))) {
-		if (now_ms < link->idle_until_ms) {
-			LIST_REMOVE(link, entry);
-			link->idle = false;
-			return link;
-		}
 		link_free(link);
+		link = next;
+	}
+	if (link) {
+		LIST_REMOVE(link, entry);
+		link->idle = false;
 	}
-	return NULL;
+	return link;
 }
 
 static void set_options(evutil_socket_t fd, const outbound_target_t *target)
@@ -446,8 +449,14 @@
 
 static void close_idle(target_row_t *row)
 {
-	while (!LIST_EMPTY(&row->idle))
-		link_free(LIST_FIRST(&row->idle));
+	link_t *link = LIST_FIRST(&row->idle);
+
+	while (link) {
+		link_t *next = LIST_NEXT(link, entry);
+
+		link_free(link);
+		link = next;
+	}
 }
 
 void outbound_sweep(outbound_t *outbound,
--- a/connection/outbound.h
+++ b/connection/outbound.h
@@ -22,7 +22,8 @@
 	/** Longest key of a target with its NUL, bytes. */
 	OUTBOUND_KEY_MAX_BYTES = 96,
 	/** A kept connection is not reused so shortly before the other side's
-	 * stated time-out, ms: a round trip between regions and a late timer. */
+	 * stated time-out, ms: a round trip between regions and a late timer.
+	 */
 	OUTBOUND_IDLE_MARGIN_MS = 400,
 	/** Reuse of a kept connection whose time-out was not stated, ms. */
 	OUTBOUND_IDLE_UNSTATED_MS = 400,
--- a/process/belief.c
+++ b/process/belief.c
@@ -70,8 +70,8 @@
 	return oldest;
 }
 
-void belief_confirm(belief_t *belief, const belief_source_t *source, uint64_t key,
-		    uint32_t tokens, uint64_t now_ms)
+void belief_confirm(belief_t *belief, const belief_source_t *source,
+		    uint64_t key, uint32_t tokens, uint64_t now_ms)
 {
 	uint64_t tag = tag_of(source, key);
 	belief_entry_t *entry = claim(belief, tag);
--- a/process/belief.h
+++ b/process/belief.h
@@ -55,8 +55,8 @@
 		       uint64_t key, uint64_t now_ms);
 
 /** Records that an endpoint has the prefix of a key in its cache. */
-void belief_confirm(belief_t *belief, const belief_source_t *source, uint64_t key,
-		    uint32_t tokens, uint64_t now_ms);
+void belief_confirm(belief_t *belief, const belief_source_t *source,
+		    uint64_t key, uint32_t tokens, uint64_t now_ms);
 
 /**
  * Learns from the cached tokens of an answer, before the prompt's levels are
--- a/process/endpoint.c
+++ b/process/endpoint.c
@@ -22,8 +22,7 @@
 
 	key = hash_rendezvous(key, endpoint->id_hash);
 	key = hash_rendezvous(key, endpoint->incarnation);
-	endpoint->belief.id =
-		hash_rendezvous(key, endpoint->event_generation);
+	endpoint->belief.id = hash_rendezvous(key, endpoint->event_generation);
 }
 
 void endpoint_init(endpoint_t *endpoint, uint64_t id_hash)
--- a/process/endpoint_load.h
+++ b/process/endpoint_load.h
@@ -39,8 +39,8 @@
 	uint64_t id_hash;
 	/** Work of this instance. */
 	_Atomic uint32_t own_runs;
-	_Atomic uint32_t own_tokens;   /**< Memory its runs need, tokens. */
-	_Atomic uint32_t own_prefill;  /**< Prompt tokens not read yet. */
+	_Atomic uint32_t own_tokens;  /**< Memory its runs need, tokens. */
+	_Atomic uint32_t own_prefill; /**< Prompt tokens not read yet. */
 	/** Work of the other instances, as they said last. */
 	_Atomic uint32_t peer_runs;
 	_Atomic uint32_t peer_tokens;
@@ -51,12 +51,12 @@
 	_Atomic uint64_t loading_until_ms;
 	/** No new work before, monotonic ms: it failed. */
 	_Atomic uint64_t ejected_until_ms;
-	_Atomic uint32_t failures;    /**< Consecutive. */
-	_Atomic uint32_t ejections;   /**< Since the last success. */
-	_Atomic uint32_t error_rate;  /**< Running, in 1/1024. */
-	_Atomic uint32_t latency_us;  /**< Running mean of plain answers. */
+	_Atomic uint32_t failures;     /**< Consecutive. */
+	_Atomic uint32_t ejections;    /**< Since the last success. */
+	_Atomic uint32_t error_rate;   /**< Running, in 1/1024. */
+	_Atomic uint32_t latency_us;   /**< Running mean of plain answers. */
 	_Atomic uint64_t last_byte_ms; /**< Of any answer, monotonic. */
-	_Atomic bool leaving;	      /**< Its answers said so. */
+	_Atomic bool leaving;	       /**< Its answers said so. */
 } endpoint_load_t;
 
 /** A new one with one reference; NULL when out of memory. */
@@ -71,7 +71,7 @@
 
 /** How much a failure says about an endpoint. */
 typedef enum failure_weight {
-	FAILURE_ONE, /**< It failed one request. */
+	FAILURE_ONE,  /**< It failed one request. */
 	FAILURE_DOWN, /**< It could not be reached. */
 } failure_weight_t;
 
--- a/process/fleet_news.c
+++ b/process/fleet_news.c
@@ -240,8 +240,8 @@
 			     next_seq, now_ms))
 		return ERR_NOT_FOUND;
 	for (size_t i = 0; routing && i < events->count; i++)
-		tracked += belief_event(&routing->beliefs, &endpoint->state.belief,
-					events->events[i].key,
-					events->events[i].added, now_ms);
+		tracked += belief_event(
+			&routing->beliefs, &endpoint->state.belief,
+			events->events[i].key, events->events[i].added, now_ms);
 	return tracked;
 }
--- a/process/lease.h
+++ b/process/lease.h
@@ -53,7 +53,7 @@
 	rng_t *rng;
 	uint32_t call;
 	uint32_t failures;
-	bool acquiring; /**< `written` would make us the holder. */
+	bool acquiring;	    /**< `written` would make us the holder. */
 	bool name_is_bound; /**< See lease_bind_name(). */
 	uint64_t last_write_id;
 	char self[LEASE_ID_MAX_BYTES];
--- a/process/object_table.c
+++ b/process/object_table.c
@@ -36,8 +36,7 @@
 
 	if (table->count == table->size) {
 		size_t size = table->size ? table->size * 2 : 16;
-		object_row_t *rows =
-			realloc(table->rows, size * sizeof(*rows));
+		object_row_t *rows = realloc(table->rows, size * sizeof(*rows));
 
 		if (!rows)
 			return NULL;
@@ -188,10 +187,10 @@
 		if (row->lapsed_until_ms)
 			continue;
 		json_array_append_new(
-			rows, json_pack("[s,I,O?]", row->name,
-					(json_int_t)row->revision,
-					row->revision > since ? row->spec
-							      : NULL));
+			rows,
+			json_pack("[s,I,O?]", row->name,
+				  (json_int_t)row->revision,
+				  row->revision > since ? row->spec : NULL));
 	}
 	return json_pack("{s:I,s:b,s:o}", "revision",
 			 (json_int_t)table->revision, "complete",
@@ -203,7 +202,8 @@
 {
 	object_item_t item = {
 		.name = json_string_value(json_array_get(row, 0)),
-		.revision = (uint64_t)json_integer_value(json_array_get(row, 1)),
+		.revision =
+			(uint64_t)json_integer_value(json_array_get(row, 1)),
 		.spec = json_array_get(row, 2),
 	};
 	const object_row_t *mine;
@@ -211,7 +211,8 @@
 	if (!item.name)
 		return ERR_BAD_JSON;
 	mine = find_row(table, item.name);
-	if (json_is_null(item.spec) && (!mine || mine->revision < item.revision))
+	if (json_is_null(item.spec) &&
+	    (!mine || mine->revision < item.revision))
 		return ERR_BAD_JSON;
 	return put_item(table, &item);
 }
@@ -232,7 +233,7 @@
 	    (table->complete && revision <= table->revision))
 		return 0;
 	object_table_list_begin(table);
-	json_array_foreach(rows, at, row) {
+	json_array_foreach (rows, at, row) {
 		int result = import_row(table, row);
 
 		if (result < 0)
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -7,9 +7,6 @@
 #include "process/clock.h"
 #include "process/error.h"
 
-/** Time beyond its wait that a watch's answer may take, ms. */
-#define WATCH_EXTRA_MS 1500
-
 struct object_watch {
 	object_watch_options_t options;
 	struct event *timer;
@@ -121,10 +118,10 @@
 		send_call(watch);
 		return;
 	}
-	wait_then_send(watch, clock_now_ms() - watch->sent_ms <
-					      watch->options.gap_ms
-				      ? watch->options.gap_ms
-				      : 0);
+	wait_then_send(watch,
+		       clock_now_ms() - watch->sent_ms < watch->options.gap_ms
+			       ? watch->options.gap_ms
+			       : 0);
 }
 
 static void on_answer(void *context, int err, uint16_t status, const char *body,
@@ -161,13 +158,13 @@
 				    watch->list_after);
 	} else {
 		uint32_t wait_ms =
-			OBJECT_WATCH_WAIT_MS / 2 +
+			options->wait_ms / 2 +
 			(uint32_t)rng_below(options->rng,
-					    OBJECT_WATCH_WAIT_MS / 2);
+					    options->wait_ms / 2);
 
 		platform_write_watch(watch->message, options->kind,
 				     options->table->revision, wait_ms);
-		timeout_ms = wait_ms + WATCH_EXTRA_MS;
+		timeout_ms = wait_ms + options->late_ms;
 	}
 	watch->sent_ms = clock_now_ms();
 	watch->call = http_call_send(options->outbound, options->base,
--- a/process/object_watch.h
+++ b/process/object_watch.h
@@ -14,9 +14,6 @@
 #include "process/rng.h"
 
 enum {
-	/** Longest wait of a watch, ms. Each call is priced; the connection's
-	 * keep-alive finds one that went silent. */
-	OBJECT_WATCH_WAIT_MS = 20000,
 	/** Time for a call that does not wait, ms: the store answers in 4 ms,
 	 * and in some 300 ms while it is slow. */
 	OBJECT_CALL_TIMEOUT_MS = 1500,
@@ -36,6 +33,9 @@
 	/** Calls are at least so far apart, ms, so that a burst of changes
 	 * costs a few calls. */
 	uint32_t gap_ms;
+	/** Longest wait of a watch, and what its answer may take beyond, ms. */
+	uint32_t wait_ms;
+	uint32_t late_ms;
 	rng_t *rng;
 	/** The table changed. */
 	void (*changed)(void *context, object_kind_t kind);
--- a/process/peer_news.c
+++ b/process/peer_news.c
@@ -48,8 +48,7 @@
 	    !xdr_uint32_t(xdr, &news->sequence) ||
 	    !xdr_uint32_t(xdr, &news->domain) ||
 	    !xdr_uint32_t(xdr, &news->link_mbps) ||
-	    !xdr_uint32_t(xdr, &flags) ||
-	    !xdr_uint64_t(xdr, &news->fencing))
+	    !xdr_uint32_t(xdr, &flags) || !xdr_uint64_t(xdr, &news->fencing))
 		return false;
 	news->stopping = flags & FLAG_STOPPING;
 	news->watching = flags & FLAG_WATCHING;
--- a/process/peer_news.h
+++ b/process/peer_news.h
@@ -53,8 +53,8 @@
 /** What the holder of the weights duty knows of one endpoint. */
 typedef struct peer_weights {
 	uint64_t endpoint;
-	uint64_t weights;     /**< Version it holds; 0: not known. */
-	uint32_t loading_ms;  /**< No new work for so long; 0: none. */
+	uint64_t weights;    /**< Version it holds; 0: not known. */
+	uint32_t loading_ms; /**< No new work for so long; 0: none. */
 } peer_weights_t;
 
 /** An endpoint that gets no work from the sender because it failed. */
@@ -67,11 +67,11 @@
 	char name[PEER_NAME_MAX_BYTES];
 	uint64_t incarnation; /**< Rises with each start of an instance. */
 	uint32_t sequence;    /**< Rises with each datagram. */
-	uint32_t domain; /**< Hash of its failure domain. */
-	uint32_t link_mbps; /**< Of its machine. */
+	uint32_t domain;      /**< Hash of its failure domain. */
+	uint32_t link_mbps;   /**< Of its machine. */
 	bool stopping;
-	bool watching;	/**< It asks the store for changes. */
-	bool refused;	/**< The store does not answer it. */
+	bool watching;	  /**< It asks the store for changes. */
+	bool refused;	  /**< The store does not answer it. */
 	uint64_t fencing; /**< Of the weights lease; 0: not the holder. */
 	peer_table_t tables[OBJECT_KIND_COUNT];
 	uint32_t load_count;
--- a/process/placement.c
+++ b/process/placement.c
@@ -39,8 +39,8 @@
 static uint64_t weight_of(const placement_candidate_t *candidate,
 			  const placement_request_t *request)
 {
-	uint64_t key = request->shared_key ? request->shared_key
-					   : request->tie_break;
+	uint64_t key =
+		request->shared_key ? request->shared_key : request->tie_break;
 
 	return hash_rendezvous(key, candidate->id_hash);
 }
@@ -114,8 +114,8 @@
 
 	if (overflows(candidate, request))
 		cost += OVERFLOW_COST_MS *
-			(1 + (double)candidate->runs /
-				     (candidate->slots + 1.0));
+			(1 +
+			 (double)candidate->runs / (candidate->slots + 1.0));
 	if (!candidate->same_domain)
 		cost += FAR_COST_MS;
 	if (candidate->old_weights)
--- a/process/placement.h
+++ b/process/placement.h
@@ -40,7 +40,7 @@
 	uint64_t cache_tokens; /**< Memory of the engine; 0: a plain service. */
 	uint32_t error_rate;   /**< In 1/1024. */
 	uint32_t cold_left_ms;
-	uint32_t held_tokens;  /**< Of the beginning, in its cache. */
+	uint32_t held_tokens; /**< Of the beginning, in its cache. */
 	/** Of the beginning, in another's cache or the store; these can be
 	 * fetched. */
 	uint32_t fetchable_tokens;
@@ -57,10 +57,10 @@
 } placement_request_t;
 
 typedef struct placement_choice {
-	int32_t index;	 /**< Or PLACEMENT_NONE. */
-	int32_t home;	 /**< First in the order of the homes. */
-	double cost_ms;	 /**< Estimated time to the first token. */
-	bool overflows;	 /**< Its memory or slots are taken. */
+	int32_t index;	/**< Or PLACEMENT_NONE. */
+	int32_t home;	/**< First in the order of the homes. */
+	double cost_ms; /**< Estimated time to the first token. */
+	bool overflows; /**< Its memory or slots are taken. */
 } placement_choice_t;
 
 /** Estimated time until an engine begins to read another prompt, ms. */
--- a/process/retry_budget.h
+++ b/process/retry_budget.h
@@ -27,8 +27,8 @@
 } retry_row_t;
 
 typedef struct retry_budget {
-	double ratio;	      /**< Repeats for each request. */
-	uint32_t slack;	      /**< Repeats of the whole fleet beside that. */
+	double ratio;	/**< Repeats for each request. */
+	uint32_t slack; /**< Repeats of the whole fleet beside that. */
 	uint32_t window_ms;
 	uint32_t instances; /**< That share the slack; at least 1. */
 	retry_row_t rows[RETRY_SERVICES_MAX];
--- a/process/weights_roll.c
+++ b/process/weights_roll.c
@@ -76,8 +76,8 @@
 	return engine->named && version_of(row, engine) < engine->named;
 }
 
-static void order(roll_row_t *row, const roll_engine_t *engine,
-		  uint64_t now_ms, roll_actions_t *actions)
+static void order(roll_row_t *row, const roll_engine_t *engine, uint64_t now_ms,
+		  roll_actions_t *actions)
 {
 	roll_action_t *action;
 
@@ -228,21 +228,18 @@
 		return;
 	}
 	row->confirmed = report->weights;
-	if (row->state == ROLL_ASKING && !report->busy) {
-		row->accepted = report->accepted;
-		enter(row, ROLL_KNOWN, now_ms, 0);
-	} else if (row->state == ROLL_ASKING) {
+	row->accepted = report->accepted;
+	if (row->state == ROLL_ASKING && report->busy) {
 		/* An order of an earlier holder is carried out. */
-		row->accepted = report->accepted;
 		row->target = UINT64_MAX;
 		enter(row, ROLL_LOADING, now_ms, ROLL_ASK_MS);
-	} else if (report->busy || report->weights >= row->target) {
-		row->accepted = report->accepted;
-		row->next_ms =
-			report->busy ? now_ms + ROLL_ASK_MS : now_ms;
+	} else if (report->busy) {
+		row->next_ms = now_ms + ROLL_ASK_MS;
+	} else if (row->state == ROLL_LOADING &&
+		   report->weights >= row->target) {
+		row->next_ms = now_ms;
 	} else {
-		/* Not carried out, or by an earlier holder: order anew. */
-		row->accepted = report->accepted;
+		/* It was not carried out, or is the first for it. */
 		enter(row, ROLL_KNOWN, now_ms, 0);
 	}
 }
--- a/process/weights_roll.h
+++ b/process/weights_roll.h
@@ -61,13 +61,13 @@
 
 /** One engine as the caller sees it. */
 typedef struct roll_engine {
-	uint64_t key;	   /**< Names one lifetime. */
-	uint32_t index;	   /**< Of the caller. */
-	uint64_t weights;  /**< Believed version; 0: not known. */
-	uint64_t named;	   /**< Newest named version of its model. */
-	uint32_t runs;	   /**< In progress there. */
+	uint64_t key;	     /**< Names one lifetime. */
+	uint32_t index;	     /**< Of the caller. */
+	uint64_t weights;    /**< Believed version; 0: not known. */
+	uint64_t named;	     /**< Newest named version of its model. */
+	uint32_t runs;	     /**< In progress there. */
 	uint64_t overdue_ms; /**< Since newer weights were named. */
-	bool reachable;	   /**< Not ejected and not leaving. */
+	bool reachable;	     /**< Not ejected and not leaving. */
 } roll_engine_t;
 
 typedef struct roll_row {
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -23,6 +23,11 @@
  * come back spread over half a second. */
 #define RETRY_AFTER_MIN_MS 250
 #define RETRY_AFTER_SPREAD_MS 500
+/** A stream that may be repeated goes on elsewhere after so long without a
+ * piece, ms: several times the longest pause that the sheets allow (400). */
+#define STALL_MS 1500
+/** Before its first piece the estimated time counts so many times. */
+#define STALL_ESTIMATES 4
 /** A plain request that may be repeated is sent to another endpoint after so
  * many times its target, at least so late, ms. */
 #define SLOW_TARGETS 2
@@ -70,13 +75,14 @@
 	const endpoint_entry_t *endpoint;
 	outbound_call_t *call;
 	uint64_t sent_ms;
+	uint64_t piece_ms; /**< The last piece of a stream arrived. */
 	uint64_t attempt_until_ms; /**< 0: to the end. */
 	uint32_t counted_tokens;
 	uint32_t counted_prefill;
 	uint64_t weights;
 	answer_facts_t answer;
 	uint16_t status;
-	bool answered;	/**< The attempt's head came. */
+	bool answered; /**< The attempt's head came. */
 	bool lengthless;
 	/* The beginning: a key for each of its parts and the ones before. */
 	uint32_t level_count;
@@ -315,8 +321,7 @@
 	if (exchange->passing_on) {
 		inbound_abort(exchange->request);
 	} else {
-		platform_write_refusal(lines, sizeof(lines),
-				       exchange->facts.id,
+		platform_write_refusal(lines, sizeof(lines), exchange->facts.id,
 				       retry_after_ms(exchange, err));
 		inbound_answer(exchange->request, answer->http_status, lines,
 			       answer->text, strlen(answer->text));
@@ -379,18 +384,17 @@
 	uint64_t now_ms = clock_now_ms();
 
 	if (endpoint_load_failed(load, weight, now_ms))
-		event_log(EVENT_ENDPOINT_EJECTED,
-			  "endpoint=%s failures=%u for_ms=%llu", load->id,
-			  atomic_load(&load->failures),
-			  (unsigned long long)(load->ejected_until_ms -
-					       now_ms));
+		event_log(
+			EVENT_ENDPOINT_EJECTED,
+			"endpoint=%s failures=%u for_ms=%llu", load->id,
+			atomic_load(&load->failures),
+			(unsigned long long)(load->ejected_until_ms - now_ms));
 }
 
 static bool take_retry(exchange_t *exchange)
 {
-	uint64_t service =
-		hash_string(exchange->view->desired->services[exchange->service]
-				    .name);
+	uint64_t service = hash_string(
+		exchange->view->desired->services[exchange->service].name);
 
 	if (retry_budget_take(&exchange->env->retries, service, clock_now_ms()))
 		return true;
@@ -463,14 +467,23 @@
 	(void)what;
 	if (now_ms < exchange->until_ms) {
 		/* The endpoint is slow; another one may be faster. */
+		if (is_stream(exchange) &&
+		    now_ms < exchange->piece_ms + STALL_MS) {
+			exchange->attempt_until_ms =
+				exchange->piece_ms + STALL_MS;
+			arm(exchange);
+			return;
+		}
 		exchange->attempt_until_ms = 0;
-		if (exchange->answered ||
+		if ((exchange->answered && !is_stream(exchange)) ||
 		    exchange->runs >= exchange->route->attempts_max ||
 		    !take_retry(exchange)) {
 			arm(exchange);
 			return;
 		}
-		note_failure(exchange, "slow");
+		note_failure(exchange,
+			     is_stream(exchange) ? "stalled" : "slow");
+		event_cut_reset(&exchange->cut);
 		note_endpoint_failed(exchange, FAILURE_ONE);
 		leave_endpoint(exchange);
 		place(exchange);
@@ -525,7 +538,6 @@
 	atomic_store(&exchange->endpoint->load->last_byte_ms, clock_now_ms());
 	note_weights(exchange);
 	if (is_stream(exchange) && head->status / 100 == 2) {
-		exchange->attempt_until_ms = 0;
 		if (exchange->request && !exchange->passing_on)
 			begin_passing_on(exchange, head);
 		return;
@@ -548,8 +560,9 @@
 			return;
 		exchange->last_event = id;
 	}
+	exchange->piece_ms = clock_now_ms();
 	if (!exchange->first_event_ms) {
-		exchange->first_event_ms = clock_now_ms();
+		exchange->first_event_ms = exchange->piece_ms;
 		metrics_observe_ms(METRIC_GATEWAY_FIRST_MS,
 				   exchange->first_event_ms -
 					   exchange->began_ms);
@@ -617,7 +630,7 @@
 	endpoint_load_t *load = exchange->endpoint->load;
 	const named_weights_t *named;
 
-	if (answer->instance && strcmp(answer->instance, load->id)) {
+	if (answer->instance && strcmp(answer->instance, load->id) != 0) {
 		atomic_store(&load->leaving, true);
 		event_log(EVENT_ENDPOINT_REPLACED, "endpoint=%s found=%s",
 			  load->id, answer->instance);
@@ -659,8 +672,8 @@
 	} else {
 		note_failure(exchange, "server_error");
 		note_endpoint_failed(exchange, FAILURE_ONE);
-		after_attempt(exchange, status == 503 ? ATTEMPT_UNKNOWN
-						      : ATTEMPT_FAILED);
+		after_attempt(exchange,
+			      status == 503 ? ATTEMPT_UNKNOWN : ATTEMPT_FAILED);
 	}
 }
 
@@ -686,8 +699,8 @@
 		return;
 	case OUTBOUND_LOST:
 	case OUTBOUND_MALFORMED:
-		note_failure(exchange, result == OUTBOUND_LOST ? "lost"
-							       : "malformed");
+		note_failure(exchange,
+			     result == OUTBOUND_LOST ? "lost" : "malformed");
 		note_endpoint_failed(exchange, FAILURE_ONE);
 		event_cut_reset(&exchange->cut);
 		exchange->answered = false;
@@ -818,10 +831,10 @@
 	double rate = SAVE_LINK_PART * store->engine.link_mbps * 125 /
 		      ((double)service->engine.token_bytes + 1) /
 		      env->instances;
-	uint32_t shared = exchange->level_count
-				  ? exchange->level_tokens
-					    [exchange->level_count - 1]
-				  : 0;
+	uint32_t shared =
+		exchange->level_count
+			? exchange->level_tokens[exchange->level_count - 1]
+			: 0;
 
 	env->save_tokens += rate * (double)(now_ms - env->save_filled_ms);
 	if (env->save_tokens > rate * 1000)
@@ -853,8 +866,8 @@
 	dispatch_facts_t dispatch = {
 		.deadline_ms = (uint32_t)time_left(exchange, now_ms),
 		.instance = endpoint->id,
-		.customer = exchange->customer ? exchange->customer->name
-					       : NULL,
+		.customer =
+			exchange->customer ? exchange->customer->name : NULL,
 		.priority = -1,
 		.last_event = exchange->last_event,
 		.body_bytes = body ? evbuffer_get_length(body) : 0,
@@ -867,8 +880,8 @@
 	if (service->role == SERVICE_ENGINE) {
 		store = cache_store_of(exchange);
 		exchange->saving =
-			store && take_save(exchange, store, exchange->weights,
-					   now_ms);
+			store &&
+			take_save(exchange, store, exchange->weights, now_ms);
 		write_salt(exchange, salt);
 		dispatch.cache_salt = salt;
 		dispatch.weights = exchange->weights;
@@ -923,8 +936,7 @@
 			if (j == i || all->weights[j] != all->weights[i] ||
 			    !can_give(group->entries[j], now_ms) ||
 			    all->items[j].held_tokens <= item->held_tokens ||
-			    all->items[j].held_tokens <=
-				    item->fetchable_tokens)
+			    all->items[j].held_tokens <= item->fetchable_tokens)
 				continue;
 			item->fetchable_tokens = all->items[j].held_tokens;
 			all->sources[i] = group->entries[j]->address_text;
@@ -948,9 +960,9 @@
 		uint64_t weights = model ? endpoint_weights(entry, model) : 0;
 
 		fill_candidate(exchange, entry, now_ms, named, item);
-		item->held_tokens = believed_tokens(
-			exchange, source_of(entry->load), ENGINE_BELIEF_MS,
-			weights, now_ms);
+		item->held_tokens =
+			believed_tokens(exchange, source_of(entry->load),
+					ENGINE_BELIEF_MS, weights, now_ms);
 		all->weights[all->count++] = weights;
 	}
 	if (exchange->level_count)
@@ -985,19 +997,25 @@
 		     exchange->weights);
 }
 
-static void start_attempt(exchange_t *exchange, uint64_t now_ms)
+static void start_attempt(exchange_t *exchange, uint64_t now_ms,
+			  double estimate_ms)
 {
 	exchange->sent_ms = now_ms;
 	exchange->answered = false;
 	exchange->status = 0;
+	exchange->piece_ms = 0;
 	exchange->attempt_until_ms = 0;
+	if (is_stream(exchange) && may_repeat(exchange))
+		exchange->attempt_until_ms =
+			now_ms + STALL_MS +
+			(uint64_t)(STALL_ESTIMATES * estimate_ms);
 	if (exchange->route->kind == REPEAT_IDEMPOTENT) {
 		uint64_t limit_ms =
 			SLOW_TARGETS * exchange->route->target_latency_ms;
 
 		exchange->attempt_until_ms =
-			now_ms + (limit_ms > SLOW_MIN_MS ? limit_ms
-							 : SLOW_MIN_MS);
+			now_ms +
+			(limit_ms > SLOW_MIN_MS ? limit_ms : SLOW_MIN_MS);
 	}
 	arm(exchange);
 }
@@ -1018,8 +1036,11 @@
 	fill_candidates(exchange, now_ms, &all);
 	placement_choose(all.items, all.count, &need, &choice);
 	if (choice.index == PLACEMENT_NONE) {
-		refuse(exchange, exchange->runs ? ERR_ENDPOINT_LOST
-						: ERR_NO_ENDPOINT);
+		if (exchange->runs)
+			refuse(exchange, ERR_ENDPOINT_LOST);
+		else
+			refuse(exchange, exchange->refusals ? ERR_OVERLOADED
+							    : ERR_NO_ENDPOINT);
 		return;
 	}
 	endpoint = group->entries[choice.index];
@@ -1036,11 +1057,10 @@
 		  (unsigned long long)exchange->weights, choice.cost_ms,
 		  need.shared_tokens, all.items[choice.index].held_tokens,
 		  all.items[choice.index].fetchable_tokens, exchange->saving,
-		  all.items[choice.index].prefill,
-		  all.items[choice.index].runs,
+		  all.items[choice.index].prefill, all.items[choice.index].runs,
 		  (unsigned long long)time_left(exchange, now_ms),
 		  !err && outbound_was_reused(exchange->call), error_type(err));
-	start_attempt(exchange, now_ms);
+	start_attempt(exchange, now_ms, choice.cost_ms);
 	if (err)
 		after_attempt(exchange, ATTEMPT_NOT_SENT);
 }
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -51,10 +51,10 @@
 	outbound_t *outbound;
 	retry_budget_t retries;
 	rng_t rng;
-	belief_t beliefs;	  /**< Beginnings in caches. */
-	note_ring_t *own_notes;	  /**< To the other instances. */
-	note_ring_t *peer_notes;  /**< From the other instances. */
-	double save_tokens;	  /**< That may be saved in the store now. */
+	belief_t beliefs;	 /**< Beginnings in caches. */
+	note_ring_t *own_notes;	 /**< To the other instances. */
+	note_ring_t *peer_notes; /**< From the other instances. */
+	double save_tokens;	 /**< That may be saved in the store now. */
 	uint64_t save_filled_ms;
 	const char *domain;  /**< Failure domain of this instance. */
 	uint32_t instances;  /**< Of the whole system, this one included. */
--- a/t/docs.sh
+++ b/t/docs.sh
@@ -13,7 +13,8 @@
 
 "$build/amaranthvale" events >"$out/log-events.md"
 "$build/amaranthvale" errors >"$out/errors.md"
-for program in amaranthvale amaranthvale-router amaranthvale-load; do
+for program in amaranthvale amaranthvale-router amaranthvale-gateway \
+	amaranthvale-load; do
 	{
 		printf '# %s\n\nPrinted by `%s --help`. ' "$program" "$program"
 		printf 'A flag `--store-url` can be given as `AMV_STORE_URL`; '
@@ -25,7 +26,8 @@
 
 [ "$out" = docs ] && exit 0
 for page in log-events.md errors.md programs/amaranthvale.md \
-	programs/amaranthvale-router.md programs/amaranthvale-load.md; do
+	programs/amaranthvale-router.md programs/amaranthvale-gateway.md \
+	programs/amaranthvale-load.md; do
 	diff -u "docs/$page" "$out/$page" ||
 		{ echo "docs/$page is out of date: run make docs"; exit 1; }
 done
--- a/t/lib/harness.c
+++ b/t/lib/harness.c
@@ -217,6 +217,12 @@
 	return port;
 }
 
+const char *program_output(program_t *program)
+{
+	read_output(program);
+	return program->output->str;
+}
+
 uint16_t program_main_port(program_t *program)
 {
 	if (!program->main_port)
--- a/t/lib/harness.h
+++ b/t/lib/harness.h
@@ -57,6 +57,12 @@
  */
 uint16_t program_port(program_t *program, const char *label);
 
+/**
+ * What the program has printed on standard output so far.
+ * @return text that is valid until the next call about this program
+ */
+const char *program_output(program_t *program);
+
 /** Port from the line `port=N`. */
 uint16_t program_main_port(program_t *program);
 
--- a/t/lib/platform_store.c
+++ b/t/lib/platform_store.c
@@ -157,8 +157,8 @@
 	CLEANUP_JSON json_t *object = json_loads(request->body, 0, NULL);
 	const json_t *metadata = json_object_get(object, "metadata");
 	json_t *spec = json_object_get(object, "spec");
-	uint64_t revision = (uint64_t)json_integer_value(
-		json_object_get(metadata, "rev"));
+	uint64_t revision =
+		(uint64_t)json_integer_value(json_object_get(metadata, "rev"));
 	bool create = g_str_has_prefix(request->head, "POST");
 	const change_t *now;
 
@@ -167,7 +167,7 @@
 	now = newest(store, kind, name);
 	if (!create && !now)
 		send_json(request, 404, NULL);
-	else if ((create && now) || (revision && revision != now->revision))
+	else if (now && (create || (revision && revision != now->revision)))
 		send_json(request, 409, object_of(now));
 	else
 		send_json(request, 200,
--- a/t/lib/raw_server.c
+++ b/t/lib/raw_server.c
@@ -53,8 +53,7 @@
 
 		if (end) {
 			*head_len = (size_t)(end - input->str) + 4;
-			if (input->len >=
-			    *head_len + body_length(input->str))
+			if (input->len >= *head_len + body_length(input->str))
 				return true;
 		}
 		len = recv(fd, bytes, sizeof(bytes), 0);
@@ -142,9 +141,9 @@
 	g_assert_cmpint(listen(server->fd, 64), ==, 0);
 	getsockname(server->fd, (struct sockaddr *)&address, &len);
 	server->port = ntohs(address.sin_port);
-	g_assert_cmpint(pthread_create(&server->thread, NULL, accept_main,
-				       server),
-			==, 0);
+	g_assert_cmpint(
+		pthread_create(&server->thread, NULL, accept_main, server), ==,
+		0);
 	return server;
 }
 
@@ -191,7 +190,7 @@
 	     line = strstr(line + 2, "\r\n")) {
 		const char *value = line + 2 + len;
 
-		if (strncasecmp(line + 2, name, len) || *value != ':')
+		if (strncasecmp(line + 2, name, len) != 0 || *value != ':')
 			continue;
 		value += 1 + strspn(value + 1, " ");
 		return strndup(value, strcspn(value, "\r\n"));
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -91,7 +91,7 @@
 	g_string_append_printf(context, "[%lld %zu]",
 			       id == EVENT_CUT_NO_ID ? -1LL : (long long)id,
 			       len);
-	g_assert_cmpint(bytes[len - 1], ==, '\n');
+	g_assert_true(bytes[len - 1] == '\n');
 }
 
 typedef struct cut_case {
@@ -121,9 +121,9 @@
 		event_cut_t cut = { 0 };
 		GString *seen = g_string_new(NULL);
 
-		g_assert_cmpint(event_cut_feed(&cut, row->bytes, at, collect,
-					       seen),
-				==, 0);
+		g_assert_cmpint(
+			event_cut_feed(&cut, row->bytes, at, collect, seen), ==,
+			0);
 		g_assert_cmpint(event_cut_feed(&cut, row->bytes + at, len - at,
 					       collect, seen),
 				==, 0);
--- a/t/test-inbound.c
+++ b/t/test-inbound.c
@@ -147,12 +147,12 @@
 		read_caller(rig);
 }
 
-#define wait_for(rig, condition)                                       \
-	do {                                                           \
-		gint64 end = g_get_monotonic_time() + WAIT_MS * 1000;  \
-		while (!(condition) && g_get_monotonic_time() < end)   \
-			turn(rig);                                     \
-		g_assert_true(condition);                              \
+#define wait_for(rig, condition)                                      \
+	do {                                                          \
+		gint64 end = g_get_monotonic_time() + WAIT_MS * 1000; \
+		while (!(condition) && g_get_monotonic_time() < end)  \
+			turn(rig);                                    \
+		g_assert_true(condition);                             \
 	} while (0)
 
 static void say(rig_t *rig, const char *text)
@@ -332,8 +332,8 @@
 	g_test_add_func("/inbound/head-too-large", test_head_too_large);
 	g_test_add_func("/inbound/chunked-body", test_chunked_body);
 	for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++) {
-		char *path = g_strdup_printf("/inbound/bad/%s",
-					     bad_cases[i].name);
+		char *path =
+			g_strdup_printf("/inbound/bad/%s", bad_cases[i].name);
 
 		g_test_add_data_func(path, &bad_cases[i], test_bad_request);
 		g_free(path);
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -29,6 +29,7 @@
 	CUT_EVENT, /**< A stream ends within its third event. */
 	NO_LENGTH, /**< The answer ends with its connection. */
 	HOLD,	   /**< Answers when the test says so. */
+	STALL,	   /**< A stream goes silent after two events. */
 } behaviour_t;
 
 typedef struct endpoint {
@@ -66,6 +67,11 @@
 	for (int i = after + 1; i <= EVENTS; i++) {
 		char *event = g_strdup_printf("id: %d\ndata: e%d\n\n", i, i);
 
+		if (endpoint->behaviour == STALL && i == 3) {
+			g_free(event);
+			WAIT_UNTIL(endpoint->released, HARNESS_WAIT_MS);
+			return;
+		}
 		if (endpoint->behaviour == CUT_EVENT && i == 3) {
 			raw_send(request, "5\r\n%.5s\r\n", event);
 			g_free(event);
@@ -103,8 +109,8 @@
 	case VANISH:
 		return RAW_RESET;
 	case EXTRA:
-		send_answer(request, "of-another", 200,
-			    "Response-Stamp: s\r\n", "not yours");
+		send_answer(request, "of-another", 200, "Response-Stamp: s\r\n",
+			    "not yours");
 		break;
 	case NO_LENGTH:
 		raw_send(request,
@@ -116,6 +122,7 @@
 		WAIT_UNTIL(endpoint->released, HARNESS_WAIT_MS);
 		break;
 	case CUT_EVENT:
+	case STALL:
 	case ANSWER:
 		break;
 	}
@@ -167,20 +174,20 @@
 static void put_entry(world_t *world, endpoint_t *endpoint, const char *state)
 {
 	char address[32];
-	json_t *models = strcmp(endpoint->service, "llm")
-				 ? json_array()
-				 : json_pack("[{s:s,s:I}]", "name", "m",
-					     "version",
-					     (json_int_t)endpoint->weights);
+	json_t *models =
+		strcmp(endpoint->service, "llm")
+			? json_array()
+			: json_pack("[{s:s,s:I}]", "name", "m", "version",
+				    (json_int_t)endpoint->weights);
 
 	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
 		   raw_server_port(endpoint->server));
-	platform_store_put(
-		world->store, "servers", endpoint->id,
-		json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:I}", "service",
-			  endpoint->service, "addr", address, "zone", "z",
-			  "slots", 8, "state", state, "models", models, "born",
-			  (json_int_t)1000 + endpoint->order));
+	platform_store_put(world->store, "servers", endpoint->id,
+			   json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:I}", "service",
+				     endpoint->service, "addr", address, "zone",
+				     "z", "slots", 8, "state", state, "models",
+				     models, "born",
+				     (json_int_t)1000 + endpoint->order));
 }
 
 static void start_endpoint(world_t *world, endpoint_t *endpoint,
@@ -237,9 +244,9 @@
 
 static void name_weights(world_t *world, int version)
 {
-	platform_store_put(world->store, "versions", "m",
-			   json_pack("{s:s,s:i}", "model", "m", "version",
-				     version));
+	platform_store_put(
+		world->store, "versions", "m",
+		json_pack("{s:s,s:i}", "model", "m", "version", version));
 }
 
 static bool is_ready(world_t *world, int gateway)
@@ -490,6 +497,28 @@
 	world_stop(&world);
 }
 
+/* Failure: the rest of an answer was lost while its connection stayed open, and
+ * the caller waited until its patience ended. */
+static void test_stream_stalls(void)
+{
+	world_t world;
+	char *answer;
+
+	world_start(&world, 1);
+	behave(world.engines, STALL);
+	world.engines[1].behaviour = ANSWER;
+	for (int i = 0; i < 2; i++) {
+		answer = ask(&world, 0, "POST", "/stream/again/1", MODEL);
+		assert_events(answer);
+		g_assert_true(g_str_has_suffix(answer, "0\r\n\r\n"));
+		g_free(answer);
+		world.engines[0].behaviour = ANSWER;
+		world.engines[1].behaviour = STALL;
+	}
+	g_assert_cmpuint(arrivals(world.engines), >=, 3);
+	world_stop(&world);
+}
+
 /* Failure: a stream that may not be repeated was, or its cut end looked like
  * the end of the answer. */
 static void test_stream_once(void)
@@ -567,16 +596,16 @@
 	for (int i = 0; i < ENDPOINTS; i++)
 		g_assert_true(WAIT_UNTIL(world.engines[i].weights == 2,
 					 HARNESS_WAIT_MS));
-	g_assert_true(WAIT_UNTIL(
-		({
-			char *text = ask(&world, 1, "POST", "/stream/once/1",
-					 MODEL);
-
-			g_free(text);
-			strstr(used(world.engines)->last_head,
-			       "Expect-Version: 2") != NULL;
-		}),
-		HARNESS_WAIT_MS));
+	g_assert_true(WAIT_UNTIL(({
+					 char *text =
+						 ask(&world, 1, "POST",
+						     "/stream/once/1", MODEL);
+
+					 g_free(text);
+					 strstr(used(world.engines)->last_head,
+						"Expect-Version: 2") != NULL;
+				 }),
+				 HARNESS_WAIT_MS));
 	for (int i = 0; i < ENDPOINTS; i++)
 		g_assert_cmpuint(world.engines[i].orders, ==, 1);
 	answer = ask(&world, 0, "POST", "/stream/again/1", MODEL);
@@ -608,8 +637,7 @@
 	world_start(&world, 1);
 	behave(world.plain, HOLD);
 	pthread_create(&thread, NULL, held_main, &call);
-	g_assert_true(
-		WAIT_UNTIL(arrivals(world.plain) == 1, HARNESS_WAIT_MS));
+	g_assert_true(WAIT_UNTIL(arrivals(world.plain) == 1, HARNESS_WAIT_MS));
 	program_signal(world.gateways[0], SIGTERM);
 	g_assert_true(WAIT_UNTIL(!is_ready(&world, 0), HARNESS_WAIT_MS));
 	world.plain[0].released = true;
@@ -649,12 +677,69 @@
 	world_stop(&world);
 }
 
+typedef struct story_case {
+	const char *name;
+	const char *path;
+	behaviour_t behaviour;
+	const char *status;
+	const char *lines[3]; /**< In this order, each with the id. */
+} story_case_t;
+
+/* The three stories of docs/OPERATIONS.md. Failure: a log that does not lead
+ * from a request's id to its cause. */
+static const story_case_t stories[] = {
+	{ "order-refused",
+	  "/order/1",
+	  REFUSE,
+	  "HTTP/1.1 503",
+	  { "name=request_attempt_failed id=r-1 endpoint=desk-",
+	    "why=not_run status=503", "outcome=overloaded status=503" } },
+	{ "order-unknown",
+	  "/order/1",
+	  VANISH,
+	  "HTTP/1.1 502",
+	  { "name=request_placed id=r-1 endpoint=desk-", "why=lost",
+	    "outcome=endpoint_lost status=502" } },
+	{ "stream-broken",
+	  "/stream/once/1",
+	  CUT_EVENT,
+	  "HTTP/1.1 200",
+	  { "name=request_placed id=r-1 endpoint=llm-", "last_event=2",
+	    "outcome=endpoint_lost status=0" } },
+};
+
+static bool tells_story(world_t *world, const story_case_t *story)
+{
+	const char *at = program_output(world->gateways[0]);
+
+	for (size_t i = 0; at && i < G_N_ELEMENTS(story->lines); i++)
+		at = strstr(at, story->lines[i]);
+	return at != NULL;
+}
+
+static void test_story(const void *data)
+{
+	const story_case_t *story = data;
+	world_t world;
+	char *answer;
+
+	world_start(&world, 1);
+	behave(world.plain, story->behaviour);
+	behave(world.engines, story->behaviour);
+	answer = ask(&world, 0, "POST", story->path, MODEL);
+	g_assert_true(g_str_has_prefix(answer, story->status));
+	g_assert_true(WAIT_UNTIL(tells_story(&world, story), HARNESS_WAIT_MS));
+	g_free(answer);
+	world_stop(&world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/it-gateway/headers", test_headers);
 	g_test_add_func("/it-gateway/extra-answer", test_extra_answer);
 	g_test_add_func("/it-gateway/stream-goes-on", test_stream_goes_on);
+	g_test_add_func("/it-gateway/stream-stalls", test_stream_stalls);
 	g_test_add_func("/it-gateway/stream-once", test_stream_once);
 	g_test_add_func("/it-gateway/store-outage", test_store_outage);
 	g_test_add_func("/it-gateway/leaving", test_leaving);
@@ -667,5 +752,12 @@
 		g_test_add_data_func(path, &answer_cases[i], test_answers);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(stories); i++) {
+		char *path = g_strdup_printf("/it-gateway/story/%s",
+					     stories[i].name);
+
+		g_test_add_data_func(path, &stories[i], test_story);
+		g_free(path);
+	}
 	return g_test_run();
 }
--- a/t/test-routing.c
+++ b/t/test-routing.c
@@ -336,16 +336,18 @@
 	endpoint_init(&endpoint, 1);
 	endpoint_identity(&endpoint, 1, "v1", 1000);
 	g_assert_false(belief_event(belief, &endpoint.belief, 5, true, 1000));
-	g_assert_cmpuint(belief_tokens(belief, &endpoint.belief, 5, 1000), ==, 0);
+	g_assert_cmpuint(belief_tokens(belief, &endpoint.belief, 5, 1000), ==,
+			 0);
 	for (int i = 0; i < 5; i++) {
 		uint64_t now_ms = 1000;
 
 		belief_confirm(belief, &endpoint.belief, 5, 70, now_ms);
-		g_assert_cmpuint(belief_tokens(belief, &endpoint.belief, 5, now_ms),
-				 ==, 70);
+		g_assert_cmpuint(
+			belief_tokens(belief, &endpoint.belief, 5, now_ms), ==,
+			70);
 		if (i == 0)
-			g_assert_true(belief_event(belief, &endpoint.belief, 5, false,
-						   now_ms));
+			g_assert_true(belief_event(belief, &endpoint.belief, 5,
+						   false, now_ms));
 		else if (i == 1)
 			endpoint_identity(&endpoint, 2, NULL, now_ms);
 		else if (i == 2)
@@ -354,14 +356,17 @@
 			now_ms += BELIEF_EXPIRY_START_MS + 1;
 		else
 			break;
-		g_assert_cmpuint(belief_tokens(belief, &endpoint.belief, 5, now_ms),
-				 ==, 0);
+		g_assert_cmpuint(
+			belief_tokens(belief, &endpoint.belief, 5, now_ms), ==,
+			0);
 	}
 	g_assert_true(endpoint_events(&endpoint, 2, 10, 20, 1000));
 	g_assert_true(endpoint_events(&endpoint, 2, 20, 25, 1000));
-	g_assert_cmpuint(belief_tokens(belief, &endpoint.belief, 5, 1000), ==, 70);
+	g_assert_cmpuint(belief_tokens(belief, &endpoint.belief, 5, 1000), ==,
+			 70);
 	g_assert_false(endpoint_events(&endpoint, 2, 26, 30, 1000));
-	g_assert_cmpuint(belief_tokens(belief, &endpoint.belief, 5, 1000), ==, 0);
+	g_assert_cmpuint(belief_tokens(belief, &endpoint.belief, 5, 1000), ==,
+			 0);
 }
 
 /* Expiry must follow what answers show, in both directions. */
@@ -384,7 +389,8 @@
 
 			belief_confirm(belief, &endpoint.belief, j, 70, now_ms);
 			now_ms += age;
-			belief_answer(belief, &endpoint.belief, j, 70, cached, now_ms);
+			belief_answer(belief, &endpoint.belief, j, 70, cached,
+				      now_ms);
 		}
 		g_assert_cmpfloat(endpoint.belief.expiry_ms, >=,
 				  lifetimes_ms[i] / 2.0);
--- a/t/test-weights-roll.c
+++ b/t/test-weights-roll.c
@@ -9,7 +9,7 @@
 	STEP_MS = 50,
 	BOUND_MS = 8000,
 	LOAD_MS = 630,
-	RUN_MS = 4000,	 /**< Runs that a modelled engine has last so long. */
+	RUN_MS = 4000, /**< Runs that a modelled engine has last so long. */
 	ANSWER_MS = 10,
 	VERSIONS_MAX = 8,
 };
@@ -18,7 +18,7 @@
 typedef struct model_engine {
 	uint64_t weights;
 	uint64_t accepted;
-	uint64_t target;      /**< Of the order in progress; 0: none. */
+	uint64_t target; /**< Of the order in progress; 0: none. */
 	uint64_t done_ms;
 	uint64_t runs_end_ms; /**< 0: no runs. */
 	bool lose_answer;     /**< Of the next order; it is carried out. */
@@ -118,8 +118,7 @@
 		engine->lose_answer = false;
 		status = 0;
 	}
-	weights_roll_answered(&world->roll, action->key, status,
-			      world->now_ms);
+	weights_roll_answered(&world->roll, action->key, status, world->now_ms);
 }
 
 static void run_calls(world_t *world)
@@ -147,9 +146,9 @@
 			continue;
 		world->orders += action->kind == ROLL_ACTION_ORDER;
 		g_assert_false(world->calls[action->index].open);
-		world->calls[action->index] = (model_call_t){
-			*action, world->now_ms + ANSWER_MS, true
-		};
+		world->calls[action->index] =
+			(model_call_t){ *action, world->now_ms + ANSWER_MS,
+					true };
 	}
 }
 
@@ -216,7 +215,9 @@
 } size_case_t;
 
 static const size_case_t sizes[] = {
-	{ "one", 1 }, { "kiln", 9 }, { "subsol", 18 },
+	{ "one", 1 },
+	{ "kiln", 9 },
+	{ "subsol", 18 },
 };
 
 /* Failure: engines waited for their runs (up to 7 s) and the bound of 8 s was
--- a/version/assembly.c
+++ b/version/assembly.c
@@ -153,16 +153,16 @@
 	urcu_ref_get(&view->ref);
 	assembly->view = view;
 	view_publish(view);
-	event_log(EVENT_VIEW_PUBLISHED,
-		  "desired_version=%llu desired_revision=%llu endpoints=%zu "
-		  "endpoints_revision=%llu weights=%llu",
-		  (unsigned long long)assembly->desired->version,
-		  (unsigned long long)assembly->desired->revision, count,
-		  (unsigned long long)
-			  assembly->tables[OBJECT_ENDPOINTS].revision,
-		  (unsigned long long)(assembly->weights_count
-					       ? assembly->weights[0].versions[0]
-					       : 0));
+	event_log(
+		EVENT_VIEW_PUBLISHED,
+		"desired_version=%llu desired_revision=%llu endpoints=%zu "
+		"endpoints_revision=%llu weights=%llu",
+		(unsigned long long)assembly->desired->version,
+		(unsigned long long)assembly->desired->revision, count,
+		(unsigned long long)assembly->tables[OBJECT_ENDPOINTS].revision,
+		(unsigned long long)(assembly->weights_count
+					     ? assembly->weights[0].versions[0]
+					     : 0));
 	return 0;
 }
 
--- a/version/desired.c
+++ b/version/desired.c
@@ -35,8 +35,7 @@
 
 static void desired_free(struct urcu_ref *ref)
 {
-	desired_state_t *state =
-		caa_container_of(ref, desired_state_t, ref);
+	desired_state_t *state = caa_container_of(ref, desired_state_t, ref);
 
 	for (size_t i = 0; i < state->route_count; i++) {
 		free(state->routes[i].name);
@@ -130,9 +129,10 @@
 		const desired_route_t *route = &state->routes[i];
 		size_t len = strlen(route->path_prefix);
 
-		if (len < best_len || len > path_len || (best && len == best_len))
+		if (len < best_len || len > path_len ||
+		    (best && len == best_len))
 			continue;
-		if (strncmp(route->path_prefix, target, len) ||
+		if (strncmp(route->path_prefix, target, len) != 0 ||
 		    !host_matches(route->host, host))
 			continue;
 		best = route;
--- a/version/view.c
+++ b/version/view.c
@@ -57,10 +57,9 @@
 	view->endpoints = calloc(endpoint_count + 1, sizeof(*endpoints));
 	view->groups =
 		calloc(desired->service_count + 1, sizeof(*view->groups));
-	view->grouped =
-		calloc(endpoint_count + 1, sizeof(endpoint_entry_t *));
+	view->grouped = calloc(endpoint_count + 1, sizeof(endpoint_entry_t *));
 	if (!view->endpoints || !view->groups || !view->grouped) {
-		view_put(view);
+		view_free(&view->ref);
 		return NULL;
 	}
 	memcpy(view->endpoints, endpoints, endpoint_count * sizeof(*endpoints));
@@ -148,7 +147,7 @@
 	for (uint32_t i = 0; i < endpoint->model_count; i++) {
 		const model_weights_t *held = &endpoint->models[i];
 
-		if (strcmp(held->model, model))
+		if (strcmp(held->model, model) != 0)
 			continue;
 		return endpoint->model_count == 1 && seen > held->version
 			       ? seen
