--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,11 @@
 CPPFLAGS += -I. -D_GNU_SOURCE
 CFLAGS ?= -O2 -g
 CFLAGS += -std=gnu11 -pthread $(WARN)
-# A program loads only the libraries that it calls.
+# A program loads only the libraries that it calls. The sanitizers stand before
+# some of them and need them all.
+ifeq ($(SAN),)
 LDFLAGS += -Wl,--as-needed
+endif
 ifeq ($(SAN),address)
 SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
 	-fno-omit-frame-pointer
--- a/cmd/gateway_settings.c
+++ b/cmd/gateway_settings.c
@@ -126,7 +126,5 @@
 	for (int i = 1; i < argc && count < FILE_LINES_MAX; i++)
 		all[count++] = argv[i];
 	all[count] = NULL;
-	return settings_read(count, all, rows,
-			     "[OPTION...]",
-			     NULL);
+	return settings_read(count, all, rows, "[OPTION...]", NULL);
 }
--- /dev/null
+++ b/t/fuzz-platform.c
@@ -0,0 +1,55 @@
+/*
+ * Objects of the platform's store, engines' reports and peers' news. Guards
+ * against entries that are torn or of another writer.
+ */
+#include <string.h>
+
+#include "platform/platform_desired.h"
+#include "platform/platform_engine.h"
+#include "platform/platform_objects.h"
+#include "process/cleanup.h"
+#include "process/object_table.h"
+#include "process/peer_news.h"
+#include "t/lib/fuzz.h"
+
+static void read_spec(const json_t *spec)
+{
+	desired_state_t *state = NULL;
+	endpoint_entry_t entry;
+	model_weights_t weights;
+
+	if (!platform_read_desired(spec, 1, &state)) {
+		(void)desired_find_route(state, "h", "/p/");
+		(void)desired_find_key(state, "k");
+		desired_put(state);
+	}
+	if (!platform_read_endpoint("i", spec, &entry))
+		FUZZ_CHECK(entry.model_count <= VIEW_MODELS_MAX);
+	(void)platform_read_weights(spec, &weights);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
+	CLEANUP_JSON json_t *root =
+		json_loadb((const char *)data, size, 0, NULL);
+	object_table_t table = { 0 };
+	engine_report_t report;
+	peer_news_t news;
+	char copy[PEER_NEWS_MAX_BYTES];
+
+	read_spec(root);
+	(void)platform_read_report((const char *)data, size, &report);
+	if (!platform_read_page((const char *)data, size, &page)) {
+		(void)object_table_apply(&table, &page, 1);
+		for (size_t i = 0; i < page.count; i++)
+			read_spec(page.items[i].spec);
+	}
+	(void)object_table_import(&table, root, 2);
+	object_table_free(&table);
+	if (size <= sizeof(copy)) {
+		memcpy(copy, data, size);
+		(void)peer_news_decode(&news, copy, size);
+	}
+	return 0;
+}
--- /dev/null
+++ b/t/test-platform.c
@@ -0,0 +1,229 @@
+/* The adapter: what the platform's objects and heads are translated into. */
+#include <glib.h>
+#include <string.h>
+
+#include "platform/platform_desired.h"
+#include "platform/platform_engine.h"
+#include "platform/platform_objects.h"
+#include "platform/platform_request.h"
+#include "process/cleanup.h"
+#include "process/error.h"
+
+typedef struct entry_case {
+	const char *json;
+	bool usable;
+	bool draining;
+	uint64_t born_ms;
+} entry_case_t;
+
+#define ENTRY(state, addr, slots)                                              \
+	"{\"service\":\"s\",\"addr\":" addr ",\"zone\":\"z\",\"slots\":" slots \
+	",\"state\":\"" state "\""
+
+/* Failure: an entry of another writer, or a torn one, became an endpoint. */
+static const entry_case_t entries[] = {
+	{ ENTRY("ready", "\"10.0.0.1:80\"", "4") "}", true, false, 0 },
+	{ ENTRY("draining", "\"10.0.0.1:80\"", "4") ",\"born\":17}", true, true,
+	  17 },
+	{ ENTRY("ready", "\"10.0.0.1:80\"", "4") ",\"born\":\"x\"}", true,
+	  false, 0 },
+	{ ENTRY("resting", "\"10.0.0.1:80\"", "4") "}", false, false, 0 },
+	{ ENTRY("ready", "7", "4") "}", false, false, 0 },
+	{ ENTRY("ready", "\"10.0.0.1\"", "4") "}", false, false, 0 },
+	{ ENTRY("ready", "\"10.0.0.1:0\"", "4") "}", false, false, 0 },
+	{ ENTRY("ready", "\"10.0.0.1:99999\"", "4") "}", false, false, 0 },
+	{ ENTRY("ready", "\"host:80\"", "4") "}", false, false, 0 },
+	{ ENTRY("ready", "\"10.0.0.1:80\"", "\"4\"") "}", false, false, 0 },
+	{ "{\"service\":\"s\"}", false, false, 0 },
+	{ "[]", false, false, 0 },
+	{ "null", false, false, 0 },
+};
+
+static void test_entries(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(entries); i++) {
+		CLEANUP_JSON json_t *spec =
+			json_loads(entries[i].json, JSON_DECODE_ANY, NULL);
+		endpoint_entry_t entry;
+		int err = platform_read_endpoint("i-1", spec, &entry);
+
+		g_assert_true((err == 0) == entries[i].usable);
+		if (err)
+			continue;
+		g_assert_true(entry.draining == entries[i].draining);
+		g_assert_cmpuint(entry.born_ms, ==, entries[i].born_ms);
+	}
+}
+
+#define ROUTES                                                                \
+	"{\"version\":7,\"routes\":["                                         \
+	"{\"name\":\"a\",\"host\":\"h\",\"path_prefix\":\"/p/\","             \
+	"\"kind\":\"stream\",\"timeout_ms\":5000,\"priority\":1,"             \
+	"\"resumable\":true,\"max_attempts\":2,\"traffic_split\":["           \
+	"{\"service\":\"x\",\"weight\":90},{\"service\":\"y\",\"weight\":10}" \
+	"]},"                                                                 \
+	"{\"name\":\"b\",\"host\":\"h\",\"path_prefix\":\"/p/q/\","           \
+	"\"kind\":\"non_idempotent\",\"timeout_ms\":800,\"service\":\"y\"}],"
+#define SERVICES                                                \
+	"\"services\":[{\"name\":\"x\",\"health_path\":\"/h\"," \
+	"\"engine\":{\"slots\":48,\"kv_capacity\":9000}},"      \
+	"{\"name\":\"y\",\"health_path\":\"/h\"},"              \
+	"{\"name\":\"c\",\"kv_store_addr\":\"10.0.0.9:1\",\"zone\":\"z\"}]"
+#define TENANTS                                                       \
+	",\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"]," \
+	"\"priority\":3,\"isolated\":true}]}"
+
+static desired_state_t *read_state(const char *text)
+{
+	CLEANUP_JSON json_t *spec = json_loads(text, 0, NULL);
+	desired_state_t *state = NULL;
+
+	g_assert_nonnull(spec);
+	if (platform_read_desired(spec, 5, &state))
+		return NULL;
+	return state;
+}
+
+/* Failure: a shorter prefix, another host or a query decided the route. */
+static void test_routes(void)
+{
+	desired_state_t *state = read_state(ROUTES SERVICES TENANTS);
+	uint32_t counts[3] = { 0 };
+
+	g_assert_nonnull(state);
+	g_assert_cmpstr(desired_find_route(state, "h:80", "/p/x")->name, ==,
+			"a");
+	g_assert_cmpstr(desired_find_route(state, "H", "/p/q/x")->name, ==,
+			"b");
+	g_assert_cmpstr(desired_find_route(state, "h", "/p/x?y=/p/q/")->name,
+			==, "a");
+	g_assert_null(desired_find_route(state, "other", "/p/x"));
+	g_assert_null(desired_find_route(state, "h", "/p"));
+	g_assert_null(desired_find_route(state, "h", "/?/p/"));
+	for (uint64_t draw = 0; draw < 1000; draw++)
+		counts[desired_pick_service(&state->routes[0], draw)]++;
+	g_assert_cmpuint(counts[0], ==, 900);
+	g_assert_cmpuint(counts[1], ==, 100);
+	desired_put(state);
+}
+
+/* Failure: a key of nobody, or a part of one, was accepted. */
+static void test_keys(void)
+{
+	desired_state_t *state = read_state(ROUTES SERVICES TENANTS);
+
+	g_assert_cmpstr(desired_find_key(state, "k2")->name, ==, "t");
+	g_assert_true(desired_find_key(state, "k1")->isolated);
+	g_assert_cmpint(desired_find_key(state, "k1")->priority, ==, 3);
+	g_assert_null(desired_find_key(state, "k"));
+	g_assert_null(desired_find_key(state, "k12"));
+	g_assert_null(desired_find_key(state, ""));
+	desired_put(state);
+}
+
+/* Failure: a state that cannot be used replaced one that can. */
+static void test_bad_states(void)
+{
+	static const char *const bad[] = {
+		"{}",
+		"{\"version\":\"7\",\"routes\":[],\"services\":[]}",
+		ROUTES "\"services\":[]}",
+		"{\"version\":7,\"services\":[],\"routes\":[{}]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		g_assert_null(read_state(bad[i]));
+}
+
+/* Failure: part ids or sizes of a prompt were read wrongly. */
+static void test_request(void)
+{
+	static char text[] = "/p\0Request-Id\0r\0Prompt-Prefix\0"
+			     "5c1e07a2:800, 91bd3f06:410,e4402b7d:250\0"
+			     "Token-Usage\0"
+			     "1460,80\0Last-Event-Id\0x\0";
+	http_head_t head = { .text = text,
+			     .used = sizeof(text),
+			     .header_count = 4 };
+	const char *at = text + strlen(text) + 1;
+	request_facts_t facts;
+
+	for (int i = 0; i < 4; i++) {
+		head.headers[i].name_at = (uint32_t)(at - text);
+		at += strlen(at) + 1;
+		head.headers[i].value_at = (uint32_t)(at - text);
+		at += strlen(at) + 1;
+	}
+	platform_read_request(&head, &facts);
+	g_assert_cmpuint(facts.part_count, ==, 3);
+	g_assert_cmphex(facts.parts[1].id, ==, 0x91bd3f06);
+	g_assert_cmpuint(facts.parts[2].tokens, ==, 250);
+	g_assert_cmpuint(facts.prompt_tokens, ==, 1460);
+	g_assert_cmpuint(facts.output_tokens_max, ==, 80);
+	g_assert_true(facts.last_event == REQUEST_NO_EVENT);
+	g_assert_null(facts.key);
+}
+
+typedef struct page_case {
+	const char *body;
+	int err;
+	size_t count;
+} page_case_t;
+
+/* Failure: an answer that was cut, or an object without a name, was applied. */
+static const page_case_t pages[] = {
+	{ "{\"items\":[],\"as_of\":5}", 0, 0 },
+	{ "{\"events\":[{\"deleted\":true,\"object\":{\"metadata\":{\"name\":"
+	  "\"a\",\"rev\":4}}}],\"as_of\":5}",
+	  0, 1 },
+	{ "{\"items\":[{\"metadata\":{\"rev\":4}},{\"metadata\":{\"name\":"
+	  "\"b\"}}],\"as_of\":5}",
+	  0, 1 },
+	{ "{\"items\":[{\"metadata\":{\"name\":\"a\"", ERR_BAD_JSON, 0 },
+	{ "{\"as_of\":5}", ERR_BAD_JSON, 0 },
+	{ "", ERR_BAD_JSON, 0 },
+};
+
+static void test_pages(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
+		CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
+
+		g_assert_cmpint(platform_read_page(pages[i].body,
+						   strlen(pages[i].body),
+						   &page),
+				==, pages[i].err);
+		g_assert_cmpuint(page.count, ==, pages[i].count);
+	}
+}
+
+/* Failure: an engine's report without a count of orders led to an order. */
+static void test_reports(void)
+{
+	static const char good[] =
+		"{\"busy\":true,\"seq\":2,\"models\":[{\"name\":\"m\","
+		"\"version\":3},{\"name\":7}]}";
+	static const char bad[] = "{\"busy\":true}";
+	engine_report_t report;
+
+	g_assert_cmpint(platform_read_report(good, strlen(good), &report), ==,
+			0);
+	g_assert_true(report.busy);
+	g_assert_cmpuint(report.accepted, ==, 2);
+	g_assert_cmpuint(report.model_count, ==, 1);
+	g_assert_cmpint(platform_read_report(bad, strlen(bad), &report), ==,
+			ERR_BAD_JSON);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform/entries", test_entries);
+	g_test_add_func("/platform/routes", test_routes);
+	g_test_add_func("/platform/keys", test_keys);
+	g_test_add_func("/platform/bad-states", test_bad_states);
+	g_test_add_func("/platform/request", test_request);
+	g_test_add_func("/platform/pages", test_pages);
+	g_test_add_func("/platform/reports", test_reports);
+	return g_test_run();
+}
