--- /dev/null
+++ b/t/lib/platform_rig.c
@@ -0,0 +1,321 @@
+#include "t/lib/platform_rig.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/cleanup.h"
+
+static void send_events(const endpoint_t *endpoint,
+			const raw_request_t *request, const char *id, int after)
+{
+	raw_send(request,
+		 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
+		 "Content-Type: text/event-stream\r\n"
+		 "Transfer-Encoding: chunked\r\n\r\n",
+		 id);
+	for (int i = after + 1; i <= EVENTS; i++) {
+		char *event = g_strdup_printf("id: %d\ndata: e%d\n\n", i, i);
+
+		if (endpoint->behaviour == STALL && i == 3) {
+			g_free(event);
+			WAIT_UNTIL(endpoint->released, HARNESS_WAIT_MS);
+			return;
+		}
+		if (endpoint->behaviour == CUT_EVENT && i == 3) {
+			raw_send(request, "5\r\n%.5s\r\n", event);
+			g_free(event);
+			return;
+		}
+		raw_send(request, "%zx\r\n%s\r\n", strlen(event), event);
+		g_free(event);
+	}
+	raw_send(request, "0\r\n\r\n");
+}
+
+static void send_answer(const raw_request_t *request, const char *id,
+			int status, const char *more, const char *body)
+{
+	raw_send(request,
+		 "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%sContent-Length: %zu\r\n"
+		 "Keep-Alive: timeout=30\r\n\r\n%s",
+		 status, id, more, strlen(body), body);
+}
+
+static raw_next_t answer_request(endpoint_t *endpoint,
+				 const raw_request_t *request)
+{
+	CLEANUP_FREE char *id = raw_header(request->head, "Request-Id");
+	CLEANUP_FREE char *last = raw_header(request->head, "Last-Event-Id");
+	bool stream = strstr(request->head, "/stream/") != NULL;
+	char *body;
+
+	if (endpoint->ran && endpoint->behaviour != REFUSE)
+		endpoint->ran(endpoint->context, endpoint, id);
+	switch ((behaviour_t)endpoint->behaviour) {
+	case REFUSE:
+		send_answer(request, id, 503, "Not-Executed: 1\r\n", "");
+		return RAW_KEEP;
+	case FAIL:
+		send_answer(request, id, 500, "Response-Stamp: s\r\n", "bad");
+		return RAW_KEEP;
+	case VANISH:
+		return RAW_RESET;
+	case EXTRA:
+		send_answer(request, "of-another", 200, "Response-Stamp: s\r\n",
+			    "not yours");
+		break;
+	case NO_LENGTH:
+		raw_send(request,
+			 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+			 "Response-Stamp: s\r\n\r\nwhole",
+			 id);
+		return RAW_CLOSE;
+	case HOLD:
+		WAIT_UNTIL(endpoint->released, HARNESS_WAIT_MS);
+		break;
+	case CUT_EVENT:
+	case STALL:
+	case ANSWER:
+		break;
+	}
+	if (stream) {
+		send_events(endpoint, request, id, last ? atoi(last) : 0);
+		return endpoint->behaviour == CUT_EVENT ? RAW_CLOSE : RAW_KEEP;
+	}
+	body = g_strdup_printf("%s for %s", endpoint->id, id);
+	send_answer(request, id, 200, "Response-Stamp: s\r\n", body);
+	g_free(body);
+	return RAW_KEEP;
+}
+
+static raw_next_t answer_duty(endpoint_t *endpoint,
+			      const raw_request_t *request)
+{
+	char *body;
+
+	if (g_str_has_prefix(request->head, "POST")) {
+		CLEANUP_JSON json_t *order = json_loads(request->body, 0, NULL);
+
+		endpoint->orders++;
+		endpoint->weights = (uint64_t)json_integer_value(
+			json_object_get(order, "version"));
+		send_answer(request, "", 202, "", "{}");
+		return RAW_KEEP;
+	}
+	body = g_strdup_printf("{\"busy\":false,\"seq\":%u,\"models\":[{"
+			       "\"name\":\"m\",\"version\":%llu}]}",
+			       endpoint->orders,
+			       (unsigned long long)endpoint->weights);
+	send_answer(request, "", 200, "", body);
+	g_free(body);
+	return RAW_KEEP;
+}
+
+static raw_next_t answer_endpoint(void *context, const raw_request_t *request)
+{
+	endpoint_t *endpoint = context;
+
+	if (strstr(request->head, " /v1/"))
+		return answer_duty(endpoint, request);
+	pthread_mutex_lock(&endpoint->lock);
+	g_free(endpoint->last_head);
+	endpoint->last_head = g_strdup(request->head);
+	pthread_mutex_unlock(&endpoint->lock);
+	endpoint->arrivals++;
+	return answer_request(endpoint, request);
+}
+
+void rig_put_entry(platform_rig_t *world, endpoint_t *endpoint,
+		   const char *state)
+{
+	char address[32];
+	json_t *models =
+		strcmp(endpoint->service, "llm")
+			? json_array()
+			: json_pack("[{s:s,s:I}]", "name", "m", "version",
+				    (json_int_t)endpoint->weights);
+
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+		   raw_server_port(endpoint->server));
+	platform_store_put(world->store, "servers", endpoint->id,
+			   json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:I}", "service",
+				     endpoint->service, "addr", address, "zone",
+				     "z", "slots", 8, "state", state, "models",
+				     models, "born",
+				     (json_int_t)1000 + endpoint->order));
+}
+
+static void start_endpoint(platform_rig_t *world, endpoint_t *endpoint,
+			   const char *service, int order)
+{
+	memset(endpoint, 0, sizeof(*endpoint));
+	g_snprintf(endpoint->id, sizeof(endpoint->id), "%s-%d", service, order);
+	endpoint->service = service;
+	endpoint->order = order;
+	endpoint->weights = 1;
+	pthread_mutex_init(&endpoint->lock, NULL);
+	endpoint->server = raw_server_start(answer_endpoint, endpoint);
+	rig_put_entry(world, endpoint, "ready");
+}
+
+static json_t *route(const char *name, const char *kind, const char *service,
+		     bool resumable)
+{
+	char *prefix = g_strdup_printf("/%s/", name);
+	json_t *made = json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:b}", "name", name,
+		"host", "h.example", "path_prefix", prefix, "kind", kind,
+		"timeout_ms", 3000, "target_latency_ms", 150, "priority", 1,
+		"service", service, "max_attempts", 2, "anonymous", 0,
+		"resumable", resumable);
+
+	g_free(prefix);
+	return made;
+}
+
+void rig_put_desired(platform_rig_t *world, int version, const char *key)
+{
+	json_t *routes = json_pack(
+		"[o,o,o,o]", route("get", "idempotent", "desk", false),
+		route("order", "non_idempotent", "desk", false),
+		route("stream/again", "stream", "llm", true),
+		route("stream/once", "stream", "llm", false));
+	json_t *services = json_pack(
+		"[{s:s,s:s,s:i},{s:s,s:s,s:i,s:{s:i,s:i,s:i,s:f}}]", "name",
+		"desk", "health_path", "/healthz", "max_conns", 100, "name",
+		"llm", "health_path", "/healthz", "max_conns", 100, "engine",
+		"slots", 8, "kv_capacity", 90000, "kv_token_bytes", 1000,
+		"link_mbps", 1000.0);
+
+	platform_store_put(
+		world->store, "config", "main",
+		json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i},s:[{s:s,s:[s]}]}",
+			  "version", version, "routes", routes, "services",
+			  services, "limits", "max_header_bytes", 16384,
+			  "max_body_bytes", 65536, "header_timeout_ms", 1000,
+			  "idle_timeout_ms", 5000, "tenants", "name", "cust",
+			  "api_keys", key));
+}
+
+void rig_name_weights(platform_rig_t *world, int version)
+{
+	platform_store_put(
+		world->store, "versions", "m",
+		json_pack("{s:s,s:i}", "model", "m", "version", version));
+}
+
+bool rig_is_ready(platform_rig_t *world, int gateway)
+{
+	char *answer = raw_call(world->ready_ports[gateway],
+				"GET /v1/readyz HTTP/1.1\r\nHost: r\r\n"
+				"Connection: close\r\n\r\n");
+	bool ready = g_str_has_prefix(answer, "HTTP/1.1 200");
+
+	g_free(answer);
+	return ready;
+}
+
+void rig_start_gateway(platform_rig_t *world, int at)
+{
+	/* Instances have one port and an address each; on loopback the address
+	 * tells them apart. */
+	char *listen;
+	char *ready;
+	char *store;
+	char *peer_ip = g_strdup_printf("127.0.0.%d", at + 2);
+	char *peer_port = g_strdup_printf("%u", world->peer_ports[0]);
+	char *name = g_strdup_printf("gw-%d", at);
+
+	if (!world->ports[at]) {
+		world->ports[at] = harness_free_port();
+		world->ready_ports[at] = harness_free_port();
+	}
+	listen = g_strdup_printf("127.0.0.1:%u", world->ports[at]);
+	ready = g_strdup_printf("127.0.0.1:%u", world->ready_ports[at]);
+	store = g_strdup_printf("127.0.0.1:%u",
+				platform_store_port(world->store));
+	world->gateways[at] = program_start(
+		"amaranthvale-gateway", "--listen", listen, "--ready-listen",
+		ready, "--store", store, "--peer-ip", peer_ip, "--peer-port",
+		peer_port, "--name", name, "--grace-s", "6", "--lease-ms",
+		"1000", NULL);
+	g_free(listen);
+	g_free(ready);
+	g_free(store);
+	g_free(peer_ip);
+	g_free(peer_port);
+	g_free(name);
+}
+
+void platform_rig_start(platform_rig_t *world, int gateways)
+{
+	memset(world, 0, sizeof(*world));
+	world->store = platform_store_start();
+	world->peer_ports[0] = harness_free_port();
+	rig_put_desired(world, 1, "key-1");
+	rig_name_weights(world, 1);
+	for (int i = 0; i < ENDPOINTS; i++) {
+		start_endpoint(world, &world->plain[i], "desk", i);
+		start_endpoint(world, &world->engines[i], "llm", i);
+	}
+	for (int i = 0; i < gateways; i++)
+		rig_start_gateway(world, i);
+	for (int i = 0; i < gateways; i++)
+		g_assert_true(
+			WAIT_UNTIL(rig_is_ready(world, i), HARNESS_WAIT_MS));
+}
+
+static void stop_endpoint(endpoint_t *endpoint)
+{
+	endpoint->released = true;
+	raw_server_stop(endpoint->server);
+	pthread_mutex_destroy(&endpoint->lock);
+	g_free(endpoint->last_head);
+}
+
+void platform_rig_stop(platform_rig_t *world)
+{
+	for (int i = 0; i < GATEWAYS_MAX; i++) {
+		if (!world->gateways[i])
+			continue;
+		program_signal(world->gateways[i], SIGKILL);
+		program_free(world->gateways[i]);
+	}
+	for (int i = 0; i < ENDPOINTS; i++) {
+		stop_endpoint(&world->plain[i]);
+		stop_endpoint(&world->engines[i]);
+	}
+	platform_store_stop(world->store);
+}
+
+char *rig_ask(const platform_rig_t *world, int gateway, const char *method,
+	      const char *path, const char *more)
+{
+	char *request = g_strdup_printf(
+		"%s %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n"
+		"Key: key-1\r\nDeadline-Ms: 2500\r\nConnection: close\r\n"
+		"%s\r\n",
+		method, path, more);
+	char *answer = raw_call(world->ports[gateway], request);
+
+	g_free(request);
+	return answer;
+}
+
+uint32_t rig_arrivals(const endpoint_t *endpoints)
+{
+	return endpoints[0].arrivals + endpoints[1].arrivals;
+}
+
+void rig_behave(endpoint_t *endpoints, behaviour_t behaviour)
+{
+	for (int i = 0; i < ENDPOINTS; i++)
+		endpoints[i].behaviour = behaviour;
+}
+
+const endpoint_t *rig_used(const endpoint_t *endpoints)
+{
+	return endpoints[0].arrivals ? &endpoints[0] : &endpoints[1];
+}
