process: do not move past changes on an empty answer of a watch

Change: only an answer with events moves the table's revision; the next watch from the old one is told that the history is gone, and a list follows. Ruled out: stale reads (none are asked for), peers (all had missed it). Test: /object-table/empty-answer failed first.

--- a/process/object_table.c
+++ b/process/object_table.c
@@ -142,7 +142,9 @@
 			return result;
 		changed |= result;
 	}
-	if (page->revision > table->revision)
+	/* No event is no proof that there was none: the store may be about to
+	 * drop its history, and says so when asked from here again. */
+	if (page->count && page->revision > table->revision)
 		table->revision = page->revision;
 	table->updated_ms = now_ms;
 	return changed;
--- a/t/test-object-table.c
+++ b/t/test-object-table.c
@@ -53,6 +53,19 @@
 	object_table_free(&table);
 }
 
+/* Failure: while the store drops its history its watches hear nothing; an empty
+ * answer moved the table past changes that it had not seen. */
+static void test_empty_answer(void)
+{
+	object_table_t table;
+	object_page_t nothing = { .revision = 50 };
+
+	fill_two(&table);
+	g_assert_cmpint(object_table_apply(&table, &nothing, 2000), ==, 0);
+	g_assert_cmpuint(table.revision, ==, 6);
+	object_table_free(&table);
+}
+
 /* Failure: a leaving endpoint stayed in the table. */
 static void test_removed(void)
 {
@@ -148,6 +161,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/object-table/only-forward", test_only_forward);
+	g_test_add_func("/object-table/empty-answer", test_empty_answer);
 	g_test_add_func("/object-table/removed", test_removed);
 	g_test_add_func("/object-table/lapsed", test_lapsed);
 	g_test_add_func("/object-table/from-peer", test_from_peer);
