request: never take the end of the caller's time for a slow endpoint

Its timer fired some ms early, since timers count from the begin of their loop's turn, and was taken for that of a slow attempt, without asking whether it may be repeated. Change: the attempt's time must have passed, and the request may be repeated. Ruled out: the stand-in (it read its behaviour twice, which looked the same and is mended), the endpoint's answers, reused connections.

--- /dev/null
+++ b/cmd/gateway_members.c
@@ -0,0 +1,115 @@
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cmd/gateway_peers.h"
+#include "platform/platform_desired.h"
+#include "process/cleanup.h"
+#include "process/error.h"
+
+enum {
+	/** Time between two attempts to register, ms. */
+	REGISTER_RETRY_MS = 1000,
+};
+
+static void on_registered(void *context, int err, uint16_t status,
+			  const char *body, size_t len)
+{
+	gateway_peers_t *peers = context;
+	int result = gateway_control_store_error(err, status);
+
+	(void)body;
+	(void)len;
+	peers->registering = NULL;
+	if (!result)
+		peers->registered = true;
+	else if (result == ERR_STORE_CONDITION)
+		peers->exists = true;
+	else if (result == ERR_NOT_FOUND)
+		peers->exists = false;
+	if (result == ERR_STORE_CONDITION || result == ERR_NOT_FOUND)
+		peers->register_after_ms = 0;
+}
+
+void gateway_members_register(gateway_peers_t *peers, uint64_t now_ms)
+{
+	gateway_control_t *control = peers->control;
+	const gateway_settings_t *settings = &control->gateway->settings;
+	struct evbuffer *message = evbuffer_new();
+	char address[64];
+	CLEANUP_JSON json_t *spec = NULL;
+	int err;
+
+	snprintf(address, sizeof(address), "%s:%u", settings->peer_ip,
+		 settings->peer_port);
+	spec = json_pack("{s:s,s:s,s:I}", "address", address, "domain",
+			 settings->domain, "incarnation",
+			 (json_int_t)control->incarnation);
+	peers->register_after_ms = now_ms + REGISTER_RETRY_MS;
+	if (peers->exists)
+		err = platform_write_replace(message, OBJECT_MEMBERS,
+					     settings->name, 0, spec);
+	else
+		err = platform_write_create(message, OBJECT_MEMBERS,
+					    settings->name, spec);
+	if (!err)
+		peers->registering = gateway_control_store_call(
+			control, message, on_registered, peers);
+	evbuffer_free(message);
+}
+
+static void add_target(gateway_peers_t *peers, const char *text)
+{
+	const gateway_settings_t *settings = &peers->control->gateway->settings;
+	struct sockaddr_in address;
+	char host[INET_ADDRSTRLEN];
+
+	if (platform_read_address(text, &address))
+		return;
+	/* Ports are the same on all machines. */
+	address.sin_port = htons((uint16_t)settings->peer_port);
+	inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
+	if (!strcmp(host, settings->peer_ip) ||
+	    peers->target_count == PEERS_MAX)
+		return;
+	for (size_t i = 0; i < peers->target_count; i++) {
+		if (peers->targets[i].sin_addr.s_addr ==
+		    address.sin_addr.s_addr)
+			return;
+	}
+	peers->targets[peers->target_count++] = address;
+}
+
+static void add_seeds(gateway_peers_t *peers)
+{
+	const char *seeds = peers->control->gateway->settings.seeds;
+	char seed[64];
+
+	while (*seeds) {
+		size_t len = strcspn(seeds, ",");
+
+		if (len < sizeof(seed)) {
+			memcpy(seed, seeds, len);
+			seed[len] = '\0';
+			add_target(peers, seed);
+		}
+		seeds += len + (seeds[len] == ',');
+	}
+}
+
+void gateway_members_read(gateway_peers_t *peers)
+{
+	const object_table_t *members =
+		&peers->control->assembly.tables[OBJECT_MEMBERS];
+
+	peers->target_count = 0;
+	for (size_t i = 0; i < members->count; i++) {
+		const char *text = json_string_value(
+			json_object_get(members->rows[i].spec, "address"));
+
+		if (text)
+			add_target(peers, text);
+	}
+	if (!members->complete)
+		add_seeds(peers);
+}
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -1,13 +1,11 @@
-#include <arpa/inet.h>
+#include "cmd/gateway_peers.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "cmd/gateway_control.h"
-#include "connection/inbound.h"
 #include "platform/platform_desired.h"
-#include "process/cleanup.h"
 #include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
@@ -15,8 +13,6 @@
 #include "process/metrics.h"
 
 enum {
-	/** Instances that are followed; the plan has 340 nodes. */
-	PEERS_MAX = 400,
 	/** Interval of news, ms: loads are this old at most. It grows with the
 	 * number of instances, each of which gets them all. */
 	NEWS_MS = 200,
@@ -35,189 +31,11 @@
 	START_WATCH_MS = 3000,
 	/** A holder that was not heard for so long may be gone, ms. */
 	HOLDER_LIVE_MS = 700,
-	/** A peer's newer state is fetched if the store has not told it within
-	 * this time, ms; a small part of the bound on changes. */
-	BEHIND_MS = 300,
-	FETCH_TIMEOUT_MS = 800,
-	/** Time between two fetches of state, ms. */
-	FETCH_GAP_MS = 250,
-	/** Time between two attempts to register, ms. */
-	REGISTER_RETRY_MS = 1000,
 	PEER_CONNECTIONS_MAX = 64,
-	STATE_HEAD_BYTES = 4096,
-};
-
-/** Path of the state that instances fetch from each other; the revision of
- * each table that the asker has follows, after a minus if it is not wanted. */
-#define STATE_PATH "/state?"
-
-typedef struct peer {
-	struct sockaddr_in address;
-	uint64_t heard_ms; /**< 0: never. */
-	peer_news_t news;
-} peer_t;
-
-struct gateway_peers {
-	gateway_control_t *control;
-	int fd;
-	struct event *readable;
-	inbound_t *inbound;
-	http_call_t *fetch;
-	uint64_t fetch_after_ms;
-	http_call_t *registering;
-	bool registered;
-	bool exists; /**< The object is there: it is replaced. */
-	uint64_t register_after_ms;
-	uint64_t told_ms;
-	uint32_t sequence;
-	uint64_t behind_since_ms[OBJECT_KIND_COUNT];
-	uint64_t watched_ms; /**< A watcher was heard last. */
-	uint64_t started_ms;
-	bool watching;
-	bool fetch_whole; /**< What a peer left out was not known here. */
-	struct sockaddr_in targets[PEERS_MAX];
-	size_t target_count;
-	peer_t *peers[PEERS_MAX];
-	size_t peer_count;
-};
-
-/* Serving state to other instances. */
-
-static inbound_limits_t state_limits(void *context)
-{
-	(void)context;
-	return (inbound_limits_t){ STATE_HEAD_BYTES, STATE_HEAD_BYTES, 3000,
-				   30000 };
-}
-
-static char *print_state(const gateway_control_t *control, const char *query)
-{
-	CLEANUP_JSON json_t *state = json_object();
-
-	for (int i = 0; i < OBJECT_LEASES; i++) {
-		bool wanted = *query != '-';
-		uint64_t since = strtoull(query + !wanted, (char **)&query, 10);
-
-		query += *query == ',';
-		if (!wanted)
-			continue;
-		json_object_set_new(
-			state, object_kind_name((object_kind_t)i),
-			object_table_export(&control->assembly.tables[i],
-					    since));
-	}
-	return json_dumps(state, JSON_COMPACT);
-}
-
-static void answer_state(void *context, inbound_request_t *request)
-{
-	const gateway_peers_t *peers = context;
-	CLEANUP_FREE char *text = NULL;
-	const char *target = http_head_target(request->head);
-
-	if (strncmp(target, STATE_PATH, strlen(STATE_PATH)) != 0) {
-		inbound_answer(request, 404, NULL, NULL, 0);
-		return;
-	}
-	text = print_state(peers->control, target + strlen(STATE_PATH));
-	if (text)
-		inbound_answer(request, 200, NULL, text, strlen(text));
-	else
-		inbound_answer(request, 503, NULL, NULL, 0);
-}
-
-static void nobody_gone(void *context, inbound_request_t *request)
-{
-	(void)context;
-	(void)request;
-}
-
-static void note_refused(void *context, int err)
-{
-	(void)context;
-	event_log(EVENT_PEER_REJECTED, "kind=%s", error_type(err));
-}
-
-static const inbound_calls_t state_calls = {
-	.limits = state_limits,
-	.request = answer_state,
-	.gone = nobody_gone,
-	.drained = nobody_gone,
-	.refused = note_refused,
+	/** Requests of peers have no bodies. */
+	REQUEST_BODIES_MAX_BYTES = 4096,
 };
 
-/* Fetching state from another instance. */
-
-static void import_state(gateway_peers_t *peers, const json_t *state,
-			 uint64_t now_ms)
-{
-	gateway_control_t *control = peers->control;
-	bool changed = false;
-
-	peers->fetch_whole = false;
-	for (int i = 0; i < OBJECT_LEASES; i++) {
-		const json_t *table = json_object_get(
-			state, object_kind_name((object_kind_t)i));
-		int result = 0;
-
-		if (table)
-			result = object_table_import(
-				&control->assembly.tables[i], table, now_ms);
-		changed |= result > 0;
-		peers->fetch_whole |= result < 0;
-	}
-	event_log(EVENT_PEER_STATE, "changed=%d whole_next=%d", changed,
-		  peers->fetch_whole);
-	if (changed)
-		gateway_control_rebuild(control);
-}
-
-static void on_state(void *context, int err, uint16_t status, const char *body,
-		     size_t len)
-{
-	gateway_peers_t *peers = context;
-	CLEANUP_JSON json_t *state = NULL;
-
-	peers->fetch = NULL;
-	if (!err && status == 200)
-		state = json_loadb(body, len, 0, NULL);
-	if (state)
-		import_state(peers, state, clock_now_ms());
-}
-
-static void fetch_state(gateway_peers_t *peers, const peer_t *peer,
-			uint64_t now_ms)
-{
-	struct evbuffer *message = evbuffer_new();
-	outbound_target_t target = {
-		.address = peer->address,
-		.connections_max = 1,
-		.connect_timeout_ms = FETCH_TIMEOUT_MS / 2,
-		.user_timeout_ms = FETCH_TIMEOUT_MS,
-	};
-
-	if (!message)
-		return;
-	snprintf(target.key, sizeof(target.key), "peer/%s", peer->news.name);
-	evbuffer_add_printf(message, "GET " STATE_PATH);
-	for (int i = 0; i < OBJECT_LEASES; i++) {
-		uint64_t since =
-			peers->fetch_whole
-				? 0
-				: peers->control->assembly.tables[i].revision;
-
-		evbuffer_add_printf(message, "%s%llu,",
-				    peers->behind_since_ms[i] ? "" : "-",
-				    (unsigned long long)since);
-	}
-	evbuffer_add_printf(message, " HTTP/1.1\r\nHost: peer\r\n\r\n");
-	peers->fetch = http_call_send(peers->control->outbound,
-				      peers->control->base, &target, message,
-				      FETCH_TIMEOUT_MS, on_state, peers);
-	peers->fetch_after_ms = now_ms + FETCH_GAP_MS;
-	evbuffer_free(message);
-}
-
 /* The more instances there are, the rarer each tells its news. */
 static uint64_t news_interval(const gateway_peers_t *peers)
 {
@@ -228,81 +46,18 @@
 						  : 0);
 }
 
-static bool is_live(const gateway_peers_t *peers, const peer_t *peer,
-		    uint64_t now_ms)
+bool gateway_peer_is_live(const gateway_peers_t *peers, const peer_t *peer,
+			  uint64_t now_ms)
 {
 	return peer->heard_ms &&
 	       now_ms - peer->heard_ms < PEER_LIVE_NEWS * news_interval(peers);
 }
 
-static uint32_t domain_of(const gateway_control_t *control)
+uint32_t gateway_domain(const gateway_control_t *control)
 {
 	return (uint32_t)hash_string(control->gateway->settings.domain);
 }
 
-static bool is_ahead(const gateway_peers_t *peers, const peer_t *peer,
-		     object_kind_t kind, uint64_t digest, uint64_t now_ms)
-{
-	const object_table_t *table = &peers->control->assembly.tables[kind];
-	const peer_table_t *theirs = &peer->news.tables[kind];
-
-	if (!is_live(peers, peer, now_ms) || !theirs->revision)
-		return false;
-	return !table->complete ||
-	       (theirs->revision > table->revision && theirs->digest != digest);
-}
-
-/* A live peer that has read this kind farther and knows other things. Drawn, so
- * that not all ask the same one, and of the same domain if there is one. */
-static const peer_t *peer_ahead(const gateway_peers_t *peers,
-				object_kind_t kind, uint64_t now_ms)
-{
-	uint64_t digest =
-		object_table_digest(&peers->control->assembly.tables[kind]);
-	uint32_t domain = domain_of(peers->control);
-	const peer_t *drawn = NULL;
-	uint64_t seen = 0;
-	bool near = false;
-
-	for (size_t i = 0; i < peers->peer_count; i++) {
-		const peer_t *peer = peers->peers[i];
-
-		if (!is_ahead(peers, peer, kind, digest, now_ms) ||
-		    (near && peer->news.domain != domain))
-			continue;
-		if (!near && peer->news.domain == domain) {
-			near = true;
-			seen = 0;
-		}
-		if (!rng_below(&peers->control->rng, ++seen))
-			drawn = peer;
-	}
-	return drawn;
-}
-
-static void catch_up(gateway_peers_t *peers, uint64_t now_ms)
-{
-	for (int i = 0; i < OBJECT_LEASES; i++) {
-		const peer_t *peer =
-			peer_ahead(peers, (object_kind_t)i, now_ms);
-
-		if (!peer) {
-			peers->behind_since_ms[i] = 0;
-			continue;
-		}
-		if (!peers->behind_since_ms[i])
-			peers->behind_since_ms[i] = now_ms;
-		if ((peers->watching &&
-		     now_ms - peers->behind_since_ms[i] < BEHIND_MS) ||
-		    peers->fetch || now_ms < peers->fetch_after_ms)
-			continue;
-		event_log(EVENT_PEER_AHEAD, "kind=%s peer=%s revision=%llu",
-			  object_kind_name((object_kind_t)i), peer->news.name,
-			  (unsigned long long)peer->news.tables[i].revision);
-		fetch_state(peers, peer, now_ms);
-	}
-}
-
 /* News. */
 
 static void fill_loads(const view_t *view, peer_news_t *news)
@@ -352,7 +107,7 @@
 		.watching = peers->watching,
 		.refused =
 			peers->watching && !gateway_control_in_contact(control),
-		.domain = domain_of(control),
+		.domain = gateway_domain(control),
 		.link_mbps = (uint32_t)control->gateway->settings.link_mbps,
 		.fencing = gateway_duty_fencing(control->duty)
 	};
@@ -467,7 +222,7 @@
 	    (news->incarnation == peer->news.incarnation &&
 	     news->sequence <= peer->news.sequence))
 		return;
-	if (!is_live(peers, peer, now_ms))
+	if (!gateway_peer_is_live(peers, peer, now_ms))
 		event_log(EVENT_PEER_HEARD, "peer=%s incarnation=%llu",
 			  news->name, (unsigned long long)news->incarnation);
 	peer->news = *news;
@@ -536,7 +291,7 @@
 		atomic_store(&load->peer_prefill, 0);
 	}
 	for (size_t i = 0; i < peers->peer_count; i++) {
-		if (is_live(peers, peers->peers[i], now_ms))
+		if (gateway_peer_is_live(peers, peers->peers[i], now_ms))
 			add_loads(peers->peers[i], view);
 	}
 }
@@ -546,7 +301,7 @@
 	uint32_t live = 1;
 
 	for (size_t i = 0; i < peers->peer_count; i++)
-		live += is_live(peers, peers->peers[i], now_ms);
+		live += gateway_peer_is_live(peers, peers->peers[i], now_ms);
 	atomic_store(&peers->control->gateway->instances, live);
 	metrics_set(METRIC_MEMBERS_LIVE, live);
 }
@@ -583,9 +338,9 @@
 	for (size_t i = 0; i < peers->peer_count; i++) {
 		const peer_t *peer = peers->peers[i];
 
-		if (is_live(peers, peer, now_ms) && !peer->news.refused &&
-		    !peer->news.stopping &&
-		    peer->news.domain == domain_of(control) &&
+		if (gateway_peer_is_live(peers, peer, now_ms) &&
+		    !peer->news.refused && !peer->news.stopping &&
+		    peer->news.domain == gateway_domain(control) &&
 		    rank_of(peer->news.name, peer->news.link_mbps) > mine)
 			before++;
 	}
@@ -597,8 +352,8 @@
 	for (size_t i = 0; i < peers->peer_count; i++) {
 		const peer_t *peer = peers->peers[i];
 
-		if (is_live(peers, peer, now_ms) && peer->news.watching &&
-		    !peer->news.refused)
+		if (gateway_peer_is_live(peers, peer, now_ms) &&
+		    peer->news.watching && !peer->news.refused)
 			return true;
 	}
 	return false;
@@ -621,120 +376,16 @@
 	gateway_control_watch(peers->control, watching);
 }
 
-/* Registration, and the addresses that news go to. */
-
-static void on_registered(void *context, int err, uint16_t status,
-			  const char *body, size_t len)
-{
-	gateway_peers_t *peers = context;
-	int result = gateway_control_store_error(err, status);
-
-	(void)body;
-	(void)len;
-	peers->registering = NULL;
-	if (!result)
-		peers->registered = true;
-	else if (result == ERR_STORE_CONDITION)
-		peers->exists = true;
-	else if (result == ERR_NOT_FOUND)
-		peers->exists = false;
-	if (result == ERR_STORE_CONDITION || result == ERR_NOT_FOUND)
-		peers->register_after_ms = 0;
-}
-
-static void register_self(gateway_peers_t *peers, uint64_t now_ms)
-{
-	gateway_control_t *control = peers->control;
-	const gateway_settings_t *settings = &control->gateway->settings;
-	struct evbuffer *message = evbuffer_new();
-	char address[64];
-	CLEANUP_JSON json_t *spec = NULL;
-	int err;
-
-	snprintf(address, sizeof(address), "%s:%u", settings->peer_ip,
-		 settings->peer_port);
-	spec = json_pack("{s:s,s:s,s:I}", "address", address, "domain",
-			 settings->domain, "incarnation",
-			 (json_int_t)control->incarnation);
-	peers->register_after_ms = now_ms + REGISTER_RETRY_MS;
-	if (peers->exists)
-		err = platform_write_replace(message, OBJECT_MEMBERS,
-					     settings->name, 0, spec);
-	else
-		err = platform_write_create(message, OBJECT_MEMBERS,
-					    settings->name, spec);
-	if (!err)
-		peers->registering = gateway_control_store_call(
-			control, message, on_registered, peers);
-	evbuffer_free(message);
-}
-
-static void add_target(gateway_peers_t *peers, const char *text)
-{
-	const gateway_settings_t *settings = &peers->control->gateway->settings;
-	struct sockaddr_in address;
-	char host[INET_ADDRSTRLEN];
-
-	if (platform_read_address(text, &address))
-		return;
-	/* Ports are the same on all machines. */
-	address.sin_port = htons((uint16_t)settings->peer_port);
-	inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
-	if (!strcmp(host, settings->peer_ip) ||
-	    peers->target_count == PEERS_MAX)
-		return;
-	for (size_t i = 0; i < peers->target_count; i++) {
-		if (peers->targets[i].sin_addr.s_addr ==
-		    address.sin_addr.s_addr)
-			return;
-	}
-	peers->targets[peers->target_count++] = address;
-}
-
-static void add_seeds(gateway_peers_t *peers)
-{
-	const char *seeds = peers->control->gateway->settings.seeds;
-	char seed[64];
-
-	while (*seeds) {
-		size_t len = strcspn(seeds, ",");
-
-		if (len < sizeof(seed)) {
-			memcpy(seed, seeds, len);
-			seed[len] = '\0';
-			add_target(peers, seed);
-		}
-		seeds += len + (seeds[len] == ',');
-	}
-}
-
-static void read_targets(gateway_peers_t *peers)
-{
-	const object_table_t *members =
-		&peers->control->assembly.tables[OBJECT_MEMBERS];
-
-	peers->target_count = 0;
-	for (size_t i = 0; i < members->count; i++) {
-		const char *text = json_string_value(
-			json_object_get(members->rows[i].spec, "address"));
-
-		if (text)
-			add_target(peers, text);
-	}
-	if (!members->complete)
-		add_seeds(peers);
-}
-
 void gateway_peers_tick(gateway_peers_t *peers, uint64_t now_ms)
 {
-	read_targets(peers);
+	gateway_members_read(peers);
 	if (!peers->registered && !peers->registering &&
 	    now_ms >= peers->register_after_ms)
-		register_self(peers, now_ms);
+		gateway_members_register(peers, now_ms);
 	sum_loads(peers, now_ms);
 	count_instances(peers, now_ms);
 	choose_watching(peers, now_ms);
-	catch_up(peers, now_ms);
+	gateway_state_catch_up(peers, now_ms);
 	if (now_ms - peers->told_ms >=
 	    (gateway_duty_fencing(peers->control->duty) ? NEWS_MS
 							: news_interval(peers)))
@@ -746,8 +397,8 @@
 	const gateway_settings_t *settings = &peers->control->gateway->settings;
 	inbound_options_t options = {
 		.connections_max = PEER_CONNECTIONS_MAX,
-		.body_total_max_bytes = STATE_HEAD_BYTES,
-		.calls = &state_calls,
+		.body_total_max_bytes = REQUEST_BODIES_MAX_BYTES,
+		.calls = &gateway_state_calls,
 		.context = peers,
 	};
 	char text[64];
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -247,6 +247,34 @@
 		exchange_refuse(exchange, ERR_ENDPOINT_LOST);
 }
 
+/* The attempt's time is over before the caller's: another endpoint may be
+ * faster. A timer may fire a fraction of a ms early, too. */
+static void go_elsewhere_if_slow(exchange_t *exchange, uint64_t now_ms)
+{
+	bool stream = exchange_is_stream(exchange);
+
+	if (stream && now_ms < exchange->piece_ms + EXCHANGE_STALL_MS)
+		exchange->attempt_until_ms =
+			exchange->piece_ms + EXCHANGE_STALL_MS;
+	if (!exchange->attempt_until_ms ||
+	    now_ms < exchange->attempt_until_ms) {
+		exchange_arm(exchange);
+		return;
+	}
+	exchange->attempt_until_ms = 0;
+	if (!exchange_may_repeat(exchange) || (exchange->answered && !stream) ||
+	    exchange->runs >= exchange->route->attempts_max ||
+	    !take_retry(exchange)) {
+		exchange_arm(exchange);
+		return;
+	}
+	exchange_note_failure(exchange, stream ? "stalled" : "slow");
+	event_cut_reset(&exchange->cut);
+	exchange_note_endpoint_failed(exchange, FAILURE_ONE);
+	exchange_leave(exchange);
+	exchange_place(exchange);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	exchange_t *exchange = context;
@@ -255,28 +283,7 @@
 	(void)fd;
 	(void)what;
 	if (now_ms < exchange->until_ms) {
-		/* The endpoint is slow; another one may be faster. */
-		if (exchange_is_stream(exchange) &&
-		    now_ms < exchange->piece_ms + EXCHANGE_STALL_MS) {
-			exchange->attempt_until_ms =
-				exchange->piece_ms + EXCHANGE_STALL_MS;
-			exchange_arm(exchange);
-			return;
-		}
-		exchange->attempt_until_ms = 0;
-		if ((exchange->answered && !exchange_is_stream(exchange)) ||
-		    exchange->runs >= exchange->route->attempts_max ||
-		    !take_retry(exchange)) {
-			exchange_arm(exchange);
-			return;
-		}
-		exchange_note_failure(exchange, exchange_is_stream(exchange)
-							? "stalled"
-							: "slow");
-		event_cut_reset(&exchange->cut);
-		exchange_note_endpoint_failed(exchange, FAILURE_ONE);
-		exchange_leave(exchange);
-		exchange_place(exchange);
+		go_elsewhere_if_slow(exchange, now_ms);
 		return;
 	}
 	if (exchange->endpoint)
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -7,7 +7,7 @@
 
 #include "process/cleanup.h"
 
-static void send_events(const endpoint_t *endpoint,
+static void send_events(const endpoint_t *endpoint, behaviour_t behaviour,
 			const raw_request_t *request, const char *id, int after)
 {
 	raw_send(request,
@@ -18,12 +18,12 @@
 	for (int i = after + 1; i <= EVENTS; i++) {
 		char *event = g_strdup_printf("id: %d\ndata: e%d\n\n", i, i);
 
-		if (endpoint->behaviour == STALL && i == 3) {
+		if (behaviour == STALL && i == 3) {
 			g_free(event);
 			WAIT_UNTIL(endpoint->released, HARNESS_WAIT_MS);
 			return;
 		}
-		if (endpoint->behaviour == CUT_EVENT && i == 3) {
+		if (behaviour == CUT_EVENT && i == 3) {
 			raw_send(request, "5\r\n%.5s\r\n", event);
 			g_free(event);
 			return;
@@ -48,12 +48,14 @@
 {
 	CLEANUP_FREE char *id = raw_header(request->head, "Request-Id");
 	CLEANUP_FREE char *last = raw_header(request->head, "Last-Event-Id");
+	/* Read once: a test changes it at any time. */
+	behaviour_t behaviour = (behaviour_t)endpoint->behaviour;
 	bool stream = strstr(request->head, "/stream/") != NULL;
 	char *body;
 
-	if (endpoint->ran && endpoint->behaviour != REFUSE)
+	if (endpoint->ran && behaviour != REFUSE)
 		endpoint->ran(endpoint->context, endpoint, id);
-	switch ((behaviour_t)endpoint->behaviour) {
+	switch (behaviour) {
 	case REFUSE:
 		send_answer(request, id, 503, "Not-Executed: 1\r\n", "");
 		return RAW_KEEP;
@@ -81,8 +83,9 @@
 		break;
 	}
 	if (stream) {
-		send_events(endpoint, request, id, last ? atoi(last) : 0);
-		return endpoint->behaviour == CUT_EVENT ? RAW_CLOSE : RAW_KEEP;
+		send_events(endpoint, behaviour, request, id,
+			    last ? atoi(last) : 0);
+		return behaviour == CUT_EVENT ? RAW_CLOSE : RAW_KEEP;
 	}
 	body = g_strdup_printf("%s for %s", endpoint->id, id);
 	send_answer(request, id, 200, "Response-Stamp: s\r\n", body);
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -186,6 +186,62 @@
 	platform_rig_stop(&world);
 }
 
+enum {
+	BURST = 60,
+};
+
+typedef struct burst_call {
+	const platform_rig_t *world;
+	pthread_barrier_t *begin;
+	int number;
+	pthread_t thread;
+} burst_call_t;
+
+static void *burst_main(void *context)
+{
+	const burst_call_t *call = context;
+	char *request = g_strdup_printf(
+		"POST /stream/once/1 HTTP/1.1\r\nHost: h.example\r\n"
+		"Request-Id: r-%d\r\nKey: key-1\r\nDeadline-Ms: 200\r\n"
+		"Connection: close\r\n" MODEL "\r\n",
+		call->number);
+
+	pthread_barrier_wait(call->begin);
+	g_free(raw_call(call->world->ports[0], request));
+	g_free(request);
+	return NULL;
+}
+
+/* Failure: timers of requests that arrived together fired early by the time
+ * that their loop had taken, were taken for those of slow endpoints, and
+ * streams that may not be repeated went to a second engine (found by the soak).
+ */
+static void test_time_limit(void)
+{
+	platform_rig_t world;
+	burst_call_t calls[BURST];
+	pthread_barrier_t begin;
+	uint32_t sent = 0;
+
+	platform_rig_start(&world, 1);
+	rig_behave(world.engines, HOLD);
+	pthread_barrier_init(&begin, NULL, BURST);
+	for (int i = 0; i < BURST; i++) {
+		calls[i] = (burst_call_t){ &world, &begin, i, 0 };
+		pthread_create(&calls[i].thread, NULL, burst_main, &calls[i]);
+	}
+	for (int i = 0; i < BURST; i++)
+		pthread_join(calls[i].thread, NULL);
+	for (const char *at = program_output(world.gateways[0]);
+	     (at = strstr(at, "name=request_placed")); at++)
+		sent++;
+	g_assert_cmpuint(sent, ==, BURST);
+	g_assert_null(strstr(program_output(world.gateways[0]), "why=slow"));
+	g_assert_null(strstr(program_output(world.gateways[0]), "why=stalled"));
+	pthread_barrier_destroy(&begin);
+	platform_rig_stop(&world);
+}
+
 /* Failure: an outage of the store stopped requests, or a change made during
  * it was never seen. */
 static void test_store_outage(void)
@@ -392,6 +448,7 @@
 	g_test_add_func("/it-gateway/stream-goes-on", test_stream_goes_on);
 	g_test_add_func("/it-gateway/stream-stalls", test_stream_stalls);
 	g_test_add_func("/it-gateway/stream-once", test_stream_once);
+	g_test_add_func("/it-gateway/time-limit", test_time_limit);
 	g_test_add_func("/it-gateway/store-outage", test_store_outage);
 	g_test_add_func("/it-gateway/leaving", test_leaving);
 	g_test_add_func("/it-gateway/new-weights", test_new_weights);
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -47,7 +47,8 @@
 typedef struct request_row {
 	const request_kind_t *kind;
 	uint32_t runs;
-	bool refused; /**< The answer said that it had not run. */
+	char ran_at[16]; /**< Endpoint of the last run. */
+	bool refused;	 /**< The answer said that it had not run. */
 } request_row_t;
 
 typedef struct soak {
@@ -85,17 +86,18 @@
 	soak_t *soak = context;
 	request_row_t *row;
 
-	(void)endpoint;
 	pthread_mutex_lock(&soak->lock);
 	row = id ? g_hash_table_lookup(soak->requests, id) : NULL;
 	if (row) {
 		row->runs++;
 		if (row->kind->once && row->runs > 1)
-			g_error("seed %llu: %s ran twice",
-				(unsigned long long)soak->seed, id);
+			g_error("seed %llu: %s %s ran twice, at %s and %s",
+				(unsigned long long)soak->seed, row->kind->path,
+				id, row->ran_at, endpoint->id);
 		if (row->refused)
 			g_error("seed %llu: %s ran after it was refused",
 				(unsigned long long)soak->seed, id);
+		g_strlcpy(row->ran_at, endpoint->id, sizeof(row->ran_at));
 	}
 	pthread_mutex_unlock(&soak->lock);
 }
@@ -457,7 +459,13 @@
 }
 
 /** Seeds that failed once, with the cause; and some that never did. */
-static const uint64_t seeds[] = { 1, 2, 3 };
+static const uint64_t seeds[] = {
+	1,
+	2,
+	/* The timer of the time limit fired early and a stream that may not be
+	 * repeated was sent to a second engine; also 1796370824209. */
+	1796370865258,
+};
 
 int main(int argc, char **argv)
 {
