request: do not end a stream with an engine's error

Cause: found by the soak: a stream that went on at another engine was ended as whole, with that engine's error in its place. Change: while a stream is passed on, only its rest counts; anything else is a failed attempt, and the caller's answer ends without its last chunk. Ruled out: the engine that stalled (its connection was closed). Tests: /it-gateway/stream-fails-elsewhere failed first; the seed is in t/test-soak.

--- a/request/exchange.c
+++ b/request/exchange.c
@@ -212,7 +212,8 @@
 {
 	bool again = false;
 	uint64_t now_ms = clock_now_ms();
-	bool has_held = exchange->answered && outcome == ATTEMPT_FAILED;
+	bool has_held = exchange->answered && !exchange->passing_on &&
+			outcome == ATTEMPT_FAILED;
 
 	exchange_leave(exchange);
 	switch (outcome) {
--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -113,6 +113,9 @@
 		}
 		return;
 	}
+	/* An error has no place in a stream that has begun. */
+	if (exchange_is_stream(exchange) && exchange->passing_on)
+		return;
 	evbuffer_add(exchange->held_body, bytes, len);
 	if (exchange->request &&
 	    (exchange->passing_on || evbuffer_get_length(exchange->held_body) >
@@ -166,8 +169,12 @@
 		exchange_note_failure(exchange, "no_receipt");
 		exchange_note_endpoint_failed(exchange, FAILURE_ONE);
 		exchange_after_attempt(exchange, ATTEMPT_UNKNOWN);
-	} else if (exchange->passing_on) {
+	} else if (exchange->passing_on && !exchange_is_stream(exchange)) {
 		exchange_finish(exchange);
+	} else if (exchange->passing_on) {
+		/* The rest of a stream was asked for. */
+		exchange_note_failure(exchange, "not_resumed");
+		exchange_after_attempt(exchange, ATTEMPT_FAILED);
 	} else if (success || status < 500) {
 		/* These statuses promise that nothing ran; it may have. */
 		if (status == 429 || status == 408) {
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -169,6 +169,31 @@
 	platform_rig_stop(&world);
 }
 
+/* Failure: a stream went on at an engine that failed it, and that engine's error
+ * ended it as if it were whole (found by the soak). */
+static void test_stream_fails_elsewhere(void)
+{
+	static const behaviour_t later[] = { FAIL, REFUSE, VANISH };
+	platform_rig_t world;
+	char *answer;
+
+	platform_rig_start(&world, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(later); i++) {
+		/* Either engine may be the first. */
+		for (int first = 0; first < ENDPOINTS; first++) {
+			world.engines[first].behaviour = CUT_EVENT;
+			world.engines[1 - first].behaviour = later[i];
+			answer = rig_ask(&world, 0, "POST", "/stream/again/1",
+					 MODEL);
+			g_assert_false(
+				g_str_has_suffix(answer, "0\r\n\r\n") &&
+				g_str_has_prefix(answer, "HTTP/1.1 200"));
+			g_free(answer);
+		}
+	}
+	platform_rig_stop(&world);
+}
+
 /* Failure: a stream that may not be repeated was, or its cut end looked like
  * the end of the answer. */
 static void test_stream_once(void)
@@ -447,6 +472,8 @@
 	g_test_add_func("/it-gateway/extra-answer", test_extra_answer);
 	g_test_add_func("/it-gateway/stream-goes-on", test_stream_goes_on);
 	g_test_add_func("/it-gateway/stream-stalls", test_stream_stalls);
+	g_test_add_func("/it-gateway/stream-fails-elsewhere",
+			test_stream_fails_elsewhere);
 	g_test_add_func("/it-gateway/stream-once", test_stream_once);
 	g_test_add_func("/it-gateway/time-limit", test_time_limit);
 	g_test_add_func("/it-gateway/store-outage", test_store_outage);
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -465,6 +465,8 @@
 	/* The timer of the time limit fired early and a stream that may not be
 	 * repeated was sent to a second engine; also 1796370824209. */
 	1796370865258,
+	/* A stream went on at an engine whose error ended it as whole. */
+	1796371012281,
 };
 
 int main(int argc, char **argv)
