gateway: let the instances with the widest links compete for the lease

Change: only the first of each domain, as for watches, competes for the lease. Ruled out: reused fencing numbers (the lease's write is conditional), orders held up by the cut (it is between holder and store). Test: /lease/bound-name for the take-over of an earlier life's lease.

--- a/cmd/gateway_control.h
+++ b/cmd/gateway_control.h
@@ -61,6 +61,10 @@
 /** Tells all instances now. */
 void gateway_peers_tell(gateway_peers_t *peers);
 
+/** Whether this instance is one of those that compete for the weights lease:
+ * the ones with the widest links of each domain, as watchers are. */
+bool gateway_peers_may_lead(const gateway_peers_t *peers, uint64_t now_ms);
+
 /** Name of the peer that says it holds the weights lease and was heard lately;
  * NULL if there is none. */
 const char *gateway_peers_holder(const gateway_peers_t *peers, uint64_t now_ms);
--- a/cmd/gateway_duty.c
+++ b/cmd/gateway_duty.c
@@ -237,9 +237,11 @@
 
 	if (!duty->waiting || clock_boot_ms() < duty->wait_until_ms)
 		return;
-	/* While the holder is heard there is nothing to read. */
+	/* While the holder is heard there is nothing to read. A slow instance
+	 * would be late with its orders and leaves the lease to others. */
 	if (duty->lease.phase == LEASE_PHASE_WATCHING &&
-	    gateway_peers_holder(duty->control->peers, now_ms))
+	    (gateway_peers_holder(duty->control->peers, now_ms) ||
+	     !gateway_peers_may_lead(duty->control->peers, now_ms)))
 		return;
 	duty->waiting = false;
 	if (duty->wait_call_id)
@@ -549,8 +551,10 @@
 
 void gateway_duty_tick(gateway_duty_t *duty, uint64_t now_ms)
 {
+	bool leads = gateway_peers_may_lead(duty->control->peers, now_ms);
+
 	if (!duty->lease_begun) {
-		if (!assembly_is_complete(&duty->control->assembly))
+		if (!leads || !assembly_is_complete(&duty->control->assembly))
 			return;
 		begin_lease(duty);
 	}
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -29,6 +29,9 @@
 	/** All ask the store until the others have been heard, ms after the
 	 * start. */
 	START_WATCH_MS = 3000,
+	/** The others have been heard for the first time, ms after the start.
+	 */
+	START_LEAD_MS = 700,
 	/** A holder that was not heard for so long may be gone, ms. */
 	HOLDER_LIVE_MS = 700,
 	PEER_CONNECTIONS_MAX = 64,
@@ -347,6 +350,12 @@
 	return before < WATCHERS_PER_DOMAIN;
 }
 
+bool gateway_peers_may_lead(const gateway_peers_t *peers, uint64_t now_ms)
+{
+	return now_ms - peers->started_ms > START_LEAD_MS &&
+	       is_first_of_domain(peers, now_ms);
+}
+
 static bool hears_watcher(const gateway_peers_t *peers, uint64_t now_ms)
 {
 	for (size_t i = 0; i < peers->peer_count; i++) {
--- a/connection/http_head.c
+++ b/connection/http_head.c
@@ -177,7 +177,8 @@
 			lengths++;
 		if (!strcasecmp(name, "Transfer-Encoding")) {
 			codings++;
-			if (strcasecmp(http_head_value(head, i), "chunked") != 0)
+			if (strcasecmp(http_head_value(head, i), "chunked") !=
+			    0)
 				return false;
 		}
 	}
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -159,8 +159,7 @@
 	} else {
 		uint32_t wait_ms =
 			options->wait_ms / 2 +
-			(uint32_t)rng_below(options->rng,
-					    options->wait_ms / 2);
+			(uint32_t)rng_below(options->rng, options->wait_ms / 2);
 
 		platform_write_watch(watch->message, options->kind,
 				     options->table->revision, wait_ms);
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -169,8 +169,8 @@
 	platform_rig_stop(&world);
 }
 
-/* Failure: a stream went on at an engine that failed it, and that engine's error
- * ended it as if it were whole (found by the soak). */
+/* Failure: a stream went on at an engine that failed it, and that engine's
+ * error ended it as if it were whole (found by the soak). */
 static void test_stream_fails_elsewhere(void)
 {
 	static const behaviour_t later[] = { FAIL, REFUSE, VANISH };
--- a/t/test-lease.c
+++ b/t/test-lease.c
@@ -492,10 +492,43 @@
 	g_free(sum);
 }
 
+/* Failure: after a restart of all instances the next holder waited for the end
+ * of a lease whose holder was itself, in an earlier life. */
+static void test_bound_name(void)
+{
+	lease_record_t record = { .holder = "self",
+				  .nonce = 99,
+				  .fencing = 4,
+				  .duration_ms = DURATION_MS };
+
+	for (int bound = 0; bound < 2; bound++) {
+		lease_actions_t actions;
+		lease_event_t event = { .kind = LEASE_EVENT_READ };
+		lease_t lease;
+		rng_t rng;
+
+		rng_init(&rng, 1);
+		lease_begin(&lease, "self", 7, DURATION_MS, &rng, &actions);
+		if (bound)
+			lease_bind_name(&lease);
+		event.call = actions.items[0].call;
+		event.read.version = 3;
+		event.read.record = &record;
+		lease_step(&lease, &event, 1000, &actions);
+		g_assert_cmpuint(actions.count, ==, 1);
+		g_assert_cmpint(actions.items[0].kind, ==,
+				bound ? LEASE_ACTION_WRITE : LEASE_ACTION_WAIT);
+		if (bound)
+			g_assert_cmpuint(actions.items[0].write.record.fencing,
+					 ==, 5);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/lease/cases", test_cases);
 	g_test_add_func("/lease/schedules", test_schedules);
+	g_test_add_func("/lease/bound-name", test_bound_name);
 	return g_test_run();
 }
