gateway: ask an engine whose order could not be sent

Cause: read while tracing a soak failure: an order that is not sent because the lease is about to end left its engine waiting for an answer that never comes. Change: such an order counts as one with an unknown outcome; the engine is asked.

--- a/cmd/gateway_duty.c
+++ b/cmd/gateway_duty.c
@@ -366,6 +366,13 @@
 	if (call && message) {
 		platform_write_report_call(message, entry->id);
 		send_engine_call(call, entry, message, on_report);
+	} else if (call) {
+		on_report(call, ERR_NO_MEMORY, 0, "", 0);
+	} else {
+		roll_report_t nothing = { .result = ERR_NO_MEMORY };
+
+		weights_roll_reported(&duty->roll, key, &nothing,
+				      clock_now_ms());
 	}
 	if (message)
 		evbuffer_free(message);
@@ -387,8 +394,12 @@
 	engine_call_t *call;
 	struct evbuffer *message;
 
-	if (!lease_is_valid(&duty->lease, clock_boot_ms() + ORDER_MARGIN_MS))
+	/* Whatever keeps an order from being sent, the engine is asked next. */
+	if (!lease_is_valid(&duty->lease, clock_boot_ms() + ORDER_MARGIN_MS)) {
+		weights_roll_answered(&duty->roll, action->key, 0,
+				      clock_now_ms());
 		return;
+	}
 	call = call_new(duty, entry, model, action->key);
 	message = evbuffer_new();
 	event_log(
@@ -401,6 +412,11 @@
 	metrics_add(METRIC_ENGINE_ORDERS_SENT, 1);
 	if (call && message && !platform_write_order(message, &sent))
 		send_engine_call(call, entry, message, on_ordered);
+	else if (call)
+		on_ordered(call, ERR_NO_MEMORY, 0, "", 0);
+	else
+		weights_roll_answered(&duty->roll, action->key, 0,
+				      clock_now_ms());
 	if (message)
 		evbuffer_free(message);
 }
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -93,6 +93,25 @@
 	return RAW_KEEP;
 }
 
+void rig_put_entry(endpoint_t *endpoint, const char *state)
+{
+	char address[32];
+	json_t *models =
+		strcmp(endpoint->service, "llm")
+			? json_array()
+			: json_pack("[{s:s,s:I}]", "name", "m", "version",
+				    (json_int_t)endpoint->weights);
+
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+		   raw_server_port(endpoint->server));
+	platform_store_put(endpoint->store, "servers", endpoint->id,
+			   json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:I}", "service",
+				     endpoint->service, "addr", address, "zone",
+				     "z", "slots", 8, "state", state, "models",
+				     models, "born",
+				     (json_int_t)1000 + endpoint->order));
+}
+
 static raw_next_t answer_duty(endpoint_t *endpoint,
 			      const raw_request_t *request)
 {
@@ -104,6 +123,8 @@
 		endpoint->orders++;
 		endpoint->weights = (uint64_t)json_integer_value(
 			json_object_get(order, "version"));
+		/* As the platform's servers do when their weights change. */
+		rig_put_entry(endpoint, "ready");
 		send_answer(request, "", 202, "", "{}");
 		return RAW_KEEP;
 	}
@@ -130,26 +151,6 @@
 	return answer_request(endpoint, request);
 }
 
-void rig_put_entry(platform_rig_t *world, endpoint_t *endpoint,
-		   const char *state)
-{
-	char address[32];
-	json_t *models =
-		strcmp(endpoint->service, "llm")
-			? json_array()
-			: json_pack("[{s:s,s:I}]", "name", "m", "version",
-				    (json_int_t)endpoint->weights);
-
-	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
-		   raw_server_port(endpoint->server));
-	platform_store_put(world->store, "servers", endpoint->id,
-			   json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:I}", "service",
-				     endpoint->service, "addr", address, "zone",
-				     "z", "slots", 8, "state", state, "models",
-				     models, "born",
-				     (json_int_t)1000 + endpoint->order));
-}
-
 static void start_endpoint(platform_rig_t *world, endpoint_t *endpoint,
 			   const char *service, int order)
 {
@@ -158,9 +159,10 @@
 	endpoint->service = service;
 	endpoint->order = order;
 	endpoint->weights = 1;
+	endpoint->store = world->store;
 	pthread_mutex_init(&endpoint->lock, NULL);
 	endpoint->server = raw_server_start(answer_endpoint, endpoint);
-	rig_put_entry(world, endpoint, "ready");
+	rig_put_entry(endpoint, "ready");
 }
 
 static json_t *route(const char *name, const char *kind, const char *service,
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -52,6 +52,7 @@
 	void (*ran)(void *context, const struct endpoint *endpoint,
 		    const char *id);
 	void *context;
+	platform_store_t *store; /**< Where it writes its own entry. */
 } endpoint_t;
 
 typedef struct world {
@@ -75,8 +76,7 @@
 bool rig_is_ready(platform_rig_t *world, int gateway);
 
 /** Writes an endpoint's entry of the server list. */
-void rig_put_entry(platform_rig_t *world, endpoint_t *endpoint,
-		   const char *state);
+void rig_put_entry(endpoint_t *endpoint, const char *state);
 
 /** Writes a desired state in which the customer has one key. */
 void rig_put_desired(platform_rig_t *world, int version, const char *key);
--- a/t/lib/raw_server.c
+++ b/t/lib/raw_server.c
@@ -18,7 +18,7 @@
 typedef struct raw_connection {
 	raw_server_t *server;
 	pthread_t thread;
-	int fd;
+	int fd; /**< -1: the thread has ended, or the place is free. */
 } raw_connection_t;
 
 struct raw_server {
@@ -102,6 +102,22 @@
 	return NULL;
 }
 
+/* A place whose thread has ended, or a new one; the lock is held. */
+static raw_connection_t *obtain_place(raw_server_t *server)
+{
+	for (size_t i = 0; i < server->count; i++) {
+		raw_connection_t *connection = &server->connections[i];
+
+		if (connection->fd >= 0)
+			continue;
+		pthread_join(connection->thread, NULL);
+		return connection;
+	}
+	return server->count < CONNECTIONS_MAX
+		       ? &server->connections[server->count++]
+		       : NULL;
+}
+
 static void *accept_main(void *context)
 {
 	raw_server_t *server = context;
@@ -111,10 +127,10 @@
 		raw_connection_t *connection;
 
 		pthread_mutex_lock(&server->lock);
-		if (server->stopping || server->count == CONNECTIONS_MAX) {
+		connection = server->stopping ? NULL : obtain_place(server);
+		if (!connection) {
 			close(fd);
 		} else {
-			connection = &server->connections[server->count++];
 			connection->server = server;
 			connection->fd = fd;
 			pthread_create(&connection->thread, NULL,
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -309,7 +309,7 @@
 	platform_rig_t world;
 
 	platform_rig_start(&world, 1);
-	rig_put_entry(&world, &world.plain[0], "draining");
+	rig_put_entry(&world.plain[0], "draining");
 	g_assert_true(WAIT_UNTIL(gets_no_work(&world), 2000));
 	g_assert_true(gets_no_work(&world));
 	platform_rig_stop(&world);
--- a/t/test-soak.c
+++ b/t/test-soak.c
@@ -25,7 +25,8 @@
 	 * platform allows 12 s for a restart of all. */
 	CALM_MS = 12000,
 	CALM_REQUESTS = 12,
-	KEYS_MAX = 64,
+	/** Of a gateway's log that a failure shows. */
+	LAST_BYTES = 4000,
 };
 
 /** What a caller may see of one kind of request. */
@@ -282,7 +283,7 @@
 static void change_leaving(soak_t *soak)
 {
 	soak->leaving = !soak->leaving;
-	rig_put_entry(&soak->world, &soak->world.plain[0],
+	rig_put_entry(&soak->world.plain[0],
 		      soak->leaving ? "draining" : "ready");
 }
 
@@ -368,23 +369,57 @@
 	return true;
 }
 
+/* Last lines that a gateway printed, but for those about requests. */
+static char *last_lines(soak_t *soak, int gateway)
+{
+	char **lines = g_strsplit(program_output(soak->world.gateways[gateway]),
+				  "\n", -1);
+	GString *kept = g_string_new(NULL);
+
+	for (char **line = lines; *line; line++) {
+		if (!strstr(*line, " event=18"))
+			g_string_append_printf(kept, "%s\n", *line);
+	}
+	g_strfreev(lines);
+	if (kept->len > LAST_BYTES)
+		g_string_erase(kept, 0, (gssize)(kept->len - LAST_BYTES));
+	return g_string_free(kept, FALSE);
+}
+
+/* Keeps the pipes of the gateways' logs empty; only on the main thread. */
+static void drain_logs(soak_t *soak)
+{
+	for (int g = 0; g < GATEWAYS; g++)
+		(void)program_output(soak->world.gateways[g]);
+}
+
+static bool has_weights(soak_t *soak, int engine)
+{
+	drain_logs(soak);
+	return soak->world.engines[engine].weights == (uint64_t)soak->weights;
+}
+
 static void check_calm(soak_t *soak)
 {
 	for (int g = 0; g < GATEWAYS; g++) {
 		if (!WAIT_UNTIL(serves_all(soak, g), CALM_MS))
-			g_error("seed %llu: gateway %d does not serve again",
-				(unsigned long long)soak->seed, g);
+			g_error("seed %llu: gateway %d does not serve again:\n%s",
+				(unsigned long long)soak->seed, g,
+				last_lines(soak, g));
 		if (soak->key > 1 && !status_is(soak, g, &kinds[0],
 						soak->key - 1, "HTTP/1.1 401"))
 			g_error("seed %llu: gateway %d takes an old key",
 				(unsigned long long)soak->seed, g);
 	}
 	for (int i = 0; i < ENDPOINTS; i++) {
-		if (!WAIT_UNTIL(soak->world.engines[i].weights ==
-					(uint64_t)soak->weights,
-				CALM_MS))
-			g_error("seed %llu: engine %d has old weights",
-				(unsigned long long)soak->seed, i);
+		if (!WAIT_UNTIL(has_weights(soak, i), CALM_MS))
+			g_error("seed %llu: engine %d has weights %llu, not "
+				"%d:\n%s\n%s\n%s",
+				(unsigned long long)soak->seed, i,
+				(unsigned long long)soak->world.engines[i]
+					.weights,
+				soak->weights, last_lines(soak, 0),
+				last_lines(soak, 1), last_lines(soak, 2));
 	}
 }
 
@@ -430,6 +465,7 @@
 	}
 	for (int i = 0; i < FAULT_STEPS; i++) {
 		one_fault(&soak);
+		drain_logs(&soak);
 		clock_sleep_ms(STEP_MIN_MS +
 			       rng_below(&soak.rng, STEP_SPREAD_MS));
 	}
