t: name the soak as a test of processes, keep its rig's names apart

The soak starts processes and does not belong among the unit tests of the sanitizers. Change: names only. Ruled out: one rig for both, as the older one drives another program.

--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -93,7 +93,7 @@
 	return RAW_KEEP;
 }
 
-void rig_put_entry(endpoint_t *endpoint, const char *state)
+void platform_rig_put_entry(endpoint_t *endpoint, const char *state)
 {
 	char address[32];
 	json_t *models =
@@ -124,7 +124,7 @@
 		endpoint->weights = (uint64_t)json_integer_value(
 			json_object_get(order, "version"));
 		/* As the platform's servers do when their weights change. */
-		rig_put_entry(endpoint, "ready");
+		platform_rig_put_entry(endpoint, "ready");
 		send_answer(request, "", 202, "", "{}");
 		return RAW_KEEP;
 	}
@@ -162,7 +162,7 @@
 	endpoint->store = world->store;
 	pthread_mutex_init(&endpoint->lock, NULL);
 	endpoint->server = raw_server_start(answer_endpoint, endpoint);
-	rig_put_entry(endpoint, "ready");
+	platform_rig_put_entry(endpoint, "ready");
 }
 
 static json_t *route(const char *name, const char *kind, const char *service,
@@ -180,7 +180,8 @@
 	return made;
 }
 
-void rig_put_desired(platform_rig_t *world, int version, const char *key)
+void platform_rig_put_desired(platform_rig_t *world, int version,
+			      const char *key)
 {
 	json_t *routes = json_pack(
 		"[o,o,o,o]", route("get", "idempotent", "desk", false),
@@ -204,14 +205,14 @@
 			  "api_keys", key));
 }
 
-void rig_name_weights(platform_rig_t *world, int version)
+void platform_rig_name_weights(platform_rig_t *world, int version)
 {
 	platform_store_put(
 		world->store, "versions", "m",
 		json_pack("{s:s,s:i}", "model", "m", "version", version));
 }
 
-bool rig_is_ready(platform_rig_t *world, int gateway)
+bool platform_rig_is_ready(platform_rig_t *world, int gateway)
 {
 	char *answer = raw_call(world->ready_ports[gateway],
 				"GET /v1/readyz HTTP/1.1\r\nHost: r\r\n"
@@ -222,7 +223,7 @@
 	return ready;
 }
 
-void rig_start_gateway(platform_rig_t *world, int at)
+void platform_rig_start_gateway(platform_rig_t *world, int at)
 {
 	/* Instances have one port and an address each; on loopback the address
 	 * tells them apart. */
@@ -259,17 +260,17 @@
 	memset(world, 0, sizeof(*world));
 	world->store = platform_store_start();
 	world->peer_ports[0] = harness_free_port();
-	rig_put_desired(world, 1, "key-1");
-	rig_name_weights(world, 1);
+	platform_rig_put_desired(world, 1, "key-1");
+	platform_rig_name_weights(world, 1);
 	for (int i = 0; i < ENDPOINTS; i++) {
 		start_endpoint(world, &world->plain[i], "desk", i);
 		start_endpoint(world, &world->engines[i], "llm", i);
 	}
 	for (int i = 0; i < gateways; i++)
-		rig_start_gateway(world, i);
+		platform_rig_start_gateway(world, i);
 	for (int i = 0; i < gateways; i++)
-		g_assert_true(
-			WAIT_UNTIL(rig_is_ready(world, i), HARNESS_WAIT_MS));
+		g_assert_true(WAIT_UNTIL(platform_rig_is_ready(world, i),
+					 HARNESS_WAIT_MS));
 }
 
 static void stop_endpoint(endpoint_t *endpoint)
@@ -295,8 +296,8 @@
 	platform_store_stop(world->store);
 }
 
-char *rig_ask(const platform_rig_t *world, int gateway, const char *method,
-	      const char *path, const char *more)
+char *platform_rig_ask(const platform_rig_t *world, int gateway,
+		       const char *method, const char *path, const char *more)
 {
 	char *request = g_strdup_printf(
 		"%s %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n"
@@ -309,18 +310,18 @@
 	return answer;
 }
 
-uint32_t rig_arrivals(const endpoint_t *endpoints)
+uint32_t platform_rig_arrivals(const endpoint_t *endpoints)
 {
 	return endpoints[0].arrivals + endpoints[1].arrivals;
 }
 
-void rig_behave(endpoint_t *endpoints, behaviour_t behaviour)
+void platform_rig_behave(endpoint_t *endpoints, behaviour_t behaviour)
 {
 	for (int i = 0; i < ENDPOINTS; i++)
 		endpoints[i].behaviour = behaviour;
 }
 
-const endpoint_t *rig_used(const endpoint_t *endpoints)
+const endpoint_t *platform_rig_used(const endpoint_t *endpoints)
 {
 	return endpoints[0].arrivals ? &endpoints[0] : &endpoints[1];
 }
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -70,29 +70,30 @@
 void platform_rig_stop(platform_rig_t *world);
 
 /** Starts a gateway, or starts it again on its ports. */
-void rig_start_gateway(platform_rig_t *world, int at);
+void platform_rig_start_gateway(platform_rig_t *world, int at);
 
 /** Whether a gateway says that it is ready. */
-bool rig_is_ready(platform_rig_t *world, int gateway);
+bool platform_rig_is_ready(platform_rig_t *world, int gateway);
 
 /** Writes an endpoint's entry of the server list. */
-void rig_put_entry(endpoint_t *endpoint, const char *state);
+void platform_rig_put_entry(endpoint_t *endpoint, const char *state);
 
 /** Writes a desired state in which the customer has one key. */
-void rig_put_desired(platform_rig_t *world, int version, const char *key);
+void platform_rig_put_desired(platform_rig_t *world, int version,
+			      const char *key);
 
-void rig_name_weights(platform_rig_t *world, int version);
+void platform_rig_name_weights(platform_rig_t *world, int version);
 
 /** Asks a gateway and reads to the end of the connection; g_free() it. */
-char *rig_ask(const platform_rig_t *world, int gateway, const char *method,
-	      const char *path, const char *more);
+char *platform_rig_ask(const platform_rig_t *world, int gateway,
+		       const char *method, const char *path, const char *more);
 
 /** Requests that both endpoints of a service got. */
-uint32_t rig_arrivals(const endpoint_t *endpoints);
+uint32_t platform_rig_arrivals(const endpoint_t *endpoints);
 
-void rig_behave(endpoint_t *endpoints, behaviour_t behaviour);
+void platform_rig_behave(endpoint_t *endpoints, behaviour_t behaviour);
 
 /** The endpoint that got requests. */
-const endpoint_t *rig_used(const endpoint_t *endpoints);
+const endpoint_t *platform_rig_used(const endpoint_t *endpoints);
 
 #endif
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -27,12 +27,13 @@
 	char *answer;
 
 	platform_rig_start(&world, 1);
-	answer = rig_ask(&world, 0, "GET", "/get/1",
-			 "Tenant: other\r\nHold: x\r\nCache-Salt: y\r\n"
-			 "X-Own: kept\r\n");
+	answer =
+		platform_rig_ask(&world, 0, "GET", "/get/1",
+				 "Tenant: other\r\nHold: x\r\nCache-Salt: y\r\n"
+				 "X-Own: kept\r\n");
 	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
 	g_assert_nonnull(strstr(answer, "Response-Stamp: s"));
-	endpoint = rig_used(world.plain);
+	endpoint = platform_rig_used(world.plain);
 	assert_header(endpoint, "Tenant", "cust");
 	assert_header(endpoint, "Key", NULL);
 	assert_header(endpoint, "Hold", NULL);
@@ -79,10 +80,11 @@
 	platform_rig_start(&world, 1);
 	world.plain[0].behaviour = row->first;
 	world.plain[1].behaviour = row->second;
-	answer = rig_ask(&world, 0, row->method, row->path, "");
+	answer = platform_rig_ask(&world, 0, row->method, row->path, "");
 	g_assert_true(g_str_has_prefix(answer, row->status));
 	if (row->arrivals)
-		g_assert_cmpuint(rig_arrivals(world.plain), ==, row->arrivals);
+		g_assert_cmpuint(platform_rig_arrivals(world.plain), ==,
+				 row->arrivals);
 	if (strstr(row->status, "503"))
 		g_assert_nonnull(strstr(answer, "Retry-After: 0."));
 	g_free(answer);
@@ -97,8 +99,8 @@
 	char *answer;
 
 	platform_rig_start(&world, 1);
-	rig_behave(world.plain, EXTRA);
-	answer = rig_ask(&world, 0, "POST", "/order/1", "");
+	platform_rig_behave(world.plain, EXTRA);
+	answer = platform_rig_ask(&world, 0, "POST", "/order/1", "");
 	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
 	g_assert_null(strstr(answer, "not yours"));
 	g_assert_nonnull(strstr(answer, "desk-"));
@@ -131,7 +133,8 @@
 	/* Whichever is first breaks off; the other one goes on. */
 	world.engines[0].behaviour = CUT_EVENT;
 	for (int i = 0; i < 6; i++) {
-		answer = rig_ask(&world, 0, "POST", "/stream/again/1", MODEL);
+		answer = platform_rig_ask(&world, 0, "POST", "/stream/again/1",
+					  MODEL);
 		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
 		assert_events(answer);
 		g_assert_true(g_str_has_suffix(answer, "0\r\n\r\n"));
@@ -143,7 +146,7 @@
 			world.engines[0].behaviour == CUT_EVENT ? ANSWER
 								: CUT_EVENT;
 	}
-	g_assert_cmpuint(rig_arrivals(world.engines), >, 6);
+	g_assert_cmpuint(platform_rig_arrivals(world.engines), >, 6);
 	platform_rig_stop(&world);
 }
 
@@ -155,17 +158,18 @@
 	char *answer;
 
 	platform_rig_start(&world, 1);
-	rig_behave(world.engines, STALL);
+	platform_rig_behave(world.engines, STALL);
 	world.engines[1].behaviour = ANSWER;
 	for (int i = 0; i < 2; i++) {
-		answer = rig_ask(&world, 0, "POST", "/stream/again/1", MODEL);
+		answer = platform_rig_ask(&world, 0, "POST", "/stream/again/1",
+					  MODEL);
 		assert_events(answer);
 		g_assert_true(g_str_has_suffix(answer, "0\r\n\r\n"));
 		g_free(answer);
 		world.engines[0].behaviour = ANSWER;
 		world.engines[1].behaviour = STALL;
 	}
-	g_assert_cmpuint(rig_arrivals(world.engines), >=, 3);
+	g_assert_cmpuint(platform_rig_arrivals(world.engines), >=, 3);
 	platform_rig_stop(&world);
 }
 
@@ -183,8 +187,8 @@
 		for (int first = 0; first < ENDPOINTS; first++) {
 			world.engines[first].behaviour = CUT_EVENT;
 			world.engines[1 - first].behaviour = later[i];
-			answer = rig_ask(&world, 0, "POST", "/stream/again/1",
-					 MODEL);
+			answer = platform_rig_ask(&world, 0, "POST",
+						  "/stream/again/1", MODEL);
 			g_assert_false(
 				g_str_has_suffix(answer, "0\r\n\r\n") &&
 				g_str_has_prefix(answer, "HTTP/1.1 200"));
@@ -202,11 +206,11 @@
 	char *answer;
 
 	platform_rig_start(&world, 1);
-	rig_behave(world.engines, CUT_EVENT);
-	answer = rig_ask(&world, 0, "POST", "/stream/once/1", MODEL);
+	platform_rig_behave(world.engines, CUT_EVENT);
+	answer = platform_rig_ask(&world, 0, "POST", "/stream/once/1", MODEL);
 	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
 	g_assert_false(g_str_has_suffix(answer, "0\r\n\r\n"));
-	g_assert_cmpuint(rig_arrivals(world.engines), ==, 1);
+	g_assert_cmpuint(platform_rig_arrivals(world.engines), ==, 1);
 	g_free(answer);
 	platform_rig_stop(&world);
 }
@@ -249,7 +253,7 @@
 	uint32_t sent = 0;
 
 	platform_rig_start(&world, 1);
-	rig_behave(world.engines, HOLD);
+	platform_rig_behave(world.engines, HOLD);
 	pthread_barrier_init(&begin, NULL, BURST);
 	for (int i = 0; i < BURST; i++) {
 		calls[i] = (burst_call_t){ &world, &begin, i, 0 };
@@ -276,14 +280,15 @@
 
 	platform_rig_start(&world, 1);
 	platform_store_set_down(world.store, true);
-	answer = rig_ask(&world, 0, "GET", "/get/1", "");
+	answer = platform_rig_ask(&world, 0, "GET", "/get/1", "");
 	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
 	g_free(answer);
-	rig_put_desired(&world, 2, "key-2");
+	platform_rig_put_desired(&world, 2, "key-2");
 	platform_store_set_down(world.store, false);
 	g_assert_true(WAIT_UNTIL(
 		({
-			char *text = rig_ask(&world, 0, "GET", "/get/1", "");
+			char *text = platform_rig_ask(&world, 0, "GET",
+						      "/get/1", "");
 			bool out = g_str_has_prefix(text, "HTTP/1.1 401");
 
 			g_free(text);
@@ -299,7 +304,7 @@
 	uint32_t before = world->plain[0].arrivals;
 
 	for (int i = 0; i < 10; i++)
-		g_free(rig_ask(world, 0, "GET", "/get/1", ""));
+		g_free(platform_rig_ask(world, 0, "GET", "/get/1", ""));
 	return world->plain[0].arrivals == before;
 }
 
@@ -309,7 +314,7 @@
 	platform_rig_t world;
 
 	platform_rig_start(&world, 1);
-	rig_put_entry(&world.plain[0], "draining");
+	platform_rig_put_entry(&world.plain[0], "draining");
 	g_assert_true(WAIT_UNTIL(gets_no_work(&world), 2000));
 	g_assert_true(gets_no_work(&world));
 	platform_rig_stop(&world);
@@ -323,23 +328,23 @@
 	char *answer;
 
 	platform_rig_start(&world, 2);
-	rig_name_weights(&world, 2);
+	platform_rig_name_weights(&world, 2);
 	for (int i = 0; i < ENDPOINTS; i++)
 		g_assert_true(WAIT_UNTIL(world.engines[i].weights == 2,
 					 HARNESS_WAIT_MS));
 	g_assert_true(WAIT_UNTIL(
 		({
-			char *text = rig_ask(&world, 1, "POST",
-					     "/stream/once/1", MODEL);
+			char *text = platform_rig_ask(&world, 1, "POST",
+						      "/stream/once/1", MODEL);
 
 			g_free(text);
-			strstr(rig_used(world.engines)->last_head,
+			strstr(platform_rig_used(world.engines)->last_head,
 			       "Expect-Version: 2") != NULL;
 		}),
 		HARNESS_WAIT_MS));
 	for (int i = 0; i < ENDPOINTS; i++)
 		g_assert_cmpuint(world.engines[i].orders, ==, 1);
-	answer = rig_ask(&world, 0, "POST", "/stream/again/1", MODEL);
+	answer = platform_rig_ask(&world, 0, "POST", "/stream/again/1", MODEL);
 	assert_events(answer);
 	g_free(answer);
 	platform_rig_stop(&world);
@@ -354,7 +359,7 @@
 {
 	held_call_t *call = context;
 
-	call->answer = rig_ask(call->world, 0, "POST", "/order/1", "");
+	call->answer = platform_rig_ask(call->world, 0, "POST", "/order/1", "");
 	return NULL;
 }
 
@@ -366,12 +371,13 @@
 	pthread_t thread;
 
 	platform_rig_start(&world, 1);
-	rig_behave(world.plain, HOLD);
+	platform_rig_behave(world.plain, HOLD);
 	pthread_create(&thread, NULL, held_main, &call);
-	g_assert_true(
-		WAIT_UNTIL(rig_arrivals(world.plain) == 1, HARNESS_WAIT_MS));
+	g_assert_true(WAIT_UNTIL(platform_rig_arrivals(world.plain) == 1,
+				 HARNESS_WAIT_MS));
 	program_signal(world.gateways[0], SIGTERM);
-	g_assert_true(WAIT_UNTIL(!rig_is_ready(&world, 0), HARNESS_WAIT_MS));
+	g_assert_true(
+		WAIT_UNTIL(!platform_rig_is_ready(&world, 0), HARNESS_WAIT_MS));
 	world.plain[0].released = true;
 	world.plain[1].released = true;
 	pthread_join(thread, NULL);
@@ -402,9 +408,9 @@
 			      !*answer);
 		g_free(answer);
 	}
-	answer = rig_ask(&world, 0, "GET", "/get/1", "");
+	answer = platform_rig_ask(&world, 0, "GET", "/get/1", "");
 	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
-	g_assert_cmpuint(rig_arrivals(world.plain), ==, 1);
+	g_assert_cmpuint(platform_rig_arrivals(world.plain), ==, 1);
 	g_free(answer);
 	platform_rig_stop(&world);
 }
@@ -456,9 +462,9 @@
 	char *answer;
 
 	platform_rig_start(&world, 1);
-	rig_behave(world.plain, story->behaviour);
-	rig_behave(world.engines, story->behaviour);
-	answer = rig_ask(&world, 0, "POST", story->path, MODEL);
+	platform_rig_behave(world.plain, story->behaviour);
+	platform_rig_behave(world.engines, story->behaviour);
+	answer = platform_rig_ask(&world, 0, "POST", story->path, MODEL);
 	g_assert_true(g_str_has_prefix(answer, story->status));
 	g_assert_true(WAIT_UNTIL(tells_story(&world, story), HARNESS_WAIT_MS));
 	g_free(answer);
--- a/t/test-soak.c
+++ b/t/test-it-soak.c
@@ -241,7 +241,7 @@
 	g_assert_cmpint(program_wait(world->gateways[at], HARNESS_WAIT_MS), !=,
 			-1);
 	program_free(world->gateways[at]);
-	rig_start_gateway(world, at);
+	platform_rig_start_gateway(world, at);
 	g_assert_true(
 		WAIT_UNTIL(port_accepts(world->ports[at]), HARNESS_WAIT_MS));
 	soak->disturbed[at]++;
@@ -264,7 +264,7 @@
 	char name[32];
 
 	g_snprintf(name, sizeof(name), "key-%u", soak->key + 1);
-	rig_put_desired(&soak->world, ++soak->version, name);
+	platform_rig_put_desired(&soak->world, ++soak->version, name);
 	soak->key_since_ms = clock_now_ms();
 	soak->key++;
 }
@@ -283,8 +283,8 @@
 static void change_leaving(soak_t *soak)
 {
 	soak->leaving = !soak->leaving;
-	rig_put_entry(&soak->world.plain[0],
-		      soak->leaving ? "draining" : "ready");
+	platform_rig_put_entry(&soak->world.plain[0],
+			       soak->leaving ? "draining" : "ready");
 }
 
 static void one_fault(soak_t *soak)
@@ -313,7 +313,7 @@
 		change_key(soak);
 		return;
 	case 5:
-		rig_name_weights(&soak->world, ++soak->weights);
+		platform_rig_name_weights(&soak->world, ++soak->weights);
 		return;
 	case 6:
 		change_leaving(soak);
