--- a/process/placement.c
+++ b/process/placement.c
@@ -121,7 +121,7 @@
 	if (candidate->old_weights)
 		cost += OLD_WEIGHTS_COST_MS;
 	cost += ERROR_COST_MS * candidate->error_rate / RATE_ONE;
-	return cost + candidate->cold_left_ms / 10.0;
+	return cost + candidate->warm_up_ms / 10.0;
 }
 
 uint32_t placement_wait_ms(const placement_candidate_t *candidate)
--- a/process/placement.h
+++ b/process/placement.h
@@ -39,7 +39,7 @@
 	uint32_t prefill;      /**< Prompt tokens that wait to be read. */
 	uint64_t cache_tokens; /**< Memory of the engine; 0: a plain service. */
 	uint32_t error_rate;   /**< In 1/1024. */
-	uint32_t cold_left_ms;
+	uint32_t warm_up_ms;
 	uint32_t held_tokens; /**< Of the beginning, in its cache. */
 	/** Of the beginning, in another's cache or the store; these can be
 	 * fetched. */
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -110,7 +110,7 @@
 					? service->engine.cache_tokens
 					: 0,
 		.error_rate = atomic_load(&load->error_rate),
-		.cold_left_ms = entry->cold_left_ms,
+		.warm_up_ms = entry->warm_up_ms,
 		.same_domain = !strcmp(entry->domain, exchange->env->domain),
 	};
 	if (named) {
--- a/version/view.h
+++ b/version/view.h
@@ -46,7 +46,7 @@
 	char address_text[32];		     /**< IP:PORT */
 	struct sockaddr_in address;
 	uint32_t slots;
-	uint32_t cold_left_ms;
+	uint32_t warm_up_ms;
 	bool draining;
 	uint64_t born_ms;  /**< Unix time of the start; 0 if not stated. */
 	uint64_t revision; /**< Of the entry's last change in the store. */
