request: log each request that the limit of a planned stop cuts

A request that was still open when a planned stop reached its limit left no line; stop_limit gave only their number. So a request that was taken too late, one that was sent early to a slow endpoint and an answer that had not left the process looked alike.

Requests in progress now stand in a list, each cut one gets a request_cut line with its age, the time since it was sent and whether its answer had begun, and stop_limit gives the bytes that are unsent. No decision changes.

--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -216,8 +216,13 @@
 	if (elapsed_ms >= STOP_ACCEPT_MS || elapsed_ms >= limit_ms)
 		inbound_close_idle(front->client_listener);
 	if (elapsed_ms >= limit_ms) {
-		event_log(EVENT_STOP_LIMIT, "requests=%u",
-			  front->env.open_requests);
+		event_log(EVENT_STOP_LIMIT,
+			  "requests=%u connections=%u unsent_bytes=%llu",
+			  front->env.open_requests,
+			  inbound_connection_count(front->client_listener),
+			  (unsigned long long)inbound_unsent_bytes(
+				  front->client_listener));
+		exchange_log_cut(&front->env);
 		event_base_loopbreak(front->base);
 	} else if (elapsed_ms >= STOP_ACCEPT_MS && !front->env.open_requests &&
 		   !inbound_connection_count(front->client_listener)) {
--- a/connection/inbound.c
+++ b/connection/inbound.c
@@ -546,6 +546,17 @@
 	return inbound->connection_count;
 }
 
+uint64_t inbound_unsent_bytes(const inbound_t *inbound)
+{
+	const connection_t *connection;
+	uint64_t bytes = 0;
+
+	LIST_FOREACH(connection, &inbound->connections, entry)
+	bytes +=
+		evbuffer_get_length(bufferevent_get_output(connection->stream));
+	return bytes;
+}
+
 void inbound_close(inbound_t *inbound)
 {
 	connection_t *connection = LIST_FIRST(&inbound->connections);
--- a/connection/inbound.h
+++ b/connection/inbound.h
@@ -110,6 +110,9 @@
 /** Number of open connections. */
 uint32_t inbound_connection_count(const inbound_t *inbound);
 
+/** Bytes of answers that have not left the process. */
+uint64_t inbound_unsent_bytes(const inbound_t *inbound);
+
 /** Closes the listener and all connections. */
 void inbound_close(inbound_t *inbound);
 
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -121,6 +121,11 @@
       "A socket option could not be set; the connection is used without it.")
 EVENT(1806, REQUEST_NOT_RENEWED, "request_not_renewed", EVENT_INFO,
       "Another attempt was not started: the newest view does not allow it.")
+EVENT(1807, REQUEST_CUT, "request_cut", EVENT_WARN,
+      "A planned stop reached its limit before the request ended. age_ms and "
+      "sent_ms: since its arrival and since it was sent to the endpoint; "
+      "left_ms: until its deadline; begun: its answer was being relayed; "
+      "client: the client was still connected.")
 EVENT(1900, VIEW_PUBLISHED, "view_published", EVENT_INFO,
       "New requests are routed with a newer view.")
 EVENT(1901, STORE_CONTACT, "store_contact", EVENT_WARN,
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -81,6 +81,7 @@
 		evbuffer_free(exchange->buffered_body);
 	sse_splitter_free(&exchange->splitter);
 	view_put(exchange->view);
+	LIST_REMOVE(exchange, entry);
 	exchange->env->open_requests--;
 	free(exchange);
 }
@@ -323,6 +324,7 @@
 	exchange->timer = evtimer_new(env->base, on_timer, exchange);
 	exchange->buffered_head = evbuffer_new();
 	exchange->buffered_body = evbuffer_new();
+	LIST_INSERT_HEAD(&env->open, exchange, entry);
 	env->open_requests++;
 	if (!exchange->timer || !exchange->buffered_head ||
 	    !exchange->buffered_body) {
@@ -383,3 +385,27 @@
 	if (exchange && exchange->call)
 		outbound_resume(exchange->call);
 }
+
+void exchange_log_cut(const exchange_env_t *env)
+{
+	uint64_t now_ms = clock_now_ms();
+	const exchange_t *exchange;
+
+	LIST_FOREACH(exchange, &env->open, entry)
+	{
+		event_log(EVENT_REQUEST_CUT,
+			  "id=%s route=%s endpoint=%s age_ms=%llu sent_ms=%lld "
+			  "left_ms=%llu runs=%u begun=%d client=%d",
+			  exchange->id,
+			  exchange->route ? exchange->route->name : "-",
+			  exchange->endpoint ? exchange->endpoint->id : "-",
+			  (unsigned long long)(now_ms - exchange->started_ms),
+			  exchange->endpoint
+				  ? (long long)(now_ms - exchange->sent_ms)
+				  : -1LL,
+			  (unsigned long long)exchange_time_left(exchange,
+								 now_ms),
+			  exchange->runs, exchange->relay_started,
+			  exchange->request != NULL);
+	}
+}
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -15,6 +15,7 @@
 #include <event2/event.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/queue.h>
 
 #include "connection/inbound.h"
 #include "connection/outbound.h"
@@ -51,9 +52,13 @@
 	EXCHANGE_CONNECTIONS_RESERVED_PERCENT = 15,
 };
 
+/** Requests in progress. */
+LIST_HEAD(exchange_list, exchange);
+
 /** State shared by all requests of the front thread. */
 typedef struct exchange_env {
 	struct event_base *base;
+	struct exchange_list open; /**< Requests in progress. */
 	outbound_t *outbound;
 	retry_budget_t retry_budget;
 	rng_t rng;
@@ -66,7 +71,7 @@
 	uint32_t instance_count;    /**< Live instances, this one included. */
 	uint32_t weights_ms; /**< How long replaced weights may be used, ms. */
 	bool refuse_streams; /**< A planned stop would break them off. */
-	uint32_t open_requests; /**< Requests in progress. */
+	uint32_t open_requests; /**< Number of requests in `open`. */
 	/** How long streams may wait for their first token. */
 	first_token_timeout_t first_token_timeout;
 } exchange_env_t;
@@ -78,6 +83,9 @@
 /** Handles the disconnect of the client before its answer ended. */
 void exchange_client_gone(inbound_request_t *request);
 
+/** Logs each request in progress; for a planned stop that cuts them. */
+void exchange_log_cut(const exchange_env_t *env);
+
 /** Resumes reading from the endpoint after the client's output drained. */
 void exchange_client_drained(inbound_request_t *request);
 
--- a/request/exchange_job.h
+++ b/request/exchange_job.h
@@ -32,6 +32,7 @@
 /** State of one client request. Times are monotonic. */
 typedef struct exchange {
 	exchange_env_t *env;
+	LIST_ENTRY(exchange) entry; /**< In exchange_env_t::open. */
 	inbound_request_t *request; /**< NULL after the client disconnected. */
 	view_t *view;
 	const desired_route_t *route;
