request: take requests in a planned stop only if they end before its limit

Clients saw: a request that an instance took 7.3 s after SIGTERM, with 0.8 s of time left, was sent to an endpoint, which ran it, and got no answer, as the process ended 1 ms later.

Cause: the stop refused streams after 2.7 s, but requests of all other routes were taken until the event loop ended, whatever their deadline. New requests do arrive that late: the load balancer uses all instances of a failure domain while fewer than half of them are ready. Class: work is accepted without comparing the time it may need with the time that the process has left.

Change: process/planned_stop decides from the deadline. While new connections are still expected, any request is taken; afterwards only one whose deadline lies before the limit. Streams follow the same rule.

Evidence: /it-gateway/stop-answers-late-request failed before the change ("assertion failed (calls[i].answer != "")": reached the endpoint, no answer) and passes three times after it.

--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -25,14 +25,6 @@
 	/** File descriptors reserved for uses other than connections: files,
 	 * pipes, other sockets. */
 	DESCRIPTORS_RESERVED = 240,
-	/** New connections arrive for this long after a planned stop starts,
-	 * ms: the load balancer probes once a second and removes an instance
-	 * after the second failed probe. Later streams are refused, because
-	 * they could last longer than the rest of the grace period. */
-	STOP_ACCEPT_MS = 2700,
-	/** A planned stop ends this long before the process would be killed,
-	 * ms. */
-	STOP_MARGIN_MS = 700,
 	/** Limits until the desired state is known. */
 	DEFAULT_HEAD_MAX_BYTES = 16384,
 	DEFAULT_BODY_MAX_BYTES = 4194304,
@@ -50,7 +42,6 @@
 	inbound_t *metrics_listener;
 	exchange_env_t env;
 	inbound_limits_t limits;
-	uint64_t stop_started_ms; /**< 0: not stopping. */
 	uint32_t ticks;
 } front_t;
 
@@ -101,7 +92,7 @@
 static bool is_ready(const front_t *front)
 {
 	view_t *view = view_acquire();
-	bool ready = view && !front->stop_started_ms;
+	bool ready = view && !planned_stop_has_begun(&front->env.stop);
 
 	view_put(view);
 	return ready;
@@ -208,14 +199,13 @@
  * the time is up. */
 static void continue_stop(front_t *front)
 {
-	uint64_t elapsed_ms = clock_now_ms() - front->stop_started_ms;
-	uint64_t limit_ms = (uint64_t)(front->gateway->settings.grace_s * 1000);
+	const planned_stop_t *stop = &front->env.stop;
+	uint64_t now_ms = clock_now_ms();
+	bool arrivals_over = planned_stop_arrivals_over(stop, now_ms);
 
-	limit_ms = limit_ms > STOP_MARGIN_MS ? limit_ms - STOP_MARGIN_MS : 0;
-	front->env.refuse_streams = elapsed_ms >= STOP_ACCEPT_MS;
-	if (elapsed_ms >= STOP_ACCEPT_MS || elapsed_ms >= limit_ms)
+	if (arrivals_over)
 		inbound_close_idle(front->client_listener);
-	if (elapsed_ms >= limit_ms) {
+	if (now_ms >= stop->limit_ms) {
 		event_log(EVENT_STOP_LIMIT,
 			  "requests=%u connections=%u unsent_bytes=%llu",
 			  front->env.open_requests,
@@ -224,7 +214,7 @@
 				  front->client_listener));
 		exchange_log_cut(&front->env);
 		event_base_loopbreak(front->base);
-	} else if (elapsed_ms >= STOP_ACCEPT_MS && !front->env.open_requests &&
+	} else if (arrivals_over && !front->env.open_requests &&
 		   !inbound_connection_count(front->client_listener)) {
 		event_base_loopbreak(front->base);
 	}
@@ -243,7 +233,7 @@
 	apply_view(front);
 	if (front->ticks % SWEEP_INTERVAL_TICKS == 0)
 		update_metrics(front);
-	if (front->stop_started_ms)
+	if (planned_stop_has_begun(&front->env.stop))
 		continue_stop(front);
 }
 
@@ -253,9 +243,11 @@
 
 	(void)number;
 	(void)what;
-	if (front->stop_started_ms)
+	if (planned_stop_has_begun(&front->env.stop))
 		return;
-	front->stop_started_ms = clock_now_ms();
+	exchange_begin_stop(
+		&front->env,
+		(uint64_t)(front->gateway->settings.grace_s * 1000));
 	atomic_store(&front->gateway->stopping, true);
 	inbound_stop(front->client_listener);
 	event_log(EVENT_STOPPING, "requests=%u connections=%u",
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -386,6 +386,19 @@
 		outbound_resume(exchange->call);
 }
 
+void exchange_begin_stop(exchange_env_t *env, uint64_t grace_ms)
+{
+	exchange_t *exchange;
+
+	planned_stop_begin(&env->stop, grace_ms, clock_now_ms());
+	LIST_FOREACH(exchange, &env->open, entry)
+	{
+		exchange->deadline_ms =
+			planned_stop_cap(&env->stop, exchange->deadline_ms);
+		exchange_arm_timer(exchange);
+	}
+}
+
 void exchange_log_cut(const exchange_env_t *env)
 {
 	uint64_t now_ms = clock_now_ms();
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -23,6 +23,7 @@
 #include "process/fetch_source.h"
 #include "process/first_token_timeout.h"
 #include "process/hint_ring.h"
+#include "process/planned_stop.h"
 #include "process/retry_budget.h"
 #include "process/rng.h"
 
@@ -70,7 +71,7 @@
 	const char *domain;	    /**< Failure domain of this instance. */
 	uint32_t instance_count;    /**< Live instances, this one included. */
 	uint32_t weights_ms; /**< How long replaced weights may be used, ms. */
-	bool refuse_streams; /**< A planned stop would break them off. */
+	planned_stop_t stop;
 	uint32_t open_requests; /**< Number of requests in `open`. */
 	/** How long streams may wait for their first token. */
 	first_token_timeout_t first_token_timeout;
@@ -83,6 +84,9 @@
 /** Handles the disconnect of the client before its answer ended. */
 void exchange_client_gone(inbound_request_t *request);
 
+/** Begins a planned stop: requests in progress end before its limit. */
+void exchange_begin_stop(exchange_env_t *env, uint64_t grace_ms);
+
 /** Logs each request in progress; for a planned stop that cuts them. */
 void exchange_log_cut(const exchange_env_t *env);
 
--- a/request/exchange_admit.c
+++ b/request/exchange_admit.c
@@ -35,6 +35,18 @@
 	exchange->deadline_ms = exchange->started_ms + limit_ms;
 }
 
+/* Whether a planned stop allows the request; if so, bounds its deadline. */
+static bool fits_planned_stop(exchange_t *exchange)
+{
+	const planned_stop_t *stop = &exchange->env->stop;
+
+	if (!planned_stop_takes(stop, exchange->deadline_ms,
+				exchange->started_ms))
+		return false;
+	exchange->deadline_ms = planned_stop_cap(stop, exchange->deadline_ms);
+	return true;
+}
+
 int exchange_admit(exchange_t *exchange)
 {
 	int err;
@@ -45,9 +57,9 @@
 	err = find_route_and_customer(exchange);
 	if (err)
 		return err;
-	if (exchange->env->refuse_streams && exchange_is_stream(exchange))
-		return ERR_STOPPING;
 	set_time_limit(exchange);
+	if (!fits_planned_stop(exchange))
+		return ERR_STOPPING;
 	exchange->service = desired_pick_service(exchange->route,
 						 rng_next(&exchange->env->rng));
 	return 0;
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -486,6 +486,82 @@
 	platform_rig_stop(&rig);
 }
 
+enum {
+	/** Requests sent during a planned stop, one at each interval, until the
+	 * process ends. */
+	STOP_REQUESTS_MAX = 200,
+	STOP_REQUEST_INTERVAL_MS = 50,
+};
+
+/** One request of many that are sent during a planned stop. */
+typedef struct stop_call {
+	const platform_rig_t *rig;
+	int number;
+	_Atomic bool reached_endpoint;
+	char *answer;
+	pthread_t thread;
+} stop_call_t;
+
+static void *stop_call_main(void *context)
+{
+	stop_call_t *call = context;
+	char *request = g_strdup_printf(
+		"POST /order/1 HTTP/1.1\r\nHost: h.example\r\n"
+		"Request-Id: s-%d\r\nKey: key-1\r\nDeadline-Ms: 2500\r\n\r\n",
+		call->number);
+
+	call->answer = raw_call(call->rig->ports[0], request);
+	g_free(request);
+	return NULL;
+}
+
+static void record_stop_call(void *context, const endpoint_t *endpoint,
+			     const char *id)
+{
+	stop_call_t *calls = context;
+
+	(void)endpoint;
+	calls[atoi(id + strlen("s-"))].reached_endpoint = true;
+}
+
+/* Failure: a request that arrived late in a planned stop was sent to an
+ * endpoint and got no answer. */
+static void test_stop_answers_late_request(void)
+{
+	static stop_call_t calls[STOP_REQUESTS_MAX];
+	platform_rig_t rig;
+	int refused = 0;
+	int count = 0;
+
+	platform_rig_start(&rig, 1);
+	platform_rig_set_behaviour(rig.services, HOLD);
+	for (int i = 0; i < ENDPOINT_COUNT; i++) {
+		rig.services[i].context = calls;
+		rig.services[i].on_run = record_stop_call;
+	}
+	program_signal(rig.gateways[0], SIGTERM);
+	do {
+		calls[count] = (stop_call_t){ .rig = &rig, .number = count };
+		pthread_create(&calls[count].thread, NULL, stop_call_main,
+			       &calls[count]);
+		count++;
+	} while (count < STOP_REQUESTS_MAX &&
+		 !WAIT_UNTIL(!program_is_running(rig.gateways[0]),
+			     STOP_REQUEST_INTERVAL_MS));
+	g_assert_cmpint(program_wait(rig.gateways[0], HARNESS_WAIT_MS), ==, 0);
+	rig.services[0].release = true;
+	rig.services[1].release = true;
+	for (int i = 0; i < count; i++) {
+		pthread_join(calls[i].thread, NULL);
+		if (calls[i].reached_endpoint)
+			g_assert_cmpstr(calls[i].answer, !=, "");
+		refused += g_str_has_prefix(calls[i].answer, "HTTP/1.1 503");
+		g_free(calls[i].answer);
+	}
+	g_assert_cmpint(refused, >, 0);
+	platform_rig_stop(&rig);
+}
+
 /* Failure: a client that sent an incomplete or malformed request blocked or
  * crashed the process. */
 static void test_bad_clients(void)
@@ -589,6 +665,8 @@
 	g_test_add_func("/it-gateway/leaving", test_leaving);
 	g_test_add_func("/it-gateway/new-weights", test_new_weights);
 	g_test_add_func("/it-gateway/stop", test_stop);
+	g_test_add_func("/it-gateway/stop-answers-late-request",
+			test_stop_answers_late_request);
 	g_test_add_func("/it-gateway/bad-clients", test_bad_clients);
 	for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
 		char *path = g_strdup_printf("/it-gateway/answers/%zu", i);
