cmd: let answers leave the process before a planned stop ends

Clients could see a connection close without the answer that the instance had already written, at the limit of a planned stop.

Cause: the event loop was broken off at the limit, whatever stood in the output buffers: a refusal, the last chunk of an answer, or the 504 of a request whose deadline is the limit itself. Class: the end of the process does not wait for the last step of its own work.

Change: from the limit on no connection is accepted and idle ones are closed, so no further request is read; the loop ends when no request is open and no byte is unsent, at the latest 0.35 s later, still 0.35 s before the process is killed. The decision is planned_stop_is_over().

--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -195,29 +195,39 @@
 			  (unsigned long long)dropped);
 }
 
-/* Advances a planned stop, and ends the event loop when no request is left or
- * the time is up. */
+static void log_stop_limit(const front_t *front,
+			   const planned_stop_work_t *work)
+{
+	if (!work->requests && !work->unsent_bytes)
+		return;
+	event_log(EVENT_STOP_LIMIT,
+		  "requests=%u connections=%u unsent_bytes=%llu",
+		  work->requests, work->connections,
+		  (unsigned long long)work->unsent_bytes);
+	exchange_log_cut(&front->env);
+}
+
+/* Advances a planned stop, and ends the event loop when nothing is left for
+ * clients or the time is up. */
 static void continue_stop(front_t *front)
 {
 	const planned_stop_t *stop = &front->env.stop;
 	uint64_t now_ms = clock_now_ms();
-	bool arrivals_over = planned_stop_arrivals_over(stop, now_ms);
+	planned_stop_work_t work;
 
-	if (arrivals_over)
+	if (planned_stop_limit_reached(stop, now_ms))
+		inbound_stop_accepting(front->client_listener);
+	if (planned_stop_arrivals_over(stop, now_ms))
 		inbound_close_idle(front->client_listener);
-	if (now_ms >= stop->limit_ms) {
-		event_log(EVENT_STOP_LIMIT,
-			  "requests=%u connections=%u unsent_bytes=%llu",
-			  front->env.open_requests,
-			  inbound_connection_count(front->client_listener),
-			  (unsigned long long)inbound_unsent_bytes(
-				  front->client_listener));
-		exchange_log_cut(&front->env);
-		event_base_loopbreak(front->base);
-	} else if (arrivals_over && !front->env.open_requests &&
-		   !inbound_connection_count(front->client_listener)) {
-		event_base_loopbreak(front->base);
-	}
+	work = (planned_stop_work_t){
+		.requests = front->env.open_requests,
+		.connections = inbound_connection_count(front->client_listener),
+		.unsent_bytes = inbound_unsent_bytes(front->client_listener),
+	};
+	if (!planned_stop_is_over(stop, &work, now_ms))
+		return;
+	log_stop_limit(front, &work);
+	event_base_loopbreak(front->base);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *context)
--- a/connection/inbound.c
+++ b/connection/inbound.c
@@ -60,6 +60,7 @@
 	uint32_t connection_count;
 	uint64_t body_total_bytes;
 	bool accept_paused; /**< All connections are in use. */
+	bool accept_ended;  /**< See inbound_stop_accepting(). */
 	bool stopping;
 };
 
@@ -117,7 +118,7 @@
 	release_body(connection);
 	LIST_REMOVE(connection, entry);
 	inbound->connection_count--;
-	if (inbound->accept_paused &&
+	if (inbound->accept_paused && !inbound->accept_ended &&
 	    inbound->connection_count < inbound->options.connections_max) {
 		inbound->accept_paused = false;
 		evconnlistener_enable(inbound->listener);
@@ -527,6 +528,12 @@
 	inbound->stopping = true;
 }
 
+void inbound_stop_accepting(inbound_t *inbound)
+{
+	inbound->accept_ended = true;
+	evconnlistener_disable(inbound->listener);
+}
+
 void inbound_close_idle(inbound_t *inbound)
 {
 	connection_t *connection = LIST_FIRST(&inbound->connections);
--- a/connection/inbound.h
+++ b/connection/inbound.h
@@ -104,6 +104,9 @@
 /** From now on answers have `Connection: close`. */
 void inbound_stop(inbound_t *inbound);
 
+/** Accepts no more connections, for good. */
+void inbound_stop_accepting(inbound_t *inbound);
+
 /** Closes connections on which no request is in progress. */
 void inbound_close_idle(inbound_t *inbound);
 
--- a/process/planned_stop.c
+++ b/process/planned_stop.c
@@ -38,3 +38,18 @@
 		       ? stop->limit_ms
 		       : deadline_ms;
 }
+
+bool planned_stop_limit_reached(const planned_stop_t *stop, uint64_t now_ms)
+{
+	return planned_stop_has_begun(stop) && now_ms >= stop->limit_ms;
+}
+
+bool planned_stop_is_over(const planned_stop_t *stop,
+			  const planned_stop_work_t *work, uint64_t now_ms)
+{
+	if (planned_stop_limit_reached(stop, now_ms))
+		return (!work->requests && !work->unsent_bytes) ||
+		       now_ms >= stop->limit_ms + PLANNED_STOP_FLUSH_MS;
+	return planned_stop_arrivals_over(stop, now_ms) && !work->requests &&
+	       !work->connections;
+}
--- a/process/planned_stop.h
+++ b/process/planned_stop.h
@@ -23,6 +23,9 @@
 	/** The limit lies this long before the process is killed, ms: last
 	 * answers are sent, the lease and the membership are given back. */
 	PLANNED_STOP_MARGIN_MS = 700,
+	/** Time after the limit in which answers may leave the process, ms:
+	 * some round trips between failure domains and one lost packet. */
+	PLANNED_STOP_FLUSH_MS = 350,
 	/** Part of the time until the limit in which requests with later
 	 * deadlines are taken, percent; the rest is for finishing them. */
 	PLANNED_STOP_ARRIVALS_PERCENT = 40,
@@ -46,6 +49,20 @@
 /** Whether the time has passed in which new connections are expected. */
 bool planned_stop_arrivals_over(const planned_stop_t *stop, uint64_t now_ms);
 
+/** What is left to do for clients. */
+typedef struct planned_stop_work {
+	uint32_t requests;     /**< In progress. */
+	uint32_t connections;  /**< Open ones. */
+	uint64_t unsent_bytes; /**< Of answers, still in the process. */
+} planned_stop_work_t;
+
+/** Whether no new request is read any more. */
+bool planned_stop_limit_reached(const planned_stop_t *stop, uint64_t now_ms);
+
+/** Whether the process can end: nothing is left, or the time is up. */
+bool planned_stop_is_over(const planned_stop_t *stop,
+			  const planned_stop_work_t *work, uint64_t now_ms);
+
 /** Whether a request is taken that must be answered before `deadline_ms`. */
 bool planned_stop_takes(const planned_stop_t *stop, uint64_t deadline_ms,
 			uint64_t now_ms);
--- a/t/test-inbound.c
+++ b/t/test-inbound.c
@@ -373,6 +373,30 @@
 	rig_close(&rig);
 }
 
+/* Failure: a connection that ended let the listener accept again at the end of
+ * a planned stop, and the request that followed was not answered. */
+static void test_stop_accepting(void)
+{
+	int other;
+	rig_t rig;
+
+	rig_open(&rig);
+	send_text(&rig, GET_REQUEST);
+	wait_for(&rig, rig.request_in_progress);
+	inbound_stop_accepting(rig.inbound);
+	other = connect_another(&rig);
+	g_assert_cmpint(
+		send(other, GET_REQUEST, strlen(GET_REQUEST), MSG_NOSIGNAL), ==,
+		(ssize_t)strlen(GET_REQUEST));
+	inbound_abort(rig.request_in_progress);
+	wait_for(&rig, !inbound_connection_count(rig.inbound));
+	run_loop_step(&rig);
+	g_assert_cmpuint(inbound_connection_count(rig.inbound), ==, 0);
+	g_assert_cmpuint(rig.request_count, ==, 1);
+	close(other);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -386,6 +410,7 @@
 	g_test_add_func("/inbound/chunked-body", test_chunked_body);
 	g_test_add_func("/inbound/idle-closed-at-limit",
 			test_idle_closed_at_limit);
+	g_test_add_func("/inbound/stop-accepting", test_stop_accepting);
 	for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++) {
 		char *path =
 			g_strdup_printf("/inbound/bad/%s", bad_cases[i].name);
--- a/t/test-planned-stop.c
+++ b/t/test-planned-stop.c
@@ -45,6 +45,38 @@
 			==, take_case->taken);
 }
 
+typedef struct end_case {
+	const char *name;
+	uint64_t at_ms; /**< After the start of the stop. */
+	planned_stop_work_t work;
+	bool over;
+} end_case_t;
+
+static const end_case_t end_cases[] = {
+	{ "arrivals-expected", 2000, { 0, 0, 0 }, false },
+	{ "idle", 2700, { 0, 0, 0 }, true },
+	{ "connection-open", 5000, { 0, 1, 0 }, false },
+	{ "request-open", 5000, { 1, 1, 0 }, false },
+	{ "nothing-unsent-at-limit", 7300, { 0, 3, 0 }, true },
+	{ "answer-unsent-at-limit", 7300, { 0, 1, 72 }, false },
+	{ "request-open-at-limit", 7300, { 1, 1, 0 }, false },
+	{ "answer-unsent-at-end", 7650, { 0, 1, 72 }, true },
+	{ "request-open-at-end", 7650, { 1, 1, 0 }, true },
+};
+
+/* Failure: the process ended at the limit of the stop while an answer had not
+ * left it. */
+static void test_end(const void *data)
+{
+	const end_case_t *end_case = data;
+	planned_stop_t stop = { 0 };
+
+	planned_stop_begin(&stop, 8000, START_MS);
+	g_assert_cmpint(planned_stop_is_over(&stop, &end_case->work,
+					     START_MS + end_case->at_ms),
+			==, end_case->over);
+}
+
 /* Failure: under load a request was in progress when the process ended, though
  * it had been taken long after the start of the stop. */
 static void test_load(void)
@@ -91,6 +123,13 @@
 		g_test_add_data_func(path, &take_cases[i], test_take);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(end_cases); i++) {
+		char *path = g_strdup_printf("/planned-stop/end/%s",
+					     end_cases[i].name);
+
+		g_test_add_data_func(path, &end_cases[i], test_end);
+		g_free(path);
+	}
 	g_test_add_func("/planned-stop/load", test_load);
 	return g_test_run();
 }
