connection: close the listener when no connection is accepted any more

Clients saw: a connection that was established in the last 0.35 s of a planned stop, took a request and was reset when the process ended.

Cause: inbound_stop_accepting() only disabled the listener. The system went on establishing connections for its backlog, with an instance that reads none of them. Class: work is accepted that the process has no time for.

Change: the connections in the backlog are accepted, and the listener is closed, so that a load balancer or client is refused at once and goes elsewhere. Before the loop ends early, the backlog is accepted too.

/inbound/stop-accepting expected that connect() succeeds and its request is ignored; now it requires that connect() is refused, also after a connection has ended, and still that no request is read.

Evidence: with the new test and the old code, connect() succeeded ("assertion failed (connect(...) == -1): (0 == -1)"); now build/t/test-inbound passes.

--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -207,6 +207,15 @@
 	exchange_log_cut(&front->env);
 }
 
+static planned_stop_work_t work_left(const front_t *front)
+{
+	return (planned_stop_work_t){
+		.requests = front->env.open_requests,
+		.connections = inbound_connection_count(front->client_listener),
+		.unsent_bytes = inbound_unsent_bytes(front->client_listener),
+	};
+}
+
 /* Advances a planned stop, and ends the event loop when nothing is left for
  * clients or the time is up. */
 static void continue_stop(front_t *front)
@@ -219,11 +228,12 @@
 		inbound_stop_accepting(front->client_listener);
 	if (planned_stop_arrivals_over(stop, now_ms))
 		inbound_close_idle(front->client_listener);
-	work = (planned_stop_work_t){
-		.requests = front->env.open_requests,
-		.connections = inbound_connection_count(front->client_listener),
-		.unsent_bytes = inbound_unsent_bytes(front->client_listener),
-	};
+	work = work_left(front);
+	if (!planned_stop_is_over(stop, &work, now_ms))
+		return;
+	/* Connections may have been established since the last accept. */
+	inbound_stop_accepting(front->client_listener);
+	work = work_left(front);
 	if (!planned_stop_is_over(stop, &work, now_ms))
 		return;
 	log_stop_limit(front, &work);
--- a/connection/inbound.c
+++ b/connection/inbound.c
@@ -51,7 +51,7 @@
 
 struct inbound {
 	struct event_base *base;
-	struct evconnlistener *listener;
+	struct evconnlistener *listener; /**< NULL: accepts no more. */
 	inbound_options_t options;
 	LIST_HEAD(, connection) connections;
 	/** Idle connections, longest idle first; at the connection limit they
@@ -60,7 +60,6 @@
 	uint32_t connection_count;
 	uint64_t body_total_bytes;
 	bool accept_paused; /**< All connections are in use. */
-	bool accept_ended;  /**< See inbound_stop_accepting(). */
 	bool stopping;
 };
 
@@ -118,7 +117,7 @@
 	release_body(connection);
 	LIST_REMOVE(connection, entry);
 	inbound->connection_count--;
-	if (inbound->accept_paused && !inbound->accept_ended &&
+	if (inbound->accept_paused && inbound->listener &&
 	    inbound->connection_count < inbound->options.connections_max) {
 		inbound->accept_paused = false;
 		evconnlistener_enable(inbound->listener);
@@ -530,8 +529,16 @@
 
 void inbound_stop_accepting(inbound_t *inbound)
 {
-	inbound->accept_ended = true;
-	evconnlistener_disable(inbound->listener);
+	evutil_socket_t fd;
+
+	if (!inbound->listener)
+		return;
+	inbound->accept_paused = false;
+	while ((fd = accept4(evconnlistener_get_fd(inbound->listener), NULL,
+			     NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+		on_accept(inbound->listener, fd, NULL, 0, inbound);
+	evconnlistener_free(inbound->listener);
+	inbound->listener = NULL;
 }
 
 void inbound_close_idle(inbound_t *inbound)
@@ -574,7 +581,8 @@
 		connection_free(connection);
 		connection = next;
 	}
-	evconnlistener_free(inbound->listener);
+	if (inbound->listener)
+		evconnlistener_free(inbound->listener);
 	free(inbound);
 }
 
--- a/connection/inbound.h
+++ b/connection/inbound.h
@@ -104,7 +104,8 @@
 /** From now on answers have `Connection: close`. */
 void inbound_stop(inbound_t *inbound);
 
-/** Accepts no more connections, for good. */
+/** Accepts the connections that the system has established, then closes the
+ * listener, so that the system refuses others. */
 void inbound_stop_accepting(inbound_t *inbound);
 
 /** Closes connections on which no request is in progress. */
--- a/t/test-inbound.c
+++ b/t/test-inbound.c
@@ -373,23 +373,27 @@
 	rig_close(&rig);
 }
 
-/* Failure: a connection that ended let the listener accept again at the end of
- * a planned stop, and the request that followed was not answered. */
+/* Failure: connections were established with an instance that accepts none any
+ * more at the end of a planned stop, and their requests were not answered. */
 static void test_stop_accepting(void)
 {
+	struct sockaddr_in address;
+	socklen_t len = sizeof(address);
 	int other;
 	rig_t rig;
 
 	rig_open(&rig);
+	getpeername(rig.client, (struct sockaddr *)&address, &len);
 	send_text(&rig, GET_REQUEST);
 	wait_for(&rig, rig.request_in_progress);
 	inbound_stop_accepting(rig.inbound);
-	other = connect_another(&rig);
-	g_assert_cmpint(
-		send(other, GET_REQUEST, strlen(GET_REQUEST), MSG_NOSIGNAL), ==,
-		(ssize_t)strlen(GET_REQUEST));
+	other = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(connect(other, (struct sockaddr *)&address, len), ==,
+			-1);
 	inbound_abort(rig.request_in_progress);
 	wait_for(&rig, !inbound_connection_count(rig.inbound));
+	g_assert_cmpint(connect(other, (struct sockaddr *)&address, len), ==,
+			-1);
 	run_loop_step(&rig);
 	g_assert_cmpuint(inbound_connection_count(rig.inbound), ==, 0);
 	g_assert_cmpuint(rig.request_count, ==, 1);
