connection: refuse half read requests at the limit of a planned stop

Clients saw: a connection on which they had sent a part of a request was closed without an answer at the limit of a planned stop, so they could not know whether an order had run.

Cause: the stop counted requests only once they were completely read; at the limit, connections in the middle of a request or with one in the buffer of the socket were closed with the process.

Change: inbound_refuse_unread() answers them as 'stopping', which says that they did not run; the stop already waits for the bytes of such answers.

Evidence: /it-gateway/stop-refuses-half-request (a slow body, and one that waits for 100-continue) failed without the call: the answer was empty. All four cases of /inbound/refuse-unread failed without the function. Both pass now.

--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -224,8 +224,10 @@
 	uint64_t now_ms = clock_now_ms();
 	planned_stop_work_t work;
 
-	if (planned_stop_limit_reached(stop, now_ms))
+	if (planned_stop_limit_reached(stop, now_ms)) {
 		inbound_stop_accepting(front->client_listener);
+		inbound_refuse_unread(front->client_listener, ERR_STOPPING);
+	}
 	if (planned_stop_arrivals_over(stop, now_ms))
 		inbound_close_idle(front->client_listener);
 	work = work_left(front);
--- a/connection/inbound.c
+++ b/connection/inbound.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
@@ -541,6 +542,31 @@
 	inbound->listener = NULL;
 }
 
+/* Whether the client has sent a part of a request, which may still be in the
+ * buffer of the socket. */
+static bool has_unread_request(const connection_t *connection)
+{
+	int unread = 0;
+
+	if (connection->state == CONNECTION_READING)
+		return true;
+	return connection->state == CONNECTION_IDLE &&
+	       !ioctl(bufferevent_getfd(connection->stream), FIONREAD,
+		      &unread) &&
+	       unread > 0;
+}
+
+void inbound_refuse_unread(inbound_t *inbound, int err)
+{
+	connection_t *connection;
+
+	LIST_FOREACH(connection, &inbound->connections, entry)
+	{
+		if (has_unread_request(connection))
+			refuse_request(connection, err);
+	}
+}
+
 void inbound_close_idle(inbound_t *inbound)
 {
 	connection_t *connection = LIST_FIRST(&inbound->connections);
--- a/connection/inbound.h
+++ b/connection/inbound.h
@@ -108,6 +108,13 @@
  * listener, so that the system refuses others. */
 void inbound_stop_accepting(inbound_t *inbound);
 
+/**
+ * Refuses requests that are not completely read, and closes their connections
+ * once the answers are sent.
+ * @param err as for the `refused` callback
+ */
+void inbound_refuse_unread(inbound_t *inbound, int err);
+
 /** Closes connections on which no request is in progress. */
 void inbound_close_idle(inbound_t *inbound);
 
--- a/t/test-inbound.c
+++ b/t/test-inbound.c
@@ -401,6 +401,46 @@
 	rig_close(&rig);
 }
 
+typedef struct unread_case {
+	const char *name;
+	const char *sent;
+	bool accepted; /**< The loop ran before the request was sent. */
+	bool read;     /**< The loop ran after it. */
+} unread_case_t;
+
+static const unread_case_t unread_cases[] = {
+	{ "half-a-head", "GET /a HTT", false, true },
+	{ "half-a-body", "POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc",
+	  false, true },
+	{ "in-the-socket", GET_REQUEST, true, false },
+	{ "in-the-backlog", GET_REQUEST, false, false },
+};
+
+/* Failure: at the limit of a planned stop, a connection was closed without an
+ * answer to what its client had sent. */
+static void test_refuse_unread(const void *data)
+{
+	const unread_case_t *unread_case = data;
+	rig_t rig;
+
+	rig_open(&rig);
+	if (unread_case->accepted)
+		wait_for(&rig, inbound_connection_count(rig.inbound) == 1);
+	send_text(&rig, unread_case->sent);
+	if (unread_case->read) {
+		wait_for(&rig, inbound_connection_count(rig.inbound) == 1);
+		run_loop_step(&rig);
+	}
+	inbound_stop_accepting(rig.inbound);
+	inbound_refuse_unread(rig.inbound, ERR_STOPPING);
+	inbound_close_idle(rig.inbound);
+	wait_for(&rig, rig.closed_by_server);
+	g_assert_true(g_str_has_prefix(rig.received->str, "HTTP/1.1 503"));
+	g_assert_cmpint(rig.refused, ==, ERR_STOPPING);
+	g_assert_cmpuint(rig.request_count, ==, 0);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -415,6 +455,14 @@
 	g_test_add_func("/inbound/idle-closed-at-limit",
 			test_idle_closed_at_limit);
 	g_test_add_func("/inbound/stop-accepting", test_stop_accepting);
+	for (size_t i = 0; i < G_N_ELEMENTS(unread_cases); i++) {
+		char *path = g_strdup_printf("/inbound/refuse-unread/%s",
+					     unread_cases[i].name);
+
+		g_test_add_data_func(path, &unread_cases[i],
+				     test_refuse_unread);
+		g_free(path);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++) {
 		char *path =
 			g_strdup_printf("/inbound/bad/%s", bad_cases[i].name);
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -562,6 +562,61 @@
 	platform_rig_stop(&rig);
 }
 
+typedef struct half_case {
+	const char *name;
+	const char *request;
+	const char *answer_part;
+} half_case_t;
+
+static const half_case_t half_cases[] = {
+	{ "body",
+	  "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n"
+	  "Key: key-1\r\nContent-Length: 9\r\n\r\nabc",
+	  "HTTP/1.1 503" },
+	{ "expect",
+	  "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n"
+	  "Key: key-1\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n",
+	  "\r\n\r\nHTTP/1.1 503" },
+};
+
+static void *half_call_main(void *context)
+{
+	background_call_t *call = context;
+
+	call->answer = raw_call(call->rig->ports[0], call->path);
+	return NULL;
+}
+
+/* Failure: a planned stop closed a connection on which a request had arrived in
+ * part, without telling the client that it did not run. */
+static void test_stop_refuses_half_request(void)
+{
+	background_call_t calls[G_N_ELEMENTS(half_cases)];
+	pthread_t threads[G_N_ELEMENTS(half_cases)];
+	platform_rig_t rig;
+
+	platform_rig_start(&rig, 1);
+	program_signal(rig.gateways[0], SIGTERM);
+	g_assert_true(
+		WAIT_UNTIL(!platform_rig_is_ready(&rig, 0), HARNESS_WAIT_MS));
+	for (size_t i = 0; i < G_N_ELEMENTS(half_cases); i++) {
+		calls[i] = (background_call_t){ &rig, half_cases[i].request, "",
+						NULL };
+		pthread_create(&threads[i], NULL, half_call_main, &calls[i]);
+	}
+	g_assert_cmpint(program_wait(rig.gateways[0], 2 * HARNESS_WAIT_MS), ==,
+			0);
+	for (size_t i = 0; i < G_N_ELEMENTS(half_cases); i++) {
+		pthread_join(threads[i], NULL);
+		g_test_message("%s: %s", half_cases[i].name, calls[i].answer);
+		g_assert_nonnull(
+			strstr(calls[i].answer, half_cases[i].answer_part));
+		g_free(calls[i].answer);
+	}
+	g_assert_cmpuint(platform_rig_arrivals(rig.services), ==, 0);
+	platform_rig_stop(&rig);
+}
+
 /* Failure: a client that sent an incomplete or malformed request blocked or
  * crashed the process. */
 static void test_bad_clients(void)
@@ -667,6 +722,8 @@
 	g_test_add_func("/it-gateway/stop", test_stop);
 	g_test_add_func("/it-gateway/stop-answers-late-request",
 			test_stop_answers_late_request);
+	g_test_add_func("/it-gateway/stop-refuses-half-request",
+			test_stop_refuses_half_request);
 	g_test_add_func("/it-gateway/bad-clients", test_bad_clients);
 	for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
 		char *path = g_strdup_printf("/it-gateway/answers/%zu", i);
