connection: keep idle connections whose request has arrived but is not read

Clients saw: a connection reset instead of an answer when idle connections were closed, at each tick of a planned stop or at the connection limit, in the moment between the arrival of a request and its reading. It hits new connections too, which the load balancer still opens during a stop.

Cause: a connection counted as idle until its request was read, although the request was already in the buffer of the socket.

Change: a connection with unread bytes cannot be closed as idle; the event loop reads them next, and the request is taken or refused with an answer.

Evidence: /inbound/close-idle-unread failed before (no request arrived within 5 s) and passes now; a request that crosses the close on its way remains possible.

--- a/connection/inbound.c
+++ b/connection/inbound.c
@@ -432,11 +432,26 @@
 		       : 0;
 }
 
-/* Whether an idle connection can be closed: it has no output to send and its
- * input is not being processed. */
+/* Whether the client has sent a part of a request, which may still be in the
+ * buffer of the socket. */
+static bool has_unread_request(const connection_t *connection)
+{
+	int unread = 0;
+
+	if (connection->state == CONNECTION_READING)
+		return true;
+	return connection->state == CONNECTION_IDLE &&
+	       !ioctl(bufferevent_getfd(connection->stream), FIONREAD,
+		      &unread) &&
+	       unread > 0;
+}
+
+/* Whether an idle connection can be closed: it has no output to send and no
+ * input that is being processed or not read yet. */
 static bool is_closable(const connection_t *connection)
 {
 	return !connection->in_process_input &&
+	       !has_unread_request(connection) &&
 	       !evbuffer_get_length(bufferevent_get_output(connection->stream));
 }
 
@@ -542,20 +557,6 @@
 	inbound->listener = NULL;
 }
 
-/* Whether the client has sent a part of a request, which may still be in the
- * buffer of the socket. */
-static bool has_unread_request(const connection_t *connection)
-{
-	int unread = 0;
-
-	if (connection->state == CONNECTION_READING)
-		return true;
-	return connection->state == CONNECTION_IDLE &&
-	       !ioctl(bufferevent_getfd(connection->stream), FIONREAD,
-		      &unread) &&
-	       unread > 0;
-}
-
 void inbound_refuse_unread(inbound_t *inbound, int err)
 {
 	connection_t *connection;
--- a/t/test-inbound.c
+++ b/t/test-inbound.c
@@ -441,6 +441,24 @@
 	rig_close(&rig);
 }
 
+/* Failure: a request that had arrived, but was not read yet, was lost when idle
+ * connections were closed. */
+static void test_close_idle_unread(void)
+{
+	rig_t rig;
+
+	rig_open(&rig);
+	wait_for(&rig, inbound_connection_count(rig.inbound) == 1);
+	send_text(&rig, GET_REQUEST);
+	inbound_close_idle(rig.inbound);
+	wait_for(&rig, rig.request_in_progress);
+	inbound_answer(rig.request_in_progress, 200, NULL, NULL, 0);
+	wait_for(&rig, strstr(rig.received->str, "HTTP/1.1 200"));
+	inbound_close_idle(rig.inbound);
+	wait_for(&rig, rig.closed_by_server);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -455,6 +473,7 @@
 	g_test_add_func("/inbound/idle-closed-at-limit",
 			test_idle_closed_at_limit);
 	g_test_add_func("/inbound/stop-accepting", test_stop_accepting);
+	g_test_add_func("/inbound/close-idle-unread", test_close_idle_unread);
 	for (size_t i = 0; i < G_N_ELEMENTS(unread_cases); i++) {
 		char *path = g_strdup_printf("/inbound/refuse-unread/%s",
 					     unread_cases[i].name);
