connection: send the answers before the server closes its connections

Clients saw: a connection that closed without the answer to a request that the router had served, when it was the last one of a planned stop.

Cause: a request counts as open until its handler returns, but its answer is sent later, by the event loop. server_stop() closed all connections in between. Class: the end of the process does not wait for the last step of its own work.

Change: server_stop() waits until no byte is unsent, at most for the client timeout, after which a client that does not read counts as gone.

--- a/connection/server.c
+++ b/connection/server.c
@@ -30,6 +30,8 @@
 	CONNECTIONS_PER_THREAD = 4,
 	/** Header lines of an error answer, bytes; the values are short. */
 	ERROR_HEADERS_BYTES = 160,
+	/** Interval at which a stop checks for unsent answers, ms. */
+	FLUSH_STEP_MS = 5,
 };
 
 /**
@@ -69,6 +71,7 @@
 	inbound_t *inbound;
 	uint32_t port;
 	int open_err;
+	uint64_t unsent_bytes; /**< Set by read_unsent_on_loop(). */
 	LIST_HEAD(, server_job) jobs; /**< Used on the loop's thread only. */
 	pthread_mutex_t lock;	      /**< Protects the members below. */
 	pthread_cond_t queued;
@@ -358,6 +361,13 @@
 		server->port = inbound_port(server->inbound);
 }
 
+static void read_unsent_on_loop(void *context)
+{
+	server_t *server = context;
+
+	server->unsent_bytes = inbound_unsent_bytes(server->inbound);
+}
+
 static void close_on_loop(void *context)
 {
 	server_t *server = context;
@@ -573,12 +583,29 @@
 	return server->port;
 }
 
+/* Waits until the answers have left the process. A client that reads nothing
+ * for the client timeout counts as gone. */
+static void wait_for_output(server_t *server)
+{
+	uint64_t deadline_ms =
+		clock_now_ms() + server->settings.client_timeout_ms;
+
+	for (;;) {
+		loop_run(server->loop, read_unsent_on_loop, server);
+		if (!server->unsent_bytes || clock_now_ms() >= deadline_ms)
+			return;
+		clock_sleep_ms(FLUSH_STEP_MS);
+	}
+}
+
 void server_stop(server_t *server)
 {
 	if (!server)
 		return;
-	if (server->inbound)
+	if (server->inbound) {
+		wait_for_output(server);
 		loop_run(server->loop, close_on_loop, server);
+	}
 	stop_threads(server);
 	loop_stop(server->loop);
 	tls_free(server->tls);
