connection: answer requests that are in progress when the server stops

Clients saw: a plain request that an endpoint was running when the router's stop limit was reached got no answer; its connection was closed 2 s later. For an order, the process even waited for the endpoint and wrote the record, after it had closed the connection of the client.

Cause: at the limit only streams are cancelled with an answer. server_stop() then closed the connections of all other requests before it joined their handlers, and requests in the queue of the threads were dropped.

Change: server_stop() reads no further request, refuses half read ones, and lets the handlers end before it closes the connections. Those that have not begun their answer are told ERR_STOPPING: an idempotent request is given up and says 'timeout', run state unknown, if it was sent, else 'stopping', not run; an order runs to its end as before, at most its route's timeout, and is now answered. An answer that has begun and is blocked by its client is cut as before.

Evidence: /plain/stop-answers/100 (requests all through a stop whose limit is 100 ms, endpoints answer after 4.5 s) failed before: "assertion failed (answer->curl_result == 0): (52 == 0)", an empty reply to a request that had reached an endpoint. Now all 11 that reached one have an answer: lookups 504 unknown, orders 200 ran. /plain/stop-answers/20000 passed before too. test-it-plain 13 of 13.

--- a/connection/server.c
+++ b/connection/server.c
@@ -71,7 +71,7 @@
 	inbound_t *inbound;
 	uint32_t port;
 	int open_err;
-	uint64_t unsent_bytes; /**< Set by read_unsent_on_loop(). */
+	uint64_t unsent_bytes;	      /**< Set by read_unsent_on_loop(). */
 	LIST_HEAD(, server_job) jobs; /**< Used on the loop's thread only. */
 	pthread_mutex_t lock;	      /**< Protects the members below. */
 	pthread_cond_t queued;
@@ -258,24 +258,26 @@
 		       body ? strlen(body) : 0);
 }
 
-/* Returns false if the queue is full. */
-static bool enqueue(server_t *server, server_job_t *job)
+static int enqueue(server_t *server, server_job_t *job)
 {
 	SCOPED_LOCK(lock, &server->lock);
 
+	if (server->stopping)
+		return ERR_STOPPING;
 	if (server->queue_len >= server->thread_count)
-		return false;
+		return ERR_OVERLOADED;
 	STAILQ_INSERT_TAIL(&server->queue, job, queue_entry);
 	server->queue_len++;
 	job->references++;
 	pthread_cond_signal(&server->queued);
-	return true;
+	return 0;
 }
 
 static void on_request(void *context, inbound_request_t *request)
 {
 	server_t *server = context;
 	server_job_t *job = job_new(server, request);
+	int err;
 
 	if (!job) {
 		send_error(request, ERR_NO_MEMORY);
@@ -284,10 +286,11 @@
 	job->inbound = request;
 	request->user_data = job;
 	LIST_INSERT_HEAD(&server->jobs, job, job_entry);
-	if (enqueue(server, job))
+	err = enqueue(server, job);
+	if (!err)
 		return;
 	drop_loop_reference(job);
-	send_error(request, ERR_OVERLOADED);
+	send_error(request, err);
 }
 
 static void on_client_gone(void *context, inbound_request_t *request)
@@ -361,24 +364,45 @@
 		server->port = inbound_port(server->inbound);
 }
 
-static void read_unsent_on_loop(void *context)
+/* Stops a handler early. Only one that has not begun its answer can still send
+ * a complete one. */
+static void interrupt_handler(server_job_t *job)
 {
-	server_t *server = context;
+	int reason = ERR_STOPPING;
 
-	server->unsent_bytes = inbound_unsent_bytes(server->inbound);
+	pthread_mutex_lock(&job->lock);
+	if (job->request.status && !job->answer_complete) {
+		reason = ERR_CANCELLED;
+		job->client_gone = true;
+		pthread_cond_broadcast(&job->changed);
+	}
+	pthread_mutex_unlock(&job->lock);
+	cancel_set(&job->request.client_gone, reason);
 }
 
-static void close_on_loop(void *context)
+static void begin_stop_on_loop(void *context)
 {
 	server_t *server = context;
 	server_job_t *job;
 
+	inbound_stop(server->inbound);
+	inbound_stop_accepting(server->inbound);
+	inbound_refuse_unread(server->inbound, ERR_STOPPING);
+	inbound_close_idle(server->inbound);
 	LIST_FOREACH(job, &server->jobs, job_entry)
-	{
-		if (job->inbound)
-			mark_client_gone(job);
-	}
-	inbound_close(server->inbound);
+	interrupt_handler(job);
+}
+
+static void read_unsent_on_loop(void *context)
+{
+	server_t *server = context;
+
+	server->unsent_bytes = inbound_unsent_bytes(server->inbound);
+}
+
+static void close_on_loop(void *context)
+{
+	inbound_close(((server_t *)context)->inbound);
 }
 
 /* Functions called on the threads that run handlers. */
@@ -602,11 +626,13 @@
 {
 	if (!server)
 		return;
+	if (server->inbound)
+		loop_run(server->loop, begin_stop_on_loop, server);
+	stop_threads(server);
 	if (server->inbound) {
 		wait_for_output(server);
 		loop_run(server->loop, close_on_loop, server);
 	}
-	stop_threads(server);
 	loop_stop(server->loop);
 	tls_free(server->tls);
 	pthread_cond_destroy(&server->queued);
@@ -649,7 +675,7 @@
 
 bool server_client_gone(server_request_t *request)
 {
-	return cancel_reason(&request->client_gone) != 0;
+	return cancel_reason(&request->client_gone) == ERR_CANCELLED;
 }
 
 int server_answer(server_request_t *request, int status,
--- a/connection/server.h
+++ b/connection/server.h
@@ -40,8 +40,9 @@
 	const char *query; /**< Without the question mark; or empty. */
 	const char *body;  /**< NUL-terminated. */
 	size_t body_len;
-	cancel_t client_gone; /**< Set when the client closes its connection. */
-	int status;	      /**< HTTP status sent, or 0. */
+	/** Set when the client closes its connection, or by server_stop(). */
+	cancel_t client_gone;
+	int status; /**< HTTP status sent, or 0. */
 } server_request_t;
 
 /**
@@ -86,7 +87,11 @@
 /** Port that the server listens on, also if the settings say port 0. */
 uint32_t server_port(const server_t *server);
 
-/** Cancels requests in progress, closes all connections, joins all threads. */
+/**
+ * Stops to read requests, waits for all handlers and until their answers are
+ * sent, closes all connections. `client_gone` of requests in progress is set:
+ * to ERR_STOPPING if an answer can still be sent, else to ERR_CANCELLED.
+ */
 void server_stop(server_t *server);
 
 /** Value of a request header, or NULL. */
--- a/request/plain_proxy.c
+++ b/request/plain_proxy.c
@@ -179,7 +179,8 @@
 static endpoint_outcome_t endpoint_outcome(const plain_answer_t *answer,
 					   const upstream_result_t *result)
 {
-	if (result->err == ERR_CANCELLED || result->err == ERR_NO_MEMORY)
+	if (result->err == ERR_CANCELLED || result->err == ERR_STOPPING ||
+	    result->err == ERR_NO_MEMORY)
 		return ENDPOINT_CANCELLED;
 	if (result->err == ERR_ENDPOINT_LOST)
 		return ENDPOINT_LOST;
@@ -212,8 +213,9 @@
 	*needs_budget = false;
 	if (!result->err)
 		return answer->is_not_run && answer->status == 503;
-	if (result->err == ERR_CANCELLED || result->err == ERR_NO_MEMORY ||
-	    result->err == ERR_DEADLINE || answer->too_large)
+	if (result->err == ERR_CANCELLED || result->err == ERR_STOPPING ||
+	    result->err == ERR_NO_MEMORY || result->err == ERR_DEADLINE ||
+	    answer->too_large)
 		return false;
 	*needs_budget = result->sent;
 	return true;
@@ -269,6 +271,9 @@
 						 deadline_ms, clock_now_ms())))
 			break;
 	}
+	/* The status of ERR_STOPPING promises that the request did not run. */
+	if (result.err == ERR_STOPPING && may_have_run)
+		result.err = ERR_TIMEOUT;
 	if (result.err)
 		answer_error(request, result.err, may_have_run);
 	else
--- a/t/test-it-plain.c
+++ b/t/test-it-plain.c
@@ -19,6 +19,11 @@
 	ORDERS = 9,
 	/** More than the router has threads, or keeps idle connections open. */
 	IDLE_CONNECTIONS = 60,
+	/** Requests sent during a planned stop, one at each interval. */
+	STOP_CALLS_MAX = 200,
+	STOP_CALL_INTERVAL_MS = 25,
+	/** Those sent before it. */
+	STOP_CALLS_BEFORE = 12,
 };
 
 static http_answer_t *dispatch(rig_t *rig, int router, const char *key,
@@ -358,6 +363,112 @@
 		close(fds[i]);
 }
 
+typedef struct stop_case {
+	const char *name; /**< The failure it guards against. */
+	const char *stop_limit_ms;
+	const char *control; /**< JSON for the services. */
+} stop_case_t;
+
+static const stop_case_t stop_cases[] = {
+	{ "a request whose handler had just ended got no answer", "20000",
+	  "{\"answer_delay_ms\":400}" },
+	{ "a request in progress at the limit got no answer", "100",
+	  "{\"answer_delay_ms\":4500}" },
+};
+
+/** One request of many that are sent around a planned stop. */
+typedef struct stop_call {
+	rig_t *rig;
+	int number;
+	http_answer_t *answer;
+	pthread_t thread;
+} stop_call_t;
+
+static void *stop_call_main(void *context)
+{
+	stop_call_t *call = context;
+	g_autofree char *key =
+		g_strdup_printf("Idempotency-Key: s-%d", call->number);
+	const char *const headers[] = { RIG_KEY_1, key, NULL };
+	bool order = call->number % 2;
+
+	call->answer = http_local(order ? "POST" : "GET", call->rig->ports[0],
+				  DISPATCH, headers, order ? "{}" : NULL);
+	return NULL;
+}
+
+static bool reached_endpoint(rig_t *rig, const stop_call_t *call)
+{
+	g_autofree char *key = g_strdup_printf("s-%d", call->number);
+	bool reached = false;
+
+	for (int i = 0; i < rig->options.plain_services; i++) {
+		g_autoptr(http_answer_t) report =
+			http_local("GET", rig->plain_ports[i],
+				   "/control/executions", NULL, NULL);
+
+		reached |=
+			json_object_get(json_object_get(report->json, "by_key"),
+					key) != NULL;
+	}
+	return reached;
+}
+
+/** A request that reached an endpoint gets a complete answer, and one that says
+ * "not run" reached none. @return whether it was answered with success */
+static bool check_stop_call(rig_t *rig, const stop_call_t *call)
+{
+	const http_answer_t *answer = call->answer;
+	g_autofree char *state = http_answer_header(answer, "X-Run-State");
+	bool reached = reached_endpoint(rig, call);
+
+	g_test_message("%d: reached=%d status=%ld curl=%d state=%s %s",
+		       call->number, reached, answer->status,
+		       answer->curl_result, state ? state : "-", answer->body);
+	if (reached) {
+		g_assert_cmpint(answer->curl_result, ==, 0);
+		g_assert_cmpint(answer->status, !=, 503);
+		g_assert_cmpstr(state, !=, "not_run");
+	}
+	return answer->status == 200;
+}
+
+/* Each request that reaches an endpoint around a planned stop is answered. */
+static void test_stop_answers(const void *data)
+{
+	const stop_case_t *test_case = data;
+	rig_options_t options = {
+		.plain_services = 2,
+		.routers = 1,
+		.dispatch_timeout_ms = 8000,
+		.router_args = { "--stop-limit-ms", test_case->stop_limit_ms,
+				 "--drain-ms", "300" },
+	};
+	g_autoptr(rig_t) rig = rig_start(&options);
+	static stop_call_t calls[STOP_CALLS_MAX];
+	int served = 0;
+	int count = 0;
+
+	standin_control(rig->plain_ports[0], test_case->control);
+	standin_control(rig->plain_ports[1], test_case->control);
+	do {
+		calls[count] = (stop_call_t){ .rig = rig, .number = count };
+		pthread_create(&calls[count].thread, NULL, stop_call_main,
+			       &calls[count]);
+		if (++count == STOP_CALLS_BEFORE)
+			program_signal(rig->routers[0], SIGTERM);
+	} while (count < STOP_CALLS_MAX &&
+		 !WAIT_UNTIL(!program_is_running(rig->routers[0]),
+			     STOP_CALL_INTERVAL_MS));
+	g_assert_cmpint(program_wait(rig->routers[0], HARNESS_WAIT_MS), ==, 0);
+	for (int i = 0; i < count; i++) {
+		pthread_join(calls[i].thread, NULL);
+		served += check_stop_call(rig, &calls[i]);
+		http_answer_free(calls[i].answer);
+	}
+	g_assert_cmpint(served, >, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -373,6 +484,12 @@
 	g_test_add_func("/plain/idempotent", test_idempotent);
 	g_test_add_func("/plain/record-in-background",
 			test_record_in_background);
+	for (size_t i = 0; i < G_N_ELEMENTS(stop_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/plain/stop-answers/%s", stop_cases[i].stop_limit_ms);
+
+		g_test_add_data_func(path, &stop_cases[i], test_stop_answers);
+	}
 	g_test_add_func("/plain/sweep", test_sweep);
 	g_test_add_func("/plain/idle-connections", test_idle_connections);
 	return g_test_run();
--- a/t/test-server.c
+++ b/t/test-server.c
@@ -83,8 +83,7 @@
 			g_string_append_len(received, bytes, len);
 		close(fd);
 		g_test_message("stop %d", i);
-		g_assert_true(
-			g_str_has_prefix(received->str, "HTTP/1.1 200"));
+		g_assert_true(g_str_has_prefix(received->str, "HTTP/1.1 200"));
 		g_assert_true(g_str_has_suffix(received->str, "done"));
 	}
 }
