cmd: do not compete for the lease during a planned stop

An instance that began to compete for the lease of the weights after SIGTERM acquired it and took it along: no other instance can order weights until it expires.

Cause: the lease is given back once, at the start of a stop, and only if the instance competes by then. Stopping instances do not count as peers, but the instance itself went on taking part. Class: work is accepted that the process has no time for.

Change: an instance that has given the lease back does not start to compete.

Evidence: /it-gateway/stop-leaves-lease failed before ("'lease' should be NULL": the store had the record after the process had ended) and passes now.

--- a/cmd/gateway_lease.c
+++ b/cmd/gateway_lease.c
@@ -227,7 +227,8 @@
 void gateway_lease_tick(gateway_lease_t *lease, uint64_t now_ms)
 {
 	if (!lease->started) {
-		if (!gateway_peers_may_hold_lease(lease->control->peers,
+		if (lease->control->lease_released ||
+		    !gateway_peers_may_hold_lease(lease->control->peers,
 						  now_ms) ||
 		    !view_builder_is_complete(&lease->control->view_builder))
 			return;
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -562,6 +562,24 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: an instance acquired the lease of the weights during its planned
+ * stop, and took it along until it expired. */
+static void test_stop_leaves_lease(void)
+{
+	platform_rig_t rig;
+	json_t *lease;
+
+	platform_rig_start(&rig, 1);
+	lease = platform_store_get(rig.store, "amv-leases", "weights");
+	g_assert_null(lease);
+	program_signal(rig.gateways[0], SIGTERM);
+	g_assert_cmpint(program_wait(rig.gateways[0], 2 * HARNESS_WAIT_MS), ==,
+			0);
+	lease = platform_store_get(rig.store, "amv-leases", "weights");
+	g_assert_null(lease);
+	platform_rig_stop(&rig);
+}
+
 typedef struct half_case {
 	const char *name;
 	const char *request;
@@ -722,6 +740,8 @@
 	g_test_add_func("/it-gateway/stop", test_stop);
 	g_test_add_func("/it-gateway/stop-answers-late-request",
 			test_stop_answers_late_request);
+	g_test_add_func("/it-gateway/stop-leaves-lease",
+			test_stop_leaves_lease);
 	g_test_add_func("/it-gateway/stop-refuses-half-request",
 			test_stop_refuses_half_request);
 	g_test_add_func("/it-gateway/bad-clients", test_bad_clients);
