request: log the shared parts of a prompt whose attempt failed

When engines crash one after the other, the log gave no way to tell a part that all lost prompts share from a request that is sent again, or from engines that fail by themselves.

request_attempt_failed now ends with parts=: the ids of all parts but the last. No decision changes.

--- a/request/exchange.c
+++ b/request/exchange.c
@@ -17,6 +17,9 @@
  */
 #define RETRY_AFTER_MIN_MS 250
 #define RETRY_AFTER_SPREAD_MS 500
+/** Size of the text that lists a prompt's shared parts, bytes: eight of them;
+ * more are cut off. */
+#define SHARED_PARTS_TEXT_BYTES (8 * 17 + 1)
 
 bool exchange_is_repeatable(const exchange_t *exchange)
 {
@@ -156,18 +159,37 @@
 	exchange_release_load(exchange);
 }
 
+/* Lists the ids of the prompt's parts that other requests may share: all but
+ * the last one. */
+static void format_shared_parts(const exchange_t *exchange, char *text,
+				size_t size)
+{
+	const request_headers_t *headers = &exchange->headers;
+	size_t used = 0;
+
+	snprintf(text, size, "-");
+	for (uint32_t i = 0; i + 1 < headers->part_count && used < size; i++)
+		used += (size_t)snprintf(
+			text + used, size - used, "%s%llx", i ? "," : "",
+			(unsigned long long)headers->parts[i].id);
+}
+
 void exchange_log_failure(exchange_t *exchange, const char *why)
 {
 	const endpoint_entry_t *endpoint = exchange->endpoint;
+	char parts[SHARED_PARTS_TEXT_BYTES];
+
+	format_shared_parts(exchange, parts, sizeof(parts));
 
 	event_log(EVENT_REQUEST_ATTEMPT_FAILED,
 		  "id=%s endpoint=%s why=%s status=%u sent_ms=%llu "
-		  "last_event=%lld",
+		  "last_event=%lld parts=%s",
 		  exchange->id, endpoint->id, why, exchange->status,
 		  (unsigned long long)(clock_now_ms() - exchange->sent_ms),
 		  exchange->last_event == REQUEST_NO_LAST_EVENT
 			  ? -1LL
-			  : (long long)exchange->last_event);
+			  : (long long)exchange->last_event,
+		  parts);
 }
 
 void exchange_count_endpoint_failure(exchange_t *exchange,
