process: carry crash news in heartbeats

Cause: each instance sees only the crashes of the requests that it sent itself.

Change: a heartbeat has a list of up to 12 crash news, 40 bytes each, which peer_heartbeat_free_bytes() counts. Unknown kinds and lists that are too long are rejected with ERR_BAD_FIELD. The news follow only if there are some, so that instances of the version before and after understand each other during a rolling update: the older ones ignore what follows. process/crash_ring.h is the ring for reports between threads; a report carries a time instead of an age, so that the time for which it waits counts.

Evidence: build/t/test-gateway-parts passes with 26 cases, 11 of them new. Trials on a copy, each of which fails a new case: without the check of the kind; with a limit of 13 news; without their bytes in peer_heartbeat_free_bytes(); without the field probes; with a ring that takes one item too many or reads the wrong slot; without the limit of the age.

The case /peer-heartbeat/full now also states that the heartbeat is full, and runs without and with crash news, as does /peer-heartbeat/malformed; with news, just the length without them is accepted, as a heartbeat without news.

Conclusion: the codec is complete; the gateway does not use it yet.

--- a/process/peer_heartbeat.c
+++ b/process/peer_heartbeat.c
@@ -68,6 +68,21 @@
 	       xdr_uint32_t(xdr, &failed->ejected_ms);
 }
 
+static bool convert_crash_news(XDR *xdr, crash_news_t *news)
+{
+	uint32_t kind = news->kind;
+
+	if (!xdr_uint32_t(xdr, &kind) || kind > CRASH_NEWS_BLOCKED)
+		return false;
+	news->kind = (crash_news_kind_t)kind;
+	return xdr_uint64_t(xdr, &news->key.id) &&
+	       xdr_uint32_t(xdr, &news->key.depth) &&
+	       xdr_uint64_t(xdr, &news->crash) &&
+	       xdr_uint64_t(xdr, &news->request) &&
+	       xdr_uint32_t(xdr, &news->probes) &&
+	       xdr_uint32_t(xdr, &news->age_ms);
+}
+
 static bool convert_count(XDR *xdr, uint32_t *count, uint32_t max)
 {
 	return xdr_uint32_t(xdr, count) && *count <= max;
@@ -96,11 +111,24 @@
 	return ok;
 }
 
+/* Crash news follow only if there are some: instances of a version without
+ * them ignore what follows. */
+static bool convert_all_crash_news(XDR *xdr, peer_heartbeat_t *heartbeat)
+{
+	bool ok = convert_count(xdr, &heartbeat->crash_news_count,
+				PEER_CRASH_NEWS_MAX);
+
+	for (uint32_t i = 0; ok && i < heartbeat->crash_news_count; i++)
+		ok = convert_crash_news(xdr, &heartbeat->crash_news[i]);
+	return ok;
+}
+
 size_t peer_heartbeat_free_bytes(const peer_heartbeat_t *heartbeat)
 {
 	size_t used = PEER_HEARTBEAT_HEADER_BYTES +
 		      heartbeat->weights_count * PEER_WEIGHTS_BYTES +
 		      heartbeat->failed_count * PEER_FAILED_BYTES +
+		      heartbeat->crash_news_count * PEER_CRASH_NEWS_BYTES +
 		      heartbeat->load_count * PEER_LOAD_BYTES +
 		      heartbeat->hint_count * PEER_HINT_BYTES;
 
@@ -113,11 +141,14 @@
 {
 	peer_heartbeat_t copy = *heartbeat;
 	XDR xdr;
+	bool ok;
 	int len;
 
 	xdrmem_create(&xdr, bytes, (u_int)size, XDR_ENCODE);
-	len = convert_heartbeat(&xdr, &copy) ? (int)xdr_getpos(&xdr)
-					     : ERR_LIMIT;
+	ok = convert_heartbeat(&xdr, &copy);
+	if (copy.crash_news_count)
+		ok = ok && convert_all_crash_news(&xdr, &copy);
+	len = ok ? (int)xdr_getpos(&xdr) : ERR_LIMIT;
 	xdr_destroy(&xdr);
 	return len;
 }
@@ -130,6 +161,8 @@
 	memset(heartbeat, 0, sizeof(*heartbeat));
 	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
 	ok = convert_heartbeat(&xdr, heartbeat) && heartbeat->name[0];
+	if (ok && xdr_getpos(&xdr) < len)
+		ok = convert_all_crash_news(&xdr, heartbeat);
 	xdr_destroy(&xdr);
 	return ok ? 0 : ERR_BAD_FIELD;
 }
--- a/process/peer_heartbeat.h
+++ b/process/peer_heartbeat.h
@@ -2,8 +2,9 @@
  * @file
  * Heartbeat: datagram in which a gateway instance sends its state to the
  * others. It contains the revisions of the store's tables that the instance
- * has, its load at each endpoint, cache hints, endpoints that failed, and, if
- * it holds the weights lease, the weights of engines. Encoded as XDR.
+ * has, its load at each endpoint, cache hints, endpoints that failed, crash
+ * news, and, if it holds the weights lease, the weights of engines. Encoded as
+ * XDR.
  */
 #ifndef PROCESS_PEER_HEARTBEAT_H
 #define PROCESS_PEER_HEARTBEAT_H
@@ -12,6 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "process/crash_evidence.h"
 #include "process/hint_ring.h"
 #include "process/object.h"
 
@@ -35,6 +37,9 @@
 	/** Cache hints. */
 	PEER_HINTS_MAX = 30,
 	PEER_HINT_BYTES = 20,
+	/** Crash news. */
+	PEER_CRASH_NEWS_MAX = 12,
+	PEER_CRASH_NEWS_BYTES = 40,
 };
 
 /** State of a table of the store at the sender. */
@@ -85,6 +90,8 @@
 	cache_hint_t hints[PEER_HINTS_MAX];
 	uint32_t failed_count;
 	peer_failed_t failed[PEER_FAILED_MAX];
+	uint32_t crash_news_count;
+	crash_news_t crash_news[PEER_CRASH_NEWS_MAX];
 } peer_heartbeat_t;
 
 /** Identifies one incarnation of an endpoint. */
--- a/t/fuzz-platform.c
+++ b/t/fuzz-platform.c
@@ -29,6 +29,27 @@
 	(void)platform_read_weights(spec, &weights);
 }
 
+/* What is accepted is valid, and can be sent again. */
+static void read_heartbeat(const uint8_t *data, size_t size)
+{
+	peer_heartbeat_t heartbeat;
+	char bytes[PEER_HEARTBEAT_MAX_BYTES];
+	int len;
+
+	if (size > sizeof(bytes))
+		return;
+	memcpy(bytes, data, size);
+	if (peer_heartbeat_decode(&heartbeat, bytes, size))
+		return;
+	FUZZ_CHECK(heartbeat.crash_news_count <= PEER_CRASH_NEWS_MAX);
+	for (uint32_t i = 0; i < heartbeat.crash_news_count; i++)
+		FUZZ_CHECK((uint32_t)heartbeat.crash_news[i].kind <=
+			   CRASH_NEWS_BLOCKED);
+	len = peer_heartbeat_encode(&heartbeat, bytes, sizeof(bytes));
+	FUZZ_CHECK(len > 0 && (size_t)len <= size);
+	FUZZ_CHECK(!peer_heartbeat_decode(&heartbeat, bytes, (size_t)len));
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
@@ -36,8 +57,6 @@
 		json_loadb((const char *)data, size, 0, NULL);
 	object_table_t table = { 0 };
 	engine_report_t report;
-	peer_heartbeat_t heartbeat;
-	char copy[PEER_HEARTBEAT_MAX_BYTES];
 
 	read_spec(root);
 	(void)platform_read_report((const char *)data, size, &report);
@@ -48,9 +67,6 @@
 	}
 	(void)object_table_import(&table, root, 2);
 	object_table_free(&table);
-	if (size <= sizeof(copy)) {
-		memcpy(copy, data, size);
-		(void)peer_heartbeat_decode(&heartbeat, copy, size);
-	}
+	read_heartbeat(data, size);
 	return 0;
 }
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -1,8 +1,10 @@
 /* Unit tests of small modules of the gateway: retry budget, endpoint load,
- * splitter of server-sent events, heartbeat codec and target weights. */
+ * splitter of server-sent events, heartbeat codec, ring of crash reports and
+ * target weights. */
 #include <glib.h>
 #include <string.h>
 
+#include "process/crash_ring.h"
 #include "process/endpoint_load.h"
 #include "process/error.h"
 #include "process/peer_heartbeat.h"
@@ -14,6 +16,9 @@
 	INSTANCE_COUNT = 14,
 	RETRY_SLACK = 108,
 	WINDOW_MS = 10000,
+	/** Reports that are passed between two threads. */
+	REPORT_COUNT = 200000,
+	NOW_MS = 50000,
 };
 
 /* Failure: 14 instances each kept within their retry budget, but together
@@ -158,7 +163,22 @@
 	sse_splitter_free(&splitter);
 }
 
-static void fill_heartbeat(peer_heartbeat_t *heartbeat)
+/* Field by field, so that padding stays zero and memory can be compared. */
+static void add_crash_news(peer_heartbeat_t *heartbeat)
+{
+	uint32_t number = heartbeat->crash_news_count++;
+	crash_news_t *news = &heartbeat->crash_news[number];
+
+	news->kind = (crash_news_kind_t)(number % (CRASH_NEWS_BLOCKED + 1));
+	news->key.id = UINT64_MAX - number;
+	news->key.depth = number % 2 ? number : CRASH_KEY_REQUEST;
+	news->crash = (2ULL << 40) + number;
+	news->request = (3ULL << 40) + number;
+	news->probes = 4000 + number;
+	news->age_ms = UINT32_MAX - number;
+}
+
+static void fill_heartbeat(peer_heartbeat_t *heartbeat, int crash_news_count)
 {
 	memset(heartbeat, 0, sizeof(*heartbeat));
 	heartbeat->incarnation = 1ULL << 41;
@@ -168,6 +188,8 @@
 	heartbeat->weights_count = 20;
 	heartbeat->failed_count = PEER_FAILED_MAX;
 	heartbeat->failed[PEER_FAILED_MAX - 1].ejected_ms = 300;
+	while ((int)heartbeat->crash_news_count < crash_news_count)
+		add_crash_news(heartbeat);
 	while (peer_heartbeat_free_bytes(heartbeat) >= PEER_LOAD_BYTES &&
 	       heartbeat->load_count < PEER_LOADS_MAX)
 		heartbeat->loads[heartbeat->load_count++].tokens = 17;
@@ -177,14 +199,16 @@
 }
 
 /* Failure: a full heartbeat did not fit into a datagram and was never sent. */
-static void test_heartbeat_full(void)
+static void test_heartbeat_full(const void *crash_news_count)
 {
 	peer_heartbeat_t heartbeat;
 	peer_heartbeat_t decoded;
 	char bytes[PEER_HEARTBEAT_MAX_BYTES];
 	int len;
 
-	fill_heartbeat(&heartbeat);
+	fill_heartbeat(&heartbeat, GPOINTER_TO_INT(crash_news_count));
+	g_assert_cmpuint(peer_heartbeat_free_bytes(&heartbeat), <,
+			 PEER_LOAD_BYTES);
 	len = peer_heartbeat_encode(&heartbeat, bytes, sizeof(bytes));
 	g_assert_cmpint(len, >, 0);
 	g_assert_cmpint(peer_heartbeat_decode(&decoded, bytes, (size_t)len), ==,
@@ -194,23 +218,210 @@
 }
 
 /* Failure: a truncated or foreign datagram was accepted as a heartbeat. */
-static void test_heartbeat_malformed(void)
+static void test_heartbeat_malformed(const void *crash_news_count)
 {
+	int news = GPOINTER_TO_INT(crash_news_count);
 	peer_heartbeat_t heartbeat;
 	char bytes[PEER_HEARTBEAT_MAX_BYTES];
+	int accepted = 0;
 	int len;
 
-	fill_heartbeat(&heartbeat);
+	fill_heartbeat(&heartbeat, news);
 	len = peer_heartbeat_encode(&heartbeat, bytes, sizeof(bytes));
-	for (int truncated_len = 0; truncated_len < len; truncated_len += 4)
-		g_assert_cmpint(peer_heartbeat_decode(&heartbeat, bytes,
-						      (size_t)truncated_len),
-				==, ERR_BAD_FIELD);
+	for (int truncated_len = 0; truncated_len < len; truncated_len += 4) {
+		if (peer_heartbeat_decode(&heartbeat, bytes,
+					  (size_t)truncated_len))
+			continue;
+		g_assert_cmpuint(heartbeat.crash_news_count, ==, 0);
+		accepted++;
+	}
+	/* Without its news it is a heartbeat of the version before them. */
+	g_assert_cmpint(accepted, ==, news > 0);
 	bytes[0] ^= 1;
 	g_assert_cmpint(peer_heartbeat_decode(&heartbeat, bytes, (size_t)len),
 			==, ERR_BAD_FIELD);
 }
 
+/* Failure: lists grew until the datagram could not be encoded. */
+static void test_heartbeat_free_bytes(void)
+{
+	peer_heartbeat_t heartbeat = { 0 };
+	char bytes[PEER_HEARTBEAT_MAX_BYTES];
+	size_t free_bytes;
+	int empty_len;
+	int len;
+
+	memset(heartbeat.name, 'n', sizeof(heartbeat.name) - 1);
+	free_bytes = peer_heartbeat_free_bytes(&heartbeat);
+	empty_len = peer_heartbeat_encode(&heartbeat, bytes, sizeof(bytes));
+	g_assert_cmpint(empty_len, >, 0);
+	g_assert_cmpint(empty_len, <=, PEER_HEARTBEAT_HEADER_BYTES);
+	for (int count = 1; count <= PEER_CRASH_NEWS_MAX; count++) {
+		add_crash_news(&heartbeat);
+		len = peer_heartbeat_encode(&heartbeat, bytes, sizeof(bytes));
+		/* The list's length is sent only with news. */
+		g_assert_cmpint(len - empty_len, ==,
+				(int)sizeof(uint32_t) +
+					count * PEER_CRASH_NEWS_BYTES);
+		g_assert_cmpuint(free_bytes -
+					 peer_heartbeat_free_bytes(&heartbeat),
+				 ==, (size_t)count * PEER_CRASH_NEWS_BYTES);
+	}
+}
+
+typedef struct bad_news_case {
+	const char *name;
+	uint32_t news_count; /**< In the datagram. */
+	uint32_t count;	     /**< As the datagram states it. */
+	uint32_t last_kind;
+	int result;
+} bad_news_case_t;
+
+static const bad_news_case_t bad_news_cases[] = {
+	{ "all", 12, 12, CRASH_NEWS_BLOCKED, 0 },
+	{ "unknown-kind", 12, 12, CRASH_NEWS_BLOCKED + 1, ERR_BAD_FIELD },
+	{ "huge-kind", 12, 12, UINT32_MAX, ERR_BAD_FIELD },
+	{ "too-many", 13, 13, CRASH_NEWS_BLOCKED, ERR_BAD_FIELD },
+	{ "huge-count", 13, UINT32_MAX, CRASH_NEWS_BLOCKED, ERR_BAD_FIELD },
+};
+
+static void put_number(char *bytes, uint32_t number)
+{
+	uint32_t big_endian = GUINT32_TO_BE(number);
+
+	memcpy(bytes, &big_endian, sizeof(big_endian));
+}
+
+/* Failure: news of an unknown kind, or more than fit the list, were accepted.
+ */
+static void test_heartbeat_bad_news(const void *data)
+{
+	const bad_news_case_t *test = data;
+	peer_heartbeat_t heartbeat = { .name = "n" };
+	char bytes[PEER_HEARTBEAT_MAX_BYTES];
+	char *count_at;
+	char *end;
+
+	/* The news are the last list: their count, then the items. */
+	count_at =
+		bytes + peer_heartbeat_encode(&heartbeat, bytes, sizeof(bytes));
+	put_number(count_at, test->count);
+	end = count_at + sizeof(uint32_t);
+	for (uint32_t i = 0; i < test->news_count; i++) {
+		memset(end, 0, PEER_CRASH_NEWS_BYTES);
+		end += PEER_CRASH_NEWS_BYTES;
+	}
+	put_number(end - PEER_CRASH_NEWS_BYTES, test->last_kind);
+	g_assert_cmpint(
+		peer_heartbeat_decode(&heartbeat, bytes, (size_t)(end - bytes)),
+		==, test->result);
+}
+
+static crash_report_t make_report(uint64_t number)
+{
+	return (crash_report_t){ .news.key.id = number,
+				 .news.request = ~number,
+				 .time_ms = number };
+}
+
+static void assert_report(const crash_report_t *report, uint64_t number)
+{
+	g_assert_cmpuint(report->news.key.id, ==, number);
+	g_assert_cmpuint(report->news.request, ==, ~number);
+	g_assert_cmpuint(report->time_ms, ==, number);
+}
+
+/* Failure: a full ring overwrote reports, or lost their order when its
+ * positions wrapped around. */
+static void test_crash_ring_full(void)
+{
+	crash_ring_t *ring = g_new0(crash_ring_t, 1);
+	crash_report_t report;
+
+	atomic_store(&ring->head, UINT32_MAX - 10);
+	atomic_store(&ring->tail, UINT32_MAX - 10);
+	for (uint64_t round = 0; round < 3; round++) {
+		g_assert_true(crash_ring_is_empty(ring));
+		g_assert_false(crash_ring_take(ring, &report));
+		for (uint64_t i = 0; i < CRASH_RING_SIZE; i++) {
+			report = make_report(round + i);
+			g_assert_true(crash_ring_put(ring, &report));
+		}
+		report = make_report(0);
+		g_assert_false(crash_ring_put(ring, &report));
+		g_assert_false(crash_ring_is_empty(ring));
+		for (uint64_t i = 0; i < CRASH_RING_SIZE; i++) {
+			g_assert_true(crash_ring_take(ring, &report));
+			assert_report(&report, round + i);
+		}
+	}
+	g_free(ring);
+}
+
+static void *put_reports(void *ring)
+{
+	for (uint64_t number = 0; number < REPORT_COUNT; number++) {
+		crash_report_t report = make_report(number);
+
+		while (!crash_ring_put(ring, &report))
+			g_thread_yield();
+	}
+	return NULL;
+}
+
+/* Failure: the consumer read a report before the producer had written it. */
+static void test_crash_ring_threads(void)
+{
+	crash_ring_t *ring = g_new0(crash_ring_t, 1);
+	GThread *producer = g_thread_new("producer", put_reports, ring);
+	crash_report_t report;
+
+	for (uint64_t number = 0; number < REPORT_COUNT; number++) {
+		while (!crash_ring_take(ring, &report))
+			g_thread_yield();
+		assert_report(&report, number);
+	}
+	g_thread_join(producer);
+	g_assert_true(crash_ring_is_empty(ring));
+	g_free(ring);
+}
+
+typedef struct report_age_case {
+	uint64_t time_ms;
+	uint64_t now_ms;
+	uint32_t age_ms;
+} report_age_case_t;
+
+static const report_age_case_t report_age_cases[] = {
+	{ NOW_MS, NOW_MS, 0 },
+	{ NOW_MS - 180, NOW_MS, 180 },
+	{ NOW_MS + 1, NOW_MS, 0 },
+	{ 0, UINT32_MAX, UINT32_MAX },
+	{ 0, UINT32_MAX + 5ULL, UINT32_MAX },
+};
+
+/* Failure: the time that news waited for a heartbeat did not count, so that
+ * each instance dated the same crash differently. */
+static void test_crash_report_age(void)
+{
+	crash_news_t news = { .kind = CRASH_NEWS_CLEARED, .age_ms = 700 };
+	crash_report_t report = crash_report_from_news(&news, NOW_MS);
+
+	g_assert_cmpuint(report.time_ms, ==, NOW_MS - 700);
+	g_assert_cmpint(report.news.kind, ==, CRASH_NEWS_CLEARED);
+	g_assert_cmpuint(crash_report_news(&report, NOW_MS + 200).age_ms, ==,
+			 900);
+	g_assert_cmpuint(crash_report_from_news(&news, 699).time_ms, ==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(report_age_cases); i++) {
+		const report_age_case_t *test = &report_age_cases[i];
+
+		report.time_ms = test->time_ms;
+		news = crash_report_news(&report, test->now_ms);
+		g_assert_cmpuint(news.age_ms, ==, test->age_ms);
+		g_assert_cmpint(news.kind, ==, CRASH_NEWS_CLEARED);
+	}
+}
+
 /* Failure: the time limit for old weights started again with each newer target
  * version, and requests started on weights that had been replaced 9.6 s before.
  */
@@ -244,8 +455,21 @@
 	g_test_add_func("/endpoint-load/ejection", test_ejection);
 	g_test_add_func("/endpoint-load/peer-ejection", test_peer_ejection);
 	g_test_add_func("/sse-splitter/event-limit", test_splitter_event_limit);
-	g_test_add_func("/peer-heartbeat/full", test_heartbeat_full);
-	g_test_add_func("/peer-heartbeat/malformed", test_heartbeat_malformed);
+	g_test_add_data_func("/peer-heartbeat/full", GINT_TO_POINTER(0),
+			     test_heartbeat_full);
+	g_test_add_data_func("/peer-heartbeat/full-crash-news",
+			     GINT_TO_POINTER(PEER_CRASH_NEWS_MAX),
+			     test_heartbeat_full);
+	g_test_add_data_func("/peer-heartbeat/malformed", GINT_TO_POINTER(0),
+			     test_heartbeat_malformed);
+	g_test_add_data_func("/peer-heartbeat/malformed-crash-news",
+			     GINT_TO_POINTER(PEER_CRASH_NEWS_MAX),
+			     test_heartbeat_malformed);
+	g_test_add_func("/peer-heartbeat/free-bytes",
+			test_heartbeat_free_bytes);
+	g_test_add_func("/crash-ring/full", test_crash_ring_full);
+	g_test_add_func("/crash-ring/threads", test_crash_ring_threads);
+	g_test_add_func("/crash-ring/report-age", test_crash_report_age);
 	g_test_add_func("/view/outdated-weights", test_outdated_weights);
 	for (size_t i = 0; i < G_N_ELEMENTS(splitter_cases); i++) {
 		char *path = g_strdup_printf("/sse-splitter/cases/%zu", i);
@@ -253,5 +477,13 @@
 		g_test_add_data_func(path, &splitter_cases[i], test_splitter);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_news_cases); i++) {
+		char *path = g_strdup_printf("/peer-heartbeat/news/%s",
+					     bad_news_cases[i].name);
+
+		g_test_add_data_func(path, &bad_news_cases[i],
+				     test_heartbeat_bad_news);
+		g_free(path);
+	}
 	return g_test_run();
 }
