cmd: exchange crash news between instances

Cause: heartbeats can carry crash news, but nothing put them in or took them out.

Change: gateway_t has a ring for news of this instance and one for news of the others, and the rank of this instance's name among the live ones. A heartbeat to all takes news before weights and loads, which the next heartbeat repeats; an answer to a new peer takes none. While news wait, the tick sends a heartbeat 50 ms after the last one, and up to 4 at once if one cannot hold them. Received news go to the front with the time of the observation on this machine's clock.

The comparison of the heartbeat interval no longer underflows if a heartbeat was sent earlier in the same tick; before, a second one followed at once.

Conclusion: the front thread does not put or take news yet; a case in test-it-gateway can follow when it does.

--- a/cmd/gateway.h
+++ b/cmd/gateway.h
@@ -16,6 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "process/crash_ring.h"
 #include "process/hint_ring.h"
 
 /** Settings of the process, from flags or the settings file;
@@ -46,9 +47,16 @@
 typedef struct gateway {
 	gateway_settings_t settings;
 	_Atomic uint32_t instances; /**< Live ones, including this one. */
+	/** Position of this one among the live ones in strcmp() order of names,
+	 * from 0. */
+	_Atomic uint32_t rank;
 	_Atomic bool stopping;
 	hint_ring_t own_hints;	/**< From the front to the control thread. */
 	hint_ring_t peer_hints; /**< From the control to the front thread. */
+	/** From the front to the control thread. */
+	crash_ring_t own_crash_news;
+	/** From the control to the front thread. */
+	crash_ring_t peer_crash_news;
 } gateway_t;
 
 /**
--- a/cmd/gateway_control.h
+++ b/cmd/gateway_control.h
@@ -64,7 +64,8 @@
  * state that only peers have, and sends heartbeats. */
 void gateway_peers_tick(gateway_peers_t *peers, uint64_t now_ms);
 
-/** Sends a heartbeat to all instances now. */
+/** Sends a heartbeat to all instances now, and further ones if more crash news
+ * wait than it can hold. */
 void gateway_peers_send_heartbeat(gateway_peers_t *peers);
 
 /** Whether this instance may compete for the weights lease. Only the watchers
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -21,6 +21,10 @@
 	HEARTBEAT_MS = 200,
 	HEARTBEAT_PER_INSTANCE_MS = 3,
 	HEARTBEAT_FULL_RATE_MAX = 20,
+	/** Interval while crash news wait, ms. */
+	CRASH_NEWS_INTERVAL_MS = 50,
+	/** Heartbeats sent at once for crash news that one cannot hold. */
+	HEARTBEATS_AT_ONCE_MAX = 4,
 	/** A peer without a heartbeat for this many intervals does not count as
 	 * live. */
 	PEER_LIVE_HEARTBEATS = 6,
@@ -117,8 +121,30 @@
 	}
 }
 
-/* Fills and encodes a heartbeat; returns its length in bytes, or an error. */
-static int encode_heartbeat(gateway_peers_t *peers, bool with_hints,
+static void fill_crash_news(crash_ring_t *ring, peer_heartbeat_t *heartbeat,
+			    uint64_t now_ms)
+{
+	crash_report_t report;
+
+	while (heartbeat->crash_news_count < PEER_CRASH_NEWS_MAX &&
+	       peer_heartbeat_free_bytes(heartbeat) >= PEER_CRASH_NEWS_BYTES &&
+	       crash_ring_take(ring, &report))
+		heartbeat->crash_news[heartbeat->crash_news_count++] =
+			crash_report_news(&report, now_ms);
+}
+
+static void fill_hints(hint_ring_t *ring, peer_heartbeat_t *heartbeat)
+{
+	while (heartbeat->hint_count < PEER_HINTS_MAX &&
+	       peer_heartbeat_free_bytes(heartbeat) >= PEER_HINT_BYTES &&
+	       hint_ring_take(ring, &heartbeat->hints[heartbeat->hint_count]))
+		heartbeat->hint_count++;
+}
+
+/* Fills and encodes a heartbeat; returns its length in bytes, or an error.
+ * Hints and crash news are sent only once, so only a heartbeat to all may take
+ * them. */
+static int encode_heartbeat(gateway_peers_t *peers, bool to_all,
 			    char bytes[PEER_HEARTBEAT_MAX_BYTES])
 {
 	gateway_control_t *control = peers->control;
@@ -146,14 +172,15 @@
 		heartbeat.tables[i].revision = table->revision;
 		heartbeat.tables[i].digest = object_table_digest(table);
 	}
-	gateway_rollout_fill_heartbeat(control->rollout, &heartbeat, now_ms);
 	fill_ejected(control->view_builder.view, &heartbeat, now_ms);
+	/* Before weights and loads, which the next heartbeat repeats. */
+	if (to_all)
+		fill_crash_news(&control->gateway->own_crash_news, &heartbeat,
+				now_ms);
+	gateway_rollout_fill_heartbeat(control->rollout, &heartbeat, now_ms);
 	fill_loads(control->view_builder.view, &heartbeat);
-	while (with_hints && heartbeat.hint_count < PEER_HINTS_MAX &&
-	       peer_heartbeat_free_bytes(&heartbeat) >= PEER_HINT_BYTES &&
-	       hint_ring_take(&control->gateway->own_hints,
-			      &heartbeat.hints[heartbeat.hint_count]))
-		heartbeat.hint_count++;
+	if (to_all)
+		fill_hints(&control->gateway->own_hints, &heartbeat);
 	return peer_heartbeat_encode(&heartbeat, bytes,
 				     PEER_HEARTBEAT_MAX_BYTES);
 }
@@ -167,7 +194,7 @@
 	metrics_add(METRIC_PEER_BYTES_SENT, (int64_t)len);
 }
 
-void gateway_peers_send_heartbeat(gateway_peers_t *peers)
+static void send_to_all(gateway_peers_t *peers)
 {
 	char bytes[PEER_HEARTBEAT_MAX_BYTES];
 	int len = encode_heartbeat(peers, true, bytes);
@@ -177,6 +204,20 @@
 		send_datagram(peers, bytes, (size_t)len, &peers->targets[i]);
 }
 
+static bool has_crash_news(const gateway_peers_t *peers)
+{
+	return !crash_ring_is_empty(&peers->control->gateway->own_crash_news);
+}
+
+void gateway_peers_send_heartbeat(gateway_peers_t *peers)
+{
+	int count = 0;
+
+	do {
+		send_to_all(peers);
+	} while (++count < HEARTBEATS_AT_ONCE_MAX && has_crash_news(peers));
+}
+
 /* Answers the first heartbeat of a peer, so that an instance that has just
  * started learns of the others at once. Only watchers answer other domains. */
 static void answer_new_peer(gateway_peers_t *peers, const peer_t *peer)
@@ -265,6 +306,18 @@
 	return peer;
 }
 
+static void pass_crash_news(gateway_peers_t *peers,
+			    const peer_heartbeat_t *heartbeat, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < heartbeat->crash_news_count; i++) {
+		crash_report_t report = crash_report_from_news(
+			&heartbeat->crash_news[i], now_ms);
+
+		crash_ring_put(&peers->control->gateway->peer_crash_news,
+			       &report);
+	}
+}
+
 static void on_heartbeat(gateway_peers_t *peers,
 			 const peer_heartbeat_t *heartbeat,
 			 const struct sockaddr_in *from)
@@ -297,6 +350,7 @@
 	for (uint32_t i = 0; i < heartbeat->hint_count; i++)
 		hint_ring_put(&peers->control->gateway->peer_hints,
 			      &heartbeat->hints[i]);
+	pass_crash_news(peers, heartbeat, now_ms);
 }
 
 static void on_readable(evutil_socket_t fd, short what, void *context)
@@ -362,11 +416,21 @@
 
 static void count_live_instances(const gateway_peers_t *peers, uint64_t now_ms)
 {
+	gateway_t *gateway = peers->control->gateway;
 	uint32_t live = 1;
+	uint32_t rank = 0;
 
-	for (size_t i = 0; i < peers->peer_count; i++)
-		live += gateway_peer_is_live(peers, peers->peers[i], now_ms);
-	atomic_store(&peers->control->gateway->instances, live);
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		const peer_t *peer = peers->peers[i];
+
+		if (!gateway_peer_is_live(peers, peer, now_ms))
+			continue;
+		live++;
+		if (strcmp(peer->heartbeat.name, gateway->settings.name) < 0)
+			rank++;
+	}
+	atomic_store(&gateway->instances, live);
+	atomic_store(&gateway->rank, rank);
 	metrics_set(METRIC_MEMBERS_LIVE, live);
 }
 
@@ -456,6 +520,15 @@
 	gateway_peers_send_heartbeat(peers);
 }
 
+static bool is_heartbeat_due(const gateway_peers_t *peers, uint64_t now_ms)
+{
+	uint64_t interval_ms = has_crash_news(peers)
+				       ? CRASH_NEWS_INTERVAL_MS
+				       : own_heartbeat_interval(peers);
+
+	return now_ms >= peers->sent_ms + interval_ms;
+}
+
 void gateway_peers_tick(gateway_peers_t *peers, uint64_t now_ms)
 {
 	gateway_members_update_targets(peers, now_ms);
@@ -467,7 +540,7 @@
 	count_live_instances(peers, now_ms);
 	run_watcher_election(peers, now_ms);
 	gateway_state_fetch_missing(peers, now_ms);
-	if (now_ms - peers->sent_ms >= own_heartbeat_interval(peers))
+	if (is_heartbeat_due(peers, now_ms))
 		gateway_peers_send_heartbeat(peers);
 }
 
