request: refuse what crashes endpoint after endpoint

Cause: the gateway knew nothing of why an endpoint was lost. A lost attempt was sent to the next endpoint, and the next request of the kind again, for as long as they came. Class: an input that fails its worker is retried without limit on healthy workers, since its failure is charged to the worker alone.

Change: an attempt that is lost before its answer has begun reports its parts and its whole request (caller, method, target, body) to crash_evidence; one that answers clears them. Instances exchange this news. Requests with a blocked key are refused as not run (503, with the time of the next probe), are not sent again, and runs in progress that have not begun are cancelled, but for orders. Each instance repeats its blocks, so that one that has just started knows them.

Ruled out: one request sent again and again (9 different requests in the first 8 crashes); engines that fail by themselves (each crash has a lost attempt with the part, and none is left once it is refused).

--- a/process/crash_evidence.h
+++ b/process/crash_evidence.h
@@ -135,7 +135,7 @@
 	CRASH_RUN,
 	/** Run it; it tests a blocked key. */
 	CRASH_PROBE,
-	/** Refuse it with ERR_QUARANTINED. */
+	/** Refuse it with ERR_CRASH_BLOCKED. */
 	CRASH_REFUSE,
 } crash_verdict_t;
 
--- a/process/error.c
+++ b/process/error.c
@@ -103,6 +103,9 @@
 	  NOT_RUN, 1000 },
 	{ "no_memory", "out of memory", 503, RETRY_LATER, NOT_RUN, 1000 },
 	{ "internal", "internal error", 500, RETRY_NOW, UNKNOWN, 0 },
+	{ "crash_blocked",
+	  "this request, or a part of its prompt, has crashed endpoints", 503,
+	  RETRY_LATER, NOT_RUN, 10000 },
 };
 
 const error_answer_t *error_answer(int err)
--- a/process/error.h
+++ b/process/error.h
@@ -73,8 +73,10 @@
 	ERR_LIMIT = -49,
 	ERR_NO_MEMORY = -50,
 	ERR_INTERNAL = -51,
+	/* Requests that crash endpoints. */
+	ERR_CRASH_BLOCKED = -52,
 	/** Number of kinds including ERR_OK; keep last. */
-	ERR_KIND_COUNT = 52,
+	ERR_KIND_COUNT = 53,
 } err_t;
 
 /** What is known about the execution of a request that failed. */
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -95,6 +95,19 @@
       "A request crashed two engines and is refused for some time.")
 EVENT(1512, CRASH_CLEARED, "crash_cleared", EVENT_INFO,
       "A suspected request completed and is no longer suspected.")
+EVENT(1513, CRASH_KEY_SUSPECT, "crash_key_suspect", EVENT_WARN,
+      "An endpoint was lost before it had begun to answer; a part of the prompt "
+      "at this depth, or the whole request (depth 255), may be the cause.")
+EVENT(1514, CRASH_KEY_BLOCKED, "crash_key_blocked", EVENT_ERROR,
+      "Requests with this part of a prompt, or this whole request, are refused: "
+      "it crashed endpoints. peer: another instance decided it.")
+EVENT(1515, CRASH_KEY_CLEARED, "crash_key_cleared", EVENT_INFO,
+      "A request with a suspected or blocked key was answered.")
+EVENT(1516, CRASH_PROBE, "crash_probe", EVENT_WARN,
+      "A request with a blocked key is sent, to find out whether it still "
+      "crashes endpoints.")
+EVENT(1517, CRASH_REFUSED, "crash_refused", EVENT_WARN,
+      "A request was not sent to an endpoint because of a blocked key.")
 EVENT(1600, STORE_OUTAGE, "store_outage", EVENT_WARN,
       "Consecutive calls to the object API failed. Routing continues; "
       "orders and tickets are refused as not run.")
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -141,6 +141,10 @@
 	       "Answers after which an endpoint closed its connection.")
 METRIC_GAUGE(GATEWAY_REQUESTS, "amv_gateway_requests", "",
 	     "Requests in progress at the gateway.")
+METRIC_GAUGE(
+	CRASH_BLOCKED_KEYS, "amv_crash_blocked_keys", "",
+	"Requests and parts of prompts that are refused because they crash "
+	"endpoints.")
 METRIC_GAUGE(GATEWAY_CONNECTIONS, "amv_gateway_connections", "",
 	     "Open connections of callers.")
 METRIC_GAUGE(OUTBOUND_OPENED, "amv_outbound_connections_opened", "",
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -20,6 +20,8 @@
 #include "connection/inbound.h"
 #include "connection/outbound.h"
 #include "process/cache_index.h"
+#include "process/crash_evidence.h"
+#include "process/crash_ring.h"
 #include "process/fetch_source.h"
 #include "process/first_token_timeout.h"
 #include "process/hint_ring.h"
@@ -73,6 +75,12 @@
 	uint32_t weights_ms; /**< How long replaced weights may be used, ms. */
 	planned_stop_t stop;
 	uint32_t open_requests; /**< Number of requests in `open`. */
+	crash_evidence_t crash_evidence;
+	crash_owner_t crash_owner;     /**< This instance. */
+	crash_ring_t *own_crash_news;  /**< For the other instances. */
+	crash_ring_t *peer_crash_news; /**< From the other instances. */
+	uint64_t blocked_shared_ms;
+	bool has_new_blocks; /**< Runs in progress may have blocked keys. */
 	/** How long streams may wait for their first token. */
 	first_token_timeout_t first_token_timeout;
 } exchange_env_t;
@@ -90,6 +98,10 @@
 /** Logs each request in progress; for a planned stop that cuts them. */
 void exchange_log_cut(const exchange_env_t *env);
 
+/** Exchanges crash evidence with the other instances and ends runs of keys
+ * that were blocked; to be called periodically. */
+void exchange_tick_crash_evidence(exchange_env_t *env);
+
 /** Resumes reading from the endpoint after the client's output drained. */
 void exchange_client_drained(inbound_request_t *request);
 
--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -53,6 +53,7 @@
 			start_stream_relay(exchange, head);
 		return;
 	}
+	exchange_report_progress(exchange, clock_now_ms());
 	evbuffer_drain(exchange->buffered_head,
 		       evbuffer_get_length(exchange->buffered_head));
 	evbuffer_drain(exchange->buffered_body,
@@ -83,6 +84,7 @@
 		exchange->last_event = id;
 	}
 	exchange->last_chunk_ms = clock_now_ms();
+	exchange_report_progress(exchange, exchange->last_chunk_ms);
 	if (!exchange->first_event_ms)
 		record_first_chunk(exchange);
 	if (exchange->counted_prefill_tokens)
@@ -136,11 +138,13 @@
 {
 	if (sse_splitter_is_partial(&exchange->splitter)) {
 		exchange_log_failure(exchange, "cut_in_event");
+		exchange_report_crash(exchange);
 		sse_splitter_reset(&exchange->splitter);
 		exchange_after_attempt(exchange, ATTEMPT_UNKNOWN);
 		return;
 	}
 	endpoint_load_succeeded(exchange->endpoint->load, clock_now_ms());
+	exchange_report_completed(exchange);
 	exchange_finish(exchange);
 }
 
@@ -172,6 +176,8 @@
 	uint16_t status = exchange->status;
 	bool success = status / 100 == 2;
 
+	if (!exchange->answer.not_run)
+		exchange_report_completed(exchange);
 	if (exchange->answer.not_run) {
 		exchange_log_failure(exchange, "not_run");
 		if (status == 421)
@@ -212,6 +218,8 @@
 	exchange_t *exchange = context;
 
 	exchange->call = NULL;
+	if (result == OUTBOUND_LOST)
+		exchange_report_crash(exchange);
 	if (exchange->answer.leaving && exchange->has_answer_head &&
 	    result == OUTBOUND_COMPLETE)
 		metrics_add(METRIC_ENDPOINT_CLOSES, 1);
--- a/request/exchange_job.h
+++ b/request/exchange_job.h
@@ -8,7 +8,8 @@
  *   slow attempt;
  * - exchange_place.c: choice of an endpoint and sending to it;
  * - exchange_answer.c: handling of the endpoint's answer;
- * - exchange_cache.c: cache index, budgets for saves and fetches.
+ * - exchange_cache.c: cache index, budgets for saves and fetches;
+ * - exchange_crash.c: requests and parts of prompts that crash endpoints.
  */
 #ifndef REQUEST_EXCHANGE_JOB_H
 #define REQUEST_EXCHANGE_JOB_H
@@ -50,6 +51,9 @@
 	uint64_t sent_ms;
 	uint64_t last_chunk_ms; /**< Last event of a stream; 0: none yet. */
 	uint64_t attempt_deadline_ms; /**< 0: none but deadline_ms. */
+	uint64_t begun_ms; /**< First part of its answer; 0: none yet. */
+	bool keys_cleared; /**< It was reported not to crash endpoints. */
+	bool is_probe;	   /**< It tests a blocked key. */
 	/** Counted in the endpoint's load: memory and prompt tokens that still
 	 * have to be prefilled. */
 	uint32_t counted_memory_tokens;
@@ -66,6 +70,8 @@
 	uint32_t level_tokens[REQUEST_PARTS_MAX];
 	bool saving; /**< The engine is asked to save to the cache store. */
 	/* All attempts together. */
+	uint64_t request_key;	 /**< See exchange_crash.c; 0: not computed. */
+	uint64_t retry_after_ms; /**< On ERR_CRASH_BLOCKED. */
 	uint64_t tried_id_hashes[EXCHANGE_REFUSALS_MAX + 8];
 	uint32_t tried_count;
 	uint32_t runs;	     /**< Attempts that may have run. */
@@ -183,4 +189,25 @@
  * and so does the store if the attempt saves to it. */
 void exchange_record_cached_prefix(exchange_t *exchange);
 
+/** Reports that the endpoint was lost during the current attempt. */
+void exchange_report_crash(exchange_t *exchange);
+
+/** Reports that a part of the current attempt's answer has arrived. */
+void exchange_report_progress(exchange_t *exchange, uint64_t now_ms);
+
+/** Reports that the current attempt's answer is complete. */
+void exchange_report_completed(exchange_t *exchange);
+
+/**
+ * Whether the request may be sent to an endpoint.
+ * @return 0 or ERR_CRASH_BLOCKED; then retry_after_ms is set
+ */
+int exchange_check_crash_evidence(exchange_t *exchange, uint64_t now_ms);
+
+/** Applies what other instances reported. */
+void exchange_apply_crash_news(exchange_env_t *env, uint64_t now_ms);
+
+/** Tells the other instances which keys are blocked. */
+void exchange_share_blocked(exchange_env_t *env, uint64_t now_ms);
+
 #endif
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -381,6 +381,8 @@
 	exchange->status = 0;
 	exchange->last_chunk_ms = 0;
 	exchange->attempt_deadline_ms = 0;
+	exchange->begun_ms = 0;
+	exchange->keys_cleared = false;
 	if (exchange_is_stream(exchange) && exchange_is_repeatable(exchange))
 		exchange->attempt_deadline_ms =
 			now_ms + first_token_timeout_ms(
@@ -406,6 +408,12 @@
 	const endpoint_entry_t *endpoint;
 	int err;
 
+	err = exchange_check_crash_evidence(exchange, now_ms);
+	if (err) {
+		exchange_refuse(exchange,
+				exchange->runs ? ERR_ENDPOINT_LOST : err);
+		return;
+	}
 	exchange_apply_peer_hints(exchange->env, now_ms);
 	describe_request(exchange, &demand);
 	fill_candidates(exchange, now_ms, &demand, &candidates);
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -104,12 +104,13 @@
 
 	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
 		   raw_server_port(endpoint->server));
-	platform_store_put(endpoint->store, "servers", endpoint->id,
-			   json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:I}", "service",
-				     endpoint->service, "addr", address, "zone",
-				     "z", "slots", 8, "state", state, "models",
-				     models, "born",
-				     (json_int_t)1000 + endpoint->number));
+	platform_store_put(
+		endpoint->store, "servers", endpoint->id,
+		json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:I}", "service",
+			  endpoint->service, "addr", address, "zone", "z",
+			  "slots", 8, "state", state, "models", models, "born",
+			  (json_int_t)1000 + endpoint->number +
+				  ENDPOINT_COUNT * endpoint->crashes));
 }
 
 static raw_next_t answer_control_request(endpoint_t *endpoint,
@@ -137,6 +138,14 @@
 	return RAW_KEEP;
 }
 
+/* Starts a new incarnation, which the endpoint list tells the gateways. */
+static raw_next_t crash(endpoint_t *endpoint)
+{
+	endpoint->crashes++;
+	platform_rig_put_entry(endpoint, "ready");
+	return RAW_RESET;
+}
+
 static raw_next_t answer_endpoint(void *context, const raw_request_t *request)
 {
 	endpoint_t *endpoint = context;
@@ -148,6 +157,9 @@
 	endpoint->last_head = g_strdup(request->head);
 	pthread_mutex_unlock(&endpoint->lock);
 	endpoint->arrivals++;
+	if (endpoint->deadly_text &&
+	    strstr(request->head, endpoint->deadly_text))
+		return crash(endpoint);
 	return answer_request(endpoint, request);
 }
 
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -48,7 +48,11 @@
 	_Atomic bool release;	   /**< Ends HOLD and STALL. */
 	_Atomic uint32_t arrivals; /**< Requests received. */
 	_Atomic uint32_t orders;   /**< Weights orders received. */
-	_Atomic uint64_t weights;  /**< Current weights version. */
+	/** A request whose head contains this text crashes the endpoint, which
+	 * starts again at once; NULL for none. */
+	const char *deadly_text;
+	_Atomic uint32_t crashes;
+	_Atomic uint64_t weights; /**< Current weights version. */
 	pthread_mutex_t lock;
 	char *last_head; /**< Of the last request; protected by `lock`. */
 	/** Called for each request that the endpoint runs; may be NULL. */
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -635,6 +635,103 @@
 	platform_rig_stop(&rig);
 }
 
+enum {
+	/** Requests of a kind that crashes endpoints. */
+	DEADLY_REQUESTS = 10,
+	/** Endpoints may crash this often before the kind is known, and this
+	 * many more requests may reach them. */
+	DEADLY_CRASHES_MAX = 5,
+	DEADLY_ARRIVALS_AFTER_MAX = 3,
+};
+
+typedef struct deadly_case {
+	const char *name;
+	const char *path;
+	const char *deadly_text;
+	const char *deadly_parts;
+	bool numbered; /**< No two deadly requests are alike. */
+} deadly_case_t;
+
+static const deadly_case_t deadly_cases[] = {
+	{ "part", "/stream/again/", "dead:", "a:50,b:20,dead:10", true },
+	{ "part-once", "/stream/once/", "dead:", "a:50,b:20,dead:10", true },
+	{ "first-part", "/stream/again/", "dead:", "dead:50,b:20", true },
+	{ "request", "/get/deadly", "/get/deadly", "a:50", false },
+};
+
+static char *send_numbered(const platform_rig_t *rig, int gateway,
+			   const char *path, const char *parts, int number)
+{
+	CLEANUP_FREE char *target = g_strdup_printf("%s%d", path, number);
+	CLEANUP_FREE char *headers = g_strdup_printf(
+		"Model: m\r\nToken-Usage: 100,4\r\nPrompt-Prefix: %s,%x:5\r\n",
+		parts, 0x1000 + number);
+
+	return platform_rig_request(rig, gateway, "GET", target, headers);
+}
+
+static uint32_t all_crashes(const platform_rig_t *rig)
+{
+	uint32_t crashes = 0;
+
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		crashes += rig->engines[i].crashes + rig->services[i].crashes;
+	return crashes;
+}
+
+static int count_views(const platform_rig_t *rig, int gateway)
+{
+	const char *at = program_output(rig->gateways[gateway]);
+	int count = 0;
+
+	while ((at = strstr(at, "name=view_published"))) {
+		at++;
+		count++;
+	}
+	return count;
+}
+
+/* Sends a request and, if it crashes an endpoint, waits until both gateways
+ * know the endpoint's next incarnation. */
+static void send_deadly(const platform_rig_t *rig, const deadly_case_t *type,
+			int number)
+{
+	int views[] = { count_views(rig, 0), count_views(rig, 1) };
+	uint32_t crashes = all_crashes(rig);
+
+	g_free(send_numbered(rig, number % 2, type->path, type->deadly_parts,
+			     type->numbered ? number : 0));
+	for (int i = 0; i < 2 && all_crashes(rig) > crashes; i++)
+		g_assert_true(WAIT_UNTIL(count_views(rig, i) > views[i],
+					 HARNESS_WAIT_MS));
+}
+
+/* Failure: requests with one part of a prompt, or one request sent again and
+ * again, crashed endpoint after endpoint at every instance. */
+static void test_deadly(const void *data)
+{
+	const deadly_case_t *type = data;
+	platform_rig_t rig;
+
+	platform_rig_start(&rig, 2);
+	for (int i = 0; i < ENDPOINT_COUNT; i++) {
+		rig.engines[i].deadly_text = type->deadly_text;
+		rig.services[i].deadly_text = type->deadly_text;
+	}
+	for (int i = 0; i < DEADLY_REQUESTS; i++) {
+		char *answer;
+
+		send_deadly(&rig, type, i);
+		answer = send_numbered(&rig, i % 2, "/stream/again/",
+				       "a:50,b:20", 100 + i);
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+		g_free(answer);
+	}
+	g_assert_cmpuint(all_crashes(&rig), <=,
+			 DEADLY_CRASHES_MAX + DEADLY_ARRIVALS_AFTER_MAX);
+	platform_rig_stop(&rig);
+}
+
 /* Failure: a client that sent an incomplete or malformed request blocked or
  * crashed the process. */
 static void test_bad_clients(void)
@@ -751,6 +848,13 @@
 		g_test_add_data_func(path, &answer_cases[i], test_answers);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(deadly_cases); i++) {
+		char *path = g_strdup_printf("/it-gateway/deadly/%s",
+					     deadly_cases[i].name);
+
+		g_test_add_data_func(path, &deadly_cases[i], test_deadly);
+		g_free(path);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(log_cases); i++) {
 		char *path = g_strdup_printf("/it-gateway/log-trace/%s",
 					     log_cases[i].name);
