t: test answers that end with their connection or never end

Endpoints may send streams and answers with neither a length nor chunks, which end with their connection, and answers that never end.

--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -34,6 +34,44 @@
 	raw_send(request, "0\r\n\r\n");
 }
 
+/* Sends a stream that has neither a length nor chunks. */
+static raw_next_t send_unframed_events(behaviour_t behaviour,
+				       const raw_request_t *request,
+				       const char *id, int after)
+{
+	raw_send(request,
+		 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
+		 "Content-Type: text/event-stream\r\n\r\n",
+		 id);
+	for (int i = after + 1; i <= EVENT_COUNT; i++) {
+		if (behaviour == UNFRAMED_CUT && i == 3) {
+			raw_send(request, "id: %d\nda", i);
+			return RAW_CLOSE;
+		}
+		if (behaviour == UNFRAMED_RESET && i == 3) {
+			/* Lets the events arrive before the reset. */
+			g_usleep(100000);
+			return RAW_RESET;
+		}
+		raw_send(request, "id: %d\ndata: e%d\n\n", i, i);
+	}
+	return RAW_CLOSE;
+}
+
+static void send_endless_answer(endpoint_t *endpoint,
+				const raw_request_t *request, const char *id)
+{
+	const endless_answer_t *answer = endpoint->endless;
+	GString *start = g_string_new(answer->start);
+
+	g_string_replace(start, "%s", id, 0);
+	endpoint->endless_open++;
+	raw_send(request, "%s", start->str);
+	raw_send_endless(request, answer->piece, answer->pause_ms);
+	endpoint->endless_open--;
+	g_string_free(start, TRUE);
+}
+
 static void send_answer(const raw_request_t *request, const char *id,
 			int status, const char *more, const char *body)
 {
@@ -74,6 +112,22 @@
 			 "Response-Stamp: s\r\n\r\nwhole",
 			 id);
 		return RAW_CLOSE;
+	case NO_LENGTH_RESET:
+		raw_send(request,
+			 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+			 "Response-Stamp: s\r\n\r\npart",
+			 id);
+		/* Lets the bytes arrive before the reset. */
+		g_usleep(100000);
+		return RAW_RESET;
+	case ENDLESS:
+		send_endless_answer(endpoint, request, id);
+		return RAW_CLOSE;
+	case UNFRAMED_STREAM:
+	case UNFRAMED_CUT:
+	case UNFRAMED_RESET:
+		return send_unframed_events(behaviour, request, id,
+					    last ? atoi(last) : 0);
 	case HOLD:
 		WAIT_UNTIL(endpoint->release, HARNESS_WAIT_MS);
 		break;
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -36,8 +36,21 @@
 	NO_LENGTH,	  /**< Ends the answer by closing the connection. */
 	HOLD,		  /**< Answers once `release` is set. */
 	STALL,		  /**< Sends nothing after the second event. */
+	ENDLESS,	  /**< Sends `endless` until the peer closes. */
+	UNFRAMED_STREAM,  /**< Ends a stream by closing the connection. */
+	UNFRAMED_CUT,	  /**< Likewise, but within its third event. */
+	UNFRAMED_RESET,	  /**< Likewise, but by a reset after its second. */
+	NO_LENGTH_RESET,  /**< Resets an answer that has no length. */
 } behaviour_t;
 
+/** Answer without an end. */
+typedef struct endless_answer {
+	const char
+		*start; /**< First bytes; `%s` stands for the request's id. */
+	const char *piece; /**< Then sent again and again. */
+	uint32_t pause_ms; /**< Between two pieces. */
+} endless_answer_t;
+
 /** A simulated endpoint: plain service or engine. */
 typedef struct endpoint {
 	raw_server_t *server;
@@ -45,9 +58,11 @@
 	const char *service;
 	int number;
 	_Atomic int behaviour;
-	_Atomic bool release;	   /**< Ends HOLD and STALL. */
-	_Atomic uint32_t arrivals; /**< Requests received. */
-	_Atomic uint32_t orders;   /**< Weights orders received. */
+	_Atomic bool release; /**< Ends HOLD and STALL. */
+	const endless_answer_t *endless;
+	_Atomic uint32_t endless_open; /**< Endless answers in progress. */
+	_Atomic uint32_t arrivals;     /**< Requests received. */
+	_Atomic uint32_t orders;       /**< Weights orders received. */
 	/** A request whose head contains this text crashes the endpoint, which
 	 * starts again at once; NULL for none. */
 	const char *deadly_text;
--- a/t/lib/raw_server.c
+++ b/t/lib/raw_server.c
@@ -13,6 +13,7 @@
 	CONNECTIONS_MAX = 256,
 	READ_BUFFER_BYTES = 65536,
 	CALL_TIMEOUT_S = 20,
+	ENDLESS_BLOCK_BYTES = 16384,
 };
 
 typedef struct raw_connection {
@@ -200,6 +201,23 @@
 	g_free(text);
 }
 
+void raw_send_endless(const raw_request_t *request, const char *piece,
+		      uint32_t pause_ms)
+{
+	GString *block = g_string_new(piece);
+	size_t sent = 0;
+	ssize_t len;
+
+	while (!pause_ms && block->len < ENDLESS_BLOCK_BYTES)
+		g_string_append(block, piece);
+	while ((len = send(request->fd, block->str + sent, block->len - sent,
+			   MSG_NOSIGNAL)) > 0) {
+		sent = (sent + (size_t)len) % block->len;
+		g_usleep(pause_ms * 1000UL);
+	}
+	g_string_free(block, TRUE);
+}
+
 char *raw_header(const char *head, const char *name)
 {
 	size_t len = strlen(name);
--- a/t/lib/raw_server.h
+++ b/t/lib/raw_server.h
@@ -42,6 +42,14 @@
 void raw_send(const raw_request_t *request, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/**
+ * Sends a piece again and again, until the peer closes the connection or the
+ * server stops.
+ * @param pause_ms time between two pieces; 0 sends as fast as possible
+ */
+void raw_send_endless(const raw_request_t *request, const char *piece,
+		      uint32_t pause_ms);
+
 /** Copy of a header's value; free() it. NULL if absent. */
 char *raw_header(const char *head, const char *name);
 
