outbound: end a call whose server sends only answers to skip

A call skips interim answers and answers to other requests. A server that sent these without end kept the call until its deadline: the reader's limits hold per answer, and there was none for their sum. A call now skips at most 1 MiB and then ends as malformed, so that the connection closes, the endpoint counts as failed and another one is tried where that is allowed. This bounds the control thread's calls as well.

The cases empty-lines, garbage and status-line of test-outbound pass at once.

--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -52,11 +52,12 @@
 	http_reader_t reader;
 	outbound_call_t *call; /**< NULL while idle. */
 	bool connected;
-	bool skipping_answer; /**< The current answer belongs to no call. */
-	bool keep_alive;      /**< The server keeps the connection open. */
-	bool is_idle;	      /**< In the pool's idle list. */
-	bool in_read_input;   /**< Reader callbacks are on the stack. */
-	bool free_pending;    /**< To be freed once the reader returns. */
+	bool skipping_answer;	/**< The current answer belongs to no call. */
+	uint64_t skipped_bytes; /**< During the current call. */
+	bool keep_alive;	/**< The server keeps the connection open. */
+	bool is_idle;		/**< In the pool's idle list. */
+	bool in_read_input;	/**< Reader callbacks are on the stack. */
+	bool free_pending;	/**< To be freed once the reader returns. */
 	/** While idle: monotonic time from which it is not reused. During an
 	 * answer: how long it may be idle afterwards. */
 	uint64_t idle_until_ms;
@@ -215,6 +216,10 @@
 		evbuffer_drain(input, used);
 		if (err || connection->free_pending)
 			return err;
+		if (connection->skipping_answer)
+			connection->skipped_bytes += used;
+		if (connection->skipped_bytes > OUTBOUND_SKIPPED_MAX_BYTES)
+			return ERR_LIMIT;
 	}
 	return 0;
 }
@@ -430,6 +435,7 @@
 	connection->reader.body_absent = no_body;
 	connection->keep_alive = false;
 	connection->skipping_answer = false;
+	connection->skipped_bytes = 0;
 	if (message) {
 		new_call->message_bytes = evbuffer_get_length(message);
 		evbuffer_add_buffer(bufferevent_get_output(connection->stream),
--- a/connection/outbound.h
+++ b/connection/outbound.h
@@ -30,6 +30,9 @@
 	/** How long an idle connection is reused if the server stated no
 	 * keep-alive timeout, ms. */
 	OUTBOUND_IDLE_DEFAULT_MS = 400,
+	/** Most bytes of interim answers and answers to other requests that one
+	 * call skips; more are taken for an answer without end. */
+	OUTBOUND_SKIPPED_MAX_BYTES = 1024 * 1024,
 };
 
 typedef struct outbound outbound_t;
@@ -40,7 +43,8 @@
 	OUTBOUND_COMPLETE,  /**< The complete answer was read. */
 	OUTBOUND_NOT_SENT,  /**< No byte of the request was sent. */
 	OUTBOUND_LOST,	    /**< Sent, but no complete answer arrived. */
-	OUTBOUND_MALFORMED, /**< Sent, but the answer is not valid HTTP. */
+	OUTBOUND_MALFORMED, /**< Sent, but the answer is not valid HTTP, or too
+			     * many bytes were skipped. */
 } outbound_result_t;
 
 /**
--- a/t/test-outbound.c
+++ b/t/test-outbound.c
@@ -21,6 +21,8 @@
 	outbound_target_t target;
 	outbound_call_t *call;
 	bool sends_unsolicited; /**< The server sends a second answer. */
+	const char *endless;	/**< Sent without end instead of an answer. */
+	_Atomic bool endless_ended;
 	uint32_t ready_count;
 	uint32_t end_count;
 	outbound_result_t result;
@@ -28,8 +30,13 @@
 
 static raw_next_t answer(void *context, const raw_request_t *request)
 {
-	const rig_t *rig = context;
+	rig_t *rig = context;
 
+	if (rig->endless) {
+		raw_send_endless(request, rig->endless, 0);
+		rig->endless_ended = true;
+		return RAW_CLOSE;
+	}
 	raw_send(request, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok%s",
 		 "");
 	if (rig->sends_unsolicited)
@@ -201,6 +208,37 @@
 	rig_close(&rig);
 }
 
+typedef struct endless_case {
+	const char *name;
+	const char *piece;
+} endless_case_t;
+
+static const endless_case_t endless_cases[] = {
+	{ "empty-lines", "\r\n" },
+	{ "garbage", "\x16\x03\x01" },
+	{ "status-line", "HTTP/1.1 200 " },
+	{ "continue", "HTTP/1.1 100 Continue\r\n\r\n" },
+	{ "other-answers", "HTTP/1.1 404 X\r\nContent-Length: 1\r\n\r\nx" },
+	{ "other-answer", "HTTP/1.1 404 X\r\n\r\n" },
+};
+
+/* Failure: a call skipped interim answers or answers to other requests for as
+ * long as the server sent them. */
+static void test_endless(const void *data)
+{
+	const endless_case_t *test_case = data;
+	rig_t rig;
+
+	rig_open(&rig);
+	rig.endless = test_case->piece;
+	g_assert_cmpint(begin_call(&rig, GET_REQUEST), ==, 0);
+	wait_for(&rig, rig.end_count == 1);
+	g_assert_cmpint(rig.result, ==, OUTBOUND_MALFORMED);
+	g_assert_cmpuint(outbound_connection_count(rig.outbound), ==, 0);
+	wait_for(&rig, rig.endless_ended);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -210,5 +248,11 @@
 			test_message_after_ready);
 	g_test_add_func("/outbound/unsolicited-bytes", test_unsolicited_bytes);
 	g_test_add_func("/outbound/limit", test_limit);
+	for (size_t i = 0; i < G_N_ELEMENTS(endless_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/outbound/endless/%s",
+							endless_cases[i].name);
+
+		g_test_add_data_func(path, &endless_cases[i], test_endless);
+	}
 	return g_test_run();
 }
