request: count only events with ids as progress of a resumable stream

An engine that sent comments, or events without ids, without end kept a resumable stream until its deadline: each restarted the limit for stalls (1500 ms) and ended the limit for the first event. Events of a resumable stream have ids, so only these count now.

Before: build/t/test-it-gateway -p /it-gateway/endless-retry/comments and comments-slow, 'at' should not be NULL: the client got comments for 2500 ms and no event. After: the other engine serves it; the cases endless/comments and comments-slow pass at once (cut at the deadline if no engine answers).

--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -72,6 +72,24 @@
 				   first_ms);
 }
 
+/* Whether an event shows that the stream goes on. Events of a resumable stream
+ * have ids; comments may come from an engine that makes no more events. */
+static bool is_progress(const exchange_t *exchange, uint64_t id)
+{
+	return id != SSE_SPLITTER_NO_ID || !exchange_is_repeatable(exchange);
+}
+
+static void record_progress(exchange_t *exchange)
+{
+	exchange->last_chunk_ms = clock_now_ms();
+	exchange_report_progress(exchange, exchange->last_chunk_ms);
+	if (!exchange->first_event_ms)
+		record_first_chunk(exchange);
+	if (exchange->counted_prefill_tokens)
+		exchange_record_cached_prefix(exchange);
+	exchange_release_prefill_load(exchange);
+}
+
 static void relay_event(void *context, uint64_t id, const char *bytes,
 			size_t len)
 {
@@ -83,13 +101,8 @@
 			return;
 		exchange->last_event = id;
 	}
-	exchange->last_chunk_ms = clock_now_ms();
-	exchange_report_progress(exchange, exchange->last_chunk_ms);
-	if (!exchange->first_event_ms)
-		record_first_chunk(exchange);
-	if (exchange->counted_prefill_tokens)
-		exchange_record_cached_prefix(exchange);
-	exchange_release_prefill_load(exchange);
+	if (is_progress(exchange, id))
+		record_progress(exchange);
 	if (exchange->request &&
 	    !inbound_write(exchange->request, bytes, len) && exchange->call)
 		outbound_pause(exchange->call);
