request: drop the body of an answer whose client has gone

An order runs to its end without its client. Its answer's body was buffered nevertheless, without the limit that leads to relaying: an answer without end used memory until the request's deadline.

Before: build/t/test-it-gateway -p /it-gateway/endless-without-client, peak memory grew by 643156 KB in 2500 ms (limit of the test: 49152 KB). After: passes.

--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -145,13 +145,15 @@
 			fail_in_event(exchange, "event_too_long");
 		return;
 	}
-	/* An error body can't be relayed in a stream that has started. */
-	if (exchange_is_stream(exchange) && exchange->relay_started)
+	/* Nothing is relayed without a client, nor can an error body be relayed
+	 * in a stream that has started. */
+	if (!exchange->request ||
+	    (exchange_is_stream(exchange) && exchange->relay_started))
 		return;
 	evbuffer_add(exchange->buffered_body, bytes, len);
-	if (exchange->request && (exchange->relay_started ||
-				  evbuffer_get_length(exchange->buffered_body) >
-					  EXCHANGE_BUFFERED_ANSWER_MAX_BYTES))
+	if (exchange->relay_started ||
+	    evbuffer_get_length(exchange->buffered_body) >
+		    EXCHANGE_BUFFERED_ANSWER_MAX_BYTES)
 		relay_oversized_answer(exchange);
 }
 
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -795,6 +795,36 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: the rest of an endless answer to an order was buffered after its
+ * client had gone. */
+static void test_endless_without_client(void)
+{
+	static const endless_case_t test_case = {
+		"no-client",
+		ORDER,
+		"",
+		0,
+		false,
+		false,
+		{ HEAD_200 "\r\n", TEXT, 0 }
+	};
+	platform_rig_t rig;
+	uint64_t before_kb;
+	int fd;
+
+	start_endless_rig(&rig, &test_case);
+	before_kb = peak_memory_kb(rig.gateways[0]);
+	fd = drain_connect(rig.ports[0]);
+	drain_send(fd, &test_case);
+	g_assert_true(WAIT_UNTIL(endless_open(&rig) == 1, HARNESS_WAIT_MS));
+	close(fd);
+	g_assert_true(WAIT_UNTIL(!endless_open(&rig),
+				 ENDLESS_DEADLINE_MS + ENDLESS_SLACK_MS));
+	g_assert_cmpuint(peak_memory_kb(rig.gateways[0]) - before_kb, <,
+			 ENDLESS_MEMORY_MAX_KB);
+	platform_rig_stop(&rig);
+}
+
 enum {
 	BURST = 60,
 };
@@ -1395,6 +1425,8 @@
 		g_test_add_data_func(path, &log_cases[i], test_log_trace);
 		g_free(path);
 	}
+	g_test_add_func("/it-gateway/endless-without-client",
+			test_endless_without_client);
 	for (size_t i = 0; i < G_N_ELEMENTS(unframed_cases); i++) {
 		char *path = g_strdup_printf("/it-gateway/unframed/%s",
 					     unframed_cases[i].name);
