request: give up an error answer that is too long to buffer

An error answer longer than the limit for buffering (256 KiB) was relayed like a success, and without an end until the deadline, though nobody needs its body: a lookup or a stream did not go to another endpoint, an order that had not run was not sent again, and a stream's error body was relayed in part. The attempt now ends as failed, or as not run if the head says so, and counts for the endpoint.

Before: build/t/test-it-gateway -p /it-gateway/endless/error-body, error-body-lookup, error-body-stream and refusal-body: relayed until 2500 ms; endless-retry/error-body-stream and refusal-body: not served by the other endpoint, and in an earlier run error-body-lookup (it depends on which endpoint is asked first). After: these pass; the client gets 502 or 503 after 3 to 8 ms.

--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -134,6 +134,23 @@
 	exchange_after_attempt(exchange, ATTEMPT_UNKNOWN);
 }
 
+/* Whether the answer says that the request failed, so that its body may be
+ * given up. */
+static bool is_error_answer(const exchange_t *exchange)
+{
+	return exchange->status >= 500 || exchange->answer.not_run ||
+	       (exchange_is_stream(exchange) && exchange->status / 100 != 2);
+}
+
+static void fail_oversized_error(exchange_t *exchange)
+{
+	exchange_log_failure(exchange, "error_too_long");
+	exchange_count_endpoint_failure(exchange, FAILURE_REQUEST);
+	exchange_after_attempt(exchange, exchange->answer.not_run
+						 ? ATTEMPT_NOT_RUN
+						 : ATTEMPT_UNKNOWN);
+}
+
 static void on_answer_body(void *context, const char *bytes, size_t len)
 {
 	exchange_t *exchange = context;
@@ -151,9 +168,13 @@
 	    (exchange_is_stream(exchange) && exchange->relay_started))
 		return;
 	evbuffer_add(exchange->buffered_body, bytes, len);
-	if (exchange->relay_started ||
-	    evbuffer_get_length(exchange->buffered_body) >
+	if (!exchange->relay_started &&
+	    evbuffer_get_length(exchange->buffered_body) <=
 		    EXCHANGE_BUFFERED_ANSWER_MAX_BYTES)
+		return;
+	if (is_error_answer(exchange))
+		fail_oversized_error(exchange);
+	else
 		relay_oversized_answer(exchange);
 }
 
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -346,6 +346,7 @@
 
 #define HEAD_200 "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
 #define HEAD_500 "HTTP/1.1 500 X\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
+#define HEAD_503 "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define EVENTS "Content-Type: text/event-stream\r\n\r\n"
 #define WRONG_ANSWER \
@@ -460,6 +461,34 @@
 	  false,
 	  false,
 	  { HEAD_200 "\r\n", "x", 100 } },
+	{ "refusal-body",
+	  ORDER,
+	  "HTTP/1.1 503",
+	  0,
+	  true,
+	  true,
+	  { HEAD_503 "\r\n", TEXT, 0 } },
+	{ "error-body",
+	  ORDER,
+	  "HTTP/1.1 502",
+	  0,
+	  false,
+	  true,
+	  { HEAD_500 "\r\n", TEXT, 0 } },
+	{ "error-body-lookup",
+	  LOOKUP,
+	  "HTTP/1.1 502",
+	  0,
+	  true,
+	  true,
+	  { HEAD_500 "\r\n", TEXT, 0 } },
+	{ "error-body-stream",
+	  AGAIN,
+	  "HTTP/1.1 502",
+	  0,
+	  true,
+	  true,
+	  { HEAD_500 "\r\n", TEXT, 0 } },
 	{ "chunk-size",
 	  ORDER,
 	  "HTTP/1.1 502",
