http_call: end a call whose answer is too large at once

A call of the control thread whose answer exceeded 4 MiB read on, without keeping the rest, until the answer's end or its time limit, which for a watch is its whole wait. The call now closes the connection and reports ERR_LIMIT as soon as the limit is exceeded. Bytes without end on an idle connection are tested too.

Before: build/t/test-outbound -p /outbound/endless-http-call/body, 'outcome.ended' should be TRUE after 5 s. After: test-outbound passes. The cases head and continue pass without this change, and so does unsolicited-bytes with endless bytes.

--- a/connection/http_call.c
+++ b/connection/http_call.c
@@ -9,7 +9,6 @@
 	struct event *timer;
 	struct evbuffer *body;
 	uint16_t status;
-	bool too_large;
 	http_call_fn *done;
 	void *context;
 };
@@ -47,10 +46,14 @@
 {
 	http_call_t *call = context;
 
-	if (evbuffer_get_length(call->body) + len > HTTP_CALL_ANSWER_MAX_BYTES)
-		call->too_large = true;
-	else
+	if (evbuffer_get_length(call->body) + len <=
+	    HTTP_CALL_ANSWER_MAX_BYTES) {
 		evbuffer_add(call->body, bytes, len);
+		return;
+	}
+	outbound_cancel(call->call);
+	call->call = NULL;
+	report(call, ERR_LIMIT);
 }
 
 static void on_end(void *context, outbound_result_t result)
@@ -60,7 +63,7 @@
 	call->call = NULL;
 	switch (result) {
 	case OUTBOUND_COMPLETE:
-		report(call, call->too_large ? ERR_LIMIT : 0);
+		report(call, 0);
 		return;
 	case OUTBOUND_NOT_SENT:
 		report(call, ERR_CONNECT);
--- a/t/test-outbound.c
+++ b/t/test-outbound.c
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <string.h>
 
+#include "connection/http_call.h"
 #include "connection/outbound.h"
 #include "process/error.h"
 #include "t/lib/raw_server.h"
@@ -39,8 +40,10 @@
 	}
 	raw_send(request, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok%s",
 		 "");
-	if (rig->sends_unsolicited)
-		raw_send(request, "HTTP/1.1 200 OK\r\n");
+	if (rig->sends_unsolicited) {
+		raw_send_endless(request, "HTTP/1.1 200 OK\r\n", 0);
+		return RAW_CLOSE;
+	}
 	return RAW_KEEP;
 }
 
@@ -239,6 +242,56 @@
 	rig_close(&rig);
 }
 
+typedef struct call_case {
+	const char *name;
+	const char *piece;
+	int err;
+} call_case_t;
+
+static const call_case_t call_cases[] = {
+	{ "body", "HTTP/1.1 200 X\r\n\r\n", ERR_LIMIT },
+	{ "head", "HTTP/1.1 200 X\r\nA: b\r\n", ERR_ENDPOINT_LOST },
+	{ "continue", "HTTP/1.1 100 Continue\r\n\r\n", ERR_ENDPOINT_LOST },
+};
+
+typedef struct call_end {
+	bool ended;
+	int err;
+	size_t len;
+} call_end_t;
+
+static void record_call_end(void *context, int err, uint16_t status,
+			    const char *body, size_t len)
+{
+	(void)status;
+	(void)body;
+	*(call_end_t *)context = (call_end_t){ true, err, len };
+}
+
+/* Failure: a call of the control thread read an answer without end until its
+ * time limit. */
+static void test_endless_http_call(const void *data)
+{
+	const call_case_t *test_case = data;
+	struct evbuffer *message = evbuffer_new();
+	call_end_t outcome = { 0 };
+	rig_t rig;
+
+	rig_open(&rig);
+	rig.endless = test_case->piece;
+	evbuffer_add(message, GET_REQUEST, strlen(GET_REQUEST));
+	g_assert_nonnull(http_call_send(rig.outbound, rig.base, &rig.target,
+					message, 2 * WAIT_MS, record_call_end,
+					&outcome));
+	evbuffer_free(message);
+	wait_for(&rig, outcome.ended);
+	g_assert_cmpint(outcome.err, ==, test_case->err);
+	g_assert_cmpuint(outcome.len, <=, HTTP_CALL_ANSWER_MAX_BYTES);
+	g_assert_cmpuint(outbound_connection_count(rig.outbound), ==, 0);
+	wait_for(&rig, rig.endless_ended);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -254,5 +307,12 @@
 
 		g_test_add_data_func(path, &endless_cases[i], test_endless);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(call_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/outbound/endless-http-call/%s", call_cases[i].name);
+
+		g_test_add_data_func(path, &call_cases[i],
+				     test_endless_http_call);
+	}
 	return g_test_run();
 }
