t: test answers without end to lookups of the router

The router's lookups use the same outbound calls. A lookup whose endpoint sends a head, interim answers or a body without end is served by another endpoint or, once the body exceeds its limit, answered with 502, within its time limit (3000 ms in the test), and the connection is closed.

--- a/t/test-it-plain.c
+++ b/t/test-it-plain.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "t/lib/raw_server.h"
 #include "t/lib/rig.h"
 #include "process/clock.h"
 
@@ -24,6 +25,8 @@
 	STOP_CALL_INTERVAL_MS = 25,
 	/** Those sent before it. */
 	STOP_CALLS_BEFORE = 12,
+	/** Time limit of requests that get an answer without end. */
+	ENDLESS_TIMEOUT_MS = 3000,
 };
 
 static http_answer_t *dispatch(rig_t *rig, int router, const char *key,
@@ -262,6 +265,71 @@
 	g_assert_cmpint(no_subpath->status, ==, 200);
 }
 
+typedef struct endless_case {
+	const char *name;
+	const char *start;
+	const char *piece;
+	long status; /**< Of the requests that get this answer. */
+} endless_case_t;
+
+static const endless_case_t endless_cases[] = {
+	{ "head", "HTTP/1.1 200 X\r\n", "A: b\r\n", 200 },
+	{ "continue", "", "HTTP/1.1 100 Continue\r\n\r\n", 200 },
+	{ "body", "HTTP/1.1 200 X\r\n\r\n", "0123456789abcdef", 502 },
+};
+
+typedef struct endless_service {
+	const endless_case_t *test_case;
+	_Atomic uint32_t requests;
+	_Atomic uint32_t open;
+} endless_service_t;
+
+static raw_next_t answer_endless(void *context, const raw_request_t *request)
+{
+	endless_service_t *service = context;
+
+	service->requests++;
+	service->open++;
+	raw_send(request, "%s", service->test_case->start);
+	raw_send_endless(request, service->test_case->piece, 0);
+	service->open--;
+	return RAW_CLOSE;
+}
+
+/* Failure: an answer without end kept a lookup until its time limit. */
+static void test_endless(const void *data)
+{
+	static const char *const headers[] = { RIG_KEY_1, NULL };
+	endless_service_t service = { .test_case = data };
+	raw_server_t *server = raw_server_start(answer_endless, &service);
+	g_autofree char *endpoint = g_strdup_printf(
+		"\"endpoint/p9\":{\"address\":\"127.0.0.1\",\"port\":%u,"
+		"\"domain\":\"d1\",\"kind\":\"plain\",\"pool\":\"crews\"},",
+		raw_server_port(server));
+	rig_options_t options = {
+		.plain_services = 1,
+		.routers = 1,
+		.objects = endpoint,
+		.dispatch_timeout_ms = ENDLESS_TIMEOUT_MS,
+	};
+	rig_t *rig = rig_start(&options);
+
+	for (int i = 0; i < CLIENTS; i++) {
+		uint64_t start_ms = clock_now_ms();
+		g_autoptr(http_answer_t) answer = http_local(
+			"GET", rig->ports[0], "/svc/dispatch/a", headers, NULL);
+
+		g_assert_true(answer->status == 200 ||
+			      answer->status == service.test_case->status);
+		g_assert_cmpuint(clock_now_ms() - start_ms, <,
+				 ENDLESS_TIMEOUT_MS);
+	}
+	g_assert_cmpuint(service.requests, >, 0);
+	g_assert_true(WAIT_UNTIL(!service.open, HARNESS_WAIT_MS));
+	rig_free(rig);
+	raw_server_stop(server);
+}
+
 static long dispatch_status(rig_t *rig, const char *key)
 {
 	g_autoptr(http_answer_t) answer = dispatch(rig, 0, key, "{}");
@@ -492,5 +560,11 @@
 	}
 	g_test_add_func("/plain/sweep", test_sweep);
 	g_test_add_func("/plain/idle-connections", test_idle_connections);
+	for (size_t i = 0; i < G_N_ELEMENTS(endless_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/plain/endless/%s",
+							endless_cases[i].name);
+
+		g_test_add_data_func(path, &endless_cases[i], test_endless);
+	}
 	return g_test_run();
 }
