--- a/process/crash_evidence.h
+++ b/process/crash_evidence.h
@@ -118,7 +118,7 @@
 	uint64_t cleared_ms;
 } cleared_key_t;
 
-/** About 85 KB. */
+/** About 80 KB. */
 typedef struct crash_evidence {
 	crash_record_t records[CRASH_EVIDENCE_CRASHES_MAX]; /**< By time. */
 	size_t record_count;
