request: identify requests whatever pieces their bodies arrive in

Cause: the key of a request was a chain of hashes over the segments of its body buffer. Where these end depends on how the bytes arrived, so the same request, sent again, had another key: its crashes did not add up, and one request looked like several, which may block parts of its prompt.

Change: hash the body in blocks of a fixed size.

Conclusion: the key depends on the content alone.

--- a/request/exchange_crash.c
+++ b/request/exchange_crash.c
@@ -20,20 +20,34 @@
 enum {
 	/** All parts of a prompt but the last, and the request as a whole. */
 	CRASH_KEYS_MAX = REQUEST_PARTS_MAX,
-	/** Segments of a body that are hashed; further ones only make requests
-	 * with equal beginnings alike. */
-	BODY_SEGMENTS_MAX = 64,
+	/** A body is hashed in blocks of this size, bytes. */
+	BODY_BLOCK_BYTES = 16384,
 };
 
+/* The result does not depend on the pieces in which the body was received. */
+static uint64_t hash_body(uint64_t key, struct evbuffer *body)
+{
+	char block[BODY_BLOCK_BYTES];
+	struct evbuffer_ptr position;
+	ev_ssize_t len;
+
+	evbuffer_ptr_set(body, &position, 0, EVBUFFER_PTR_SET);
+	while ((len = evbuffer_copyout_from(body, &position, block,
+					    sizeof(block))) > 0) {
+		key = hash_chain(key, block, (size_t)len);
+		evbuffer_ptr_set(body, &position, (size_t)len,
+				 EVBUFFER_PTR_ADD);
+	}
+	return key;
+}
+
 /* Identifies requests of one customer that are alike but for their ids. */
 static uint64_t request_key(exchange_t *exchange)
 {
 	const inbound_request_t *request = exchange->request;
 	const char *target = http_head_target(request->head);
-	struct evbuffer_iovec segments[BODY_SEGMENTS_MAX];
 	uint64_t key =
 		exchange->customer ? hash_string(exchange->customer->name) : 0;
-	int count = 0;
 
 	if (exchange->request_key)
 		return exchange->request_key;
@@ -41,11 +55,7 @@
 			 sizeof(request->head->method));
 	key = hash_chain(key, target, strlen(target));
 	if (request->body)
-		count = evbuffer_peek(request->body, -1, NULL, segments,
-				      BODY_SEGMENTS_MAX);
-	for (int i = 0; i < count && i < BODY_SEGMENTS_MAX; i++)
-		key = hash_chain(key, segments[i].iov_base,
-				 segments[i].iov_len);
+		key = hash_body(key, request->body);
 	exchange->request_key = key;
 	return key;
 }
--- a/t/lib/raw_server.c
+++ b/t/lib/raw_server.c
@@ -13,6 +13,8 @@
 	CONNECTIONS_MAX = 256,
 	READ_BUFFER_BYTES = 65536,
 	CALL_TIMEOUT_S = 20,
+	/** Pause between pieces, us: the server reads them one by one. */
+	PIECE_PAUSE_US = 30000,
 	ENDLESS_BLOCK_BYTES = 16384,
 };
 
@@ -234,7 +236,19 @@
 	return NULL;
 }
 
-char *raw_call(uint16_t port, const char *request)
+static bool send_in_pieces(int fd, const char *request, size_t first_bytes)
+{
+	const char *rest = request + first_bytes;
+
+	if (send(fd, request, first_bytes, MSG_NOSIGNAL) <= 0)
+		return false;
+	if (!*rest)
+		return true;
+	g_usleep(PIECE_PAUSE_US);
+	return send(fd, rest, strlen(rest), MSG_NOSIGNAL) > 0;
+}
+
+char *raw_call_in_pieces(uint16_t port, const char *request, size_t first_bytes)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_port = htons(port) };
@@ -247,10 +261,15 @@
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
 	if (!connect(fd, (struct sockaddr *)&address, sizeof(address)) &&
-	    send(fd, request, strlen(request), MSG_NOSIGNAL) > 0) {
+	    send_in_pieces(fd, request, first_bytes)) {
 		while ((len = recv(fd, bytes, sizeof(bytes), 0)) > 0)
 			g_string_append_len(answer_text, bytes, len);
 	}
 	close(fd);
 	return g_string_free(answer_text, FALSE);
 }
+
+char *raw_call(uint16_t port, const char *request)
+{
+	return raw_call_in_pieces(port, request, strlen(request));
+}
--- a/t/lib/raw_server.h
+++ b/t/lib/raw_server.h
@@ -59,4 +59,9 @@
  */
 char *raw_call(uint16_t port, const char *request);
 
+/** As raw_call(), with a pause after `first_bytes` of the request, so that the
+ * server reads it in two pieces. */
+char *raw_call_in_pieces(uint16_t port, const char *request,
+			 size_t first_bytes);
+
 #endif
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -1234,6 +1234,8 @@
 	 * many more requests may reach them. */
 	DEADLY_CRASHES_MAX = 5,
 	DEADLY_ARRIVALS_AFTER_MAX = 3,
+	/** Longer than all pieces that are sent first. */
+	DEADLY_BODY_BYTES = 60000,
 };
 
 typedef struct deadly_case {
@@ -1242,13 +1244,17 @@
 	const char *deadly_text;
 	const char *deadly_parts;
 	bool numbered; /**< No two deadly requests are alike. */
+	bool has_body; /**< It arrives in different pieces each time. */
 } deadly_case_t;
 
 static const deadly_case_t deadly_cases[] = {
-	{ "part", "/stream/again/", "dead:", "a:50,b:20,dead:10", true },
-	{ "part-once", "/stream/once/", "dead:", "a:50,b:20,dead:10", true },
-	{ "first-part", "/stream/again/", "dead:", "dead:50,b:20", true },
-	{ "request", "/get/deadly", "/get/deadly", "a:50", false },
+	{ "part", "/stream/again/", "dead:", "a:50,b:20,dead:10", true, false },
+	{ "part-once", "/stream/once/", "dead:", "a:50,b:20,dead:10", true,
+	  false },
+	{ "first-part", "/stream/again/", "dead:", "dead:50,b:20", true,
+	  false },
+	{ "request", "/get/deadly", "/get/deadly", "a:50", false, false },
+	{ "body", "/get/deadly", "/get/deadly", NULL, false, true },
 };
 
 static char *send_numbered(const platform_rig_t *rig, int gateway,
@@ -1283,6 +1289,32 @@
 	return count;
 }
 
+/* Sends a request whose body arrives in two pieces, cut at a place that differs
+ * with the number. */
+static char *send_with_body(const platform_rig_t *rig, int gateway,
+			    const char *path, int number)
+{
+	CLEANUP_FREE char *body = g_strnfill(DEADLY_BODY_BYTES, 'b');
+	CLEANUP_FREE char *head = g_strdup_printf(
+		"POST %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n"
+		"Key: key-1\r\nDeadline-Ms: 2500\r\nConnection: close\r\n"
+		"Content-Length: %d\r\n\r\n",
+		path, DEADLY_BODY_BYTES);
+	CLEANUP_FREE char *request = g_strconcat(head, body, NULL);
+
+	return raw_call_in_pieces(rig->ports[gateway], request,
+				  strlen(head) + (100U << number));
+}
+
+static char *send_deadly_request(const platform_rig_t *rig,
+				 const deadly_case_t *type, int number)
+{
+	if (type->has_body)
+		return send_with_body(rig, number % 2, type->path, number);
+	return send_numbered(rig, number % 2, type->path, type->deadly_parts,
+			     type->numbered ? number : 0);
+}
+
 /* Sends a request and, if it crashes an endpoint, waits until both gateways
  * know the endpoint's next incarnation. */
 static void send_deadly(const platform_rig_t *rig, const deadly_case_t *type,
@@ -1291,8 +1323,7 @@
 	int views[] = { count_views(rig, 0), count_views(rig, 1) };
 	uint32_t crashes = all_crashes(rig);
 
-	g_free(send_numbered(rig, number % 2, type->path, type->deadly_parts,
-			     type->numbered ? number : 0));
+	g_free(send_deadly_request(rig, type, number));
 	for (int i = 0; i < 2 && all_crashes(rig) > crashes; i++)
 		g_assert_true(WAIT_UNTIL(count_views(rig, i) > views[i],
 					 HARNESS_WAIT_MS));
