request: block a part when its wait for deeper ones is over

Cause: a key that waits was looked at again only when news of crashes came. The periodic tick applied news only, and a request is not checked against the evidence while no key is blocked. So requests with the part were still sent to endpoints after the wait, and what ran was not ended.

Conclusion: the block does not depend on a further crash.

--- a/process/crash_evidence.c
+++ b/process/crash_evidence.c
@@ -517,8 +517,7 @@
 		evaluate(evidence, now_ms);
 }
 
-/** What changes with time alone. */
-static void advance(crash_evidence_t *evidence, uint64_t now_ms)
+void crash_evidence_advance(crash_evidence_t *evidence, uint64_t now_ms)
 {
 	expire_records(evidence, now_ms);
 	if (now_ms >= evidence->recheck_ms)
@@ -614,7 +613,7 @@
 bool crash_evidence_apply(crash_evidence_t *evidence, const crash_news_t *news,
 			  uint64_t now_ms)
 {
-	advance(evidence, now_ms);
+	crash_evidence_advance(evidence, now_ms);
 	if (!news->key.id)
 		return false;
 	switch (news->kind) {
@@ -691,7 +690,7 @@
 	bool is_blocked = false;
 	uint64_t wait_ms = 0;
 
-	advance(evidence, now_ms);
+	crash_evidence_advance(evidence, now_ms);
 	for (size_t i = 0; i < count; i++) {
 		const blocked_key_t *blocked =
 			crash_evidence_blocked(evidence, keys[i].id);
--- a/process/crash_evidence.h
+++ b/process/crash_evidence.h
@@ -162,6 +162,10 @@
 bool crash_evidence_apply(crash_evidence_t *evidence, const crash_news_t *news,
 			  uint64_t now_ms);
 
+/** Forgets old crashes and blocks keys whose wait is over; to be called
+ * periodically. */
+void crash_evidence_advance(crash_evidence_t *evidence, uint64_t now_ms);
+
 /** Whether the key is a suspect of a crash that is kept, or blocked. */
 bool crash_evidence_has(const crash_evidence_t *evidence, uint64_t key_id);
 
--- a/request/exchange_crash.c
+++ b/request/exchange_crash.c
@@ -197,6 +197,8 @@
 		crash_evidence_apply(&env->crash_evidence, &news, now_ms);
 		handle_new_blocks(env, news.kind == CRASH_NEWS_BLOCKED, now_ms);
 	}
+	crash_evidence_advance(&env->crash_evidence, now_ms);
+	handle_new_blocks(env, false, now_ms);
 }
 
 int exchange_check_crash_evidence(exchange_t *exchange, uint64_t now_ms)
--- a/request/exchange_job.h
+++ b/request/exchange_job.h
@@ -204,7 +204,7 @@
  */
 int exchange_check_crash_evidence(exchange_t *exchange, uint64_t now_ms);
 
-/** Applies what other instances reported. */
+/** Applies what other instances reported, and what changes with time. */
 void exchange_apply_crash_news(exchange_env_t *env, uint64_t now_ms);
 
 /** Tells the other instances which keys are blocked. */
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -1232,6 +1232,7 @@
 	DEADLY_REQUESTS = 10,
 	/** Endpoints may crash this often before the kind is known, and this
 	 * many more requests may reach them. */
+	DEADLY_CRASHES_MIN = 3,
 	DEADLY_CRASHES_MAX = 5,
 	DEADLY_ARRIVALS_AFTER_MAX = 3,
 	/** Longer than all pieces that are sent first. */
@@ -1355,6 +1356,34 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: a part that waited for news of deeper ones was not blocked in time:
+ * without further news, nothing looked at it again. */
+static void test_deadly_waiting(void)
+{
+	platform_rig_t rig;
+
+	platform_rig_start(&rig, 2);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		rig.engines[i].deadly_text = "dead:";
+	for (int i = 0; i < DEADLY_CRASHES_MIN; i++) {
+		CLEANUP_FREE char *parts =
+			g_strdup_printf("dead:50,%x:20", 0x2000 + i);
+		const deadly_case_t type = {
+			.path = "/stream/once/",
+			.deadly_parts = parts,
+			.numbered = true,
+		};
+
+		send_deadly(&rig, &type, i);
+	}
+	g_assert_cmpuint(all_crashes(&rig), ==, DEADLY_CRASHES_MIN);
+	for (int i = 0; i < 2; i++)
+		g_assert_true(WAIT_UNTIL(strstr(program_output(rig.gateways[i]),
+						"name=crash_key_blocked"),
+					 HARNESS_WAIT_MS));
+	platform_rig_stop(&rig);
+}
+
 /* Failure: a client that sent an incomplete or malformed request blocked or
  * crashed the process. */
 static void test_bad_clients(void)
@@ -1471,6 +1500,7 @@
 		g_test_add_data_func(path, &answer_cases[i], test_answers);
 		g_free(path);
 	}
+	g_test_add_func("/it-gateway/deadly-waiting", test_deadly_waiting);
 	for (size_t i = 0; i < G_N_ELEMENTS(deadly_cases); i++) {
 		char *path = g_strdup_printf("/it-gateway/deadly/%s",
 					     deadly_cases[i].name);
