--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -394,3 +394,18 @@
 {
 	return endpoints[0].arrivals ? &endpoints[0] : &endpoints[1];
 }
+
+void platform_rig_assert_events(const char *answer)
+{
+	const char *at = answer;
+
+	for (int i = 1; i <= EVENT_COUNT; i++) {
+		char *event = g_strdup_printf("id: %d\ndata: e%d\n\n", i, i);
+
+		at = strstr(at, event);
+		g_assert_nonnull(at);
+		at += strlen(event);
+		g_assert_null(strstr(at, event));
+		g_free(event);
+	}
+}
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -124,4 +124,8 @@
 /** The endpoint that has received requests. */
 const endpoint_t *platform_rig_used_endpoint(const endpoint_t *endpoints);
 
+/** Fails the test unless an answer has each event of a stream once, in order.
+ */
+void platform_rig_assert_events(const char *answer);
+
 #endif
