request: take a stream that ends before its first event for a lost one

Clients would see: an engine that crashes after it has sent the head of an answer without length, whose connection is then closed in order, left them a stream that ends as complete without an event; and requests with a part that crashes engines went on doing so.

Cause: the end of the connection ends an answer without length, and a stream without a byte is not inside an event, so it counted as complete: the keys of the request were cleared and the endpoint got no blame. Found as a doubt in the review. Class: the absence of data taken for success.

Change: a stream that ends without any event, and does not go on after one, has failed; it is a suspect of a crash, and only a run that had begun clears keys.

--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -95,6 +95,7 @@
 {
 	exchange_t *exchange = context;
 
+	exchange->has_event = true;
 	if (id != SSE_SPLITTER_NO_ID) {
 		if (exchange->last_event != REQUEST_NO_LAST_EVENT &&
 		    id <= exchange->last_event)
@@ -178,15 +179,29 @@
 		relay_oversized_answer(exchange);
 }
 
+/* Whether a stream ended before its first event. One that goes on after the
+ * client's last event may have nothing left to send. */
+static bool is_stream_empty(const exchange_t *exchange)
+{
+	return !exchange->has_event &&
+	       exchange->last_event == REQUEST_NO_LAST_EVENT;
+}
+
 static void on_stream_end(exchange_t *exchange)
 {
+	if (is_stream_empty(exchange)) {
+		exchange_report_crash(exchange);
+		fail_in_event(exchange, "no_event");
+		return;
+	}
 	if (sse_splitter_is_partial(&exchange->splitter)) {
 		exchange_report_crash(exchange);
 		fail_in_event(exchange, "cut_in_event");
 		return;
 	}
 	endpoint_load_succeeded(exchange->endpoint->load, clock_now_ms());
-	exchange_report_completed(exchange);
+	if (exchange->begun_ms)
+		exchange_report_completed(exchange);
 	exchange_finish(exchange);
 }
 
--- a/request/exchange_crash.c
+++ b/request/exchange_crash.c
@@ -256,8 +256,8 @@
 	return false;
 }
 
-/* Ends runs that would crash their endpoints when they begin. An order that may
- * run only once is left alone: it may have had its effect. */
+/* Ends runs that would crash their endpoints when they begin. An order is left
+ * alone: it may have had its effect. */
 static void end_blocked_runs(exchange_env_t *env)
 {
 	exchange_t *exchange = LIST_FIRST(&env->open);
--- a/request/exchange_job.h
+++ b/request/exchange_job.h
@@ -52,6 +52,7 @@
 	uint64_t last_chunk_ms; /**< Last event of a stream; 0: none yet. */
 	uint64_t attempt_deadline_ms; /**< 0: none but deadline_ms. */
 	uint64_t begun_ms; /**< First part of its answer; 0: none yet. */
+	bool has_event;	   /**< Its stream had an event. */
 	bool keys_cleared; /**< It was reported not to crash endpoints. */
 	bool is_probe;	   /**< It tests a blocked key. */
 	/** Counted in the endpoint's load: memory and prompt tokens that still
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -382,6 +382,7 @@
 	exchange->last_chunk_ms = 0;
 	exchange->attempt_deadline_ms = 0;
 	exchange->begun_ms = 0;
+	exchange->has_event = false;
 	exchange->keys_cleared = false;
 	if (exchange_is_stream(exchange) && exchange_is_repeatable(exchange))
 		exchange->attempt_deadline_ms =
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -193,11 +193,19 @@
 }
 
 /* Starts a new incarnation, which the endpoint list tells the gateways. */
-static raw_next_t crash(endpoint_t *endpoint)
+static raw_next_t crash(endpoint_t *endpoint, const raw_request_t *request)
 {
+	CLEANUP_FREE char *id = raw_header(request->head, "Request-Id");
+
 	endpoint->crashes++;
 	platform_rig_put_entry(endpoint, "ready");
-	return RAW_RESET;
+	if (!endpoint->crashes_unframed)
+		return RAW_RESET;
+	raw_send(request,
+		 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+		 "Response-Stamp: s\r\n\r\n",
+		 id);
+	return RAW_CLOSE;
 }
 
 static raw_next_t answer_endpoint(void *context, const raw_request_t *request)
@@ -213,7 +221,7 @@
 	endpoint->arrivals++;
 	if (endpoint->deadly_text &&
 	    strstr(request->head, endpoint->deadly_text))
-		return crash(endpoint);
+		return crash(endpoint, request);
 	return answer_request(endpoint, request);
 }
 
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -66,6 +66,9 @@
 	/** A request whose head contains this text crashes the endpoint, which
 	 * starts again at once; NULL for none. */
 	const char *deadly_text;
+	/** It sends the head of an answer without length before it crashes,
+	 * and its connection is closed in order. */
+	bool crashes_unframed;
 	_Atomic uint32_t crashes;
 	_Atomic uint64_t weights; /**< Current weights version. */
 	pthread_mutex_t lock;
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -649,16 +649,21 @@
 	const char *deadly_parts;
 	bool numbered; /**< No two deadly requests are alike. */
 	bool has_body; /**< It arrives in different pieces each time. */
+	bool unframed; /**< See endpoint_t::crashes_unframed. */
 } deadly_case_t;
 
 static const deadly_case_t deadly_cases[] = {
-	{ "part", "/stream/again/", "dead:", "a:50,b:20,dead:10", true, false },
+	{ "part", "/stream/again/", "dead:", "a:50,b:20,dead:10", true, false,
+	  false },
 	{ "part-once", "/stream/once/", "dead:", "a:50,b:20,dead:10", true,
+	  false, false },
+	{ "part-unframed", "/stream/again/", "dead:", "a:50,b:20,dead:10", true,
+	  false, true },
+	{ "first-part", "/stream/again/", "dead:", "dead:50,b:20", true, false,
 	  false },
-	{ "first-part", "/stream/again/", "dead:", "dead:50,b:20", true,
+	{ "request", "/get/deadly", "/get/deadly", "a:50", false, false,
 	  false },
-	{ "request", "/get/deadly", "/get/deadly", "a:50", false, false },
-	{ "body", "/get/deadly", "/get/deadly", NULL, false, true },
+	{ "body", "/get/deadly", "/get/deadly", NULL, false, true, false },
 };
 
 static char *send_numbered(const platform_rig_t *rig, int gateway,
@@ -743,6 +748,7 @@
 	platform_rig_start(&rig, 2);
 	for (int i = 0; i < ENDPOINT_COUNT; i++) {
 		rig.engines[i].deadly_text = type->deadly_text;
+		rig.engines[i].crashes_unframed = type->unframed;
 		rig.services[i].deadly_text = type->deadly_text;
 	}
 	for (int i = 0; i < DEADLY_REQUESTS; i++) {
