request: name the end of a failed stream and the effects of the crash check

fail_in_event() also ends a stream without any event, so it is fail_stream(); the doc comment of exchange_check_crash_evidence() now says that it applies news and counts a probe.

--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -127,7 +127,7 @@
 
 /* Ends an attempt whose stream can't go on; what was received of the current
  * event isn't joined with the answer of the next attempt. */
-static void fail_in_event(exchange_t *exchange, const char *why)
+static void fail_stream(exchange_t *exchange, const char *why)
 {
 	exchange_log_failure(exchange, why);
 	exchange_count_endpoint_failure(exchange, FAILURE_REQUEST);
@@ -160,7 +160,7 @@
 	if (exchange_is_stream(exchange) && exchange->status / 100 == 2) {
 		if (sse_splitter_feed(&exchange->splitter, bytes, len,
 				      relay_event, exchange))
-			fail_in_event(exchange, "event_too_long");
+			fail_stream(exchange, "event_too_long");
 		return;
 	}
 	/* Nothing is relayed without a client, nor can an error body be relayed
@@ -191,12 +191,12 @@
 {
 	if (is_stream_empty(exchange)) {
 		exchange_report_crash(exchange);
-		fail_in_event(exchange, "no_event");
+		fail_stream(exchange, "no_event");
 		return;
 	}
 	if (sse_splitter_is_partial(&exchange->splitter)) {
 		exchange_report_crash(exchange);
-		fail_in_event(exchange, "cut_in_event");
+		fail_stream(exchange, "cut_in_event");
 		return;
 	}
 	endpoint_load_succeeded(exchange->endpoint->load, clock_now_ms());
--- a/request/exchange_job.h
+++ b/request/exchange_job.h
@@ -200,7 +200,8 @@
 void exchange_report_completed(exchange_t *exchange);
 
 /**
- * Whether the request may be sent to an endpoint.
+ * Decides whether the request may be sent to an endpoint, by the newest
+ * evidence; a probe that it permits is counted.
  * @return 0 or ERR_CRASH_BLOCKED; then retry_after_ms is set
  */
 int exchange_check_crash_evidence(exchange_t *exchange, uint64_t now_ms);
