request: log requests that begin on weights past their time limit

The three hypotheses about requests that began on weights replaced more than 8 s before could not be told apart by a log: no line gave the age of the replacement or the expected wait when a request was placed, and none said that it had begun too late.

request_placed now has outdated_ms and wait_ms. request_begun_outdated compares, at the first event of an attempt, the newest view with the one that the request was placed with, and the answer's weights with the expected ones; amv_requests_begun_outdated_total counts it.

--- a/process/event_list.h
+++ b/process/event_list.h
@@ -119,8 +119,9 @@
       "A certificate, key or certificate authority file cannot be used.")
 EVENT(1800, REQUEST_PLACED, "request_placed", EVENT_INFO,
       "A request was sent to an endpoint. home: whether it is the preferred "
-      "endpoint, expected to have the shared prefix cached; cost_ms: the "
-      "estimated cost.")
+      "endpoint, expected to have the shared prefix cached; outdated_ms: how "
+      "long ago newer weights than the endpoint's were set; wait_ms: the "
+      "expected wait at an engine; cost_ms: the estimated cost.")
 EVENT(1801, REQUEST_ENDED, "request_ended", EVENT_INFO,
       "A request ended. The outcome is served, caller_gone (the client "
       "disconnected) or the error kind that was returned.")
@@ -139,6 +140,12 @@
       "sent_ms: since its arrival and since it was sent to the endpoint; "
       "left_ms: until its deadline; begun: its answer was being relayed; "
       "client: the client was still connected.")
+EVENT(1808, REQUEST_BEGUN_OUTDATED, "request_begun_outdated", EVENT_ERROR,
+      "An engine began a request on weights that had been replaced for longer "
+      "than the time limit. weights: of the answer; expected: when it was sent; "
+      "outdated_ms: since the newer weights were set, view_outdated_ms: the "
+      "same by the view that the request was placed with; sent_ms: since it was "
+      "sent.")
 EVENT(1900, VIEW_PUBLISHED, "view_published", EVENT_INFO,
       "New requests are routed with a newer view.")
 EVENT(1901, STORE_CONTACT, "store_contact", EVENT_WARN,
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -145,6 +145,9 @@
 	CRASH_BLOCKED_KEYS, "amv_crash_blocked_keys", "",
 	"Requests and parts of prompts that are refused because they crash "
 	"endpoints.")
+METRIC_COUNTER(REQUESTS_BEGUN_OUTDATED, "amv_requests_begun_outdated_total", "",
+	       "Requests that began on weights replaced for longer than the "
+	       "time limit.")
 METRIC_GAUGE(GATEWAY_CONNECTIONS, "amv_gateway_connections", "",
 	     "Open connections of callers.")
 METRIC_GAUGE(OUTBOUND_OPENED, "amv_outbound_connections_opened", "",
--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -82,6 +82,8 @@
 static void record_progress(exchange_t *exchange)
 {
 	exchange->last_chunk_ms = clock_now_ms();
+	if (!exchange->begun_ms)
+		exchange_check_begun_weights(exchange, exchange->last_chunk_ms);
 	exchange_report_progress(exchange, exchange->last_chunk_ms);
 	if (!exchange->first_event_ms)
 		record_first_chunk(exchange);
--- a/request/exchange_job.h
+++ b/request/exchange_job.h
@@ -9,7 +9,8 @@
  * - exchange_place.c: choice of an endpoint and sending to it;
  * - exchange_answer.c: handling of the endpoint's answer;
  * - exchange_cache.c: cache index, budgets for saves and fetches;
- * - exchange_crash.c: requests and parts of prompts that crash endpoints.
+ * - exchange_crash.c: requests and parts of prompts that crash endpoints;
+ * - exchange_weights.c: time limit for replaced weights.
  */
 #ifndef REQUEST_EXCHANGE_JOB_H
 #define REQUEST_EXCHANGE_JOB_H
@@ -148,6 +149,14 @@
 /** Removes the request from the endpoint's load. */
 void exchange_release_load(exchange_t *exchange);
 
+/** Time since a view has newer weights than `weights` for the request's model,
+ * ms; 0 if it has none. */
+uint64_t exchange_outdated_ms(const exchange_t *exchange, const view_t *view,
+			      uint64_t weights, uint64_t now_ms);
+
+/** Logs a request that an engine began on weights past their time limit. */
+void exchange_check_begun_weights(const exchange_t *exchange, uint64_t now_ms);
+
 /** Callbacks of the call to the endpoint. */
 extern const outbound_callbacks_t exchange_answer_callbacks;
 
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -440,12 +440,16 @@
 	charge_fetch(exchange, &candidates, choice.index);
 	event_log(
 		EVENT_REQUEST_PLACED,
-		"id=%s endpoint=%s home=%d weights=%llu cost_ms=%.0f "
+		"id=%s endpoint=%s home=%d weights=%llu outdated_ms=%llu "
+		"wait_ms=%u cost_ms=%.0f "
 		"shared=%u held=%u fetchable=%u from=%s saving=%d prefill=%u runs=%u "
 		"left_ms=%llu reused=%d err=%s",
 		exchange->id, endpoint->id, choice.index == choice.preferred,
-		(unsigned long long)exchange->weights, choice.cost_ms,
-		demand.prefix_tokens,
+		(unsigned long long)exchange->weights,
+		(unsigned long long)exchange_outdated_ms(
+			exchange, exchange->view, exchange->weights, now_ms),
+		placement_wait_ms(&candidates.items[choice.index]),
+		choice.cost_ms, demand.prefix_tokens,
 		candidates.items[choice.index].cached_tokens,
 		candidates.items[choice.index].fetchable_tokens,
 		fetch_source_name(&candidates, choice.index), exchange->saving,
