request: place every further attempt with the newest view

A request that was sent again after its attempt had failed or had not run was placed with the view of its arrival, up to 15 s old: with target weights that lacked newer versions, so that it could begin on weights past their time limit (VERSION), and at endpoints that had said meanwhile that they leave (DRAIN). Only attempts given up as slow fetched the newest view.

exchange_after_attempt() refreshes the view like the slow path. Where the newest state does not allow another attempt, the request ends as before without one.

Before: /attempts/lost-one-is-repeated-on-expired-weights and /attempts/refused-one-goes-to-leaving-endpoint fail, each with 1 arrival at the other endpoint, expected 0. After: both pass.

--- a/request/exchange.c
+++ b/request/exchange.c
@@ -266,7 +266,8 @@
 		break;
 	}
 	if (retry && exchange->request &&
-	    exchange_time_left(exchange, now_ms) > ATTEMPT_MIN_MS) {
+	    exchange_time_left(exchange, now_ms) > ATTEMPT_MIN_MS &&
+	    !exchange_refresh_view(exchange)) {
 		exchange_place(exchange);
 		return;
 	}
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -7,6 +7,14 @@
 
 #include "process/cleanup.h"
 
+enum {
+	/** How long a dropped order's connection stays open, ms: longer than a
+	 * gateway waits for the answer. */
+	ORDER_DROP_MS = 2000,
+	/** Default of platform_rig_options_t::weights_ms. */
+	WEIGHTS_MS = 8000,
+};
+
 static void send_events(const endpoint_t *endpoint, behaviour_t behaviour,
 			const raw_request_t *request, const char *id, int after)
 {
@@ -91,6 +99,10 @@
 	bool stream = strstr(request->head, "/stream/") != NULL;
 	char *body;
 
+	if (behaviour == HOLD) {
+		WAIT_UNTIL(endpoint->release, HARNESS_WAIT_MS);
+		behaviour = (behaviour_t)endpoint->after_release;
+	}
 	if (endpoint->on_run && behaviour != REFUSE)
 		endpoint->on_run(endpoint->context, endpoint, id);
 	switch (behaviour) {
@@ -129,8 +141,6 @@
 		return send_unframed_events(behaviour, request, id,
 					    last ? atoi(last) : 0);
 	case HOLD:
-		WAIT_UNTIL(endpoint->release, HARNESS_WAIT_MS);
-		break;
 	case TRUNCATE_EVENT:
 	case STALL:
 	case ANSWER:
@@ -176,6 +186,10 @@
 		CLEANUP_JSON json_t *order = json_loads(request->body, 0, NULL);
 
 		endpoint->orders++;
+		if (endpoint->drops_orders) {
+			WAIT_UNTIL(endpoint->release, ORDER_DROP_MS);
+			return RAW_CLOSE;
+		}
 		endpoint->weights = (uint64_t)json_integer_value(
 			json_object_get(order, "version"));
 		/* As the platform's engines do when their weights change. */
@@ -208,6 +222,15 @@
 	return RAW_CLOSE;
 }
 
+static bool expects_other_weights(const endpoint_t *endpoint,
+				  const raw_request_t *request)
+{
+	CLEANUP_FREE char *expected =
+		raw_header(request->head, "Expect-Version");
+
+	return expected && strtoull(expected, NULL, 10) != endpoint->weights;
+}
+
 static raw_next_t answer_endpoint(void *context, const raw_request_t *request)
 {
 	endpoint_t *endpoint = context;
@@ -219,6 +242,13 @@
 	endpoint->last_head = g_strdup(request->head);
 	pthread_mutex_unlock(&endpoint->lock);
 	endpoint->arrivals++;
+	if (endpoint->checks_weights &&
+	    expects_other_weights(endpoint, request)) {
+		CLEANUP_FREE char *id = raw_header(request->head, "Request-Id");
+
+		send_answer(request, id, 421, "Not-Executed: 1\r\n", "");
+		return RAW_KEEP;
+	}
 	if (endpoint->deadly_text &&
 	    strstr(request->head, endpoint->deadly_text))
 		return crash(endpoint, request);
@@ -309,6 +339,7 @@
 	char *peer_ip = g_strdup_printf("127.0.0.%d", index + 2);
 	char *peer_port = g_strdup_printf("%u", rig->peer_ports[0]);
 	char *name = g_strdup_printf("gw-%d", index);
+	char *weights_ms = g_strdup_printf("%u", rig->options.weights_ms);
 
 	if (!rig->ports[index]) {
 		rig->ports[index] = harness_free_port();
@@ -322,7 +353,8 @@
 		"amaranthvale-gateway", "--listen", listen, "--ready-listen",
 		ready, "--store", store, "--peer-ip", peer_ip, "--peer-port",
 		peer_port, "--name", name, "--grace-s", "6", "--lease-ms",
-		"1000", NULL);
+		"1000", "--weights-ms", weights_ms, NULL);
+	g_free(weights_ms);
 	g_free(listen);
 	g_free(ready);
 	g_free(store);
@@ -332,8 +364,17 @@
 }
 
 void platform_rig_start(platform_rig_t *rig, int gateways)
+{
+	platform_rig_start_with(rig, gateways, &(platform_rig_options_t){ 0 });
+}
+
+void platform_rig_start_with(platform_rig_t *rig, int gateways,
+			     const platform_rig_options_t *options)
 {
 	memset(rig, 0, sizeof(*rig));
+	rig->options = *options;
+	if (!rig->options.weights_ms)
+		rig->options.weights_ms = WEIGHTS_MS;
 	rig->store = platform_store_start();
 	rig->peer_ports[0] = harness_free_port();
 	platform_rig_put_desired(rig, 1, "key-1");
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -34,13 +34,13 @@
 	WRONG_ID_FIRST,	  /**< Sends an answer to another request first. */
 	TRUNCATE_EVENT,	  /**< Ends a stream within its third event. */
 	NO_LENGTH,	  /**< Ends the answer by closing the connection. */
-	HOLD,		  /**< Answers once `release` is set. */
-	STALL,		  /**< Sends nothing after the second event. */
-	ENDLESS,	  /**< Sends `endless` until the peer closes. */
-	UNFRAMED_STREAM,  /**< Ends a stream by closing the connection. */
-	UNFRAMED_CUT,	  /**< Likewise, but within its third event. */
-	UNFRAMED_RESET,	  /**< Likewise, but by a reset after its second. */
-	NO_LENGTH_RESET,  /**< Resets an answer that has no length. */
+	HOLD,	 /**< Goes on as `after_release` once `release` is set. */
+	STALL,	 /**< Sends nothing after the second event. */
+	ENDLESS, /**< Sends `endless` until the peer closes. */
+	UNFRAMED_STREAM, /**< Ends a stream by closing the connection. */
+	UNFRAMED_CUT,	 /**< Likewise, but within its third event. */
+	UNFRAMED_RESET,	 /**< Likewise, but by a reset after its second. */
+	NO_LENGTH_RESET, /**< Resets an answer that has no length. */
 } behaviour_t;
 
 /** Answer without an end. */
@@ -59,10 +59,14 @@
 	int number;
 	_Atomic int behaviour;
 	_Atomic bool release; /**< Ends HOLD and STALL. */
+	_Atomic int after_release;
 	const endless_answer_t *endless;
 	_Atomic uint32_t endless_open; /**< Endless answers in progress. */
 	_Atomic uint32_t arrivals;     /**< Requests received. */
 	_Atomic uint32_t orders;       /**< Weights orders received. */
+	_Atomic bool drops_orders; /**< Neither answers nor executes them. */
+	/** Refuses requests that expect other weights than it has. */
+	_Atomic bool checks_weights;
 	/** A request whose head contains this text crashes the endpoint, which
 	 * starts again at once; NULL for none. */
 	const char *deadly_text;
@@ -80,7 +84,13 @@
 	platform_store_t *store; /**< Holds its entry of the endpoint list. */
 } endpoint_t;
 
+/** Settings of the gateways; 0 for the default. */
+typedef struct platform_rig_options {
+	uint32_t weights_ms; /**< See --weights-ms. */
+} platform_rig_options_t;
+
 typedef struct platform_rig {
+	platform_rig_options_t options;
 	platform_store_t *store;
 	endpoint_t services[ENDPOINT_COUNT]; /**< Of one plain service. */
 	endpoint_t engines[ENDPOINT_COUNT];
@@ -92,6 +102,8 @@
 
 /** Starts the store, endpoints and gateways, and waits until they are ready. */
 void platform_rig_start(platform_rig_t *rig, int gateways);
+void platform_rig_start_with(platform_rig_t *rig, int gateways,
+			     const platform_rig_options_t *options);
 void platform_rig_stop(platform_rig_t *rig);
 
 /** Starts a gateway, or restarts it on the same ports. */
--- a/t/lib/platform_store.c
+++ b/t/lib/platform_store.c
@@ -263,6 +263,12 @@
 	return change ? json_incref(change->spec) : NULL;
 }
 
+uint64_t platform_store_revision(platform_store_t *store)
+{
+	SCOPED_LOCK(guard, &store->lock);
+	return store->revision;
+}
+
 void platform_store_set_down(platform_store_t *store, bool down)
 {
 	SCOPED_LOCK(guard, &store->lock);
--- a/t/lib/platform_store.h
+++ b/t/lib/platform_store.h
@@ -27,6 +27,9 @@
 json_t *platform_store_get(platform_store_t *store, const char *kind,
 			   const char *name);
 
+/** Revision of the last change. */
+uint64_t platform_store_revision(platform_store_t *store);
+
 /** While `down` is set, answers 503 to every request and to open watches. */
 void platform_store_set_down(platform_store_t *store, bool down);
 
--- /dev/null
+++ b/t/test-it-attempts.c
@@ -0,0 +1,140 @@
+/*
+ * Tests of requests whose attempt ends, or must end, after the state has
+ * changed that they were sent with: a gateway process with endpoints that the
+ * test simulates.
+ */
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "request/exchange.h"
+#include "t/lib/platform_rig.h"
+
+/** A request that a thread of its own sends. */
+typedef struct client {
+	const platform_rig_t *rig;
+	const char *method;
+	const char *path;
+	const char *headers;
+	char *answer;
+	_Atomic bool done;
+	pthread_t thread;
+} client_t;
+
+static void *client_main(void *context)
+{
+	client_t *client = context;
+
+	client->answer = platform_rig_request(client->rig, 0, client->method,
+					      client->path, client->headers);
+	client->done = true;
+	return NULL;
+}
+
+static void start_client(client_t *client, const platform_rig_t *rig,
+			 const char *method, const char *path,
+			 const char *headers)
+{
+	*client = (client_t){
+		.rig = rig, .method = method, .path = path, .headers = headers
+	};
+	pthread_create(&client->thread, NULL, client_main, client);
+}
+
+static void finish_client(client_t *client)
+{
+	pthread_join(client->thread, NULL);
+	g_free(client->answer);
+}
+
+/* Waits until one of the endpoints has a request; returns the other one. */
+static endpoint_t *wait_for_arrival(endpoint_t *endpoints, endpoint_t **used)
+{
+	int index;
+
+	g_assert_true(WAIT_UNTIL(platform_rig_arrivals(endpoints) == 1,
+				 HARNESS_WAIT_MS));
+	index = endpoints[0].arrivals ? 0 : 1;
+	*used = &endpoints[index];
+	return &endpoints[1 - index];
+}
+
+static bool has_logged(platform_rig_t *rig, const char *text)
+{
+	return strstr(program_output(rig->gateways[0]), text) != NULL;
+}
+
+static void set_target(platform_rig_t *rig, int version)
+{
+	g_autofree char *text = g_strdup_printf(" weights=%d\n", version);
+
+	platform_rig_put_target_weights(rig, version);
+	g_assert_true(WAIT_UNTIL(has_logged(rig, text), HARNESS_WAIT_MS));
+}
+
+/* Failure: a request whose engine was lost while newer weights were set was
+ * sent again with the target weights of its arrival, to weights past their
+ * limit. */
+static void test_lost_attempt(void)
+{
+	const platform_rig_options_t options = {
+		.weights_ms = EXCHANGE_OLD_WEIGHTS_MARGIN_MS
+	};
+	platform_rig_t rig;
+	client_t client;
+	endpoint_t *used;
+	endpoint_t *other;
+
+	platform_rig_start_with(&rig, 1, &options);
+	platform_rig_set_behaviour(rig.engines, HOLD);
+	start_client(&client, &rig, "POST", "/stream/again/1", MODEL_HEADERS);
+	other = wait_for_arrival(rig.engines, &used);
+	used->drops_orders = true;
+	other->drops_orders = true;
+	other->behaviour = ANSWER;
+	set_target(&rig, 2);
+	used->after_release = RESET_CONNECTION;
+	used->release = true;
+	g_assert_true(WAIT_UNTIL(client.done, HARNESS_WAIT_MS));
+	g_assert_cmpuint(other->arrivals, ==, 0);
+	finish_client(&client);
+	platform_rig_stop(&rig);
+}
+
+/* Failure: an order that its endpoint did not run was sent to an endpoint that
+ * had said since the order's arrival that it leaves. */
+static void test_refused_attempt(void)
+{
+	platform_rig_t rig;
+	client_t client;
+	endpoint_t *used;
+	endpoint_t *other;
+	g_autofree char *text = NULL;
+
+	platform_rig_start(&rig, 1);
+	platform_rig_set_behaviour(rig.services, HOLD);
+	start_client(&client, &rig, "POST", "/order/1", "");
+	other = wait_for_arrival(rig.services, &used);
+	other->behaviour = ANSWER;
+	platform_rig_put_entry(other, "draining");
+	text = g_strdup_printf(
+		"endpoints_revision=%llu ",
+		(unsigned long long)platform_store_revision(rig.store));
+	g_assert_true(WAIT_UNTIL(has_logged(&rig, text), HARNESS_WAIT_MS));
+	used->after_release = REFUSE;
+	used->release = true;
+	finish_client(&client);
+	g_assert_cmpuint(other->arrivals, ==, 0);
+	platform_rig_stop(&rig);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/attempts/lost-one-is-repeated-on-expired-weights",
+			test_lost_attempt);
+	g_test_add_func("/attempts/refused-one-goes-to-leaving-endpoint",
+			test_refused_attempt);
+	return g_test_run();
+}
