request: withdraw requests that wait until their weights expire

A request was sent to old weights only if its expected wait ended 1.5 s before their time limit, but the wait was an estimate made once: it knew the prompts that instances had reported up to 200 ms before, not full slots or memory, nor the 38 requests that 14 instances sent within 264 ms. Expected were 0.02 to 0.63 s, real waits 2.0 to 3.2 s, and nothing took a request back from the engine's queue.

Class of fault: a permission with a time limit is checked when work is handed over and not while the work waits.

exchange_withdraw_outdated() checks each tick all requests that have not begun, by the newest view, so that weights set after a request was sent count too. 600 ms before the limit the connection is closed and the request goes elsewhere like one that was lost: resumable streams within the retry budget, others fail as 502, since a server may drop or run them.

Ruled out: a longer margin when placing. The estimate was wrong by a factor of 5 to 170, and a margin that covers this excludes engines that begin at once.

--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -258,6 +258,7 @@
 		.instances = instances,
 	};
 	exchange_tick_crash_evidence(&front->env);
+	exchange_withdraw_outdated(&front->env);
 	if (front->ticks % SWEEP_INTERVAL_TICKS == 0)
 		update_metrics(front);
 	if (planned_stop_has_begun(&front->env.stop))
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -50,6 +50,11 @@
 	 * within it, because the request may wait in the engine's queue before
 	 * it starts. */
 	EXCHANGE_OLD_WEIGHTS_MARGIN_MS = 1500,
+	/** A request that has not begun this long before that limit is
+	 * withdrawn from its engine, ms: the instance learns of new weights
+	 * some time after they were set, checks once a tick, and the engine
+	 * notices the closed connection later. */
+	EXCHANGE_WITHDRAW_MARGIN_MS = 600,
 	/** Share of an endpoint's connection limit that all instances together
 	 * leave unused, percent, for its clients outside this system. */
 	EXCHANGE_CONNECTIONS_RESERVED_PERCENT = 15,
@@ -102,6 +107,10 @@
  * that were blocked; to be called periodically. */
 void exchange_tick_crash_evidence(exchange_env_t *env);
 
+/** Withdraws requests that wait at engines whose weights will soon be past
+ * their time limit; to be called periodically. */
+void exchange_withdraw_outdated(exchange_env_t *env);
+
 /** Resumes reading from the endpoint after the client's output drained. */
 void exchange_client_drained(inbound_request_t *request);
 
--- a/request/exchange_weights.c
+++ b/request/exchange_weights.c
@@ -1,5 +1,6 @@
 #include "request/exchange_job.h"
 
+#include "process/clock.h"
 #include "process/event.h"
 #include "process/metrics.h"
 
@@ -39,3 +40,37 @@
 			  exchange, exchange->view, weights, now_ms),
 		  (unsigned long long)(now_ms - exchange->sent_ms));
 }
+
+/* Whether a request still waits at an engine whose weights it must not begin on
+ * much longer. */
+static bool waits_on_outdated(const exchange_t *exchange, const view_t *view,
+			      uint64_t now_ms)
+{
+	const desired_service_t *service =
+		&exchange->view->desired->services[exchange->service];
+
+	return exchange->call && !exchange->begun_ms &&
+	       service->role == SERVICE_ENGINE &&
+	       exchange_outdated_ms(exchange, view, exchange->weights, now_ms) +
+			       EXCHANGE_WITHDRAW_MARGIN_MS >=
+		       exchange->env->weights_ms;
+}
+
+void exchange_withdraw_outdated(exchange_env_t *env)
+{
+	exchange_t *exchange = LIST_FIRST(&env->open);
+	uint64_t now_ms = clock_now_ms();
+	view_t *view = view_acquire();
+
+	while (view && exchange) {
+		exchange_t *next = LIST_NEXT(exchange, entry);
+
+		if (waits_on_outdated(exchange, view, now_ms)) {
+			exchange_log_failure(exchange, "weights_limit");
+			sse_splitter_reset(&exchange->splitter);
+			exchange_after_attempt(exchange, ATTEMPT_UNKNOWN);
+		}
+		exchange = next;
+	}
+	view_put(view);
+}
--- a/t/test-it-attempts.c
+++ b/t/test-it-attempts.c
@@ -11,6 +11,12 @@
 #include "request/exchange.h"
 #include "t/lib/platform_rig.h"
 
+enum {
+	/** Time limit for replaced weights, ms: shorter than the time after
+	 * which a stream without a first event is sent elsewhere. */
+	WEIGHTS_LIMIT_MS = 1600,
+};
+
 /** A request that a thread of its own sends. */
 typedef struct client {
 	const platform_rig_t *rig;
@@ -73,6 +79,47 @@
 	g_assert_true(WAIT_UNTIL(has_logged(rig, text), HARNESS_WAIT_MS));
 }
 
+typedef struct waiting_case {
+	const char *name; /**< The failure it guards against. */
+	const char *path;
+	const char *status;
+} waiting_case_t;
+
+static const waiting_case_t waiting_cases[] = {
+	{ "begins on expired weights", "/stream/once/1", "HTTP/1.1 502" },
+	{ "is not sent to the new weights", "/stream/again/1", "HTTP/1.1 200" },
+};
+
+/* Failure: a request waited at an engine until its weights had been replaced
+ * for longer than the time limit, and then began on them. */
+static void test_waiting(const void *data)
+{
+	const waiting_case_t *test_case = data;
+	const platform_rig_options_t options = { WEIGHTS_LIMIT_MS };
+	platform_rig_t rig;
+	client_t client;
+	endpoint_t *used;
+	endpoint_t *other;
+
+	platform_rig_start_with(&rig, 1, &options);
+	platform_rig_set_behaviour(rig.engines, HOLD);
+	start_client(&client, &rig, "POST", test_case->path, MODEL_HEADERS);
+	other = wait_for_arrival(rig.engines, &used);
+	used->drops_orders = true;
+	other->behaviour = ANSWER;
+	set_target(&rig, 2);
+	g_assert_true(WAIT_UNTIL(client.done, WEIGHTS_LIMIT_MS));
+	used->release = true;
+	g_assert_true(g_str_has_prefix(client.answer, test_case->status));
+	if (strstr(test_case->status, "200")) {
+		platform_rig_assert_events(client.answer);
+		g_assert_nonnull(strstr(other->last_head, "Expect-Version: 2"));
+	}
+	g_assert_false(has_logged(&rig, "request_begun_outdated"));
+	finish_client(&client);
+	platform_rig_stop(&rig);
+}
+
 /* Failure: a request whose engine was lost while newer weights were set was
  * sent again with the target weights of its arrival, to weights past their
  * limit. */
@@ -129,9 +176,22 @@
 	platform_rig_stop(&rig);
 }
 
+/* Registers a case under a path made of its name. */
+static void add_waiting_case(const waiting_case_t *test_case)
+{
+	g_autofree char *name = g_strdup(test_case->name);
+	g_autofree char *path = NULL;
+
+	g_strdelimit(name, " ", '-');
+	path = g_strdup_printf("/attempts/waiting-request-%s", name);
+	g_test_add_data_func(path, test_case, test_waiting);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting_cases); i++)
+		add_waiting_case(&waiting_cases[i]);
 	g_test_add_func("/attempts/lost-one-is-repeated-on-expired-weights",
 			test_lost_attempt);
 	g_test_add_func("/attempts/refused-one-goes-to-leaving-endpoint",
