request: do not guess an engine's weights after a refusal

An engine that refuses a request because it has other weights than expected (status 421) does not say which it has.

The engine is avoided for 800 ms now; by then its entry in the endpoint list, or a report to the lease holder, tells its weights.

--- a/process/endpoint_load.c
+++ b/process/endpoint_load.c
@@ -57,6 +57,16 @@
 	update_error_rate(load, 0);
 }
 
+void endpoint_load_avoid(endpoint_load_t *load, uint64_t until_ms)
+{
+	uint64_t current_ms = atomic_load(&load->loading_until_ms);
+
+	while (current_ms < until_ms &&
+	       !atomic_compare_exchange_weak(&load->loading_until_ms,
+					     &current_ms, until_ms))
+		;
+}
+
 bool endpoint_load_peer_failed(endpoint_load_t *load, uint32_t ejected_ms,
 			       uint64_t now_ms)
 {
--- a/process/endpoint_load.h
+++ b/process/endpoint_load.h
@@ -49,7 +49,8 @@
 	_Atomic uint32_t peer_prefill_tokens;
 	/** Newest weights version in an answer or a report; 0 if none. */
 	_Atomic uint64_t observed_weights;
-	/** No new requests before this monotonic time, ms: it loads weights. */
+	/** No new requests before this monotonic time, ms: it loads weights, or
+	 * its weights are not known. */
 	_Atomic uint64_t loading_until_ms;
 	/** No new requests before this monotonic time, ms: it failed. */
 	_Atomic uint64_t ejected_until_ms;
@@ -71,6 +72,9 @@
 /** Records an answer from a healthy endpoint; ends an ejection. */
 void endpoint_load_succeeded(endpoint_load_t *load, uint64_t now_ms);
 
+/** Avoids the endpoint until `until_ms`, or longer if it loads weights. */
+void endpoint_load_avoid(endpoint_load_t *load, uint64_t until_ms);
+
 /** Severity of a failure. */
 typedef enum failure_severity {
 	FAILURE_REQUEST,     /**< One request failed. */
--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -6,6 +6,11 @@
 #include "process/event.h"
 #include "process/metrics.h"
 
+/** How long an engine is avoided that has other weights than expected, ms: the
+ * watch of the endpoint list is renewed within 500 ms, and a change then
+ * reaches the other instances. */
+#define WEIGHTS_UNKNOWN_MS 800
+
 static bool is_answer_to_request(void *context, const http_head_t *head)
 {
 	exchange_t *exchange = context;
@@ -208,12 +213,12 @@
 }
 
 /* Handles status 421: another server has the endpoint's address, or the
- * endpoint has other weights than the request asked for. */
+ * endpoint has other weights than the request asked for. Which ones is known
+ * from its next entry or report; until then it is avoided. */
 static void handle_misdirected(exchange_t *exchange)
 {
 	const answer_headers_t *answer = &exchange->answer;
 	endpoint_load_t *load = exchange->endpoint->load;
-	const target_weights_t *target_weights;
 
 	if (answer->endpoint_id && strcmp(answer->endpoint_id, load->id) != 0) {
 		atomic_store(&load->leaving, true);
@@ -221,13 +226,8 @@
 			  load->id, answer->endpoint_id);
 		return;
 	}
-	target_weights =
-		exchange->headers.model
-			? view_weights(exchange->view, exchange->headers.model)
-			: NULL;
-	if (target_weights && !answer->weights_version)
-		atomic_store(&load->observed_weights,
-			     target_weights->versions[0]);
+	if (!answer->weights_version)
+		endpoint_load_avoid(load, clock_now_ms() + WEIGHTS_UNKNOWN_MS);
 }
 
 static void on_plain_end(exchange_t *exchange)
--- a/t/test-it-attempts.c
+++ b/t/test-it-attempts.c
@@ -176,6 +176,36 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: an engine refused a request because it had loaded other weights than
+ * expected; it was taken to have the newest ones, was never ordered to load
+ * them, and got requests for them that it refused again. */
+static void test_unexpected_weights(void)
+{
+	platform_rig_t rig;
+
+	platform_rig_start(&rig, 1);
+	for (int i = 0; i < ENDPOINT_COUNT; i++) {
+		rig.engines[i].drops_orders = true;
+		rig.engines[i].checks_weights = true;
+		rig.engines[i].weights = 2;
+	}
+	set_target(&rig, 3);
+	g_assert_true(
+		WAIT_UNTIL(({
+				   g_free(platform_rig_request(&rig, 0, "POST",
+							       "/stream/once/1",
+							       MODEL_HEADERS));
+				   has_logged(&rig, "status=421");
+			   }),
+			   HARNESS_WAIT_MS));
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		rig.engines[i].drops_orders = false;
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		g_assert_true(WAIT_UNTIL(rig.engines[i].weights == 3,
+					 HARNESS_WAIT_MS));
+	platform_rig_stop(&rig);
+}
+
 /* Registers a case under a path made of its name. */
 static void add_waiting_case(const waiting_case_t *test_case)
 {
@@ -196,5 +226,7 @@
 			test_lost_attempt);
 	g_test_add_func("/attempts/refused-one-goes-to-leaving-endpoint",
 			test_refused_attempt);
+	g_test_add_func("/attempts/refusing-engine-is-taken-for-up-to-date",
+			test_unexpected_weights);
 	return g_test_run();
 }
