process: expect a wait at engines without a free slot

placement_wait_ms() adds the wait for a slot, and the decision moves from the exchange to placement_begins_within(), where it needs no network.

--- a/process/placement.c
+++ b/process/placement.c
@@ -16,6 +16,13 @@
 /** An engine whose cache memory is full delays the newest request by about the
  * duration of a request, ms. */
 #define OVER_CAPACITY_COST_MS 800.0
+/** Expected wait for a slot of an engine that has none left, ms: half of the
+ * duration of a long stream. */
+#define SLOT_WAIT_MS 1250
+/** Safety factor for the wait at an engine. The wait is an estimate and doesn't
+ * include requests that other instances have sent since their last heartbeat.
+ */
+#define WAIT_SAFETY_FACTOR 2
 /** Cost of another failure domain, ms: latency and bandwidth between the
  * domains. */
 #define CROSS_DOMAIN_COST_MS 2.0
@@ -162,6 +169,11 @@
 		       NON_PREFERRED_FACTOR * compute_ms / RENDEZVOUS_RANKS);
 }
 
+static bool has_free_slot(const placement_candidate_t *candidate)
+{
+	return !candidate->slots || candidate->running < candidate->slots;
+}
+
 static bool would_exceed_capacity(const placement_candidate_t *candidate,
 				  const placement_request_t *request)
 {
@@ -169,7 +181,7 @@
 		      request->prefix_tokens + request->suffix_tokens +
 		      request->output_tokens;
 
-	if (candidate->slots && candidate->running >= candidate->slots)
+	if (!has_free_slot(candidate))
 		return true;
 	return candidate->cache_capacity_tokens &&
 	       need > MEMORY_SHARE * (double)candidate->cache_capacity_tokens;
@@ -216,7 +228,15 @@
 
 uint32_t placement_wait_ms(const placement_candidate_t *candidate)
 {
-	return (uint32_t)(candidate->prefill_tokens / PREFILL_TOKENS_PER_MS);
+	return (uint32_t)(candidate->prefill_tokens / PREFILL_TOKENS_PER_MS) +
+	       (has_free_slot(candidate) ? 0 : SLOT_WAIT_MS);
+}
+
+bool placement_begins_within(const placement_candidate_t *candidate,
+			     uint64_t left_ms)
+{
+	return WAIT_SAFETY_FACTOR * (uint64_t)placement_wait_ms(candidate) <=
+	       left_ms;
 }
 
 size_t placement_select(const uint64_t *id_hashes, size_t count, uint64_t key,
--- a/process/placement.h
+++ b/process/placement.h
@@ -85,6 +85,11 @@
 /** Estimated time until an engine starts the prefill of a new prompt, ms. */
 uint32_t placement_wait_ms(const placement_candidate_t *candidate);
 
+/** Whether a new request is expected to begin at an engine within `left_ms`;
+ * errs on the safe side. */
+bool placement_begins_within(const placement_candidate_t *candidate,
+			     uint64_t left_ms);
+
 /** Chooses the candidate with the lowest estimated cost. */
 void placement_choose(const placement_candidate_t *candidates, size_t count,
 		      const placement_request_t *request,
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -14,10 +14,6 @@
  * request is sent to another endpoint, and the shortest such time, ms. */
 #define SLOW_TARGET_FACTOR 2
 #define SLOW_MIN_MS 300
-/** Safety factor for the wait at an engine with old weights. The wait is an
- * estimate and doesn't include requests that other instances have sent since
- * their last heartbeat. */
-#define OLD_WEIGHTS_WAIT_FACTOR 2
 /** Buffer size for a cache salt with its NUL, bytes. */
 #define SALT_MAX_BYTES (DESIRED_NAME_MAX_BYTES + 24)
 /** Largest priority value that engines accept; 0 is the most urgent. */
@@ -118,16 +114,19 @@
 		.same_domain = !strcmp(entry->domain, exchange->env->domain),
 	};
 	if (target_weights) {
-		uint64_t outdated_ms = target_weights_outdated_ms(
-			target_weights,
-			endpoint_weights(entry, exchange->headers.model),
-			now_ms);
-
-		candidate->old_weights = outdated_ms > 0;
-		if (outdated_ms + EXCHANGE_OLD_WEIGHTS_MARGIN_MS +
-			    OLD_WEIGHTS_WAIT_FACTOR *
-				    placement_wait_ms(candidate) >
-		    exchange->env->weights_ms)
+		uint64_t used_ms =
+			EXCHANGE_OLD_WEIGHTS_MARGIN_MS +
+			target_weights_outdated_ms(
+				target_weights,
+				endpoint_weights(entry,
+						 exchange->headers.model),
+				now_ms);
+		uint64_t limit_ms = exchange->env->weights_ms;
+
+		candidate->old_weights =
+			used_ms > EXCHANGE_OLD_WEIGHTS_MARGIN_MS;
+		if (used_ms > limit_ms ||
+		    !placement_begins_within(candidate, limit_ms - used_ms))
 			candidate->state = CANDIDATE_EXCLUDED;
 	}
 }
--- a/t/test-placement.c
+++ b/t/test-placement.c
@@ -363,6 +363,41 @@
 	g_assert_cmpuint(scattered, ==, 0);
 }
 
+enum {
+	/** Time that a new request of the test runs at an engine, ms. */
+	RUN_MS = 2000,
+	ARRIVAL_INTERVAL_MS = 7,
+	ARRIVALS = 140,
+	/** Time that is left for requests to begin, ms. */
+	LEFT_MS = 2500,
+};
+
+/* Failure: an engine without a free slot was expected to begin new requests at
+ * once, and they began after the time limit for its weights. */
+static void test_full_engine(void)
+{
+	uint64_t slot_free_ms[48] = { 0 };
+	uint64_t end_ms[ARRIVALS];
+	size_t sent = 0;
+
+	for (uint64_t now_ms = 0; now_ms < ARRIVALS * ARRIVAL_INTERVAL_MS;
+	     now_ms += ARRIVAL_INTERVAL_MS) {
+		placement_candidate_t engine = { .slots = 48 };
+		uint64_t *slot = &slot_free_ms[sent % 48];
+		uint64_t begin_ms = *slot > now_ms ? *slot : now_ms;
+
+		for (size_t i = 0; i < sent; i++)
+			engine.running += end_ms[i] > now_ms;
+		if (!placement_begins_within(&engine, LEFT_MS - now_ms))
+			continue;
+		g_assert_cmpuint(begin_ms, <=, LEFT_MS);
+		*slot = begin_ms + RUN_MS;
+		end_ms[sent++] = *slot;
+	}
+	/* Free slots are used. */
+	g_assert_cmpuint(sent, >=, 48);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -370,6 +405,7 @@
 			test_same_preferred_endpoint);
 	g_test_add_func("/placement/spread", test_spread);
 	g_test_add_func("/placement/excluded", test_excluded);
+	g_test_add_func("/placement/full-engine-begins-late", test_full_engine);
 	g_test_add_func("/placement/hot-prefix", test_hot_prefix);
 	g_test_add_func("/placement/many-engines", test_many_engines);
 	g_test_add_func("/placement/select-sizes", test_select_sizes);
