version: keep the time limit of weights through many newer versions

A view kept the last 8 target versions of a model and when each became known.

The two oldest versions become one that is known since the older one was set. It errs on the safe side: an engine that is further behind than the versions that are kept counts as outdated for longer than it is. 32 versions are kept, so that this concerns none within 10 s at three versions a second.

/view/versions-in-quick-succession failed before (490 ms, expected 560) and passes.

--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -446,6 +446,28 @@
 	g_assert_cmpuint(target.versions[0], ==, 39);
 }
 
+/* Failure: so many versions were set within the time limit that the first ones
+ * were forgotten, and engines on the weights before them were never taken to be
+ * past it. */
+static void test_versions_in_quick_succession(void)
+{
+	target_weights_t target = { .model = "m" };
+	uint64_t now_ms = 100;
+
+	target_weights_add(&target, 1, now_ms);
+	for (uint64_t version = 2; version <= 200; version++) {
+		now_ms += 70;
+		target_weights_add(&target, version, now_ms);
+		g_assert_cmpuint(target_weights_outdated_ms(&target, 1, now_ms),
+				 >=, now_ms - 170);
+	}
+	/* Those that are kept are exact. */
+	g_assert_cmpuint(target_weights_outdated_ms(&target, 200, now_ms), ==,
+			 0);
+	g_assert_cmpuint(target_weights_outdated_ms(&target, 195, now_ms), ==,
+			 4 * 70);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -471,6 +493,8 @@
 	g_test_add_func("/crash-ring/threads", test_crash_ring_threads);
 	g_test_add_func("/crash-ring/report-age", test_crash_report_age);
 	g_test_add_func("/view/outdated-weights", test_outdated_weights);
+	g_test_add_func("/view/versions-in-quick-succession",
+			test_versions_in_quick_succession);
 	for (size_t i = 0; i < G_N_ELEMENTS(splitter_cases); i++) {
 		char *path = g_strdup_printf("/sse-splitter/cases/%zu", i);
 
--- a/version/view.c
+++ b/version/view.c
@@ -123,6 +123,10 @@
 
 	if (target->count && version <= target->versions[0])
 		return;
+	/* The two oldest become one, known since the older one was set, so that
+	 * the time limit for the weights before them does not start again. */
+	if (kept < target->count)
+		target->known_since_ms[kept - 1] = target->known_since_ms[kept];
 	memmove(target->versions + 1, target->versions,
 		kept * sizeof(target->versions[0]));
 	memmove(target->known_since_ms + 1, target->known_since_ms,
--- a/version/view.h
+++ b/version/view.h
@@ -19,9 +19,11 @@
 	/** Most models of an endpoint or a view; the growth plan for two years
 	 * has 15 models. */
 	VIEW_MODELS_MAX = 16,
-	/** Target versions of a model that are kept: those set during the 8 s
-	 * in which an older version may still serve, at one a second. */
-	VIEW_TARGET_VERSIONS_MAX = 8,
+	/** Target versions of a model that are kept: those set during the 10 s
+	 * in which an older version may still serve, at three a second. If
+	 * there are more, engines that are further behind count as outdated
+	 * for longer than they are. */
+	VIEW_TARGET_VERSIONS_MAX = 32,
 };
 
 /** Weights version of one model at an endpoint. */
