connection: keep a request until its last flush has run

The thread of a handler set handler_returned and posted the last flush in two steps. A flush that was posted earlier and ran in between saw handler_returned, took itself for the last one and dropped the loop's reference; the thread then posted one more flush and dropped its own, so the request was freed while it was queued. Ruled out: a stop of the server, which joins the threads first.

Both are set under one lock now, so a flush that sees handler_returned is the last one.

--- a/connection/server.c
+++ b/connection/server.c
@@ -422,12 +422,14 @@
 	return job;
 }
 
-/* Posts a flush of the job to the loop unless one is pending. */
-static void post_flush(server_job_t *job)
+/* Posts a flush of the job to the loop unless one is pending. A flush that sees
+ * `handler_returned` is the last one, so both are set at once. */
+static void post_flush(server_job_t *job, bool handler_returned)
 {
 	bool post;
 
 	pthread_mutex_lock(&job->lock);
+	job->handler_returned = handler_returned;
 	post = !job->flush_posted;
 	job->flush_posted = true;
 	pthread_mutex_unlock(&job->lock);
@@ -437,10 +439,7 @@
 
 static void finish_job(server_job_t *job)
 {
-	pthread_mutex_lock(&job->lock);
-	job->handler_returned = true;
-	pthread_mutex_unlock(&job->lock);
-	post_flush(job);
+	post_flush(job, true);
 	job_unref(job);
 }
 
@@ -495,7 +494,7 @@
 	pthread_mutex_unlock(&job->lock);
 	if (err)
 		return err;
-	post_flush(job);
+	post_flush(job, false);
 	pthread_mutex_lock(&job->lock);
 	err = wait_for_output_space(job);
 	pthread_mutex_unlock(&job->lock);
@@ -528,7 +527,7 @@
 	job->answer_complete = true;
 	gone = job->client_gone;
 	pthread_mutex_unlock(&job->lock);
-	post_flush(job);
+	post_flush(job, false);
 	return gone ? ERR_CANCELLED : 0;
 }
 
--- a/t/test-server.c
+++ b/t/test-server.c
@@ -10,6 +10,10 @@
 enum {
 	/** A stop that follows an answer at once is a race. */
 	STOPS = 50,
+	/** Requests whose handler returns while the loop sends its answer. */
+	CLIENTS = 4,
+	REQUESTS = 10000,
+	HANDLER_THREADS = 8,
 };
 
 typedef struct rig {
@@ -35,9 +39,10 @@
 	g_mutex_unlock(&rig->lock);
 }
 
+static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
 static int send_request(const server_t *server)
 {
-	static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
 		.sin_port = htons((uint16_t)server_port(server)),
@@ -88,9 +93,59 @@
 	}
 }
 
+/* Sends requests one after the other on one connection. */
+static gpointer run_client(gpointer data)
+{
+	int fd = send_request(data);
+
+	for (int i = 1;; i++) {
+		g_autoptr(GString) received = g_string_new(NULL);
+		char bytes[1024];
+
+		while (!g_str_has_suffix(received->str, "done")) {
+			ssize_t len = recv(fd, bytes, sizeof(bytes), 0);
+
+			g_assert_cmpint(len, >, 0);
+			g_string_append_len(received, bytes, len);
+		}
+		if (i == REQUESTS)
+			break;
+		g_assert_cmpint(
+			send(fd, request, strlen(request), MSG_NOSIGNAL), ==,
+			(ssize_t)strlen(request));
+	}
+	close(fd);
+	return NULL;
+}
+
+/* Failure: the loop freed a request at a flush that saw its handler return,
+ * while the handler's thread posted another flush of it. */
+static void test_flush_after_return(void)
+{
+	rig_t rig = { .handled = false };
+	server_settings_t settings = {
+		.address = "127.0.0.1",
+		.thread_count = HANDLER_THREADS,
+		.client_timeout_ms = 10000,
+		.header_max_bytes = 4096,
+		.body_max_bytes = body_max,
+		.handle = handle,
+		.context = &rig,
+	};
+	server_t *server = server_start(&settings);
+	GThread *clients[CLIENTS];
+
+	for (int i = 0; i < CLIENTS; i++)
+		clients[i] = g_thread_new("client", run_client, server);
+	for (int i = 0; i < CLIENTS; i++)
+		g_thread_join(clients[i]);
+	server_stop(server);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/server/stop-after-handler", test_stop_after_handler);
+	g_test_add_func("/server/flush-after-return", test_flush_after_return);
 	return g_test_run();
 }
