version: count weights that were set during a pause from its beginning

Requests began on weights replaced more than 8 s before (VERSION), sent by an instance that had been paused (SIGSTOP) while the newer version was set, and that had run again for longer than the 3 s after which it counts as in touch. No margin covers this, and the withdrawal before the limit counts from the same moment.

Class of fault: the time at which an event becomes known is taken for the time of the event. A restarted instance already assumes an age.

The control thread notices that it did not run for more than 300 ms. Versions that become known within 1 s after that count as set when it last ran. It errs on the safe side; process_paused tells it.

/view/weights-set-in-pause/* failed before (0 ms, expected 4,000) and passes.

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -158,6 +158,7 @@
 		event_base_loopbreak(control->base);
 		return;
 	}
+	view_builder_tick(&control->view_builder, now_ms);
 	if (object_table_expire(&control->view_builder.tables[OBJECT_ENDPOINTS],
 				now_ms))
 		gateway_control_rebuild(control);
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -177,3 +177,6 @@
 EVENT(1913, PEER_NO_STATE, "peer_no_state", EVENT_WARN,
       "A peer did not send its state; other peers are tried first for some "
       "time.")
+EVENT(1920, PROCESS_PAUSED, "process_paused", EVENT_WARN,
+      "The control thread did not run for some time. Target weights that become "
+      "known soon after it count as set at its beginning.")
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -11,6 +11,7 @@
 #include "process/retry_budget.h"
 #include "request/sse_splitter.h"
 #include "version/view.h"
+#include "version/view_builder.h"
 
 enum {
 	INSTANCE_COUNT = 14,
@@ -468,6 +469,75 @@
 			 4 * 70);
 }
 
+static void put_object(view_builder_t *builder, object_kind_t kind,
+		       const char *name, uint64_t revision, json_t *spec)
+{
+	object_item_t item = { .name = name,
+			       .revision = revision,
+			       .spec = spec };
+
+	g_assert_nonnull(spec);
+	object_table_list_begin(&builder->tables[kind]);
+	g_assert_cmpint(object_table_list_add(&builder->tables[kind], &item),
+			>=, 0);
+	object_table_list_end(&builder->tables[kind], revision, NOW_MS);
+	json_decref(spec);
+}
+
+static void put_weights(view_builder_t *builder, int version)
+{
+	put_object(builder, OBJECT_WEIGHTS, "m", (uint64_t)version,
+		   json_pack("{s:s,s:i}", "model", "m", "version", version));
+}
+
+static uint64_t outdated_ms(const view_builder_t *builder, uint64_t version,
+			    uint64_t now_ms)
+{
+	return target_weights_outdated_ms(view_weights(builder->view, "m"),
+					  version, now_ms);
+}
+
+typedef struct pause_case {
+	const char *name;
+	uint64_t pause_ms; /**< 0: none. */
+	uint64_t known_ms; /**< When the new weights are known after it. */
+	uint64_t outdated_ms;
+} pause_case_t;
+
+static const pause_case_t pause_cases[] = {
+	{ "no-pause", 0, 50, 0 },
+	{ "first-event", 4000, 0, 4000 },
+	{ "after-a-tick", 4000, 120, 4120 },
+	{ "set-later", 4000, VIEW_SETTLING_MS, 0 },
+};
+
+/* Failure: an instance that was paused while new weights were set counted the
+ * time limit for the old ones from the end of the pause. */
+static void test_weights_set_in_pause(const void *data)
+{
+	const pause_case_t *test_case = data;
+	view_builder_t builder = { 0 };
+	uint64_t now_ms = NOW_MS;
+	uint64_t known_ms;
+
+	put_object(&builder, OBJECT_DESIRED, "d", 1,
+		   json_pack("{s:i,s:[],s:[]}", "version", 1, "routes",
+			     "services"));
+	put_object(&builder, OBJECT_ENDPOINTS, "e", 1, json_null());
+	put_weights(&builder, 1);
+	view_builder_tick(&builder, now_ms);
+	g_assert_cmpint(view_builder_publish(&builder, now_ms), ==, 0);
+	now_ms += test_case->pause_ms;
+	known_ms = now_ms + test_case->known_ms;
+	for (; now_ms < known_ms; now_ms += 100)
+		view_builder_tick(&builder, now_ms);
+	put_weights(&builder, 2);
+	g_assert_cmpint(view_builder_publish(&builder, known_ms), ==, 0);
+	g_assert_cmpuint(outdated_ms(&builder, 1, known_ms), ==,
+			 test_case->outdated_ms);
+	view_builder_free(&builder);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -495,6 +565,14 @@
 	g_test_add_func("/view/outdated-weights", test_outdated_weights);
 	g_test_add_func("/view/versions-in-quick-succession",
 			test_versions_in_quick_succession);
+	for (size_t i = 0; i < G_N_ELEMENTS(pause_cases); i++) {
+		char *path = g_strdup_printf("/view/weights-set-in-pause/%s",
+					     pause_cases[i].name);
+
+		g_test_add_data_func(path, &pause_cases[i],
+				     test_weights_set_in_pause);
+		g_free(path);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(splitter_cases); i++) {
 		char *path = g_strdup_printf("/sse-splitter/cases/%zu", i);
 
--- a/version/view_builder.c
+++ b/version/view_builder.c
@@ -83,10 +83,34 @@
 	target_weights_add(target, parsed->version, now_ms);
 }
 
+/* Earliest time of a change that becomes known now. */
+static uint64_t earliest_change_ms(const view_builder_t *builder,
+				   uint64_t now_ms)
+{
+	return builder->paused_ms &&
+			       now_ms < builder->resumed_ms + VIEW_SETTLING_MS
+		       ? builder->paused_ms
+		       : now_ms;
+}
+
+void view_builder_tick(view_builder_t *builder, uint64_t now_ms)
+{
+	uint64_t last_ms = builder->ticked_ms;
+
+	builder->ticked_ms = now_ms;
+	if (!last_ms || now_ms - last_ms <= VIEW_TICK_MAX_MS)
+		return;
+	builder->paused_ms = earliest_change_ms(builder, last_ms);
+	builder->resumed_ms = now_ms;
+	event_log(EVENT_PROCESS_PAUSED, "for_ms=%llu",
+		  (unsigned long long)(now_ms - last_ms));
+}
+
 static void update_weights(view_builder_t *builder, uint64_t now_ms)
 {
 	const object_table_t *table = &builder->tables[OBJECT_WEIGHTS];
 
+	now_ms = earliest_change_ms(builder, now_ms);
 	/* The first view contains versions that were set earlier. */
 	if (!builder->view)
 		now_ms -= builder->initial_weights_age_ms;
@@ -176,6 +200,8 @@
 
 	if (!view_builder_is_complete(builder))
 		return ERR_NOT_READY;
+	/* The first event after a pause may be a change. */
+	view_builder_tick(builder, now_ms);
 	err = update_desired(builder);
 	if (err && !builder->desired)
 		return err;
