version: count fetched weights from when peers had them

An instance that does not watch the store fetches new target weights from a peer that has them. If that peer is paused after its heartbeat, the fetch ends after 800 ms and the next peer is asked. Requests are withdrawn 600 ms before the limit by that count, so one that waits may begin after the limit (VERSION).

Fetched weights count from the heartbeat by which the instance knew that it was behind.

/view/weights-fetched-late failed before (0 ms, expected 200) and passes.

--- a/cmd/gateway_state.c
+++ b/cmd/gateway_state.c
@@ -112,6 +112,10 @@
 			result = object_table_import(
 				&control->view_builder.tables[i], table,
 				now_ms);
+		if (result > 0 && i == OBJECT_WEIGHTS &&
+		    peers->behind_since_ms[i])
+			view_builder_fetched_weights(&control->view_builder,
+						     peers->behind_since_ms[i]);
 		changed |= result > 0;
 		peers->fetch_full |= result < 0;
 	}
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -511,6 +511,17 @@
 	{ "set-later", 4000, VIEW_SETTLING_MS, 0 },
 };
 
+static void build_first_view(view_builder_t *builder)
+{
+	put_object(builder, OBJECT_DESIRED, "d", 1,
+		   json_pack("{s:i,s:[],s:[]}", "version", 1, "routes",
+			     "services"));
+	put_object(builder, OBJECT_ENDPOINTS, "e", 1, json_null());
+	put_weights(builder, 1);
+	view_builder_tick(builder, NOW_MS);
+	g_assert_cmpint(view_builder_publish(builder, NOW_MS), ==, 0);
+}
+
 /* Failure: an instance that was paused while new weights were set counted the
  * time limit for the old ones from the end of the pause. */
 static void test_weights_set_in_pause(const void *data)
@@ -520,13 +531,7 @@
 	uint64_t now_ms = NOW_MS;
 	uint64_t known_ms;
 
-	put_object(&builder, OBJECT_DESIRED, "d", 1,
-		   json_pack("{s:i,s:[],s:[]}", "version", 1, "routes",
-			     "services"));
-	put_object(&builder, OBJECT_ENDPOINTS, "e", 1, json_null());
-	put_weights(&builder, 1);
-	view_builder_tick(&builder, now_ms);
-	g_assert_cmpint(view_builder_publish(&builder, now_ms), ==, 0);
+	build_first_view(&builder);
 	now_ms += test_case->pause_ms;
 	known_ms = now_ms + test_case->known_ms;
 	for (; now_ms < known_ms; now_ms += 100)
@@ -538,6 +543,25 @@
 	view_builder_free(&builder);
 }
 
+/* Failure: an instance whose peer did not send new weights in time counted the
+ * time limit for the old ones from the answer of the next peer. */
+static void test_weights_fetched_late(void)
+{
+	view_builder_t builder = { 0 };
+
+	build_first_view(&builder);
+	view_builder_tick(&builder, NOW_MS + 200);
+	put_weights(&builder, 2);
+	view_builder_fetched_weights(&builder, NOW_MS + 50);
+	g_assert_cmpint(view_builder_publish(&builder, NOW_MS + 250), ==, 0);
+	g_assert_cmpuint(outdated_ms(&builder, 1, NOW_MS + 250), ==, 200);
+	/* Later ones are not concerned. */
+	put_weights(&builder, 3);
+	g_assert_cmpint(view_builder_publish(&builder, NOW_MS + 300), ==, 0);
+	g_assert_cmpuint(outdated_ms(&builder, 2, NOW_MS + 300), ==, 0);
+	view_builder_free(&builder);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -565,6 +589,8 @@
 	g_test_add_func("/view/outdated-weights", test_outdated_weights);
 	g_test_add_func("/view/versions-in-quick-succession",
 			test_versions_in_quick_succession);
+	g_test_add_func("/view/weights-fetched-late",
+			test_weights_fetched_late);
 	for (size_t i = 0; i < G_N_ELEMENTS(pause_cases); i++) {
 		char *path = g_strdup_printf("/view/weights-set-in-pause/%s",
 					     pause_cases[i].name);
--- a/version/view_builder.c
+++ b/version/view_builder.c
@@ -106,11 +106,20 @@
 		  (unsigned long long)(now_ms - last_ms));
 }
 
+void view_builder_fetched_weights(view_builder_t *builder, uint64_t since_ms)
+{
+	if (!builder->peers_weights_ms || since_ms < builder->peers_weights_ms)
+		builder->peers_weights_ms = since_ms;
+}
+
 static void update_weights(view_builder_t *builder, uint64_t now_ms)
 {
 	const object_table_t *table = &builder->tables[OBJECT_WEIGHTS];
 
 	now_ms = earliest_change_ms(builder, now_ms);
+	if (builder->peers_weights_ms && builder->peers_weights_ms < now_ms)
+		now_ms = builder->peers_weights_ms;
+	builder->peers_weights_ms = 0;
 	/* The first view contains versions that were set earlier. */
 	if (!builder->view)
 		now_ms -= builder->initial_weights_age_ms;
--- a/version/view_builder.h
+++ b/version/view_builder.h
@@ -34,6 +34,9 @@
 	uint64_t ticked_ms;	    /**< Last tick; 0: none. */
 	uint64_t paused_ms;  /**< Last tick before the last pause; 0: none. */
 	uint64_t resumed_ms; /**< First tick after it. */
+	/** Since when peers have had the target weights that were fetched from
+	 * them after the last view; 0: none were. */
+	uint64_t peers_weights_ms;
 } view_builder_t;
 
 void view_builder_free(view_builder_t *builder);
@@ -45,6 +48,10 @@
  * that become known after a pause may have been set at its beginning. */
 void view_builder_tick(view_builder_t *builder, uint64_t now_ms);
 
+/** Records that new target weights were fetched from a peer, and since when
+ * peers have had them. */
+void view_builder_fetched_weights(view_builder_t *builder, uint64_t since_ms);
+
 /**
  * Builds a view of the current tables and publishes it.
  * @return 0, ERR_NOT_READY while a table is missing, ERR_BAD_FIELD for an
