process: log the era of the store

Whether the store had been restored from an older copy stood in no line: its answers state an era that rises each time, and the gateway did not read it. The hypotheses about a change that is not in force after a restore could not be told apart.

All calls to the store now go through process/store_link, which maps errors and knows the newest era. store_era tells of a new one, store_contact and lease_acquired have it too, store_list tells that a watch could not be continued and from which revision; amv_store_era and amv_store_lists_total count. The simulated store of the tests can be restored at a revision. No decision changes.

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -9,6 +9,7 @@
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
+#include "process/metrics.h"
 #include "request/exchange.h"
 
 enum {
@@ -113,27 +114,33 @@
 	return object_watch_is_in_contact(control->watches[OBJECT_DESIRED]);
 }
 
-http_call_t *gateway_control_store_call(gateway_control_t *control,
-					struct evbuffer *message,
-					http_call_fn *done, void *context)
+store_call_t *gateway_control_store_call(gateway_control_t *control,
+					 struct evbuffer *message,
+					 store_call_fn *done, void *context)
 {
-	return http_call_send(control->outbound, control->base, &control->store,
-			      message, OBJECT_CALL_TIMEOUT_MS, done, context);
+	return store_call_send(&control->store, message, OBJECT_CALL_TIMEOUT_MS,
+			       done, context);
 }
 
-int gateway_control_store_error(int err, uint16_t status)
+static void on_store_era(void *context)
 {
-	if (err == ERR_CONNECT)
-		return ERR_STORE_DOWN;
-	return err ? ERR_STORE_UNKNOWN : platform_store_error(status);
+	const gateway_control_t *control = context;
+
+	metrics_set(METRIC_STORE_ERA, (int64_t)control->store.era);
+	event_log(EVENT_STORE_ERA, "era=%llu",
+		  (unsigned long long)control->store.era);
 }
 
 static void on_store_contact(void *context, object_kind_t kind, int err)
 {
 	gateway_control_t *control = context;
 
-	event_log(EVENT_STORE_CONTACT, "kind=%s result=%s",
-		  object_kind_name(kind), error_type(err));
+	event_log(EVENT_STORE_CONTACT,
+		  "kind=%s result=%s era=%llu revision=%llu",
+		  object_kind_name(kind), error_type(err),
+		  (unsigned long long)control->store.era,
+		  (unsigned long long)control->view_builder.tables[kind]
+			  .revision);
 	if (!err)
 		object_table_hold(&control->view_builder.tables[kind],
 				  clock_now_ms());
@@ -176,9 +183,7 @@
 static int start_watches(gateway_control_t *control)
 {
 	object_watch_options_t options = {
-		.base = control->base,
-		.outbound = control->outbound,
-		.target = control->store,
+		.store = &control->store,
 		.rng = &control->rng,
 		.changed = on_table_changed,
 		.contact_changed = on_store_contact,
@@ -261,14 +266,18 @@
 		initial_weights_age(control->gateway);
 	control->view_builder.tables[OBJECT_ENDPOINTS].hold_ms =
 		EXPIRED_KEEP_MS;
-	control->store = (outbound_target_t){
-		.key = "store",
-		.connections_max = STORE_CONNECTIONS_MAX,
-		.connect_timeout_ms = STORE_CONNECT_MS,
-		.user_timeout_ms = STORE_USER_TIMEOUT_MS,
+	control->store = (store_link_t){
+		.outbound = control->outbound,
+		.base = control->base,
+		.target = { .key = "store",
+			    .connections_max = STORE_CONNECTIONS_MAX,
+			    .connect_timeout_ms = STORE_CONNECT_MS,
+			    .user_timeout_ms = STORE_USER_TIMEOUT_MS },
+		.era_changed = on_store_era,
+		.context = control,
 	};
 	if (platform_read_address(control->gateway->settings.store,
-				  &control->store.address.v4))
+				  &control->store.target.address.v4))
 		return ERR_SETTING;
 	control->peers = gateway_peers_open(control);
 	control->rollout = gateway_rollout_open(control);
--- a/cmd/gateway_control.h
+++ b/cmd/gateway_control.h
@@ -11,6 +11,7 @@
 #include "connection/http_call.h"
 #include "process/object_watch.h"
 #include "process/peer_heartbeat.h"
+#include "process/store_link.h"
 #include "version/view_builder.h"
 
 typedef struct gateway_peers gateway_peers_t;
@@ -23,7 +24,7 @@
 	struct event *tick;
 	struct event *rebuild;
 	outbound_t *outbound;
-	outbound_target_t store;
+	store_link_t store;
 	rng_t rng;
 	uint64_t incarnation; /**< Unix time of the start, ms. */
 	view_builder_t view_builder;
@@ -45,13 +46,9 @@
 bool gateway_control_store_reachable(const gateway_control_t *control);
 
 /** Sends a call to the store; NULL if it could not be sent. */
-http_call_t *gateway_control_store_call(gateway_control_t *control,
-					struct evbuffer *message,
-					http_call_fn *done, void *context);
-
-/** Maps the transport error or the HTTP status of a store call to an error
- * kind; 0 for success. */
-int gateway_control_store_error(int err, uint16_t status);
+store_call_t *gateway_control_store_call(gateway_control_t *control,
+					 struct evbuffer *message,
+					 store_call_fn *done, void *context);
 
 /** Opens the sockets for other instances; NULL if that fails. */
 gateway_peers_t *gateway_peers_open(gateway_control_t *control);
--- a/cmd/gateway_lease.c
+++ b/cmd/gateway_lease.c
@@ -25,7 +25,7 @@
 	gateway_control_t *control;
 	lease_t lease;
 	bool started;
-	http_call_t *call; /**< Open call to the store, or NULL. */
+	store_call_t *call; /**< Open call to the store, or NULL. */
 	uint32_t call_id;
 	bool call_writes;
 	bool timer_set;
@@ -58,17 +58,17 @@
 	return lease_record_from_json(item.spec, record);
 }
 
-static void on_store_answer(void *context, int err, uint16_t status,
-			    const char *body, size_t len)
+static void on_store_answer(void *context, const store_answer_t *answer)
 {
 	gateway_lease_t *lease = context;
 	lease_event_t event = { .call_id = lease->call_id };
 	lease_record_t record;
 	uint64_t version = 0;
-	int result = gateway_control_store_error(err, status);
+	int result = answer->err;
 
 	lease->call = NULL;
-	if (!result && parse_lease_record(body, len, &version, &record))
+	if (!result &&
+	    parse_lease_record(answer->body, answer->len, &version, &record))
 		result = ERR_STORE_UNKNOWN;
 	if (lease->call_writes) {
 		event.kind = LEASE_EVENT_WRITTEN;
@@ -106,7 +106,7 @@
 		platform_write_get(message, OBJECT_LEASES, LEASE_OBJECT_NAME);
 	}
 	if (lease->call)
-		http_call_cancel(lease->call);
+		store_call_cancel(lease->call);
 	lease->call = err ? NULL
 			  : gateway_control_store_call(lease->control, message,
 						       on_store_answer, lease);
@@ -125,8 +125,9 @@
 {
 	lease->term_changed(lease->context);
 	metrics_add(METRIC_LEASES_ACQUIRED, 1);
-	event_log(EVENT_LEASE_ACQUIRED, "lease=%s fencing=%llu",
-		  LEASE_OBJECT_NAME, (unsigned long long)fencing);
+	event_log(EVENT_LEASE_ACQUIRED, "lease=%s fencing=%llu era=%llu",
+		  LEASE_OBJECT_NAME, (unsigned long long)fencing,
+		  (unsigned long long)lease->control->store.era);
 	gateway_peers_send_heartbeat(lease->control->peers);
 }
 
@@ -262,6 +263,6 @@
 void gateway_lease_close(gateway_lease_t *lease)
 {
 	if (lease->call)
-		http_call_cancel(lease->call);
+		store_call_cancel(lease->call);
 	free(lease);
 }
--- a/cmd/gateway_members.c
+++ b/cmd/gateway_members.c
@@ -14,14 +14,11 @@
 	REGISTER_RETRY_MS = 1000,
 };
 
-static void on_register_answer(void *context, int err, uint16_t status,
-			       const char *body, size_t len)
+static void on_register_answer(void *context, const store_answer_t *answer)
 {
 	gateway_peers_t *peers = context;
-	int result = gateway_control_store_error(err, status);
+	int result = answer->err;
 
-	(void)body;
-	(void)len;
 	peers->register_call = NULL;
 	if (!result)
 		peers->registered = true;
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -607,7 +607,7 @@
 	if (peers->fetch_call)
 		http_call_cancel(peers->fetch_call);
 	if (peers->register_call)
-		http_call_cancel(peers->register_call);
+		store_call_cancel(peers->register_call);
 	if (peers->readable)
 		event_free(peers->readable);
 	if (peers->inbound)
--- a/cmd/gateway_peers.h
+++ b/cmd/gateway_peers.h
@@ -34,7 +34,7 @@
 	http_call_t *fetch_call;
 	const char *fetch_peer_name; /**< Of the open or last fetch. */
 	uint64_t fetch_after_ms;
-	http_call_t *register_call;
+	store_call_t *register_call;
 	bool registered;
 	bool object_exists; /**< The member object exists and is replaced. */
 	uint64_t register_after_ms;
--- a/connection/http_call.c
+++ b/connection/http_call.c
@@ -9,6 +9,7 @@
 	struct event *timer;
 	struct evbuffer *body;
 	uint16_t status;
+	http_call_head_fn *head; /**< NULL for none. */
 	http_call_fn *done;
 	void *context;
 };
@@ -40,6 +41,8 @@
 	http_call_t *call = context;
 
 	call->status = head->status;
+	if (call->head)
+		call->head(call->context, head);
 }
 
 static void on_body(void *context, const char *bytes, size_t len)
@@ -125,6 +128,11 @@
 	return call;
 }
 
+void http_call_on_head(http_call_t *call, http_call_head_fn *head)
+{
+	call->head = head;
+}
+
 void http_call_cancel(http_call_t *call)
 {
 	if (call->call)
--- a/connection/http_call.h
+++ b/connection/http_call.h
@@ -29,6 +29,10 @@
 typedef void http_call_fn(void *context, int err, uint16_t status,
 			  const char *body, size_t len);
 
+/** Receives the head of the answer, before the outcome; must not end the call.
+ */
+typedef void http_call_head_fn(void *context, const http_head_t *head);
+
 typedef struct http_call http_call_t;
 
 /**
@@ -43,6 +47,9 @@
 			    struct evbuffer *message, uint32_t timeout_ms,
 			    http_call_fn *done, void *context);
 
+/** Sets the receiver of the answer's head. */
+void http_call_on_head(http_call_t *call, http_call_head_fn *head);
+
 /** Ends a call without calling `done`. */
 void http_call_cancel(http_call_t *call);
 
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -177,6 +177,13 @@
 EVENT(1913, PEER_NO_STATE, "peer_no_state", EVENT_WARN,
       "A peer did not send its state; other peers are tried first for some "
       "time.")
+EVENT(1914, STORE_ERA, "store_era", EVENT_WARN,
+      "The store stated a newer era than known: at the start, or because it was "
+      "restored from an older copy. What it had acknowledged since the copy is "
+      "gone.")
+EVENT(1915, STORE_LIST, "store_list", EVENT_WARN,
+      "The objects of a kind are listed again. revision: up to which changes are "
+      "known; result: of the watch that cannot be continued.")
 EVENT(1920, PROCESS_PAUSED, "process_paused", EVENT_WARN,
       "The control thread did not run for some time. Target weights that become "
       "known soon after it count as set at its beginning.")
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -148,6 +148,11 @@
 METRIC_COUNTER(REQUESTS_BEGUN_OUTDATED, "amv_requests_begun_outdated_total", "",
 	       "Requests that began on weights replaced for longer than the "
 	       "time limit.")
+METRIC_GAUGE(STORE_ERA, "amv_store_era", "",
+	     "Newest era of the store that this instance knows.")
+METRIC_COUNTER(STORE_LISTS, "amv_store_lists_total", "",
+	       "Lists of objects read again because a watch could not be "
+	       "continued.")
 METRIC_GAUGE(GATEWAY_CONNECTIONS, "amv_gateway_connections", "",
 	     "Open connections of callers.")
 METRIC_GAUGE(OUTBOUND_OPENED, "amv_outbound_connections_opened", "",
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -3,15 +3,16 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "connection/http_call.h"
 #include "platform/platform_objects.h"
 #include "process/clock.h"
 #include "process/error.h"
+#include "process/event.h"
+#include "process/metrics.h"
 
 struct object_watch {
 	object_watch_options_t options;
 	struct event *timer;
-	http_call_t *call;
+	store_call_t *call;
 	struct evbuffer *message;
 	bool active;
 	bool listing;
@@ -71,6 +72,15 @@
 	watch->listing = true;
 }
 
+static void log_list(const object_watch_t *watch, int err)
+{
+	metrics_add(METRIC_STORE_LISTS, 1);
+	event_log(EVENT_STORE_LIST, "kind=%s result=%s era=%llu revision=%llu",
+		  object_kind_name(watch->options.kind), error_type(err),
+		  (unsigned long long)watch->options.store->era,
+		  (unsigned long long)watch->options.table->revision);
+}
+
 static int apply_list_page(object_watch_t *watch, const object_page_t *page)
 {
 	object_table_t *table = watch->options.table;
@@ -129,18 +139,17 @@
 				  : 0);
 }
 
-static void on_answer(void *context, int err, uint16_t status, const char *body,
-		      size_t len)
+static void on_answer(void *context, const store_answer_t *answer)
 {
 	object_watch_t *watch = context;
 	CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
+	int err = answer->err;
 
 	watch->call = NULL;
 	if (!err)
-		err = platform_store_error(status);
-	if (!err)
-		err = platform_read_page(body, len, &page);
+		err = platform_read_page(answer->body, answer->len, &page);
 	if (err == ERR_STORE_GONE) {
+		log_list(watch, err);
 		restart_list(watch);
 		send_call(watch);
 		return;
@@ -174,9 +183,8 @@
 		timeout_ms = wait_ms + options->answer_margin_ms;
 	}
 	watch->sent_ms = clock_now_ms();
-	watch->call = http_call_send(options->outbound, options->base,
-				     &options->target, watch->message,
-				     timeout_ms, on_answer, watch);
+	watch->call = store_call_send(options->store, watch->message,
+				      timeout_ms, on_answer, watch);
 	if (!watch->call)
 		retry_later(watch, ERR_CONNECT);
 }
@@ -197,7 +205,7 @@
 	watch->options = *options;
 	watch->listing = true;
 	watch->message = evbuffer_new();
-	watch->timer = evtimer_new(options->base, on_timer, watch);
+	watch->timer = evtimer_new(options->store->base, on_timer, watch);
 	if (!watch->message || !watch->timer) {
 		object_watch_stop(watch);
 		return NULL;
@@ -210,7 +218,7 @@
 	if (!watch)
 		return;
 	if (watch->call)
-		http_call_cancel(watch->call);
+		store_call_cancel(watch->call);
 	if (watch->timer)
 		event_free(watch->timer);
 	if (watch->message)
@@ -242,7 +250,7 @@
 		return;
 	}
 	if (watch->call)
-		http_call_cancel(watch->call);
+		store_call_cancel(watch->call);
 	watch->call = NULL;
 	restart_list(watch);
 	evtimer_del(watch->timer);
--- a/process/object_watch.h
+++ b/process/object_watch.h
@@ -7,12 +7,11 @@
 #ifndef PROCESS_OBJECT_WATCH_H
 #define PROCESS_OBJECT_WATCH_H
 
-#include <event2/event.h>
 #include <stdbool.h>
 
-#include "connection/outbound.h"
 #include "process/object_table.h"
 #include "process/rng.h"
+#include "process/store_link.h"
 
 enum {
 	/** Timeout of calls that are not long polls, ms: the store answers in
@@ -28,9 +27,7 @@
 typedef struct object_watch object_watch_t;
 
 typedef struct object_watch_options {
-	struct event_base *base;
-	outbound_t *outbound;
-	outbound_target_t target;
+	store_link_t *store;
 	object_kind_t kind;
 	object_table_t *table;
 	/** Delay of the next watch after one that was answered sooner than
--- a/t/lib/platform_store.c
+++ b/t/lib/platform_store.c
@@ -26,6 +26,7 @@
 	pthread_cond_t changed;
 	GPtrArray *changes;
 	uint64_t revision;
+	uint64_t era;
 	uint32_t calls;
 	bool down;
 };
@@ -65,14 +66,15 @@
 			 change->spec);
 }
 
-static void send_json(const raw_request_t *request, int status, json_t *value)
+static void send_json(const platform_store_t *store,
+		      const raw_request_t *request, int status, json_t *value)
 {
 	CLEANUP_FREE char *text = value ? json_dumps(value, 0) : strdup("{}");
 
 	raw_send(request,
 		 "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-		 "Content-Length: %zu\r\n\r\n%s",
-		 status, strlen(text), text);
+		 "Store-Era: %llu\r\nContent-Length: %zu\r\n\r\n%s",
+		 status, (unsigned long long)store->era, strlen(text), text);
 	json_decref(value);
 }
 
@@ -115,9 +117,15 @@
 	const char *wait = strstr(query, "wait_ms=");
 	uint64_t deadline_ms =
 		clock_now_ms() + (wait ? strtoull(wait + 8, NULL, 10) : 0);
-	json_t *events = events_since(store, kind, since);
+	uint64_t era = store->era;
+	json_t *events;
 
-	while (!json_array_size(events) && !store->down) {
+	if (since > store->revision) {
+		send_json(store, request, 410, NULL);
+		return;
+	}
+	events = events_since(store, kind, since);
+	while (!json_array_size(events) && !store->down && store->era == era) {
 		json_decref(events);
 		if (!clock_cond_wait_until(&store->changed, &store->lock,
 					   deadline_ms)) {
@@ -126,12 +134,13 @@
 		}
 		events = events_since(store, kind, since);
 	}
-	if (store->down) {
+	/* An outage ends open watches, also if it is over already. */
+	if (store->down || store->era != era) {
 		json_decref(events);
-		send_json(request, 503, NULL);
+		send_json(store, request, 503, NULL);
 		return;
 	}
-	send_json(request, 200,
+	send_json(store, request, 200,
 		  json_pack("{s:o,s:I}", "events", events, "as_of",
 			    (json_int_t)store->revision));
 }
@@ -143,12 +152,12 @@
 
 	if (*name) {
 		change = find_object(store, kind, name);
-		send_json(request, change ? 200 : 404,
+		send_json(store, request, change ? 200 : 404,
 			  change ? object_json(change) : NULL);
 	} else if (strstr(query, "watch=")) {
 		answer_watch(store, request, kind, query);
 	} else {
-		send_json(request, 200, list_objects(store, kind));
+		send_json(store, request, 200, list_objects(store, kind));
 	}
 }
 
@@ -167,12 +176,12 @@
 		name = json_string_value(json_object_get(metadata, "name"));
 	current = find_object(store, kind, name);
 	if (!create && !current)
-		send_json(request, 404, NULL);
+		send_json(store, request, 404, NULL);
 	else if (current &&
 		 (create || (revision && revision != current->revision)))
-		send_json(request, 409, object_json(current));
+		send_json(store, request, 409, object_json(current));
 	else
-		send_json(request, 200,
+		send_json(store, request, 200,
 			  object_json(append_change(store, kind, name, spec,
 						    false)));
 }
@@ -196,7 +205,7 @@
 	SCOPED_LOCK(guard, &store->lock);
 	store->calls++;
 	if (store->down || !*kind)
-		send_json(request, store->down ? 503 : 404, NULL);
+		send_json(store, request, store->down ? 503 : 404, NULL);
 	else if (g_str_has_prefix(request->head, "GET"))
 		answer_get(store, request, kind, name, query);
 	else
@@ -204,14 +213,25 @@
 	return RAW_KEEP;
 }
 
+static void free_change(gpointer data)
+{
+	change_t *change = data;
+
+	g_free(change->kind);
+	g_free(change->name);
+	json_decref(change->spec);
+	g_free(change);
+}
+
 platform_store_t *platform_store_start(void)
 {
 	platform_store_t *store = g_new0(platform_store_t, 1);
 
 	pthread_mutex_init(&store->lock, NULL);
 	clock_cond_init(&store->changed);
-	store->changes = g_ptr_array_new();
+	store->changes = g_ptr_array_new_with_free_func(free_change);
 	store->revision = 1;
+	store->era = 1;
 	store->server = raw_server_start(answer, store);
 	return store;
 }
@@ -220,14 +240,6 @@
 {
 	platform_store_set_down(store, true);
 	raw_server_stop(store->server);
-	for (guint i = 0; i < store->changes->len; i++) {
-		change_t *change = g_ptr_array_index(store->changes, i);
-
-		g_free(change->kind);
-		g_free(change->name);
-		json_decref(change->spec);
-		g_free(change);
-	}
 	g_ptr_array_free(store->changes, TRUE);
 	pthread_cond_destroy(&store->changed);
 	pthread_mutex_destroy(&store->lock);
@@ -276,6 +288,23 @@
 	pthread_cond_broadcast(&store->changed);
 }
 
+void platform_store_restore(platform_store_t *store, uint64_t revision)
+{
+	SCOPED_LOCK(guard, &store->lock);
+	while (store->changes->len) {
+		const change_t *last = g_ptr_array_index(
+			store->changes, store->changes->len - 1);
+
+		if (last->revision <= revision)
+			break;
+		g_ptr_array_set_size(store->changes,
+				     (gint)store->changes->len - 1);
+	}
+	store->revision = revision;
+	store->era++;
+	pthread_cond_broadcast(&store->changed);
+}
+
 uint32_t platform_store_calls(platform_store_t *store)
 {
 	SCOPED_LOCK(guard, &store->lock);
--- a/t/lib/platform_store.h
+++ b/t/lib/platform_store.h
@@ -33,6 +33,12 @@
 /** While `down` is set, answers 503 to every request and to open watches. */
 void platform_store_set_down(platform_store_t *store, bool down);
 
+/**
+ * Restores the store as it was at `revision`: later changes are lost, their
+ * revisions are given out again, and a new era begins. Ends open watches.
+ */
+void platform_store_restore(platform_store_t *store, uint64_t revision);
+
 /** Requests received since the start. */
 uint32_t platform_store_calls(platform_store_t *store);
 
