process: order revisions of the store across its eras

A change that was acknowledged after the store had come back from an older copy was in force nowhere: an object whose revision is not above the one in the table was taken for an older one.

Class of fault: a number that orders changes only within one history is compared across two of them.

Ruled out: that the outage itself is the cause (an outage without a restore breaks no rule). A watch that continues from a revision that was given out again was not seen in the logs, since the list after a 410 hid it; /it-restored/config/higher-revision shows it.

A revision now has the era in its upper bits, from the answer that it came with to the heartbeat and the state that instances fetch from each other, so that all comparisons hold across eras; calls to the store contain the store's number. Answers of an earlier era than the newest are dropped, and a watch whose answer is from a new era reads the list again, as do the other watches at once. An instance of the version before still understands heartbeats and state.

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -10,6 +10,7 @@
 #include "process/event.h"
 #include "process/hash.h"
 #include "process/metrics.h"
+#include "process/store_revision.h"
 #include "request/exchange.h"
 
 enum {
@@ -129,6 +130,8 @@
 	metrics_set(METRIC_STORE_ERA, (int64_t)control->store.era);
 	event_log(EVENT_STORE_ERA, "era=%llu",
 		  (unsigned long long)control->store.era);
+	for (size_t i = 0; i < WATCHED_KIND_COUNT; i++)
+		object_watch_check_era(control->watches[watched_kinds[i]]);
 }
 
 static void on_store_contact(void *context, object_kind_t kind, int err)
@@ -139,8 +142,8 @@
 		  "kind=%s result=%s era=%llu revision=%llu",
 		  object_kind_name(kind), error_type(err),
 		  (unsigned long long)control->store.era,
-		  (unsigned long long)control->view_builder.tables[kind]
-			  .revision);
+		  (unsigned long long)store_revision_number(
+			  control->view_builder.tables[kind].revision));
 	if (!err)
 		object_table_hold(&control->view_builder.tables[kind],
 				  clock_now_ms());
--- a/cmd/gateway_lease.c
+++ b/cmd/gateway_lease.c
@@ -45,12 +45,13 @@
 	run_lease_actions(lease, &actions);
 }
 
-static int parse_lease_record(const char *body, size_t len, uint64_t *version,
+static int parse_lease_record(const store_answer_t *answer, uint64_t *version,
 			      lease_record_t *record)
 {
 	CLEANUP_JSON json_t *root = NULL;
 	object_item_t item;
-	int err = platform_read_object(body, len, &root, &item);
+	int err = platform_read_object(answer->body, answer->len, answer->era,
+				       &root, &item);
 
 	if (err)
 		return err;
@@ -67,8 +68,7 @@
 	int result = answer->err;
 
 	lease->call = NULL;
-	if (!result &&
-	    parse_lease_record(answer->body, answer->len, &version, &record))
+	if (!result && parse_lease_record(answer, &version, &record))
 		result = ERR_STORE_UNKNOWN;
 	if (lease->call_writes) {
 		event.kind = LEASE_EVENT_WRITTEN;
--- a/cmd/gateway_state.c
+++ b/cmd/gateway_state.c
@@ -7,6 +7,7 @@
 #include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
+#include "process/store_revision.h"
 
 enum {
 	/** A watcher fetches a peer's newer state if the store has not sent it
@@ -276,15 +277,18 @@
 		return;
 	for (int i = 0; i < OBJECT_LEASES; i++) {
 		const peer_t *peer;
+		uint64_t revision;
 
 		if (!is_fetch_due(peers, i, now_ms))
 			continue;
 		peer = pick_peer_ahead(peers, (object_kind_t)i, now_ms);
-		event_log(
-			EVENT_PEER_AHEAD, "kind=%s peer=%s revision=%llu",
-			object_kind_name((object_kind_t)i),
-			peer->heartbeat.name,
-			(unsigned long long)peer->heartbeat.tables[i].revision);
+		revision = peer->heartbeat.tables[i].revision;
+		event_log(EVENT_PEER_AHEAD,
+			  "kind=%s peer=%s era=%llu revision=%llu",
+			  object_kind_name((object_kind_t)i),
+			  peer->heartbeat.name,
+			  (unsigned long long)store_revision_era(revision),
+			  (unsigned long long)store_revision_number(revision));
 		fetch_state(peers, peer, now_ms);
 		return;
 	}
--- a/process/object.h
+++ b/process/object.h
@@ -23,7 +23,7 @@
 /** One object; strings and `spec` are borrowed from the answer. */
 typedef struct object_item {
 	const char *name;
-	uint64_t revision;
+	uint64_t revision; /**< See process/store_revision.h. */
 	bool deleted;
 	json_t *spec;
 } object_item_t;
--- a/process/object_table.c
+++ b/process/object_table.c
@@ -6,6 +6,7 @@
 #include "process/cleanup.h"
 #include "process/error.h"
 #include "process/hash.h"
+#include "process/store_revision.h"
 
 static void clear_entry(object_entry_t *entry)
 {
@@ -184,33 +185,46 @@
 	return digest;
 }
 
+/* Number of a revision for a peer that knows the era; 0, which is older than
+ * all others, if it is from an earlier era. */
+static json_int_t number_within(uint64_t era, uint64_t revision)
+{
+	return store_revision_era(revision) == era
+		       ? (json_int_t)store_revision_number(revision)
+		       : 0;
+}
+
 json_t *object_table_export(const object_table_t *table, uint64_t since)
 {
+	uint64_t era = store_revision_era(table->revision);
 	json_t *entries = json_array();
 
 	for (size_t i = 0; i < table->count; i++) {
 		const object_entry_t *entry = &table->entries[i];
+		json_int_t number = number_within(era, entry->revision);
 
 		if (entry->drop_at_ms)
 			continue;
 		json_array_append_new(
-			entries, json_pack("[s,I,O?]", entry->name,
-					   (json_int_t)entry->revision,
-					   entry->revision > since ? entry->spec
-								   : NULL));
+			entries, json_pack("[s,I,O?]", entry->name, number,
+					   !number || entry->revision > since
+						   ? entry->spec
+						   : NULL));
 	}
-	return json_pack("{s:I,s:b,s:o}", "revision",
-			 (json_int_t)table->revision, "complete",
-			 table->complete, "rows", entries);
+	return json_pack("{s:I,s:I,s:b,s:o}", "era", (json_int_t)era,
+			 "revision", number_within(era, table->revision),
+			 "complete", table->complete, "rows", entries);
 }
 
 /* Applies one entry of a peer's table; returns as put_item(). */
-static int import_entry(object_table_t *table, const json_t *entry)
+static int import_entry(object_table_t *table, uint64_t era,
+			const json_t *entry)
 {
 	object_item_t item = {
 		.name = json_string_value(json_array_get(entry, 0)),
-		.revision =
-			(uint64_t)json_integer_value(json_array_get(entry, 1)),
+		.revision = store_revision_make(
+			era,
+			(uint64_t)json_integer_value(json_array_get(entry, 1))),
 		.spec = json_array_get(entry, 2),
 	};
 	const object_entry_t *current;
@@ -228,8 +242,11 @@
 			uint64_t now_ms)
 {
 	const json_t *entries = json_object_get(peer_table, "rows");
-	uint64_t revision = (uint64_t)json_integer_value(
-		json_object_get(peer_table, "revision"));
+	uint64_t era = (uint64_t)json_integer_value(
+		json_object_get(peer_table, "era"));
+	uint64_t revision = store_revision_make(
+		era, (uint64_t)json_integer_value(
+			     json_object_get(peer_table, "revision")));
 	int changed = 0;
 	size_t i;
 	json_t *entry;
@@ -241,7 +258,7 @@
 		return 0;
 	object_table_list_begin(table);
 	json_array_foreach (entries, i, entry) {
-		int result = import_entry(table, entry);
+		int result = import_entry(table, era, entry);
 
 		if (result < 0)
 			return result;
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -8,6 +8,7 @@
 #include "process/error.h"
 #include "process/event.h"
 #include "process/metrics.h"
+#include "process/store_revision.h"
 
 struct object_watch {
 	object_watch_options_t options;
@@ -78,7 +79,8 @@
 	event_log(EVENT_STORE_LIST, "kind=%s result=%s era=%llu revision=%llu",
 		  object_kind_name(watch->options.kind), error_type(err),
 		  (unsigned long long)watch->options.store->era,
-		  (unsigned long long)watch->options.table->revision);
+		  (unsigned long long)store_revision_number(
+			  watch->options.table->revision));
 }
 
 static int apply_list_page(object_watch_t *watch, const object_page_t *page)
@@ -139,6 +141,19 @@
 				  : 0);
 }
 
+/* Whether the store was restored since the answer that this one continues: its
+ * changes are not those that followed. */
+static bool is_from_new_era(const object_watch_t *watch,
+			    const object_page_t *page)
+{
+	uint64_t known = watch->listing ? watch->list_revision
+					: watch->options.table->revision;
+
+	if (watch->listing && !watch->list_after)
+		return false;
+	return store_revision_era(page->revision) != store_revision_era(known);
+}
+
 static void on_answer(void *context, const store_answer_t *answer)
 {
 	object_watch_t *watch = context;
@@ -147,8 +162,9 @@
 
 	watch->call = NULL;
 	if (!err)
-		err = platform_read_page(answer->body, answer->len, &page);
-	if (err == ERR_STORE_GONE) {
+		err = platform_read_page(answer->body, answer->len, answer->era,
+					 &page);
+	if (err == ERR_STORE_GONE || (!err && is_from_new_era(watch, &page))) {
 		log_list(watch, err);
 		restart_list(watch);
 		send_call(watch);
@@ -237,6 +253,22 @@
 	return watch->in_contact;
 }
 
+void object_watch_check_era(object_watch_t *watch)
+{
+	uint64_t era = store_revision_era(
+		store_revision_make(watch->options.store->era, 0));
+
+	if (!watch->active || watch->listing ||
+	    store_revision_era(watch->options.table->revision) == era)
+		return;
+	if (watch->call)
+		store_call_cancel(watch->call);
+	evtimer_del(watch->timer);
+	log_list(watch, 0);
+	restart_list(watch);
+	send_call(watch);
+}
+
 void object_watch_set_active(object_watch_t *watch, bool active)
 {
 	if (watch->active == active)
--- a/process/object_watch.h
+++ b/process/object_watch.h
@@ -61,6 +61,10 @@
 /** Whether the last call was answered. */
 bool object_watch_is_in_contact(const object_watch_t *watch);
 
+/** Reads the whole list again if the table is from an earlier era of the store.
+ */
+void object_watch_check_era(object_watch_t *watch);
+
 /**
  * Activates or deactivates the watch. After activation it continues from the
  * revision of the table, or with a list if the table is not complete.
--- a/process/peer_heartbeat.c
+++ b/process/peer_heartbeat.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "process/error.h"
+#include "process/store_revision.h"
 
 /** First number of each datagram; the last byte is the format version. */
 #define HEARTBEAT_MAGIC 0x616d7603U
@@ -62,6 +63,41 @@
 	return true;
 }
 
+/* Era of the newest table; the others are not sent until they are as new. */
+static uint64_t newest_era(const peer_heartbeat_t *heartbeat)
+{
+	uint64_t revision = 0;
+
+	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+		if (heartbeat->tables[i].revision > revision)
+			revision = heartbeat->tables[i].revision;
+	}
+	return store_revision_era(revision);
+}
+
+static void remove_era(peer_heartbeat_t *heartbeat, uint64_t era)
+{
+	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+		peer_table_t *table = &heartbeat->tables[i];
+
+		table->revision =
+			store_revision_era(table->revision) == era
+				? store_revision_number(table->revision)
+				: 0;
+	}
+}
+
+static void add_era(peer_heartbeat_t *heartbeat, uint64_t era)
+{
+	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+		peer_table_t *table = &heartbeat->tables[i];
+
+		if (table->revision)
+			table->revision =
+				store_revision_make(era, table->revision);
+	}
+}
+
 static bool convert_failed(XDR *xdr, peer_failed_t *failed)
 {
 	return xdr_uint64_t(xdr, &failed->endpoint) &&
@@ -111,8 +147,9 @@
 	return ok;
 }
 
-/* Crash news follow only if there are some: instances of a version without
- * them ignore what follows. */
+/* Crash news follow only if there are some or the era does, and the era only if
+ * the store states it: instances of a version without them ignore what follows.
+ */
 static bool convert_all_crash_news(XDR *xdr, peer_heartbeat_t *heartbeat)
 {
 	bool ok = convert_count(xdr, &heartbeat->crash_news_count,
@@ -140,14 +177,18 @@
 			  size_t size)
 {
 	peer_heartbeat_t copy = *heartbeat;
+	uint64_t era = newest_era(heartbeat);
 	XDR xdr;
 	bool ok;
 	int len;
 
+	remove_era(&copy, era);
 	xdrmem_create(&xdr, bytes, (u_int)size, XDR_ENCODE);
 	ok = convert_heartbeat(&xdr, &copy);
-	if (copy.crash_news_count)
+	if (copy.crash_news_count || era)
 		ok = ok && convert_all_crash_news(&xdr, &copy);
+	if (era)
+		ok = ok && xdr_uint64_t(&xdr, &era);
 	len = ok ? (int)xdr_getpos(&xdr) : ERR_LIMIT;
 	xdr_destroy(&xdr);
 	return len;
@@ -155,6 +196,7 @@
 
 int peer_heartbeat_decode(peer_heartbeat_t *heartbeat, char *bytes, size_t len)
 {
+	uint64_t era = 0;
 	XDR xdr;
 	bool ok;
 
@@ -163,6 +205,9 @@
 	ok = convert_heartbeat(&xdr, heartbeat) && heartbeat->name[0];
 	if (ok && xdr_getpos(&xdr) < len)
 		ok = convert_all_crash_news(&xdr, heartbeat);
+	if (ok && xdr_getpos(&xdr) < len)
+		ok = xdr_uint64_t(&xdr, &era);
+	add_era(heartbeat, era);
 	xdr_destroy(&xdr);
 	return ok ? 0 : ERR_BAD_FIELD;
 }
--- a/process/peer_heartbeat.h
+++ b/process/peer_heartbeat.h
@@ -44,7 +44,8 @@
 
 /** State of a table of the store at the sender. */
 typedef struct peer_table {
-	uint64_t revision;
+	uint64_t revision; /**< See process/store_revision.h; 0: incomplete, or
+				of an earlier era than other tables. */
 	uint64_t digest;
 } peer_table_t;
 
--- a/process/store_link.c
+++ b/process/store_link.c
@@ -51,6 +51,8 @@
 
 	if (!answer.err)
 		answer.err = call->era_error;
+	if (answer.era && answer.era < link->era)
+		answer.err = ERR_STORE_UNKNOWN;
 	call->done(call->context, &answer);
 	free(call);
 	learn_era(link, answer.era);
--- a/process/store_link.h
+++ b/process/store_link.h
@@ -28,7 +28,7 @@
 
 typedef struct store_answer {
 	/** 0, ERR_NOT_FOUND, ERR_STORE_*, or ERR_BAD_FIELD if the era cannot
-	 * be read. */
+	 * be read. A late answer of an earlier era is ERR_STORE_UNKNOWN. */
 	int err;
 	uint64_t era; /**< 0 if the answer does not state one. */
 	const char *body;
--- a/t/fuzz-platform.c
+++ b/t/fuzz-platform.c
@@ -60,7 +60,7 @@
 
 	read_spec(root);
 	(void)platform_read_report((const char *)data, size, &report);
-	if (!platform_read_page((const char *)data, size, &page)) {
+	if (!platform_read_page((const char *)data, size, 1, &page)) {
 		(void)object_table_apply(&table, &page, 1);
 		for (size_t i = 0; i < page.count; i++)
 			read_spec(page.items[i].spec);
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -170,9 +170,10 @@
 		   raw_server_port(endpoint->server));
 	platform_store_put(
 		endpoint->store, "servers", endpoint->id,
-		json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:I}", "service",
+		json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:i,s:I}", "service",
 			  endpoint->service, "addr", address, "zone", "z",
-			  "slots", 8, "state", state, "models", models, "born",
+			  "slots", 8, "state", state, "models", models, "seq",
+			  ++endpoint->entries, "born",
 			  (json_int_t)1000 + endpoint->number +
 				  ENDPOINT_COUNT * endpoint->crashes));
 }
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -63,7 +63,8 @@
 	const endless_answer_t *endless;
 	_Atomic uint32_t endless_open; /**< Endless answers in progress. */
 	_Atomic uint32_t arrivals;     /**< Requests received. */
-	_Atomic uint32_t orders;       /**< Weights orders received. */
+	_Atomic int entries;	   /**< Entries of the endpoint list written. */
+	_Atomic uint32_t orders;   /**< Weights orders received. */
 	_Atomic bool drops_orders; /**< Neither answers nor executes them. */
 	/** Refuses requests that expect other weights than it has. */
 	_Atomic bool checks_weights;
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -9,6 +9,7 @@
 #include "process/error.h"
 #include "process/peer_heartbeat.h"
 #include "process/retry_budget.h"
+#include "process/store_revision.h"
 #include "request/sse_splitter.h"
 #include "version/view.h"
 #include "version/view_builder.h"
@@ -243,6 +244,35 @@
 			==, ERR_BAD_FIELD);
 }
 
+/* Failure: instances compared revisions of different eras of the store, so that
+ * those with tables of the era before seemed to be ahead. */
+static void test_heartbeat_era(void)
+{
+	peer_heartbeat_t sent;
+	peer_heartbeat_t received;
+	char bytes[PEER_HEARTBEAT_MAX_BYTES];
+	int len;
+
+	fill_heartbeat(&sent, 0);
+	sent.tables[OBJECT_DESIRED].revision = store_revision_make(3, 71);
+	sent.tables[OBJECT_ENDPOINTS].revision = store_revision_make(2, 75);
+	len = peer_heartbeat_encode(&sent, bytes, sizeof(bytes));
+	g_assert_cmpint(peer_heartbeat_decode(&received, bytes, (size_t)len),
+			==, 0);
+	g_assert_cmpuint(received.tables[OBJECT_DESIRED].revision, ==,
+			 store_revision_make(3, 71));
+	/* This table has not been read in the new era. */
+	g_assert_cmpuint(received.tables[OBJECT_ENDPOINTS].revision, ==, 0);
+	/* As an instance of a version without eras reads it. */
+	g_assert_cmpint(peer_heartbeat_decode(&received, bytes,
+					      (size_t)len - sizeof(uint64_t)),
+			==, 0);
+	g_assert_cmpuint(received.tables[OBJECT_DESIRED].revision, ==, 71);
+	g_assert_cmpint(peer_heartbeat_decode(&received, bytes,
+					      (size_t)len - sizeof(uint32_t)),
+			==, ERR_BAD_FIELD);
+}
+
 /* Failure: lists grew until the datagram could not be encoded. */
 static void test_heartbeat_free_bytes(void)
 {
@@ -583,6 +613,7 @@
 			     test_heartbeat_malformed);
 	g_test_add_func("/peer-heartbeat/free-bytes",
 			test_heartbeat_free_bytes);
+	g_test_add_func("/peer-heartbeat/era", test_heartbeat_era);
 	g_test_add_func("/crash-ring/full", test_crash_ring_full);
 	g_test_add_func("/crash-ring/threads", test_crash_ring_threads);
 	g_test_add_func("/crash-ring/report-age", test_crash_report_age);
--- /dev/null
+++ b/t/test-it-restored.c
@@ -0,0 +1,165 @@
+/* Gateways beside a store that comes back from an older copy: what it had
+ * acknowledged since is gone, and its revisions are given out again. */
+#include <glib.h>
+#include <string.h>
+
+#include "t/lib/platform_rig.h"
+
+enum {
+	/** Time until a change that is written after the return of the store
+	 * must be in force, ms: instances are held to the limit of 2 s once the
+	 * store has been stable for 3 s. */
+	IN_FORCE_MS = 5000,
+	/** Likewise for a leaving endpoint. */
+	LEAVING_MS = 5000,
+};
+
+static void restore_store(platform_rig_t *rig, uint64_t revision)
+{
+	platform_store_set_down(rig->store, true);
+	platform_store_restore(rig->store, revision);
+	platform_store_set_down(rig->store, false);
+}
+
+static bool has_status(const platform_rig_t *rig, int gateway,
+		       const char *status)
+{
+	char *answer = platform_rig_request(rig, gateway, "GET", "/get/1", "");
+	char *line = g_strdup_printf("HTTP/1.1 %s", status);
+	bool has = g_str_has_prefix(answer, line);
+
+	g_free(line);
+	g_free(answer);
+	return has;
+}
+
+/* Whether all gateways accept or reject the key of the rig's requests. */
+static bool all_have_status(const platform_rig_t *rig, int gateways,
+			    const char *status)
+{
+	for (int i = 0; i < gateways; i++) {
+		if (!has_status(rig, i, status))
+			return false;
+	}
+	return true;
+}
+
+typedef struct config_case {
+	const char *name;
+	int lost;  /**< Changes that are lost. */
+	int later; /**< Changes of other objects after the next one. */
+} config_case_t;
+
+static const config_case_t config_cases[] = {
+	/* The store's revision stays below that of the lost changes. */
+	{ "lower-revision", 8, 0 },
+	/* It is above it when the watches are sent again. */
+	{ "higher-revision", 3, 10 },
+	{ "same-revision", 3, 2 },
+};
+
+/* Failure: a change after the return of the store was in force nowhere, because
+ * the instances knew higher revisions, or continued a watch from one that had
+ * been given out again (rule CONFIG, day restored). The second gateway follows
+ * the first. */
+static void test_config(const void *data)
+{
+	const config_case_t *c = data;
+	platform_rig_t rig;
+	uint64_t copied;
+	int version = 1;
+
+	platform_rig_start(&rig, 2);
+	copied = platform_store_revision(rig.store);
+	while (version <= c->lost)
+		platform_rig_put_desired(&rig, ++version, "key-2");
+	g_assert_true(
+		WAIT_UNTIL(all_have_status(&rig, 2, "401"), HARNESS_WAIT_MS));
+	platform_store_set_down(rig.store, true);
+	platform_store_restore(rig.store, copied);
+	platform_rig_put_desired(&rig, version + 1, "key-1");
+	for (int i = 0; i < c->later; i++)
+		platform_store_put(rig.store, "other", "o", json_pack("{}"));
+	platform_store_set_down(rig.store, false);
+	g_assert_true(WAIT_UNTIL(all_have_status(&rig, 2, "200"), IN_FORCE_MS));
+	platform_rig_put_desired(&rig, version + 2, "key-2");
+	g_assert_true(WAIT_UNTIL(all_have_status(&rig, 2, "401"), IN_FORCE_MS));
+	platform_rig_stop(&rig);
+}
+
+/* Whether the first endpoint gets some of 20 requests to a gateway, of which
+ * each goes to one of two endpoints. */
+static bool gets_requests(platform_rig_t *rig, int gateway)
+{
+	uint32_t before = rig->services[0].arrivals;
+
+	for (int i = 0; i < 20; i++)
+		g_free(platform_rig_request(rig, gateway, "GET", "/get/1", ""));
+	return rig->services[0].arrivals > before;
+}
+
+static bool gets_no_requests(platform_rig_t *rig)
+{
+	return !gets_requests(rig, 0) && !gets_requests(rig, 1);
+}
+
+/* Failure: an endpoint said after the return that it leaves, and got requests
+ * until the end of the day (rule DRAIN, day restored-drain). */
+static void test_leaving(void)
+{
+	platform_rig_t rig;
+	uint64_t copied;
+
+	platform_rig_start(&rig, 2);
+	copied = platform_store_revision(rig.store);
+	platform_rig_put_entry(&rig.services[0], "draining");
+	g_assert_true(WAIT_UNTIL(gets_no_requests(&rig), HARNESS_WAIT_MS));
+	for (int i = 0; i < 20; i++)
+		platform_store_put(rig.store, "other", "o", json_pack("{}"));
+	platform_rig_put_entry(&rig.services[0], "ready");
+	g_assert_true(
+		WAIT_UNTIL(gets_requests(&rig, 0) && gets_requests(&rig, 1),
+			   HARNESS_WAIT_MS));
+	restore_store(&rig, copied);
+	platform_rig_put_entry(&rig.services[0], "draining");
+	g_assert_true(WAIT_UNTIL(gets_no_requests(&rig), LEAVING_MS));
+	g_assert_true(gets_no_requests(&rig));
+	platform_rig_stop(&rig);
+}
+
+/* Failure: engines stayed on older weights to the end of the day (rule VERSION,
+ * day restored-lease). */
+static void test_weights(void)
+{
+	platform_rig_t rig;
+	uint64_t copied = 0;
+
+	platform_rig_start(&rig, 2);
+	copied = platform_store_revision(rig.store);
+	for (int version = 2; version <= 5; version++)
+		platform_rig_put_target_weights(&rig, version);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		g_assert_true(WAIT_UNTIL(rig.engines[i].weights == 5,
+					 HARNESS_WAIT_MS));
+	restore_store(&rig, copied);
+	platform_rig_put_target_weights(&rig, 6);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		g_assert_true(WAIT_UNTIL(rig.engines[i].weights == 6,
+					 HARNESS_WAIT_MS));
+	platform_rig_stop(&rig);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(config_cases); i++) {
+		char *path = g_strdup_printf("/it-restored/config/%s",
+					     config_cases[i].name);
+
+		g_test_add_data_func(path, &config_cases[i], test_config);
+		g_free(path);
+	}
+	g_test_add_func("/it-restored/leaving", test_leaving);
+	g_test_add_func("/it-restored/weights", test_weights);
+	return g_test_run();
+}
--- a/t/test-object-table.c
+++ b/t/test-object-table.c
@@ -4,6 +4,7 @@
 
 #include "process/cleanup.h"
 #include "process/object_table.h"
+#include "process/store_revision.h"
 
 enum {
 	HOLD_MS = 2100,
@@ -159,6 +160,52 @@
 	object_table_free(&peer);
 }
 
+/* Failure: after the store was restored from a copy, an object that was written
+ * anew had a lower revision than the lost one and was ignored (rule CONFIG, day
+ * restored). */
+static void test_new_era(void)
+{
+	object_table_t table;
+
+	fill_table(&table);
+	apply_change(&table, "a", store_revision_make(1, 75), false, 2000);
+	g_assert_cmpint(apply_change(&table, "a", store_revision_make(2, 71),
+				     false, 3000),
+			==, 1);
+	g_assert_cmpuint(store_revision_number(table.revision), ==, 71);
+	g_assert_cmpuint(store_revision_era(table.revision), ==, 2);
+	/* A late answer of the era before. */
+	g_assert_cmpint(apply_change(&table, "a", store_revision_make(1, 76),
+				     true, 3000),
+			==, 0);
+	g_assert_cmpuint(table.count, ==, 2);
+	object_table_free(&table);
+}
+
+/* Failure: an instance that follows a peer had a higher revision from before
+ * the restore and did not take the peer's newer table (rule DRAIN, day
+ * restored-drain). The entry "b" is known to the peer from before only. */
+static void test_peer_in_new_era(void)
+{
+	object_table_t table;
+	object_table_t peer;
+	CLEANUP_JSON json_t *newer = NULL;
+	CLEANUP_JSON json_t *older = NULL;
+
+	fill_table(&table);
+	fill_table(&peer);
+	apply_change(&table, "a", store_revision_make(1, 87), false, 2000);
+	older = object_table_export(&table, 0);
+	apply_change(&peer, "a", store_revision_make(2, 80), false, 2000);
+	newer = object_table_export(&peer, table.revision);
+	g_assert_cmpint(object_table_import(&table, newer, 3000), ==, 1);
+	g_assert_cmpuint(table.revision, ==, store_revision_make(2, 80));
+	g_assert_cmpuint(table.count, ==, 2);
+	g_assert_cmpint(object_table_import(&peer, older, 3000), ==, 0);
+	object_table_free(&table);
+	object_table_free(&peer);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -170,5 +217,7 @@
 	g_test_add_func("/object-table/from-empty-peer", test_from_empty_peer);
 	g_test_add_func("/object-table/from-peer-with-gap",
 			test_from_peer_with_gap);
+	g_test_add_func("/object-table/new-era", test_new_era);
+	g_test_add_func("/object-table/peer-in-new-era", test_peer_in_new_era);
 	return g_test_run();
 }
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -8,6 +8,7 @@
 #include "platform/platform_request.h"
 #include "process/cleanup.h"
 #include "process/error.h"
+#include "process/store_revision.h"
 
 typedef struct entry_case {
 	const char *json;
@@ -186,13 +187,40 @@
 	{ "", ERR_BAD_JSON, 0 },
 };
 
+/* Failure: a revision of a new era of the store that is not above all of the
+ * era before, or a call to the store that contains the era. */
+static void test_revisions(void)
+{
+	static const char body[] = "{\"items\":[{\"metadata\":{\"name\":\"a\","
+				   "\"rev\":4},\"spec\":{}}],\"as_of\":5}";
+	struct evbuffer *message = evbuffer_new();
+	CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
+	const char *text;
+
+	g_assert_cmpint(platform_read_page(body, strlen(body), 3, &page), ==,
+			0);
+	g_assert_cmpuint(page.items[0].revision, >,
+			 store_revision_make(2, STORE_REVISION_MASK));
+	g_assert_cmpuint(page.items[0].revision, <, page.revision);
+	platform_write_watch(message, OBJECT_ENDPOINTS, page.revision, 10);
+	platform_write_delete(message, OBJECT_MEMBERS, "m", page.revision);
+	platform_write_replace(message, OBJECT_LEASES, "l", page.revision,
+			       page.items[0].spec);
+	evbuffer_add(message, "", 1);
+	text = (const char *)evbuffer_pullup(message, -1);
+	g_assert_nonnull(strstr(text, "?watch=5&"));
+	g_assert_nonnull(strstr(text, "?rev=5 "));
+	g_assert_nonnull(strstr(text, "\"rev\":5}"));
+	evbuffer_free(message);
+}
+
 static void test_pages(void)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
 		CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
 
 		g_assert_cmpint(platform_read_page(pages[i].body,
-						   strlen(pages[i].body),
+						   strlen(pages[i].body), 3,
 						   &page),
 				==, pages[i].err);
 		g_assert_cmpuint(page.count, ==, pages[i].count);
@@ -227,6 +255,7 @@
 	g_test_add_func("/platform/bad-states", test_bad_states);
 	g_test_add_func("/platform/request", test_request);
 	g_test_add_func("/platform/pages", test_pages);
+	g_test_add_func("/platform/revisions", test_revisions);
 	g_test_add_func("/platform/reports", test_reports);
 	return g_test_run();
 }
--- a/version/view_builder.c
+++ b/version/view_builder.c
@@ -6,6 +6,7 @@
 #include "platform/platform_desired.h"
 #include "process/error.h"
 #include "process/event.h"
+#include "process/store_revision.h"
 
 void view_builder_free(view_builder_t *builder)
 {
@@ -29,8 +30,9 @@
 	if (builder->rejected_revision == revision)
 		return;
 	builder->rejected_revision = revision;
-	event_log(EVENT_DESIRED_REJECTED, "revision=%llu why=%s",
-		  (unsigned long long)revision, reason);
+	event_log(EVENT_DESIRED_REJECTED, "era=%llu revision=%llu why=%s",
+		  (unsigned long long)store_revision_era(revision),
+		  (unsigned long long)store_revision_number(revision), reason);
 }
 
 /* Applies the newest desired state if it is newer than the current one. */
@@ -164,7 +166,8 @@
 		if (platform_read_endpoint(object->name, object->spec, entry)) {
 			event_log(EVENT_ENTRY_REJECTED,
 				  "endpoint=%s revision=%llu", object->name,
-				  (unsigned long long)object->revision);
+				  (unsigned long long)store_revision_number(
+					  object->revision));
 			continue;
 		}
 		entry->revision = object->revision;
@@ -179,6 +182,7 @@
 static int publish_entries(view_builder_t *builder,
 			   const endpoint_entry_t *entries, size_t count)
 {
+	uint64_t revision = builder->tables[OBJECT_ENDPOINTS].revision;
 	view_t *view = view_new(builder->desired, entries, count,
 				builder->weights, builder->weights_count);
 
@@ -188,16 +192,17 @@
 	urcu_ref_get(&view->ref);
 	builder->view = view;
 	view_publish(view);
-	event_log(
-		EVENT_VIEW_PUBLISHED,
-		"desired_version=%llu desired_revision=%llu endpoints=%zu "
-		"endpoints_revision=%llu weights=%llu",
-		(unsigned long long)builder->desired->version,
-		(unsigned long long)builder->desired->revision, count,
-		(unsigned long long)builder->tables[OBJECT_ENDPOINTS].revision,
-		(unsigned long long)(builder->weights_count
-					     ? builder->weights[0].versions[0]
-					     : 0));
+	event_log(EVENT_VIEW_PUBLISHED,
+		  "desired_version=%llu desired_revision=%llu endpoints=%zu "
+		  "endpoints_revision=%llu era=%llu weights=%llu",
+		  (unsigned long long)builder->desired->version,
+		  (unsigned long long)store_revision_number(
+			  builder->desired->revision),
+		  count, (unsigned long long)store_revision_number(revision),
+		  (unsigned long long)store_revision_era(revision),
+		  (unsigned long long)(builder->weights_count
+					       ? builder->weights[0].versions[0]
+					       : 0));
 	return 0;
 }
 
