process: keep contents of which a restored store has older copies

A restored store lists objects as they were when the copy was made, with the newest revisions. With revisions ordered across eras such an object was taken for news: an instance passed the older state of the configuration to one that had just started, which then served by it, and an endpoint that had said that it leaves was used again until it wrote its entry anew.

A table now compares what the writer states: the version of a configuration or of weights, the start and the sequence number of an endpoint. An older content is not taken, only its revision. For endpoints this holds only across a restore, since a start may be stamped by another clock.

/it-restored/older-state failed before (200 for a removed key, expected 401) and passes; /object-table/older-content/* (10 cases) are new.

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -267,6 +267,10 @@
 	control->incarnation = clock_unix_ms();
 	control->view_builder.initial_weights_age_ms =
 		initial_weights_age(control->gateway);
+	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+		control->view_builder.tables[i].kind = (object_kind_t)i;
+		control->view_builder.tables[i].order = platform_object_order;
+	}
 	control->view_builder.tables[OBJECT_ENDPOINTS].hold_ms =
 		EXPIRED_KEEP_MS;
 	control->store = (store_link_t){
--- a/process/object.h
+++ b/process/object.h
@@ -20,6 +20,13 @@
 	OBJECT_KIND_COUNT,
 } object_kind_t;
 
+/** Position of an object's content in the order in which its writer wrote it.
+ */
+typedef struct object_order {
+	uint64_t incarnation; /**< Increases with each start of the writer. */
+	uint64_t sequence;
+} object_order_t;
+
 /** One object; strings and `spec` are borrowed from the answer. */
 typedef struct object_item {
 	const char *name;
--- a/process/object_table.c
+++ b/process/object_table.c
@@ -80,6 +80,27 @@
 	return 0;
 }
 
+static bool precedes(object_order_t a, object_order_t b)
+{
+	return a.incarnation != b.incarnation ? a.incarnation < b.incarnation
+					      : a.sequence < b.sequence;
+}
+
+/* Whether an item with a newer revision has an older content. The operator
+ * numbers what it sets, and only a restore goes back. The time of an endpoint's
+ * start may be from another clock, so it decides only after a restore. */
+static bool has_older_content(const object_table_t *table,
+			      const object_entry_t *entry,
+			      const object_item_t *item)
+{
+	if (!table->order || (table->kind == OBJECT_ENDPOINTS &&
+			      store_revision_era(item->revision) ==
+				      store_revision_era(entry->revision)))
+		return false;
+	return precedes(table->order(table->kind, item->spec),
+			table->order(table->kind, entry->spec));
+}
+
 static int put_item(object_table_t *table, const object_item_t *item)
 {
 	object_entry_t *entry = find_entry(table, item->name);
@@ -93,8 +114,10 @@
 		entry = add_entry(table, item->name);
 	if (!entry)
 		return ERR_NO_MEMORY;
-	json_decref(entry->spec);
-	entry->spec = json_incref(item->spec);
+	if (!has_older_content(table, entry, item)) {
+		json_decref(entry->spec);
+		entry->spec = json_incref(item->spec);
+	}
 	entry->revision = item->revision;
 	entry->drop_at_ms = 0;
 	entry->listed = true;
--- a/process/object_table.h
+++ b/process/object_table.h
@@ -4,9 +4,10 @@
  * of the store or from the table of a peer with a higher revision. Pure logic:
  * no I/O, clock or locks.
  *
- * The revisions of an object and of the table never go back. After an outage of
- * the store, removals are held: objects that expired during the outage stay in
- * the table for some time, since their owners write them again.
+ * The revisions of an object and of the table never go back, and neither does
+ * the content of an object when the store is restored from an older copy. After
+ * an outage of the store, removals are held: objects that expired during the
+ * outage stay in the table for some time, since their owners write them again.
  */
 #ifndef PROCESS_OBJECT_TABLE_H
 #define PROCESS_OBJECT_TABLE_H
@@ -27,7 +28,13 @@
 	bool listed; /**< Contained in the list that is being read. */
 } object_entry_t;
 
+/** See platform_object_order(). */
+typedef object_order_t object_order_fn(object_kind_t kind, const json_t *spec);
+
 typedef struct object_table {
+	object_kind_t kind;
+	/** Tells older contents from newer ones; NULL: only revisions do. */
+	object_order_fn *order;
 	object_entry_t *entries;
 	size_t count;
 	size_t size;
--- a/t/test-it-restored.c
+++ b/t/test-it-restored.c
@@ -87,6 +87,34 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: an instance that starts after the return takes the older state of
+ * the store though another instance knows a newer one. */
+static void test_older_state(void)
+{
+	platform_rig_t rig;
+	uint64_t copied;
+	uint32_t calls;
+
+	platform_rig_start(&rig, 2);
+	copied = platform_store_revision(rig.store);
+	platform_rig_put_desired(&rig, 2, "key-2");
+	g_assert_true(
+		WAIT_UNTIL(all_have_status(&rig, 2, "401"), HARNESS_WAIT_MS));
+	restore_store(&rig, copied);
+	/* All tables are listed again. */
+	calls = platform_store_calls(rig.store);
+	g_assert_true(WAIT_UNTIL(platform_store_calls(rig.store) > calls + 8,
+				 HARNESS_WAIT_MS));
+	g_assert_true(all_have_status(&rig, 2, "401"));
+	program_signal(rig.gateways[1], SIGKILL);
+	program_free(rig.gateways[1]);
+	platform_rig_start_gateway(&rig, 1);
+	g_assert_true(
+		WAIT_UNTIL(platform_rig_is_ready(&rig, 1), HARNESS_WAIT_MS));
+	g_assert_true(all_have_status(&rig, 2, "401"));
+	platform_rig_stop(&rig);
+}
+
 /* Whether the first endpoint gets some of 20 requests to a gateway, of which
  * each goes to one of two endpoints. */
 static bool gets_requests(platform_rig_t *rig, int gateway)
@@ -159,6 +187,7 @@
 		g_test_add_data_func(path, &config_cases[i], test_config);
 		g_free(path);
 	}
+	g_test_add_func("/it-restored/older-state", test_older_state);
 	g_test_add_func("/it-restored/leaving", test_leaving);
 	g_test_add_func("/it-restored/weights", test_weights);
 	return g_test_run();
--- a/t/test-object-table.c
+++ b/t/test-object-table.c
@@ -206,6 +206,82 @@
 	object_table_free(&peer);
 }
 
+/* Content of an object with a writer's incarnation and sequence. */
+typedef struct content {
+	uint64_t incarnation;
+	uint64_t sequence;
+} content_t;
+
+static object_order_t order_of_content(object_kind_t kind, const json_t *spec)
+{
+	(void)kind;
+	return (object_order_t){
+		(uint64_t)json_integer_value(json_object_get(spec, "i")),
+		(uint64_t)json_integer_value(json_object_get(spec, "s")),
+	};
+}
+
+static void put_content(object_table_t *table, uint64_t revision,
+			content_t content)
+{
+	CLEANUP_JSON json_t *spec =
+		json_pack("{s:I,s:I}", "i", (json_int_t)content.incarnation,
+			  "s", (json_int_t)content.sequence);
+	object_item_t item = { "o", revision, false, spec };
+	object_page_t page = { .items = &item,
+			       .count = 1,
+			       .revision = revision };
+
+	g_assert_cmpint(object_table_apply(table, &page, 1000), ==, 1);
+}
+
+typedef struct older_case {
+	const char *name;
+	uint64_t put_era; /**< The known content is of era 1. */
+	content_t known;
+	content_t put;
+	object_kind_t kind;
+	bool keeps; /**< The table keeps what it knows. */
+} older_case_t;
+
+static const older_case_t older_cases[] = {
+	{ "desired-copy", 2, { 0, 12 }, { 0, 9 }, OBJECT_DESIRED, true },
+	{ "desired-newer", 2, { 0, 12 }, { 0, 13 }, OBJECT_DESIRED, false },
+	/* The operator writes its history again, one by one. */
+	{ "desired-again", 1, { 0, 12 }, { 0, 10 }, OBJECT_DESIRED, true },
+	{ "weights-copy", 2, { 0, 4 }, { 0, 3 }, OBJECT_WEIGHTS, true },
+	/* It has said meanwhile that it leaves. */
+	{ "endpoint-copy", 2, { 7, 40 }, { 7, 5 }, OBJECT_ENDPOINTS, true },
+	{ "endpoint-newer", 2, { 7, 40 }, { 7, 41 }, OBJECT_ENDPOINTS, false },
+	/* It has started again meanwhile, and counts from 1. */
+	{ "endpoint-before", 2, { 8, 1 }, { 7, 40 }, OBJECT_ENDPOINTS, true },
+	{ "endpoint-restart", 2, { 7, 40 }, { 8, 1 }, OBJECT_ENDPOINTS, false },
+	/* Its clock went back, or another writer spoiled the entry. */
+	{ "endpoint-clock", 1, { 8, 1 }, { 7, 1 }, OBJECT_ENDPOINTS, false },
+	{ "endpoint-torn", 1, { 8, 1 }, { 0, 0 }, OBJECT_ENDPOINTS, false },
+};
+
+/* Failure: an object in the copy that a store was restored from was taken for
+ * news: an older state of the configuration, or an endpoint that had said
+ * meanwhile that it leaves. */
+static void test_older_content(const void *data)
+{
+	const older_case_t *c = data;
+	object_table_t table = { .kind = c->kind, .order = order_of_content };
+	object_order_t order;
+
+	put_content(&table, store_revision_make(1, 50), c->known);
+	put_content(&table, store_revision_make(c->put_era, 60), c->put);
+	order = order_of_content(c->kind, table.entries[0].spec);
+	g_assert_cmpuint(order.sequence, ==,
+			 c->keeps ? c->known.sequence : c->put.sequence);
+	g_assert_cmpuint(order.incarnation, ==,
+			 c->keeps ? c->known.incarnation : c->put.incarnation);
+	g_assert_cmpuint(table.entries[0].revision, ==,
+			 store_revision_make(c->put_era, 60));
+	object_table_free(&table);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -219,5 +295,12 @@
 			test_from_peer_with_gap);
 	g_test_add_func("/object-table/new-era", test_new_era);
 	g_test_add_func("/object-table/peer-in-new-era", test_peer_in_new_era);
+	for (size_t i = 0; i < G_N_ELEMENTS(older_cases); i++) {
+		char *path = g_strdup_printf("/object-table/older-content/%s",
+					     older_cases[i].name);
+
+		g_test_add_data_func(path, &older_cases[i], test_older_content);
+		g_free(path);
+	}
 	return g_test_run();
 }
