process: keep objects that a restored store has lost

What was written after the copy of a restored store was made is missing from its lists until its owner writes it again, at most two seconds later. A watcher took such objects for removed: endpoints that had registered since got no requests, and requests for a service with only such endpoints were refused. A peer that follows a watcher did not get even those that the watcher held, as the state that instances fetch from each other left them out.

The first list of a new era now holds removals like the first contact after an outage, and instances pass held objects on with the time that is left. What the operator set (configuration, target weights) is kept until it is set again or removed, so that an instance that starts meanwhile gets it. Members are held, too, so that heartbeats reach them.

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -169,9 +169,11 @@
 		return;
 	}
 	view_builder_tick(&control->view_builder, now_ms);
-	if (object_table_expire(&control->view_builder.tables[OBJECT_ENDPOINTS],
-				now_ms))
-		gateway_control_rebuild(control);
+	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+		if (object_table_expire(&control->view_builder.tables[i],
+					now_ms))
+			gateway_control_rebuild(control);
+	}
 	if (atomic_load(&control->gateway->stopping) &&
 	    !control->lease_released) {
 		control->lease_released = true;
@@ -273,6 +275,7 @@
 	}
 	control->view_builder.tables[OBJECT_ENDPOINTS].hold_ms =
 		EXPIRED_KEEP_MS;
+	control->view_builder.tables[OBJECT_MEMBERS].hold_ms = EXPIRED_KEEP_MS;
 	control->store = (store_link_t){
 		.outbound = control->outbound,
 		.base = control->base,
--- a/cmd/gateway_state.c
+++ b/cmd/gateway_state.c
@@ -50,7 +50,7 @@
 		json_object_set_new(
 			state, object_kind_name((object_kind_t)i),
 			object_table_export(&control->view_builder.tables[i],
-					    since));
+					    since, clock_now_ms()));
 	}
 	return json_dumps(state, JSON_COMPACT);
 }
--- a/process/object_table.c
+++ b/process/object_table.c
@@ -135,15 +135,30 @@
 	return put_item(table, item);
 }
 
+/* Whether an object that a list does not contain was set by the operator and
+ * lost by a restore, as opposed to removed. */
+static bool is_lost_setting(const object_table_t *table,
+			    const object_entry_t *entry, uint64_t list_revision)
+{
+	return (table->kind == OBJECT_DESIRED ||
+		table->kind == OBJECT_WEIGHTS) &&
+	       store_revision_era(entry->revision) <
+		       store_revision_era(list_revision);
+}
+
 int object_table_list_end(object_table_t *table, uint64_t revision,
 			  uint64_t now_ms)
 {
 	int changed = !table->complete;
 
+	if (table->complete &&
+	    store_revision_era(revision) > store_revision_era(table->revision))
+		object_table_hold(table, now_ms);
 	for (size_t i = table->count; i-- > 0;) {
-		if (!table->entries[i].listed)
-			changed |= remove_or_hold(table, &table->entries[i],
-						  now_ms);
+		object_entry_t *entry = &table->entries[i];
+
+		if (!entry->listed && !is_lost_setting(table, entry, revision))
+			changed |= remove_or_hold(table, entry, now_ms);
 	}
 	table->complete = true;
 	if (revision > table->revision)
@@ -217,22 +232,36 @@
 		       : 0;
 }
 
-json_t *object_table_export(const object_table_t *table, uint64_t since)
+static json_t *export_entry(const object_table_t *table,
+			    const object_entry_t *entry, uint64_t since,
+			    uint64_t now_ms)
+{
+	json_int_t number = number_within(store_revision_era(table->revision),
+					  entry->revision);
+	json_t *row = json_pack("[s,I,O?]", entry->name, number,
+				!number || entry->revision > since ? entry->spec
+								   : NULL);
+
+	if (row && entry->drop_at_ms)
+		json_array_append_new(
+			row,
+			json_integer((json_int_t)(entry->drop_at_ms - now_ms)));
+	return row;
+}
+
+json_t *object_table_export(const object_table_t *table, uint64_t since,
+			    uint64_t now_ms)
 {
 	uint64_t era = store_revision_era(table->revision);
 	json_t *entries = json_array();
 
 	for (size_t i = 0; i < table->count; i++) {
 		const object_entry_t *entry = &table->entries[i];
-		json_int_t number = number_within(era, entry->revision);
 
-		if (entry->drop_at_ms)
-			continue;
-		json_array_append_new(
-			entries, json_pack("[s,I,O?]", entry->name, number,
-					   !number || entry->revision > since
-						   ? entry->spec
-						   : NULL));
+		if (!entry->drop_at_ms || entry->drop_at_ms > now_ms)
+			json_array_append_new(
+				entries,
+				export_entry(table, entry, since, now_ms));
 	}
 	return json_pack("{s:I,s:I,s:b,s:o}", "era", (json_int_t)era,
 			 "revision", number_within(era, table->revision),
@@ -241,8 +270,10 @@
 
 /* Applies one entry of a peer's table; returns as put_item(). */
 static int import_entry(object_table_t *table, uint64_t era,
-			const json_t *entry)
+			const json_t *entry, uint64_t now_ms)
 {
+	uint64_t held_ms =
+		(uint64_t)json_integer_value(json_array_get(entry, 3));
 	object_item_t item = {
 		.name = json_string_value(json_array_get(entry, 0)),
 		.revision = store_revision_make(
@@ -251,6 +282,7 @@
 		.spec = json_array_get(entry, 2),
 	};
 	const object_entry_t *current;
+	int result;
 
 	if (!item.name)
 		return ERR_BAD_JSON;
@@ -258,7 +290,10 @@
 	if (json_is_null(item.spec) &&
 	    (!current || current->revision < item.revision))
 		return ERR_BAD_JSON;
-	return put_item(table, &item);
+	result = put_item(table, &item);
+	if (result >= 0 && held_ms)
+		find_entry(table, item.name)->drop_at_ms = now_ms + held_ms;
+	return result;
 }
 
 int object_table_import(object_table_t *table, const json_t *peer_table,
@@ -281,7 +316,7 @@
 		return 0;
 	object_table_list_begin(table);
 	json_array_foreach (entries, i, entry) {
-		int result = import_entry(table, era, entry);
+		int result = import_entry(table, era, entry, now_ms);
 
 		if (result < 0)
 			return result;
--- a/process/object_table.h
+++ b/process/object_table.h
@@ -8,6 +8,8 @@
  * the content of an object when the store is restored from an older copy. After
  * an outage of the store, removals are held: objects that expired during the
  * outage stay in the table for some time, since their owners write them again.
+ * It is the same for objects that a restored store has lost; what the operator
+ * has set is kept until it is set again.
  */
 #ifndef PROCESS_OBJECT_TABLE_H
 #define PROCESS_OBJECT_TABLE_H
@@ -77,9 +79,11 @@
 
 /**
  * Encodes the table for a peer; NULL when out of memory. It has all names and
- * revisions, but the content only of objects with revisions above `since`.
+ * revisions, but the content only of objects with revisions above `since`, and
+ * the remaining time of objects that are held.
  */
-json_t *object_table_export(const object_table_t *table, uint64_t since);
+json_t *object_table_export(const object_table_t *table, uint64_t since,
+			    uint64_t now_ms);
 
 /**
  * Applies a peer's table if it is complete and its revision of the store is
--- a/t/test-it-restored.c
+++ b/t/test-it-restored.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process/clock.h"
 #include "t/lib/platform_rig.h"
 
 enum {
@@ -12,6 +13,11 @@
 	IN_FORCE_MS = 5000,
 	/** Likewise for a leaving endpoint. */
 	LEAVING_MS = 5000,
+	/** Endpoints that are lost must be used for at least this long, ms:
+	 * they register again within 2 s. */
+	HELD_MS = 1900,
+	/** Calls to the store after which all tables have been listed again. */
+	LIST_CALLS = 12,
 };
 
 static void restore_store(platform_rig_t *rig, uint64_t revision)
@@ -101,10 +107,10 @@
 	g_assert_true(
 		WAIT_UNTIL(all_have_status(&rig, 2, "401"), HARNESS_WAIT_MS));
 	restore_store(&rig, copied);
-	/* All tables are listed again. */
 	calls = platform_store_calls(rig.store);
-	g_assert_true(WAIT_UNTIL(platform_store_calls(rig.store) > calls + 8,
-				 HARNESS_WAIT_MS));
+	g_assert_true(
+		WAIT_UNTIL(platform_store_calls(rig.store) > calls + LIST_CALLS,
+			   HARNESS_WAIT_MS));
 	g_assert_true(all_have_status(&rig, 2, "401"));
 	program_signal(rig.gateways[1], SIGKILL);
 	program_free(rig.gateways[1]);
@@ -155,6 +161,40 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: endpoints that had registered after the copy was made got no
+ * requests until they registered again. */
+static void test_lost_endpoints(void)
+{
+	platform_rig_t rig;
+	uint64_t copied;
+	uint64_t held_until_ms;
+	uint32_t calls;
+
+	platform_rig_start(&rig, 2);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		platform_store_remove(rig.store, "servers", rig.services[i].id);
+	g_assert_true(
+		WAIT_UNTIL(all_have_status(&rig, 2, "503"), HARNESS_WAIT_MS));
+	copied = platform_store_revision(rig.store);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		platform_rig_put_entry(&rig.services[i], "ready");
+	g_assert_true(
+		WAIT_UNTIL(all_have_status(&rig, 2, "200"), HARNESS_WAIT_MS));
+	restore_store(&rig, copied);
+	calls = platform_store_calls(rig.store);
+	held_until_ms = clock_now_ms() + HELD_MS;
+	while (platform_store_calls(rig.store) <= calls + LIST_CALLS &&
+	       clock_now_ms() < held_until_ms)
+		g_assert_true(all_have_status(&rig, 2, "200"));
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		platform_rig_put_entry(&rig.services[i], "ready");
+	/* One that does not register again is gone. */
+	platform_store_remove(rig.store, "servers", rig.services[0].id);
+	g_assert_true(WAIT_UNTIL(gets_no_requests(&rig), LEAVING_MS));
+	g_assert_true(all_have_status(&rig, 2, "200"));
+	platform_rig_stop(&rig);
+}
+
 /* Failure: engines stayed on older weights to the end of the day (rule VERSION,
  * day restored-lease). */
 static void test_weights(void)
@@ -189,6 +229,7 @@
 	}
 	g_test_add_func("/it-restored/older-state", test_older_state);
 	g_test_add_func("/it-restored/leaving", test_leaving);
+	g_test_add_func("/it-restored/lost-endpoints", test_lost_endpoints);
 	g_test_add_func("/it-restored/weights", test_weights);
 	return g_test_run();
 }
--- a/t/test-object-table.c
+++ b/t/test-object-table.c
@@ -113,10 +113,10 @@
 
 	fill_table(&table);
 	fill_table(&peer);
-	older = object_table_export(&peer, 0);
+	older = object_table_export(&peer, 0, 2000);
 	apply_change(&peer, "b", 9, true, 2000);
 	apply_change(&peer, "c", 10, false, 2000);
-	newer = object_table_export(&peer, 6);
+	newer = object_table_export(&peer, 6, 2000);
 	g_assert_cmpuint(object_table_digest(&table), !=,
 			 object_table_digest(&peer));
 	g_assert_cmpint(object_table_import(&table, newer, 3000), ==, 1);
@@ -133,7 +133,7 @@
 {
 	object_table_t table;
 	object_table_t peer = { .revision = 99 };
-	CLEANUP_JSON json_t *state = object_table_export(&peer, 0);
+	CLEANUP_JSON json_t *state = object_table_export(&peer, 0, 2000);
 
 	fill_table(&table);
 	g_assert_cmpint(object_table_import(&table, state, 3000), ==, 0);
@@ -153,7 +153,7 @@
 	fill_table(&peer);
 	apply_change(&peer, "c", 9, false, 2000);
 	apply_change(&peer, "d", 12, false, 2000);
-	part = object_table_export(&peer, 10);
+	part = object_table_export(&peer, 10, 2000);
 	g_assert_cmpint(object_table_import(&table, part, 3000), <, 0);
 	g_assert_cmpuint(table.revision, ==, 6);
 	object_table_free(&table);
@@ -195,9 +195,9 @@
 	fill_table(&table);
 	fill_table(&peer);
 	apply_change(&table, "a", store_revision_make(1, 87), false, 2000);
-	older = object_table_export(&table, 0);
+	older = object_table_export(&table, 0, 2000);
 	apply_change(&peer, "a", store_revision_make(2, 80), false, 2000);
-	newer = object_table_export(&peer, table.revision);
+	newer = object_table_export(&peer, table.revision, 2000);
 	g_assert_cmpint(object_table_import(&table, newer, 3000), ==, 1);
 	g_assert_cmpuint(table.revision, ==, store_revision_make(2, 80));
 	g_assert_cmpuint(table.count, ==, 2);
@@ -282,6 +282,68 @@
 	object_table_free(&table);
 }
 
+/* Lists only "b" in a new era of the store at 5,000 ms. */
+static void list_without_a(object_table_t *table)
+{
+	object_table_list_begin(table);
+	add_to_list(table, "b", store_revision_make(2, 3));
+	object_table_list_end(table, store_revision_make(2, 4), 5000);
+}
+
+/* Failure: an endpoint that had registered after the copy of a restored store
+ * was made was removed at once by the watcher, or by an instance that follows
+ * it, although it registers again within two seconds. */
+static void test_lost_endpoint(void)
+{
+	object_table_t table;
+	object_table_t follower;
+	CLEANUP_JSON json_t *state = NULL;
+
+	fill_table(&table);
+	fill_table(&follower);
+	table.kind = follower.kind = OBJECT_ENDPOINTS;
+	list_without_a(&table);
+	g_assert_cmpuint(table.count, ==, 2);
+	state = object_table_export(&table, follower.revision, 5500);
+	g_assert_cmpint(object_table_import(&follower, state, 6000), ==, 1);
+	g_assert_cmpuint(follower.count, ==, 2);
+	g_assert_cmpuint(object_table_digest(&follower), ==,
+			 object_table_digest(&table));
+	g_assert_cmpint(object_table_expire(&table, 5000 + HOLD_MS), ==, 1);
+	/* The follower holds it for the time that was left at the export. */
+	g_assert_cmpint(object_table_expire(&follower, 5500 + HOLD_MS - 1), ==,
+			0);
+	g_assert_cmpint(object_table_expire(&follower, 5500 + HOLD_MS), ==, 1);
+	g_assert_cmpuint(table.count, ==, 1);
+	g_assert_cmpuint(follower.count, ==, 1);
+	object_table_free(&table);
+	object_table_free(&follower);
+}
+
+/* Failure: what the operator had set after the copy was made was forgotten, and
+ * an instance that started before it was set again had nothing. */
+static void test_lost_setting(void)
+{
+	static const object_kind_t kinds[] = { OBJECT_DESIRED, OBJECT_WEIGHTS };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		object_table_t table;
+
+		fill_table(&table);
+		table.kind = kinds[i];
+		list_without_a(&table);
+		g_assert_cmpint(object_table_expire(&table, 1000000), ==, 0);
+		g_assert_cmpuint(table.count, ==, 2);
+		/* It is set again, and then removed. */
+		apply_change(&table, "a", store_revision_make(2, 5), false,
+			     9000);
+		apply_change(&table, "a", store_revision_make(2, 6), true,
+			     9000);
+		g_assert_cmpuint(table.count, ==, 1);
+		object_table_free(&table);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -295,6 +357,8 @@
 			test_from_peer_with_gap);
 	g_test_add_func("/object-table/new-era", test_new_era);
 	g_test_add_func("/object-table/peer-in-new-era", test_peer_in_new_era);
+	g_test_add_func("/object-table/lost-endpoint", test_lost_endpoint);
+	g_test_add_func("/object-table/lost-setting", test_lost_setting);
 	for (size_t i = 0; i < G_N_ELEMENTS(older_cases); i++) {
 		char *path = g_strdup_printf("/object-table/older-content/%s",
 					     older_cases[i].name);
