cmd: register again when the store was restored

An instance that had registered after the copy of a restored store was made was no longer a member, and never registered again: instances that started later did not learn of it from the list, and sent it no heartbeat before it sent one.

An instance registers again, within a second and spread over it, when it or a peer whose state it fetched has seen a newer era than that of its registration. It first tries to replace its object, so that most restores cost one call.

/it-restored/members failed before (no object within the test's limit) and passes 3 of 3 times.

--- a/cmd/gateway_members.c
+++ b/cmd/gateway_members.c
@@ -8,6 +8,7 @@
 #include "platform/platform_objects.h"
 #include "process/cleanup.h"
 #include "process/error.h"
+#include "process/store_revision.h"
 
 enum {
 	/** Interval between two attempts to register, ms. */
@@ -20,16 +21,46 @@
 	int result = answer->err;
 
 	peers->register_call = NULL;
-	if (!result)
+	if (!result) {
 		peers->registered = true;
-	else if (result == ERR_STORE_CONDITION)
 		peers->object_exists = true;
-	else if (result == ERR_NOT_FOUND)
+		peers->registered_revision =
+			store_revision_make(answer->era, 0);
+	} else if (result == ERR_STORE_CONDITION) {
+		peers->object_exists = true;
+	} else if (result == ERR_NOT_FOUND) {
 		peers->object_exists = false;
+	}
 	if (result == ERR_STORE_CONDITION || result == ERR_NOT_FOUND)
 		peers->register_after_ms = 0;
 }
 
+/* Newest era of the store that this instance or a peer whose state it fetched
+ * has seen. */
+static uint64_t newest_era(const gateway_control_t *control)
+{
+	uint64_t revision = store_revision_make(control->store.era, 0);
+
+	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+		const object_table_t *table = &control->view_builder.tables[i];
+
+		if (table->revision > revision)
+			revision = table->revision;
+	}
+	return store_revision_era(revision);
+}
+
+void gateway_members_check_era(gateway_peers_t *peers, uint64_t now_ms)
+{
+	if (!peers->registered ||
+	    newest_era(peers->control) <=
+		    store_revision_era(peers->registered_revision))
+		return;
+	peers->registered = false;
+	peers->register_after_ms =
+		now_ms + rng_below(&peers->control->rng, REGISTER_RETRY_MS);
+}
+
 bool gateway_members_registered(const gateway_peers_t *peers)
 {
 	return peers->registered;
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -532,6 +532,7 @@
 void gateway_peers_tick(gateway_peers_t *peers, uint64_t now_ms)
 {
 	gateway_members_update_targets(peers, now_ms);
+	gateway_members_check_era(peers, now_ms);
 	if (!peers->registered && !peers->register_call &&
 	    now_ms >= peers->register_after_ms)
 		gateway_members_register(peers, now_ms);
--- a/cmd/gateway_peers.h
+++ b/cmd/gateway_peers.h
@@ -36,6 +36,7 @@
 	uint64_t fetch_after_ms;
 	store_call_t *register_call;
 	bool registered;
+	uint64_t registered_revision; /**< First of the era of that answer. */
 	bool object_exists; /**< The member object exists and is replaced. */
 	uint64_t register_after_ms;
 	uint64_t sent_ms; /**< Last heartbeat to all. */
@@ -69,6 +70,10 @@
 /** Registers this instance as a member in the store. */
 void gateway_members_register(gateway_peers_t *peers, uint64_t now_ms);
 
+/** Makes the instance register again after the store was restored from a copy,
+ * which may lack it. */
+void gateway_members_check_era(gateway_peers_t *peers, uint64_t now_ms);
+
 /** Updates the targets of heartbeats: members and live peers, and the seeds
  * until the members are known. */
 void gateway_members_update_targets(gateway_peers_t *peers, uint64_t now_ms);
--- a/t/test-it-restored.c
+++ b/t/test-it-restored.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process/cleanup.h"
 #include "process/clock.h"
 #include "t/lib/platform_rig.h"
 
@@ -195,6 +196,32 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: an instance that had registered after the copy was made was not
+ * registered any more, so that later ones did not know it. */
+static void test_members(void)
+{
+	platform_rig_t rig;
+	uint64_t copied;
+
+	platform_rig_start(&rig, 1);
+	copied = platform_store_revision(rig.store);
+	platform_rig_start_gateway(&rig, 1);
+	g_assert_true(
+		WAIT_UNTIL(platform_rig_is_ready(&rig, 1), HARNESS_WAIT_MS));
+	restore_store(&rig, copied);
+	g_assert_null(platform_store_get(rig.store, "amv-members", "gw-1"));
+	g_assert_true(WAIT_UNTIL(({
+					 CLEANUP_JSON json_t *member =
+						 platform_store_get(
+							 rig.store,
+							 "amv-members", "gw-1");
+
+					 member != NULL;
+				 }),
+				 HARNESS_WAIT_MS));
+	platform_rig_stop(&rig);
+}
+
 /* Failure: engines stayed on older weights to the end of the day (rule VERSION,
  * day restored-lease). */
 static void test_weights(void)
@@ -230,6 +257,7 @@
 	g_test_add_func("/it-restored/older-state", test_older_state);
 	g_test_add_func("/it-restored/leaving", test_leaving);
 	g_test_add_func("/it-restored/lost-endpoints", test_lost_endpoints);
+	g_test_add_func("/it-restored/members", test_members);
 	g_test_add_func("/it-restored/weights", test_weights);
 	return g_test_run();
 }
