process: do not use a restored copy of an endpoint that was gone

An endpoint that had left after the copy of a restored store was made is listed there again, as it was, until the store misses three of its heartbeats.

A table remembers the last endpoints that were removed. An entry of a newer era that their writer wrote before the removal is suspect: it is not used for 4 s. If the store still has it then, the endpoint is alive after all: its entry does not change while only its sequence number does.

--- a/process/object_table.c
+++ b/process/object_table.c
@@ -54,8 +54,20 @@
 	return entry;
 }
 
+static void remember_removed(object_table_t *table, const object_entry_t *entry)
+{
+	removed_object_t *removed =
+		&table->removed[table->removed_count++ % OBJECT_REMOVED_MAX];
+
+	removed->name_hash = hash_string(entry->name);
+	removed->revision = table->revision;
+	removed->order = table->order(table->kind, entry->spec);
+}
+
 static void remove_entry(object_table_t *table, object_entry_t *entry)
 {
+	if (table->order && table->kind == OBJECT_ENDPOINTS)
+		remember_removed(table, entry);
 	clear_entry(entry);
 	*entry = table->entries[--table->count];
 }
@@ -101,9 +113,32 @@
 			table->order(table->kind, entry->spec));
 }
 
+/* Whether a restored store contains an object as it was before its removal. */
+static bool is_copy_of_removed(const object_table_t *table,
+			       const object_item_t *item)
+{
+	uint64_t name_hash = hash_string(item->name);
+	uint32_t count = table->removed_count < OBJECT_REMOVED_MAX
+				 ? table->removed_count
+				 : OBJECT_REMOVED_MAX;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const removed_object_t *removed = &table->removed[i];
+
+		if (removed->name_hash == name_hash &&
+		    store_revision_era(removed->revision) <
+			    store_revision_era(item->revision) &&
+		    !precedes(removed->order,
+			      table->order(table->kind, item->spec)))
+			return true;
+	}
+	return false;
+}
+
 static int put_item(object_table_t *table, const object_item_t *item)
 {
 	object_entry_t *entry = find_entry(table, item->name);
+	bool suspect = !entry && is_copy_of_removed(table, item);
 
 	if (entry && entry->revision >= item->revision) {
 		entry->listed = true;
@@ -119,6 +154,8 @@
 		entry->spec = json_incref(item->spec);
 	}
 	entry->revision = item->revision;
+	entry->suspect = suspect;
+	entry->suspect_until_ms = 0;
 	entry->drop_at_ms = 0;
 	entry->listed = true;
 	return 1;
@@ -201,6 +238,12 @@
 	for (size_t i = table->count; i-- > 0;) {
 		object_entry_t *entry = &table->entries[i];
 
+		if (entry->suspect && !entry->suspect_until_ms)
+			entry->suspect_until_ms = now_ms + OBJECT_SUSPECT_MS;
+		if (entry->suspect && now_ms >= entry->suspect_until_ms) {
+			entry->suspect = false;
+			changed = 1;
+		}
 		if (entry->drop_at_ms && now_ms >= entry->drop_at_ms) {
 			remove_entry(table, entry);
 			changed = 1;
--- a/process/object_table.h
+++ b/process/object_table.h
@@ -20,10 +20,22 @@
 
 #include "process/object.h"
 
+enum {
+	/** Objects that were removed last, of which older copies are told. */
+	OBJECT_REMOVED_MAX = 128,
+	/** An older copy of a removed endpoint is not used for this long, ms:
+	 * the store removes it again after three heartbeats of 1.2 s that are
+	 * missing. If it stays, the endpoint is alive. */
+	OBJECT_SUSPECT_MS = 4000,
+};
+
 typedef struct object_entry {
 	char *name;
 	uint64_t revision;
 	json_t *spec;
+	/** An older copy of an object that was removed; not to be used. */
+	bool suspect;
+	uint64_t suspect_until_ms; /**< Monotonic; 0: not known yet. */
 	/** Monotonic time at which a removed object that is held is dropped;
 	 * 0: not removed. */
 	uint64_t drop_at_ms;
@@ -33,6 +45,13 @@
 /** See platform_object_order(). */
 typedef object_order_t object_order_fn(object_kind_t kind, const json_t *spec);
 
+/** An object that was removed. */
+typedef struct removed_object {
+	uint64_t name_hash;
+	uint64_t revision; /**< Of the table at the removal. */
+	object_order_t order;
+} removed_object_t;
+
 typedef struct object_table {
 	object_kind_t kind;
 	/** Tells older contents from newer ones; NULL: only revisions do. */
@@ -45,6 +64,8 @@
 	uint64_t hold_until_ms; /**< Removals before this time are held. */
 	uint64_t hold_ms;	/**< Time to hold them; 0: do not hold. */
 	uint64_t updated_ms;	/**< Monotonic time of the last update. */
+	removed_object_t removed[OBJECT_REMOVED_MAX]; /**< Ring. */
+	uint32_t removed_count; /**< Of all that were put into the ring. */
 } object_table_t;
 
 /** Frees the entries and clears the table. */
@@ -71,7 +92,8 @@
 int object_table_apply(object_table_t *table, const object_page_t *page,
 		       uint64_t now_ms);
 
-/** Drops held entries whose time has passed; 1 if there were any. */
+/** Drops held entries whose time has passed, and ends the suspicion against
+ * others; 1 if there were any. */
 int object_table_expire(object_table_t *table, uint64_t now_ms);
 
 /** Hash of names and revisions; equal for tables with the same content. */
--- a/t/test-it-restored.c
+++ b/t/test-it-restored.c
@@ -5,6 +5,7 @@
 
 #include "process/cleanup.h"
 #include "process/clock.h"
+#include "process/object_table.h"
 #include "t/lib/platform_rig.h"
 
 enum {
@@ -222,6 +223,36 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: an endpoint that was gone got requests again, because it stood in
+ * the copy that the store was restored from. */
+static void test_gone_endpoint(void)
+{
+	platform_rig_t rig;
+	uint64_t copied;
+	uint64_t suspect_until_ms;
+	uint32_t calls;
+
+	platform_rig_start(&rig, 2);
+	copied = platform_store_revision(rig.store);
+	platform_store_remove(rig.store, "servers", rig.services[0].id);
+	g_assert_true(WAIT_UNTIL(gets_no_requests(&rig), LEAVING_MS));
+	restore_store(&rig, copied);
+	suspect_until_ms = clock_now_ms() + OBJECT_SUSPECT_MS;
+	calls = platform_store_calls(rig.store);
+	g_assert_true(
+		WAIT_UNTIL(platform_store_calls(rig.store) > calls + LIST_CALLS,
+			   HARNESS_WAIT_MS));
+	g_assert_true(gets_no_requests(&rig) ||
+		      clock_now_ms() >= suspect_until_ms);
+	/* It starts again. */
+	rig.services[0].crashes++;
+	platform_rig_put_entry(&rig.services[0], "ready");
+	g_assert_true(
+		WAIT_UNTIL(gets_requests(&rig, 0) && gets_requests(&rig, 1),
+			   HARNESS_WAIT_MS));
+	platform_rig_stop(&rig);
+}
+
 /* Failure: engines stayed on older weights to the end of the day (rule VERSION,
  * day restored-lease). */
 static void test_weights(void)
@@ -257,6 +288,7 @@
 	g_test_add_func("/it-restored/older-state", test_older_state);
 	g_test_add_func("/it-restored/leaving", test_leaving);
 	g_test_add_func("/it-restored/lost-endpoints", test_lost_endpoints);
+	g_test_add_func("/it-restored/gone-endpoint", test_gone_endpoint);
 	g_test_add_func("/it-restored/members", test_members);
 	g_test_add_func("/it-restored/weights", test_weights);
 	return g_test_run();
--- a/t/test-object-table.c
+++ b/t/test-object-table.c
@@ -344,6 +344,61 @@
 	}
 }
 
+static void put_endpoint(object_table_t *table, uint64_t revision,
+			 uint64_t born, uint64_t sequence, bool deleted)
+{
+	CLEANUP_JSON json_t *spec = json_pack(
+		"{s:I,s:I}", "i", (json_int_t)born, "s", (json_int_t)sequence);
+	object_item_t item = { "o", revision, deleted, spec };
+	object_page_t page = { .items = &item,
+			       .count = 1,
+			       .revision = revision };
+
+	g_assert_cmpint(object_table_apply(table, &page, 1000), >=, 0);
+}
+
+typedef struct gone_case {
+	const char *name;
+	uint64_t era; /**< Of the entry that appears; the other is of era 1. */
+	content_t content; /**< The removed one had { 7, 40 }. */
+	bool suspect;
+} gone_case_t;
+
+static const gone_case_t gone_cases[] = {
+	{ "copy", 2, { 7, 5 }, true },
+	{ "last-copy", 2, { 7, 40 }, true },
+	{ "earlier-start", 2, { 6, 90 }, true },
+	/* It has written its entry anew, or has started again. */
+	{ "alive", 2, { 7, 41 }, false },
+	{ "restarted", 2, { 8, 1 }, false },
+	{ "same-era", 1, { 7, 40 }, false },
+};
+
+/* Failure: an endpoint that was gone came back with the copy that the store was
+ * restored from, and got requests until the store removed it again. */
+static void test_gone_endpoint(const void *data)
+{
+	const gone_case_t *c = data;
+	object_table_t table = { .kind = OBJECT_ENDPOINTS,
+				 .order = order_of_content };
+
+	put_endpoint(&table, store_revision_make(1, 50), 7, 40, false);
+	put_endpoint(&table, store_revision_make(1, 51), 7, 40, true);
+	g_assert_cmpuint(table.count, ==, 0);
+	put_endpoint(&table, store_revision_make(c->era, 60),
+		     c->content.incarnation, c->content.sequence, false);
+	g_assert_cmpint(table.entries[0].suspect, ==, c->suspect);
+	/* If the store does not remove it, it is alive: an endpoint's entry
+	 * does not change as long as only its sequence number does. */
+	object_table_expire(&table, 1000);
+	object_table_expire(&table, 1000 + OBJECT_SUSPECT_MS - 1);
+	g_assert_cmpint(table.entries[0].suspect, ==, c->suspect);
+	g_assert_cmpint(object_table_expire(&table, 1000 + OBJECT_SUSPECT_MS),
+			==, c->suspect);
+	g_assert_false(table.entries[0].suspect);
+	object_table_free(&table);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -366,5 +421,12 @@
 		g_test_add_data_func(path, &older_cases[i], test_older_content);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(gone_cases); i++) {
+		char *path = g_strdup_printf("/object-table/gone-endpoint/%s",
+					     gone_cases[i].name);
+
+		g_test_add_data_func(path, &gone_cases[i], test_gone_endpoint);
+		g_free(path);
+	}
 	return g_test_run();
 }
--- a/version/view_builder.c
+++ b/version/view_builder.c
@@ -163,6 +163,8 @@
 		const object_entry_t *object = &table->entries[i];
 		endpoint_entry_t *entry = &entries[count];
 
+		if (object->suspect)
+			continue;
 		if (platform_read_endpoint(object->name, object->spec, entry)) {
 			event_log(EVENT_ENTRY_REJECTED,
 				  "endpoint=%s revision=%llu", object->name,
