process: raise fencing numbers over a restore of the store

An acquisition took the number of the record plus one, so the number rose only as long as the record did.

A fencing number is now above the era of the store and, within an era, above the revision of the record that the acquisition replaces. Both rise whatever the record says, also for an instance that started after the restore. The revision is part of it because the era alone isn't enough: a write of the era before that takes effect late can hit a revision that was given out again, replace a newer record and take its number back. Numbers that peers announce in heartbeats were considered and left out: an instance that has just started knows none, and era and revision suffice. Where no era is stated (the product's object API) numbers rise by one as before. The number is made like the revisions of process/store_revision.h, with which it fits a JSON integer, an XDR hyper and the engines' field.

--- a/cmd/gateway_lease.c
+++ b/cmd/gateway_lease.c
@@ -62,7 +62,8 @@
 static void on_store_answer(void *context, const store_answer_t *answer)
 {
 	gateway_lease_t *lease = context;
-	lease_event_t event = { .call_id = lease->call_id };
+	lease_event_t event = { .call_id = lease->call_id,
+				.era = answer->era };
 	lease_record_t record;
 	uint64_t version = 0;
 	int result = answer->err;
--- a/process/lease.c
+++ b/process/lease.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "process/error.h"
+#include "process/store_revision.h"
 
 _Static_assert(sizeof(lease_t) <= LEASE_SIZE_BYTES,
 	       "lease_t exceeds LEASE_SIZE_BYTES");
@@ -102,16 +103,32 @@
 	       record->fencing == lease->record.fencing;
 }
 
+/**
+ * Fencing number of the next acquisition. The records of a restored store may
+ * be older than the last acquisition, and a write of an earlier era that takes
+ * effect late may replace a newer record. The era and the revision that the
+ * acquisition replaces rise nevertheless.
+ */
+static uint64_t next_fencing(const lease_t *lease)
+{
+	uint64_t fencing = lease->have_record ? lease->record.fencing : 0;
+	uint64_t number =
+		lease->have_record ? store_revision_number(lease->version) : 0;
+	uint64_t least =
+		lease->era ? store_revision_make(lease->era, number) : 0;
+
+	return (fencing > least ? fencing : least) + 1;
+}
+
 static void try_acquire(lease_t *lease, lease_actions_t *actions,
 			uint64_t now_ms)
 {
 	lease_record_t *record = &lease->written;
-	uint64_t last_fencing = lease->have_record ? lease->record.fencing : 0;
 
 	memset(record, 0, sizeof(*record));
 	memcpy(record->holder, lease->self, sizeof(record->holder));
 	record->nonce = lease->nonce;
-	record->fencing = last_fencing + 1;
+	record->fencing = next_fencing(lease);
 	record->duration_ms = lease->duration_ms;
 	lease->acquiring = true;
 	write_record(lease, actions, LEASE_PHASE_ACQUIRING, now_ms);
@@ -342,6 +359,8 @@
 	}
 	if (event->call_id != lease->call_id)
 		return;
+	if (event->era > lease->era)
+		lease->era = event->era;
 	switch (event->kind) {
 	case LEASE_EVENT_READ:
 		on_read(lease, event, now_ms, actions);
--- a/process/lease.h
+++ b/process/lease.h
@@ -9,6 +9,9 @@
  * the record has not changed for the whole duration on their own monotonic
  * clock. Wall clocks are not used. The record is never deleted, because the
  * fencing numbers would start again from 1.
+ *
+ * A store that states its era may be restored from an older copy, which begins
+ * a new era. Fencing numbers contain the era.
  */
 #ifndef PROCESS_LEASE_H
 #define PROCESS_LEASE_H
@@ -62,6 +65,7 @@
 	char self[LEASE_ID_MAX_BYTES];
 	uint64_t nonce;
 	uint32_t duration_ms;
+	uint64_t era;	  /**< Newest known; 0: the store states none. */
 	bool have_record; /**< False: the record does not exist. */
 	lease_record_t record;
 	uint64_t version;
@@ -83,6 +87,7 @@
 typedef struct lease_event {
 	lease_event_kind_t kind;
 	uint32_t call_id; /**< Of the action with this result. */
+	uint64_t era;	  /**< That the store stated; 0 if none. */
 	union {
 		struct {
 			int result; /**< 0, ERR_NOT_FOUND or ERR_STORE_*. */
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -178,6 +178,24 @@
 				  ENDPOINT_COUNT * endpoint->crashes));
 }
 
+static void check_order_fencing(endpoint_t *endpoint, const json_t *order)
+{
+	uint64_t fencing =
+		(uint64_t)json_integer_value(json_object_get(order, "fence"));
+	const char *holder =
+		json_string_value(json_object_get(order, "holder"));
+
+	pthread_mutex_lock(&endpoint->lock);
+	if (fencing > endpoint->fencing) {
+		endpoint->fencing = fencing;
+		g_strlcpy(endpoint->holder, holder, sizeof(endpoint->holder));
+	} else if (fencing < endpoint->fencing ||
+		   strcmp(endpoint->holder, holder) != 0) {
+		endpoint->fenced_orders++;
+	}
+	pthread_mutex_unlock(&endpoint->lock);
+}
+
 static raw_next_t answer_control_request(endpoint_t *endpoint,
 					 const raw_request_t *request)
 {
@@ -187,6 +205,7 @@
 		CLEANUP_JSON json_t *order = json_loads(request->body, 0, NULL);
 
 		endpoint->orders++;
+		check_order_fencing(endpoint, order);
 		if (endpoint->drops_orders) {
 			WAIT_UNTIL(endpoint->release, ORDER_DROP_MS);
 			return RAW_CLOSE;
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -21,6 +21,7 @@
 
 enum {
 	ENDPOINT_COUNT = 2,
+	ENDPOINT_HOLDER_MAX_BYTES = 64,
 	GATEWAYS_MAX = 3,
 	EVENT_COUNT = 4,
 };
@@ -63,8 +64,13 @@
 	const endless_answer_t *endless;
 	_Atomic uint32_t endless_open; /**< Endless answers in progress. */
 	_Atomic uint32_t arrivals;     /**< Requests received. */
-	_Atomic int entries;	   /**< Entries of the endpoint list written. */
-	_Atomic uint32_t orders;   /**< Weights orders received. */
+	_Atomic int entries;	 /**< Entries of the endpoint list written. */
+	_Atomic uint32_t orders; /**< Weights orders received. */
+	/** Orders whose fencing number had been another holder's, or was below
+	 * that of an order before. */
+	_Atomic uint32_t fenced_orders;
+	_Atomic uint64_t fencing;		/**< Highest of the orders. */
+	char holder[ENDPOINT_HOLDER_MAX_BYTES]; /**< That had this number. */
 	_Atomic bool drops_orders; /**< Neither answers nor executes them. */
 	/** Refuses requests that expect other weights than it has. */
 	_Atomic bool checks_weights;
--- a/t/test-it-restored.c
+++ b/t/test-it-restored.c
@@ -1,6 +1,8 @@
 /* Gateways beside a store that comes back from an older copy: what it had
  * acknowledged since is gone, and its revisions are given out again. */
 #include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "process/cleanup.h"
@@ -18,6 +20,7 @@
 	/** Endpoints that are lost must be used for at least this long, ms:
 	 * they register again within 2 s. */
 	HELD_MS = 1900,
+	LEASE_GATEWAYS = 3,
 	/** Calls to the store after which all tables have been listed again. */
 	LIST_CALLS = 12,
 };
@@ -275,6 +278,75 @@
 	platform_rig_stop(&rig);
 }
 
+/** Index of the gateway that holds the lease by its record; -1: none. */
+static int lease_holder(platform_rig_t *rig)
+{
+	CLEANUP_JSON json_t *record =
+		platform_store_get(rig->store, "amv-leases", "weights");
+	const char *holder =
+		json_string_value(json_object_get(record, "holder"));
+
+	return holder && g_str_has_prefix(holder, "gw-") ? atoi(holder + 3)
+							 : -1;
+}
+
+static bool has_other_holder(platform_rig_t *rig, int holder)
+{
+	int current = lease_holder(rig);
+
+	return current >= 0 && current != holder;
+}
+
+static void roll_out_weights(platform_rig_t *rig, int version)
+{
+	platform_rig_put_target_weights(rig, version);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		g_assert_true(
+			WAIT_UNTIL(rig->engines[i].weights == (uint64_t)version,
+				   HARNESS_WAIT_MS));
+}
+
+/** Writes other objects until revisions are above those before a restore. */
+static void pass_revision(platform_rig_t *rig, uint64_t revision)
+{
+	while (platform_store_revision(rig->store) <= revision)
+		platform_store_put(rig->store, "others", "other",
+				   json_object());
+}
+
+/** What happens to the first holder before the second one takes over. */
+static const int first_holder_signals[] = { SIGKILL, SIGSTOP };
+
+/* Failure: the holders before and after the lost one had its fencing number. */
+static void test_lease_number(const void *data)
+{
+	int signal_number = *(const int *)data;
+	platform_rig_t rig;
+	uint64_t copied;
+	uint64_t lost;
+	int first;
+	int second;
+
+	platform_rig_start(&rig, LEASE_GATEWAYS);
+	g_assert_true(WAIT_UNTIL(lease_holder(&rig) >= 0, HARNESS_WAIT_MS));
+	first = lease_holder(&rig);
+	copied = platform_store_revision(rig.store);
+	program_signal(rig.gateways[first], signal_number);
+	g_assert_true(
+		WAIT_UNTIL(has_other_holder(&rig, first), HARNESS_WAIT_MS));
+	second = lease_holder(&rig);
+	roll_out_weights(&rig, 2);
+	lost = platform_store_revision(rig.store);
+	platform_store_restore(rig.store, copied);
+	program_signal(rig.gateways[second], SIGKILL);
+	program_signal(rig.gateways[first], SIGCONT);
+	pass_revision(&rig, lost);
+	roll_out_weights(&rig, 3);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		g_assert_cmpuint(rig.engines[i].fenced_orders, ==, 0);
+	platform_rig_stop(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -291,5 +363,9 @@
 	g_test_add_func("/it-restored/gone-endpoint", test_gone_endpoint);
 	g_test_add_func("/it-restored/members", test_members);
 	g_test_add_func("/it-restored/weights", test_weights);
+	g_test_add_data_func("/it-restored/lease-number/killed",
+			     &first_holder_signals[0], test_lease_number);
+	g_test_add_data_func("/it-restored/lease-number/paused",
+			     &first_holder_signals[1], test_lease_number);
 	return g_test_run();
 }
--- a/t/test-lease.c
+++ b/t/test-lease.c
@@ -7,6 +7,7 @@
 
 #include "process/error.h"
 #include "process/lease.h"
+#include "process/store_revision.h"
 #include "t/lib/sim.h"
 
 enum {
@@ -21,6 +22,8 @@
 #define READ LEASE_EVENT_READ
 #define TIMER LEASE_EVENT_TIMER
 #define RELEASE LEASE_EVENT_RELEASE
+#define FENCING(era, number) \
+	(((uint64_t)(era) << STORE_REVISION_BITS) + (number))
 
 static const char lease_key[] = "lease/pool";
 
@@ -34,6 +37,7 @@
 	RELEASED_TO_THIRD, /**< Released with a third as successor. */
 	OUR_EARLIER,	   /**< Our write before the latest one. */
 	OUR_WRITE,	   /**< Our latest write. */
+	OUR_HELD,	   /**< Our record, fencing number 4. */
 } found_record_t;
 
 typedef struct step {
@@ -101,6 +105,38 @@
 	    { WRITTEN, 0, NOTHING, 2, 300, "S", 0 } } },
 };
 
+/** A step while the store states its era. */
+typedef struct era_step {
+	step_t step;
+	uint64_t era; /**< Of the event. */
+} era_step_t;
+
+static const struct {
+	const char *name;
+	era_step_t steps[9];
+} restored_cases[] = {
+	{ "restored from an older copy: the number rises",
+	  { { { READ, 0, HELD_BY_OTHER, 9, 0, "T", 0 }, 1 },
+	    { { READ, 0, HELD_BY_OTHER, 5, 2000, "T", 0 }, 2 },
+	    { { READ, 0, HELD_BY_OTHER, 5, 5000, "W", 0 }, 2 },
+	    { { WRITTEN, 0, NOTHING, 6, 5010, "AT", FENCING(2, 6) }, 2 } } },
+	{ "record released in this era: taken at once",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 2 },
+	    { { WRITTEN, 0, NOTHING, 7, 10, "AT", FENCING(2, 6) }, 2 } } },
+	{ "our record of this era: taken at once",
+	  { { { READ, 0, OUR_HELD, 5, 0, "W", 0 }, 2 } } },
+	{ "a late write of an earlier era replaced our record",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 2 },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", FENCING(2, 6) }, 2 },
+	    { { TIMER, 0, NOTHING, 0, 1000, "W", FENCING(2, 6) }, 0 },
+	    { { WRITTEN, ERR_STORE_CONDITION, NOTHING, 0, 1100, "R",
+		FENCING(2, 6) },
+	      2 },
+	    { { READ, 0, HELD_BY_OTHER, 7, 1200, "LT", 0 }, 2 },
+	    { { READ, 0, HELD_BY_OTHER, 7, 4200, "W", 0 }, 2 },
+	    { { WRITTEN, 0, NOTHING, 8, 4300, "AT", FENCING(2, 8) }, 2 } } },
+};
+
 static lease_record_t record_of(found_record_t found, const lease_t *lease,
 				const lease_record_t *earlier)
 {
@@ -113,53 +149,85 @@
 		return lease->written;
 	if (found == OUR_EARLIER)
 		return *earlier;
-	if (found != HELD_BY_OTHER)
+	if (found == OUR_HELD)
+		record.nonce = lease->nonce;
+	else if (found != HELD_BY_OTHER)
 		record.holder[0] = '\0';
 	if (found == RELEASED_TO_THIRD)
 		g_strlcpy(record.successor, "third", LEASE_ID_MAX_BYTES);
 	return record;
 }
 
-/* Guards against two holders, and a fencing number that does not rise. */
-static void test_cases(void)
+/** A lease, and the record of its last write but one. */
+typedef struct case_run {
+	lease_t lease;
+	lease_record_t earlier;
+	rng_t rng;
+} case_run_t;
+
+static void begin_case(case_run_t *run)
+{
+	lease_actions_t actions;
+
+	memset(run, 0, sizeof(*run));
+	rng_init(&run->rng, 1);
+	lease_begin(&run->lease, "self", 7, DURATION_MS, &run->rng, &actions);
+}
+
+static void run_step(case_run_t *run, const char *name, const step_t *s,
+		     uint64_t era)
 {
 	static const char action_letters[] = "RWTALS";
+	lease_t *lease = &run->lease;
+	lease_record_t record = record_of(s->found, lease, &run->earlier);
+	lease_record_t before = lease->written;
+	lease_event_t event = { .kind = s->kind,
+				.call_id = lease->call_id,
+				.era = era };
+	char got[LEASE_ACTIONS_MAX + 1] = "";
+	lease_actions_t actions;
+
+	if (s->kind == LEASE_EVENT_READ) {
+		event.read.result = s->result;
+		event.read.version = s->version;
+		event.read.record = &record;
+	} else if (s->kind == LEASE_EVENT_WRITTEN) {
+		event.written.result = s->result;
+		event.written.version = s->version;
+	}
+	lease_step(lease, &event, s->at_ms, &actions);
+	for (size_t i = 0; i < actions.count; i++)
+		got[i] = action_letters[actions.items[i].kind];
+	if (strchr(got, 'W'))
+		run->earlier = before;
+	g_test_message("%s at %d: %s", name, (int)s->at_ms, got);
+	g_assert_cmpstr(got, ==, s->actions);
+	g_assert_cmpuint(lease_fencing(lease, s->at_ms), ==, s->fencing);
+}
 
+/* Guards against two holders, and a fencing number that does not rise. */
+static void test_cases(void)
+{
 	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
-		lease_actions_t actions;
-		lease_t lease;
-		lease_record_t earlier = { 0 };
-		rng_t rng;
+		case_run_t run;
 
-		rng_init(&rng, 1);
-		lease_begin(&lease, "self", 7, DURATION_MS, &rng, &actions);
-		for (const step_t *s = cases[c].steps; s->actions; s++) {
-			lease_record_t record =
-				record_of(s->found, &lease, &earlier);
-			lease_record_t before = lease.written;
-			lease_event_t event = { .kind = s->kind,
-						.call_id = lease.call_id };
-			char got[LEASE_ACTIONS_MAX + 1] = "";
-
-			if (s->kind == LEASE_EVENT_READ) {
-				event.read.result = s->result;
-				event.read.version = s->version;
-				event.read.record = &record;
-			} else if (s->kind == LEASE_EVENT_WRITTEN) {
-				event.written.result = s->result;
-				event.written.version = s->version;
-			}
-			lease_step(&lease, &event, s->at_ms, &actions);
-			for (size_t i = 0; i < actions.count; i++)
-				got[i] = action_letters[actions.items[i].kind];
-			if (strchr(got, 'W'))
-				earlier = before;
-			g_test_message("%s at %d: %s", cases[c].name,
-				       (int)s->at_ms, got);
-			g_assert_cmpstr(got, ==, s->actions);
-			g_assert_cmpuint(lease_fencing(&lease, s->at_ms), ==,
-					 s->fencing);
-		}
+		begin_case(&run);
+		for (const step_t *s = cases[c].steps; s->actions; s++)
+			run_step(&run, cases[c].name, s, 0);
+	}
+}
+
+/* Guards against the same in a store that was restored from an older copy. */
+static void test_restored_cases(void)
+{
+	for (size_t c = 0; c < G_N_ELEMENTS(restored_cases); c++) {
+		case_run_t run;
+
+		begin_case(&run);
+		for (const era_step_t *s = restored_cases[c].steps;
+		     s->step.actions; s++)
+			run_step(&run, restored_cases[c].name, &s->step,
+				 s->era);
 	}
 }
 
@@ -546,6 +614,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/lease/cases", test_cases);
+	g_test_add_func("/lease/restored-cases", test_restored_cases);
 	g_test_add_func("/lease/schedules", test_schedules);
 	g_test_add_func("/lease/unique-id", test_unique_id);
 	return g_test_run();
