process: wait for the expiry of a lease that a restore may have lost

After a restore of the store an instance took the lease at once where the record was absent, released, or its own (same process or same name).

The record now says in which era it was written. A record of another era than the answer's, or none where the answer states an era, is taken over only after it has been seen unchanged for a whole duration in this era, by anyone. Records without an era (of the version before) count as of an earlier era. A record that was read is observed anew in each era, as the same revision may stand for another write.

Nothing changes where no era is stated.

The new cases of /lease/restored-cases fail if this check is taken out ("W", a write, where "T", a wait, is expected). /lease/record-json is new.

--- a/process/controller_codec.h
+++ b/process/controller_codec.h
@@ -14,7 +14,7 @@
 #include "process/controller.h"
 #include "process/lease.h"
 
-/** Value of a lease's record. */
+/** Value of a lease's record; a missing "era" is 0. */
 json_t *lease_record_to_json(const lease_record_t *record);
 int lease_record_from_json(const json_t *value, lease_record_t *record);
 
--- a/process/lease.c
+++ b/process/lease.c
@@ -129,6 +129,7 @@
 	memcpy(record->holder, lease->self, sizeof(record->holder));
 	record->nonce = lease->nonce;
 	record->fencing = next_fencing(lease);
+	record->era = lease->era;
 	record->duration_ms = lease->duration_ms;
 	lease->acquiring = true;
 	write_record(lease, actions, LEASE_PHASE_ACQUIRING, now_ms);
@@ -184,26 +185,51 @@
 	       strcmp(record->successor, lease->self) == 0;
 }
 
+/** Whether a record that was written later may have been lost in a restore of
+ * the store; its holder may be valid for the rest of its lease. */
+static bool may_be_superseded(const lease_t *lease)
+{
+	return lease->have_record ? lease->record.era != lease->era
+				  : lease->era != 0;
+}
+
+/** Whether nobody holds the lease. */
+static bool is_free(const lease_t *lease)
+{
+	const lease_record_t *record = &lease->record;
+
+	if (may_be_superseded(lease))
+		return false;
+	return !lease->have_record ||
+	       (!record->holder[0] && may_take_released(lease)) ||
+	       /* Our own expired lease, which no other instance took over. */
+	       record->nonce == lease->nonce ||
+	       (lease->id_is_unique && !strcmp(record->holder, lease->self));
+}
+
+/** When a lease that may be held has certainly expired. */
+static uint64_t expiry_ms(const lease_t *lease)
+{
+	uint32_t duration_ms =
+		lease->have_record ? lease->record.duration_ms : 0;
+
+	if (may_be_superseded(lease) && duration_ms < lease->duration_ms)
+		duration_ms = lease->duration_ms;
+	return lease->observed_at_ms + duration_ms;
+}
+
 /** Acquires the lease or waits, after a read while not the holder. */
 static void decide_after_read(lease_t *lease, lease_actions_t *actions,
 			      uint64_t now_ms)
 {
-	uint64_t expiry_ms = lease->observed_at_ms + lease->record.duration_ms;
-
-	if (!lease->have_record ||
-	    (!lease->record.holder[0] && may_take_released(lease)) ||
-	    /* Our own expired lease, which no other instance took over. */
-	    lease->record.nonce == lease->nonce ||
-	    (lease->id_is_unique &&
-	     !strcmp(lease->record.holder, lease->self)) ||
-	    now_ms >= expiry_ms) {
+	if (is_free(lease) || now_ms >= expiry_ms(lease)) {
 		try_acquire(lease, actions, now_ms);
 		return;
 	}
 	lease->phase = LEASE_PHASE_WATCHING;
 	wait_until(
 		lease, actions,
-		expiry_ms +
+		expiry_ms(lease) +
 			rng_below(lease->rng,
 				  lease->duration_ms /
 						  TAKEOVER_JITTER_DENOMINATOR +
@@ -213,20 +239,40 @@
 static void update_record(lease_t *lease, const lease_event_t *event,
 			  uint64_t now_ms)
 {
-	if (event->read.result == ERR_NOT_FOUND) {
-		lease->have_record = false;
-		lease->version = 0;
-		return;
-	}
+	bool found = event->read.result != ERR_NOT_FOUND;
+	uint64_t version = found ? event->read.version : 0;
+
 	/*
 	 * The age counts from the answer to the first read that showed this
 	 * version, as the version was written before that.
 	 */
-	if (!lease->have_record || lease->version != event->read.version)
+	if (!lease->observed || lease->have_record != found ||
+	    lease->version != version)
 		lease->observed_at_ms = now_ms;
-	lease->have_record = true;
-	lease->version = event->read.version;
-	lease->record = *event->read.record;
+	lease->observed = true;
+	lease->have_record = found;
+	lease->version = version;
+	if (found)
+		lease->record = *event->read.record;
+}
+
+static void stop(lease_t *lease, lease_actions_t *actions)
+{
+	lease->phase = LEASE_PHASE_STOPPED;
+	add(lease, actions, LEASE_ACTION_STOPPED);
+}
+
+/**
+ * Begins a newer era of the store. What is known of the record is no longer
+ * true, and a write with its revision could replace another record.
+ */
+static void begin_era(lease_t *lease, lease_actions_t *actions, uint64_t era)
+{
+	end_validity(lease, actions);
+	lease->era = era;
+	lease->observed = false;
+	lease->have_record = false;
+	lease->version = 0;
 }
 
 static void on_read(lease_t *lease, const lease_event_t *event, uint64_t now_ms,
@@ -234,6 +280,10 @@
 {
 	int result = event->read.result;
 
+	if (event->era > lease->era) {
+		begin_era(lease, actions, event->era);
+		lease->phase = LEASE_PHASE_READING;
+	}
 	if (lease->valid_until_ms && !lease_is_valid(lease, now_ms))
 		end_validity(lease, actions);
 	if (result != 0 && result != ERR_NOT_FOUND) {
@@ -264,8 +314,7 @@
 	/* If the release didn't take effect, the lease expires by itself. */
 	if (result == 0 || result == ERR_STORE_CONDITION ||
 	    ++lease->failures > 2) {
-		lease->phase = LEASE_PHASE_STOPPED;
-		add(lease, actions, LEASE_ACTION_STOPPED);
+		stop(lease, actions);
 		return;
 	}
 	wait_until(lease, actions, retry_at_ms(lease, now_ms));
@@ -333,9 +382,8 @@
 	 */
 	end_validity(lease, actions);
 	if (!was_valid || !lease->have_record) {
-		lease->phase = LEASE_PHASE_STOPPED;
 		lease->call_id++;
-		add(lease, actions, LEASE_ACTION_STOPPED);
+		stop(lease, actions);
 		return;
 	}
 	lease->written = lease->record;
@@ -359,8 +407,6 @@
 	}
 	if (event->call_id != lease->call_id)
 		return;
-	if (event->era > lease->era)
-		lease->era = event->era;
 	switch (event->kind) {
 	case LEASE_EVENT_READ:
 		on_read(lease, event, now_ms, actions);
--- a/process/lease.h
+++ b/process/lease.h
@@ -11,7 +11,10 @@
  * fencing numbers would start again from 1.
  *
  * A store that states its era may be restored from an older copy, which begins
- * a new era. Fencing numbers contain the era.
+ * a new era. The record is then an earlier one or absent, while a holder of
+ * before may be valid for the rest of its lease. So what is found of an earlier
+ * era is only taken over after a whole duration. Fencing numbers contain the
+ * era.
  */
 #ifndef PROCESS_LEASE_H
 #define PROCESS_LEASE_H
@@ -39,6 +42,7 @@
 	uint64_t nonce;	   /**< Random, new at each start of a process. */
 	uint64_t fencing;  /**< Never decreases. */
 	uint64_t write_id; /**< Different in each write with this nonce. */
+	uint64_t era;	   /**< Era of the store that it was written in. */
 	uint32_t duration_ms;
 } lease_record_t;
 
@@ -66,12 +70,14 @@
 	uint64_t nonce;
 	uint32_t duration_ms;
 	uint64_t era;	  /**< Newest known; 0: the store states none. */
+	bool observed;	  /**< The store was read in this era. */
 	bool have_record; /**< False: the record does not exist. */
 	lease_record_t record;
 	uint64_t version;
-	lease_record_t written;	 /**< Value of our latest write. */
-	uint64_t written_at_ms;	 /**< Just before that write was issued. */
-	uint64_t observed_at_ms; /**< When `version` was first seen. */
+	lease_record_t written; /**< Value of our latest write. */
+	uint64_t written_at_ms; /**< Just before that write was issued. */
+	/** When `version`, or that there is no record, was first seen. */
+	uint64_t observed_at_ms;
 	uint64_t valid_until_ms; /**< 0 if not the holder. */
 	uint64_t renew_at_ms;
 } lease_t;
--- a/t/test-lease.c
+++ b/t/test-lease.c
@@ -5,6 +5,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process/cleanup.h"
+#include "process/controller_codec.h"
 #include "process/error.h"
 #include "process/lease.h"
 #include "process/store_revision.h"
@@ -108,41 +110,64 @@
 /** A step while the store states its era. */
 typedef struct era_step {
 	step_t step;
-	uint64_t era; /**< Of the event. */
+	uint64_t era;	     /**< Of the event. */
+	uint64_t record_era; /**< Of a record that is not our write. */
 } era_step_t;
 
 static const struct {
 	const char *name;
 	era_step_t steps[9];
 } restored_cases[] = {
+	{ "absent record: another's may have been lost in a restore",
+	  { { { READ, ERR_NOT_FOUND, NOTHING, 0, 100, "T", 0 }, 2, 0 },
+	    { { TIMER, 0, NOTHING, 0, 3099, "R", 0 }, 0, 0 },
+	    { { READ, ERR_NOT_FOUND, NOTHING, 0, 3099, "T", 0 }, 2, 0 },
+	    { { TIMER, 0, NOTHING, 0, 3100, "R", 0 }, 0, 0 },
+	    { { READ, ERR_NOT_FOUND, NOTHING, 0, 3100, "W", 0 }, 2, 0 },
+	    { { WRITTEN, 0, NOTHING, 5, 3200, "AT", FENCING(2, 1) }, 2, 0 },
+	    { { TIMER, 0, NOTHING, 0, 4200, "W", FENCING(2, 1) }, 0, 0 },
+	    { { WRITTEN, 0, NOTHING, 6, 4300, "T", FENCING(2, 1) }, 2, 0 } } },
 	{ "restored from an older copy: the number rises",
-	  { { { READ, 0, HELD_BY_OTHER, 9, 0, "T", 0 }, 1 },
-	    { { READ, 0, HELD_BY_OTHER, 5, 2000, "T", 0 }, 2 },
-	    { { READ, 0, HELD_BY_OTHER, 5, 5000, "W", 0 }, 2 },
-	    { { WRITTEN, 0, NOTHING, 6, 5010, "AT", FENCING(2, 6) }, 2 } } },
+	  { { { READ, 0, HELD_BY_OTHER, 9, 0, "T", 0 }, 1, 1 },
+	    { { READ, 0, HELD_BY_OTHER, 5, 2000, "T", 0 }, 2, 1 },
+	    { { READ, 0, HELD_BY_OTHER, 5, 5000, "W", 0 }, 2, 1 },
+	    { { WRITTEN, 0, NOTHING, 6, 5010, "AT", FENCING(2, 6) }, 2, 0 } } },
+	{ "record released in an earlier era: taken after a duration",
+	  { { { READ, 0, RELEASED, 5, 0, "T", 0 }, 2, 1 },
+	    { { READ, 0, RELEASED, 5, 3000, "W", 0 }, 2, 1 },
+	    { { WRITTEN, 0, NOTHING, 7, 3010, "AT", FENCING(2, 6) }, 2, 0 } } },
 	{ "record released in this era: taken at once",
-	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 2 },
-	    { { WRITTEN, 0, NOTHING, 7, 10, "AT", FENCING(2, 6) }, 2 } } },
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 2, 2 },
+	    { { WRITTEN, 0, NOTHING, 7, 10, "AT", FENCING(2, 6) }, 2, 0 } } },
+	{ "our record of an earlier era: another may have followed",
+	  { { { READ, 0, OUR_HELD, 5, 0, "T", 0 }, 2, 1 },
+	    { { READ, 0, OUR_HELD, 5, 3000, "W", 0 }, 2, 1 } } },
 	{ "our record of this era: taken at once",
-	  { { { READ, 0, OUR_HELD, 5, 0, "W", 0 }, 2 } } },
+	  { { { READ, 0, OUR_HELD, 5, 0, "W", 0 }, 2, 2 } } },
+	{ "record without an era, of the version before",
+	  { { { READ, 0, RELEASED, 5, 0, "T", 0 }, 1, 0 },
+	    { { READ, 0, RELEASED, 5, 3000, "W", 0 }, 1, 0 },
+	    { { WRITTEN, 0, NOTHING, 7, 3010, "AT", FENCING(1, 6) }, 1, 0 } } },
 	{ "a late write of an earlier era replaced our record",
-	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 2 },
-	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", FENCING(2, 6) }, 2 },
-	    { { TIMER, 0, NOTHING, 0, 1000, "W", FENCING(2, 6) }, 0 },
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 2, 2 },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", FENCING(2, 6) }, 2, 0 },
+	    { { TIMER, 0, NOTHING, 0, 1000, "W", FENCING(2, 6) }, 0, 0 },
 	    { { WRITTEN, ERR_STORE_CONDITION, NOTHING, 0, 1100, "R",
 		FENCING(2, 6) },
-	      2 },
-	    { { READ, 0, HELD_BY_OTHER, 7, 1200, "LT", 0 }, 2 },
-	    { { READ, 0, HELD_BY_OTHER, 7, 4200, "W", 0 }, 2 },
-	    { { WRITTEN, 0, NOTHING, 8, 4300, "AT", FENCING(2, 8) }, 2 } } },
+	      2,
+	      0 },
+	    { { READ, 0, HELD_BY_OTHER, 7, 1200, "LT", 0 }, 2, 1 },
+	    { { READ, 0, HELD_BY_OTHER, 7, 4200, "W", 0 }, 2, 1 },
+	    { { WRITTEN, 0, NOTHING, 8, 4300, "AT", FENCING(2, 8) }, 2, 0 } } },
 };
 
 static lease_record_t record_of(found_record_t found, const lease_t *lease,
-				const lease_record_t *earlier)
+				const lease_record_t *earlier, uint64_t era)
 {
 	lease_record_t record = { .holder = "other",
 				  .nonce = 99,
 				  .fencing = 4,
+				  .era = era,
 				  .duration_ms = DURATION_MS };
 
 	if (found == OUR_WRITE)
@@ -175,11 +200,12 @@
 }
 
 static void run_step(case_run_t *run, const char *name, const step_t *s,
-		     uint64_t era)
+		     uint64_t era, uint64_t record_era)
 {
 	static const char action_letters[] = "RWTALS";
 	lease_t *lease = &run->lease;
-	lease_record_t record = record_of(s->found, lease, &run->earlier);
+	lease_record_t record =
+		record_of(s->found, lease, &run->earlier, record_era);
 	lease_record_t before = lease->written;
 	lease_event_t event = { .kind = s->kind,
 				.call_id = lease->call_id,
@@ -213,7 +239,7 @@
 
 		begin_case(&run);
 		for (const step_t *s = cases[c].steps; s->actions; s++)
-			run_step(&run, cases[c].name, s, 0);
+			run_step(&run, cases[c].name, s, 0, 0);
 	}
 }
 
@@ -226,8 +252,8 @@
 		begin_case(&run);
 		for (const era_step_t *s = restored_cases[c].steps;
 		     s->step.actions; s++)
-			run_step(&run, restored_cases[c].name, &s->step,
-				 s->era);
+			run_step(&run, restored_cases[c].name, &s->step, s->era,
+				 s->record_era);
 	}
 }
 
@@ -575,6 +601,33 @@
 	g_free(totals);
 }
 
+/* Guards against a record of before a restore that looks like one of now. */
+static void test_record_json(void)
+{
+	static const uint64_t eras[] = { 0, 1, 70000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(eras); i++) {
+		lease_record_t record = { .holder = "self",
+					  .successor = "third",
+					  .nonce = UINT64_MAX,
+					  .fencing = FENCING(eras[i], 6),
+					  .write_id = 3,
+					  .era = eras[i],
+					  .duration_ms = DURATION_MS };
+		lease_record_t decoded;
+		CLEANUP_JSON json_t *value = lease_record_to_json(&record);
+
+		/* Records of the version before have no era. */
+		g_assert_true(!json_object_get(value, "era") == !eras[i]);
+		g_assert_cmpint(lease_record_from_json(value, &decoded), ==, 0);
+		g_assert_cmpuint(decoded.fencing, ==, record.fencing);
+		g_assert_cmpuint(decoded.era, ==, record.era);
+		json_object_set_new(value, "era", json_string("1"));
+		g_assert_cmpint(lease_record_from_json(value, &decoded), ==,
+				ERR_BAD_JSON);
+	}
+}
+
 /*
  * Guards against an instance that, after a restart of all instances, waits for
  * the expiry of a lease that its own earlier incarnation held.
@@ -616,6 +669,7 @@
 	g_test_add_func("/lease/cases", test_cases);
 	g_test_add_func("/lease/restored-cases", test_restored_cases);
 	g_test_add_func("/lease/schedules", test_schedules);
+	g_test_add_func("/lease/record-json", test_record_json);
 	g_test_add_func("/lease/unique-id", test_unique_id);
 	return g_test_run();
 }
