process: end a lease when the store begins a new era

A holder kept its lease over a restore of the store, went on to renew it with a revision of the era before, and took the answer for its own. Revisions are given out again, so such a write can succeed on another instance's record; the holder then counts as valid beside that instance.

A holder that learns of a newer era, from an answer to its own call or from any other call of the instance (LEASE_EVENT_ERA), ends its validity, forgets the revision and competes like the others. An answer to a write that states a newer era than the one of its revision is no success; an answer of an earlier era says nothing. A release is not repeated in a newer era.

/lease/restored-schedules runs 2,000 seeds on virtual time with instances that are paused, stop and start, lost and late calls, and up to 4 restores each to a random earlier state. In all of them fencing numbers rise with the time at which holders act, no two holders are valid at once, no instance acts in a new era before a whole duration has passed, and none of an earlier era acts after its lease could last. It fails if the era is left out of the number, if a record of an earlier era is taken at once, and if reads or answers to writes don't end an era.

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -130,6 +130,7 @@
 	metrics_set(METRIC_STORE_ERA, (int64_t)control->store.era);
 	event_log(EVENT_STORE_ERA, "era=%llu",
 		  (unsigned long long)control->store.era);
+	gateway_rollout_store_era(control->rollout);
 	for (size_t i = 0; i < WATCHED_KIND_COUNT; i++)
 		object_watch_check_era(control->watches[watched_kinds[i]]);
 }
--- a/cmd/gateway_control.h
+++ b/cmd/gateway_control.h
@@ -81,6 +81,9 @@
 void gateway_rollout_close(gateway_rollout_t *rollout);
 void gateway_rollout_tick(gateway_rollout_t *rollout, uint64_t now_ms);
 
+/** The store has begun a newer era. */
+void gateway_rollout_store_era(gateway_rollout_t *rollout);
+
 /** Releases the lease before a planned stop. */
 void gateway_rollout_release(gateway_rollout_t *rollout);
 
--- a/cmd/gateway_lease.c
+++ b/cmd/gateway_lease.c
@@ -62,8 +62,7 @@
 static void on_store_answer(void *context, const store_answer_t *answer)
 {
 	gateway_lease_t *lease = context;
-	lease_event_t event = { .call_id = lease->call_id,
-				.era = answer->era };
+	lease_event_t event = { .call_id = lease->call_id, .era = answer->era };
 	lease_record_t record;
 	uint64_t version = 0;
 	int result = answer->err;
@@ -226,6 +225,15 @@
 			      : 0;
 }
 
+void gateway_lease_store_era(gateway_lease_t *lease)
+{
+	lease_event_t event = { .kind = LEASE_EVENT_ERA,
+				.era = lease->control->store.era };
+
+	if (lease->started)
+		handle_lease_event(lease, &event);
+}
+
 void gateway_lease_tick(gateway_lease_t *lease, uint64_t now_ms)
 {
 	if (!lease->started) {
--- a/cmd/gateway_lease.h
+++ b/cmd/gateway_lease.h
@@ -22,6 +22,9 @@
 
 void gateway_lease_tick(gateway_lease_t *lease, uint64_t now_ms);
 
+/** The store has begun a newer era. */
+void gateway_lease_store_era(gateway_lease_t *lease);
+
 /** Releases the lease before a planned stop. */
 void gateway_lease_release(gateway_lease_t *lease);
 
--- a/cmd/gateway_rollout.c
+++ b/cmd/gateway_rollout.c
@@ -399,6 +399,11 @@
 		step_rollout(rollout, now_ms);
 }
 
+void gateway_rollout_store_era(gateway_rollout_t *rollout)
+{
+	gateway_lease_store_era(rollout->lease);
+}
+
 void gateway_rollout_release(gateway_rollout_t *rollout)
 {
 	gateway_lease_release(rollout->lease);
--- a/process/lease.c
+++ b/process/lease.c
@@ -275,10 +275,31 @@
 	lease->version = 0;
 }
 
+/** Begins a newer era and reads the record again. */
+static void restart_in_era(lease_t *lease, lease_actions_t *actions,
+			   uint64_t era)
+{
+	begin_era(lease, actions, era);
+	/* A release has nothing left to release. */
+	if (lease->phase == LEASE_PHASE_RELEASING)
+		stop(lease, actions);
+	else
+		read_record(lease, actions, LEASE_PHASE_READING);
+}
+
+/** Result of a call; an answer of an earlier era says nothing about now. */
+static int current_result(const lease_t *lease, const lease_event_t *event,
+			  int result)
+{
+	return event->era < lease->era && (!result || result == ERR_NOT_FOUND)
+		       ? ERR_STORE_UNKNOWN
+		       : result;
+}
+
 static void on_read(lease_t *lease, const lease_event_t *event, uint64_t now_ms,
 		    lease_actions_t *actions)
 {
-	int result = event->read.result;
+	int result = current_result(lease, event, event->read.result);
 
 	if (event->era > lease->era) {
 		begin_era(lease, actions, event->era);
@@ -323,8 +344,14 @@
 static void on_written(lease_t *lease, const lease_event_t *event,
 		       uint64_t now_ms, lease_actions_t *actions)
 {
-	int result = event->written.result;
+	int result = current_result(lease, event, event->written.result);
 
+	/* Also a write that succeeded, as it may have replaced a record that
+	 * was given the same revision again. */
+	if (event->era > lease->era) {
+		restart_in_era(lease, actions, event->era);
+		return;
+	}
 	if (lease->phase == LEASE_PHASE_RELEASING) {
 		on_release_written(lease, result, now_ms, actions);
 		return;
@@ -405,6 +432,11 @@
 				      actions);
 		return;
 	}
+	if (event->kind == LEASE_EVENT_ERA) {
+		if (event->era > lease->era)
+			restart_in_era(lease, actions, event->era);
+		return;
+	}
 	if (event->call_id != lease->call_id)
 		return;
 	switch (event->kind) {
@@ -418,6 +450,7 @@
 		on_timer(lease, now_ms, actions);
 		return;
 	case LEASE_EVENT_RELEASE:
+	case LEASE_EVENT_ERA:
 		return;
 	}
 }
--- a/process/lease.h
+++ b/process/lease.h
@@ -12,9 +12,9 @@
  *
  * A store that states its era may be restored from an older copy, which begins
  * a new era. The record is then an earlier one or absent, while a holder of
- * before may be valid for the rest of its lease. So what is found of an earlier
- * era is only taken over after a whole duration. Fencing numbers contain the
- * era.
+ * before may be valid for the rest of its lease. So a lease ends in the era in
+ * which it was written, and what is found of an earlier era is only taken over
+ * after a whole duration. Fencing numbers contain the era.
  */
 #ifndef PROCESS_LEASE_H
 #define PROCESS_LEASE_H
@@ -88,6 +88,8 @@
 	LEASE_EVENT_TIMER,
 	/** Release the lease, for `successor` if that is set; then stop. */
 	LEASE_EVENT_RELEASE,
+	/** The store's era is known from another call. */
+	LEASE_EVENT_ERA,
 } lease_event_kind_t;
 
 typedef struct lease_event {
--- a/t/lib/sim.c
+++ b/t/lib/sim.c
@@ -204,6 +204,7 @@
 	call_t *call = context;
 	sim_t *sim = call->sim;
 
+	call->answer.era = sim->era;
 	if (sim->store_down)
 		call->answer.result = ERR_STORE_DOWN;
 	else if (call->is_write)
@@ -276,11 +277,50 @@
 	start_call(sim, call);
 }
 
+static void free_objects(sim_object_t *objects, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		free(objects[i].value);
+	free(objects);
+}
+
+static sim_object_t *copy_objects(const sim_object_t *objects, size_t count)
+{
+	sim_object_t *copies =
+		check_allocated(calloc(count + 1, sizeof(*copies)));
+
+	for (size_t i = 0; i < count; i++) {
+		copies[i] = objects[i];
+		copies[i].value = copy_of(objects[i].value, objects[i].size);
+	}
+	return copies;
+}
+
+void sim_copy(const sim_t *sim, sim_copy_t *copy)
+{
+	copy->next_version = sim->next_version;
+	copy->objects = copy_objects(sim->objects, sim->object_count);
+	copy->object_count = sim->object_count;
+}
+
+void sim_copy_clear(sim_copy_t *copy)
+{
+	free_objects(copy->objects, copy->object_count);
+	memset(copy, 0, sizeof(*copy));
+}
+
+void sim_restore(sim_t *sim, const sim_copy_t *copy)
+{
+	free_objects(sim->objects, sim->object_count);
+	sim->objects = copy_objects(copy->objects, copy->object_count);
+	sim->object_count = copy->object_count;
+	sim->next_version = copy->next_version;
+	sim->era++;
+}
+
 void sim_clear(sim_t *sim)
 {
-	for (size_t i = 0; i < sim->object_count; i++)
-		free(sim->objects[i].value);
-	free(sim->objects);
+	free_objects(sim->objects, sim->object_count);
 	free(sim->heap);
 }
 
--- a/t/lib/sim.h
+++ b/t/lib/sim.h
@@ -54,6 +54,8 @@
 	size_t heap_capacity;
 	sim_faults_t faults;
 	bool store_down;
+	/** Rises with each restore of the store; 0: answers state none. */
+	uint64_t era;
 	uint64_t next_version;
 	sim_object_t *objects;
 	size_t object_count;
@@ -62,6 +64,7 @@
 /** Result of a store call. `value` is only valid during the call. */
 typedef struct sim_answer {
 	int result;
+	uint64_t era; /**< Of the store; 0 if there was no answer. */
 	uint64_t version;
 	const void *value;
 	size_t size;
@@ -107,6 +110,21 @@
 	       const void *value, size_t size, sim_answer_fn_t fn,
 	       void *context, uint64_t argument);
 
+/** The objects of the store at one moment. */
+typedef struct sim_copy {
+	uint64_t next_version;
+	sim_object_t *objects;
+	size_t object_count;
+} sim_copy_t;
+
+/** Copies the store; sim_copy_clear() it. */
+void sim_copy(const sim_t *sim, sim_copy_t *copy);
+void sim_copy_clear(sim_copy_t *copy);
+
+/** Restores the store from a copy: later changes are lost, their versions are
+ * given out again, and a new era begins. */
+void sim_restore(sim_t *sim, const sim_copy_t *copy);
+
 /**
  * Range of the seeds to run: 1 to `count`, or the one seed in AMV_TEST_SEED.
  * Prints the range.
--- a/t/test-lease.c
+++ b/t/test-lease.c
@@ -1,6 +1,6 @@
 /*
- * Leases: a table of cases, and seeded random schedules with paused instances
- * and lost answers of the store.
+ * Leases: a table of cases, and seeded random schedules with paused instances,
+ * lost answers of the store, and a store that is restored from older copies.
  */
 #include <glib.h>
 #include <string.h>
@@ -18,12 +18,18 @@
 	RUN_MS = 60000,
 	SEND_INTERVAL_MS = 50,
 	SCHEDULES = 2000,
+	COPY_INTERVAL_MS = 1000,
+	COPIES_MAX = RUN_MS / COPY_INTERVAL_MS,
+	RESTORES = 4,
+	/** Time of a holder's last write to the end of its validity. */
+	VALID_MS = DURATION_MS * 2 / 3,
 };
 
 #define WRITTEN LEASE_EVENT_WRITTEN
 #define READ LEASE_EVENT_READ
 #define TIMER LEASE_EVENT_TIMER
 #define RELEASE LEASE_EVENT_RELEASE
+#define ERA LEASE_EVENT_ERA
 #define FENCING(era, number) \
 	(((uint64_t)(era) << STORE_REVISION_BITS) + (number))
 
@@ -148,6 +154,26 @@
 	  { { { READ, 0, RELEASED, 5, 0, "T", 0 }, 1, 0 },
 	    { { READ, 0, RELEASED, 5, 3000, "W", 0 }, 1, 0 },
 	    { { WRITTEN, 0, NOTHING, 7, 3010, "AT", FENCING(1, 6) }, 1, 0 } } },
+	{ "restored while another holds it: the duration starts anew",
+	  { { { READ, 0, HELD_BY_OTHER, 9, 0, "T", 0 }, 1, 1 },
+	    { { ERA, 0, NOTHING, 0, 2000, "R", 0 }, 2, 0 },
+	    { { READ, 0, HELD_BY_OTHER, 9, 2100, "T", 0 }, 2, 1 },
+	    { { READ, 0, HELD_BY_OTHER, 9, 5099, "T", 0 }, 2, 1 },
+	    { { READ, 0, HELD_BY_OTHER, 9, 5100, "W", 0 }, 2, 1 } } },
+	{ "the holder learns of a newer era from another call",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 1, 1 },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", FENCING(1, 6) }, 1, 0 },
+	    { { ERA, 0, NOTHING, 0, 500, "LR", 0 }, 2, 0 },
+	    { { READ, 0, OUR_WRITE, 6, 600, "T", 0 }, 2, 0 },
+	    { { ERA, 0, NOTHING, 0, 700, "", 0 }, 2, 0 },
+	    { { READ, 0, OUR_WRITE, 6, 3600, "W", 0 }, 2, 0 },
+	    { { WRITTEN, 0, NOTHING, 7, 3700, "AT", FENCING(2, 7) }, 2, 0 } } },
+	{ "a write in a newer era may have replaced another record",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 1, 1 },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", FENCING(1, 6) }, 1, 0 },
+	    { { TIMER, 0, NOTHING, 0, 1000, "W", FENCING(1, 6) }, 0, 0 },
+	    { { WRITTEN, 0, NOTHING, 7, 1100, "LR", 0 }, 2, 0 },
+	    { { READ, 0, OUR_WRITE, 7, 1200, "T", 0 }, 2, 0 } } },
 	{ "a late write of an earlier era replaced our record",
 	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 2, 2 },
 	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", FENCING(2, 6) }, 2, 0 },
@@ -159,6 +185,39 @@
 	    { { READ, 0, HELD_BY_OTHER, 7, 1200, "LT", 0 }, 2, 1 },
 	    { { READ, 0, HELD_BY_OTHER, 7, 4200, "W", 0 }, 2, 1 },
 	    { { WRITTEN, 0, NOTHING, 8, 4300, "AT", FENCING(2, 8) }, 2, 0 } } },
+	{ "an acquisition is answered in a newer era",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 1, 1 },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "R", 0 }, 2, 0 },
+	    { { READ, 0, OUR_WRITE, 6, 20, "T", 0 }, 2, 0 } } },
+	{ "a write with a lost answer is found in a newer era",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 1, 1 },
+	    { { WRITTEN, ERR_STORE_UNKNOWN, NOTHING, 0, 400, "R", 0 }, 0, 0 },
+	    { { READ, 0, OUR_WRITE, 6, 500, "T", 0 }, 2, 0 } } },
+	{ "an answer of an earlier era says nothing",
+	  { { { ERA, 0, NOTHING, 0, 0, "R", 0 }, 2, 0 },
+	    { { READ, 0, RELEASED, 5, 100, "T", 0 }, 1, 1 },
+	    { { TIMER, 0, NOTHING, 0, 400, "R", 0 }, 0, 0 },
+	    { { READ, 0, RELEASED, 5, 500, "W", 0 }, 2, 2 },
+	    { { WRITTEN, 0, NOTHING, 6, 600, "R", 0 }, 1, 0 } } },
+	{ "the store is down in a newer era",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 1, 1 },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", FENCING(1, 6) }, 1, 0 },
+	    { { TIMER, 0, NOTHING, 0, 1000, "W", FENCING(1, 6) }, 0, 0 },
+	    { { WRITTEN, ERR_STORE_DOWN, NOTHING, 0, 1010, "LR", 0 }, 2, 0 },
+	    { { READ, ERR_STORE_DOWN, NOTHING, 0, 1020, "T", 0 }, 2, 0 },
+	    { { TIMER, 0, NOTHING, 0, 1400, "R", 0 }, 0, 0 },
+	    { { READ, ERR_NOT_FOUND, NOTHING, 0, 1500, "T", 0 }, 2, 0 } } },
+	{ "a release in a newer era is not written again",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 1, 1 },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", FENCING(1, 6) }, 1, 0 },
+	    { { RELEASE, 0, NOTHING, 0, 200, "LW", 0 }, 0, 0 },
+	    { { WRITTEN, ERR_STORE_UNKNOWN, NOTHING, 0, 600, "T", 0 }, 0, 0 },
+	    { { ERA, 0, NOTHING, 0, 650, "S", 0 }, 2, 0 } } },
+	{ "a release is answered in a newer era",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, 1, 1 },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", FENCING(1, 6) }, 1, 0 },
+	    { { RELEASE, 0, NOTHING, 0, 200, "LW", 0 }, 0, 0 },
+	    { { WRITTEN, ERR_STORE_DOWN, NOTHING, 0, 600, "S", 0 }, 2, 0 } } },
 };
 
 static lease_record_t record_of(found_record_t found, const lease_t *lease,
@@ -286,7 +345,13 @@
 	uint64_t acquisitions;
 	uint64_t record_fencing; /**< In the store's record, last seen. */
 	uint64_t requests_sent;
+	uint64_t last_sent; /**< Fencing number. */
 	uint64_t releases;
+	bool has_restores;
+	sim_copy_t copies[COPIES_MAX];
+	size_t copy_count;
+	uint64_t restored_at_ms; /**< Start of the current era. */
+	uint64_t restores;
 	bool ended;
 };
 
@@ -342,7 +407,8 @@
 			   const sim_answer_t *answer)
 {
 	lease_event_t event = { .kind = LEASE_EVENT_WRITTEN,
-				.call_id = (uint32_t)(argument >> 1) };
+				.call_id = (uint32_t)(argument >> 1),
+				.era = answer->era };
 
 	if (argument & 1) {
 		event.kind = LEASE_EVENT_READ;
@@ -355,10 +421,27 @@
 	post_event(context, argument >> 33, &event, answer->value, 0);
 }
 
+/** In a new era a holder of before may be valid for the rest of its lease, and
+ * no other may act before all instances had to see it expire. */
+static void check_era(const instance_t *instance)
+{
+	const run_t *run = instance->run;
+
+	if (!run->has_restores)
+		return;
+	if (instance->lease.era == run->sim.era)
+		g_assert_cmpuint(run->sim.now_ms, >=,
+				 run->restored_at_ms + DURATION_MS);
+	else
+		g_assert_cmpuint(run->sim.now_ms, <,
+				 run->restored_at_ms + VALID_MS);
+}
+
 static void check_acquisition(instance_t *instance, uint64_t fencing)
 {
 	run_t *run = instance->run;
 
+	check_era(instance);
 	g_assert_cmpuint(fencing, >, run->last_acquired);
 	run->last_acquired = fencing;
 	run->acquisitions++;
@@ -441,6 +524,9 @@
 				g_assert_false(lease_is_valid(
 					&run->instances[n].lease, sim->now_ms));
 		}
+		check_era(instance);
+		g_assert_cmpuint(fencing, >=, run->last_sent);
+		run->last_sent = fencing;
 		run->requests_sent++;
 		sim_schedule(sim, rng_below(&sim->rng, 2 * DURATION_MS),
 			     leased_request_arrives, run,
@@ -501,6 +587,59 @@
 	((run_t *)context)->sim.store_down = down;
 }
 
+static void copy_store(void *context, uint64_t argument)
+{
+	run_t *run = context;
+
+	(void)argument;
+	/* Changes of other objects use up revisions, too. */
+	run->sim.next_version += rng_below(&run->sim.rng, 3);
+	if (run->copy_count == COPIES_MAX)
+		return;
+	sim_copy(&run->sim, &run->copies[run->copy_count++]);
+	sim_schedule(&run->sim, COPY_INTERVAL_MS, copy_store, run, 0);
+}
+
+static void restore_store(void *context, uint64_t argument)
+{
+	run_t *run = context;
+	sim_t *sim = &run->sim;
+
+	(void)argument;
+	if (run->ended)
+		return;
+	sim_restore(sim, &run->copies[rng_below(&sim->rng, run->copy_count)]);
+	sim->store_down = false;
+	run->restored_at_ms = sim->now_ms;
+	run->restores++;
+	/* Some instances learn of the era from their other calls. */
+	for (int n = 0; n < INSTANCES; n++) {
+		lease_event_t event = { .kind = LEASE_EVENT_ERA,
+					.era = sim->era };
+
+		if (sim_chance(sim, 50))
+			post_event(&run->instances[n],
+				   run->instances[n].incarnation, &event, NULL,
+				   rng_below(&sim->rng, DURATION_MS));
+	}
+}
+
+static void schedule_restores(run_t *run)
+{
+	sim_t *sim = &run->sim;
+
+	sim->era = 1;
+	run->restored_at_ms = sim->now_ms;
+	sim_schedule(sim, 0, copy_store, run, 0);
+	for (int i = 0; i < RESTORES; i++) {
+		uint64_t at_ms = rng_below(&sim->rng, RUN_MS);
+
+		sim_schedule(sim, at_ms, set_store_down, run, 1);
+		sim_schedule(sim, 1 + at_ms + rng_below(&sim->rng, DURATION_MS),
+			     restore_store, run, 0);
+	}
+}
+
 static void schedule_faults(run_t *run)
 {
 	sim_t *sim = &run->sim;
@@ -539,7 +678,8 @@
 	const sim_object_t *object = sim_find(&run->sim, lease_key);
 	const lease_record_t *record = object ? object->value : NULL;
 
-	if (!record)
+	/* After a restore, writes of an earlier era may replace newer ones. */
+	if (!record || run->restores)
 		return;
 	g_assert_cmpuint(record->fencing, >=, run->record_fencing);
 	run->record_fencing = record->fencing;
@@ -555,7 +695,7 @@
 		;
 }
 
-static void run_schedule(uint64_t seed, run_t *totals)
+static void run_schedule(uint64_t seed, bool has_restores, run_t *totals)
 {
 	static const sim_faults_t faults = { .lose_request = 3,
 					     .lose_answer = 8,
@@ -566,6 +706,9 @@
 
 	sim_init(&run->sim, seed, &faults);
 	schedule_faults(run);
+	run->has_restores = has_restores;
+	if (has_restores)
+		schedule_restores(run);
 	while (sim_run_one(&run->sim, 1000000 + RUN_MS))
 		check_record(run);
 	discard_remaining_events(run);
@@ -573,12 +716,14 @@
 	totals->requests_sent += run->requests_sent;
 	totals->endpoint.accepted += run->endpoint.accepted;
 	totals->releases += run->releases;
+	totals->restores += run->restores;
+	for (size_t i = 0; i < run->copy_count; i++)
+		sim_copy_clear(&run->copies[i]);
 	sim_clear(&run->sim);
 	g_free(run);
 }
 
-/* Guards against two holders at a time, and a fencing number given to both. */
-static void test_schedules(void)
+static void run_schedules(bool has_restores, uint64_t sent_share_percent)
 {
 	run_t *totals = g_new0(run_t, 1);
 	uint64_t first;
@@ -587,20 +732,37 @@
 	sim_seed_range(SCHEDULES, &first, &last);
 	for (uint64_t seed = first; seed <= last; seed++) {
 		g_test_message("seed %" G_GUINT64_FORMAT, seed);
-		run_schedule(seed, totals);
+		run_schedule(seed, has_restores, totals);
 	}
 	g_print("# acquisitions %" G_GUINT64_FORMAT ", requests sent "
 		"%" G_GUINT64_FORMAT ", accepted %" G_GUINT64_FORMAT
-		", releases %" G_GUINT64_FORMAT "\n",
+		", releases %" G_GUINT64_FORMAT ", restores %" G_GUINT64_FORMAT
+		"\n",
 		totals->acquisitions, totals->requests_sent,
-		totals->endpoint.accepted, totals->releases);
+		totals->endpoint.accepted, totals->releases, totals->restores);
 	/* Without acquisitions and changes of holder the run proves nothing. */
 	g_assert_cmpuint(totals->acquisitions, >, 3 * (last - first + 1));
 	g_assert_cmpuint(totals->requests_sent * SEND_INTERVAL_MS, >,
-			 (last - first + 1) * RUN_MS / 2);
+			 (last - first + 1) * RUN_MS * sent_share_percent /
+				 100);
 	g_free(totals);
 }
 
+/* Guards against two holders at a time, and a fencing number given to both. */
+static void test_schedules(void)
+{
+	run_schedules(false, 50);
+}
+
+/*
+ * Guards against a second holder, and a fencing number that is given again,
+ * after the store was restored from an older copy.
+ */
+static void test_restored_schedules(void)
+{
+	run_schedules(true, 30);
+}
+
 /* Guards against a record of before a restore that looks like one of now. */
 static void test_record_json(void)
 {
@@ -669,6 +831,7 @@
 	g_test_add_func("/lease/cases", test_cases);
 	g_test_add_func("/lease/restored-cases", test_restored_cases);
 	g_test_add_func("/lease/schedules", test_schedules);
+	g_test_add_func("/lease/restored-schedules", test_restored_schedules);
 	g_test_add_func("/lease/record-json", test_record_json);
 	g_test_add_func("/lease/unique-id", test_unique_id);
 	return g_test_run();
