t: restore the store in the soak test

The faults of the soak test did not include a store that comes back from an older copy. The random numbers for it are drawn apart, so that the other faults of a seed remain as they were when it failed.

--- a/t/test-it-soak.c
+++ b/t/test-it-soak.c
@@ -20,6 +20,10 @@
 	GATEWAYS = 3,
 	CLIENTS = 4,
 	FAULT_COUNT = 14,
+	/** After one in this many faults the store is restored. */
+	RESTORE_INTERVAL_FAULTS = 6,
+	/** Most changes of the store that a restore loses. */
+	LOST_CHANGES_MAX = 60,
 	/** Random time between two faults. */
 	FAULT_INTERVAL_MIN_MS = 80,
 	FAULT_INTERVAL_SPREAD_MS = 400,
@@ -59,6 +63,9 @@
 	platform_rig_t rig;
 	uint64_t seed;
 	rng_t rng;
+	/** Of its own, so that a seed's other faults remain the same. */
+	rng_t restore_rng;
+	uint64_t first_revision; /**< Of the store, once gateways are ready. */
 	pthread_mutex_t lock;
 	GHashTable *requests; /**< Request id to request_entry_t. */
 	/** Changes of a gateway's availability; odd while it is stopped,
@@ -297,6 +304,32 @@
 			       soak->draining ? "draining" : "ready");
 }
 
+/* Restores the store from an older copy. The operator and the endpoints write
+ * again what it has lost, the gateways have to do so themselves. */
+static void restore_store(soak_t *soak)
+{
+	platform_rig_t *rig = &soak->rig;
+	uint64_t kept =
+		platform_store_revision(rig->store) - soak->first_revision;
+	uint64_t lost = rng_below(&soak->restore_rng, LOST_CHANGES_MAX);
+	char name[32];
+
+	platform_store_set_down(rig->store, true);
+	platform_store_restore(rig->store,
+			       soak->first_revision +
+				       (kept > lost ? kept - lost : 0));
+	g_snprintf(name, sizeof(name), "key-%u", soak->key);
+	platform_rig_put_desired(rig, soak->desired_version, name);
+	platform_rig_put_target_weights(rig, soak->target_weights);
+	for (int i = 0; i < ENDPOINT_COUNT; i++) {
+		platform_rig_put_entry(&rig->services[i], soak->draining && !i
+								  ? "draining"
+								  : "ready");
+		platform_rig_put_entry(&rig->engines[i], "ready");
+	}
+	platform_store_set_down(rig->store, soak->store_down);
+}
+
 static void inject_fault(soak_t *soak)
 {
 	int gateway = (int)rng_below(&soak->rng, GATEWAYS);
@@ -441,6 +474,7 @@
 	memset(soak, 0, sizeof(*soak));
 	soak->seed = seed;
 	rng_init(&soak->rng, seed);
+	rng_init(&soak->restore_rng, ~seed);
 	pthread_mutex_init(&soak->lock, NULL);
 	soak->requests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -448,6 +482,7 @@
 	soak->desired_version = 1;
 	soak->target_weights = 1;
 	platform_rig_start(&soak->rig, GATEWAYS);
+	soak->first_revision = platform_store_revision(soak->rig.store);
 	for (int i = 0; i < ENDPOINT_COUNT; i++) {
 		soak->rig.services[i].context = soak;
 		soak->rig.services[i].on_run = record_run;
@@ -478,6 +513,8 @@
 	}
 	for (int i = 0; i < FAULT_COUNT; i++) {
 		inject_fault(&soak);
+		if (!rng_below(&soak.restore_rng, RESTORE_INTERVAL_FAULTS))
+			restore_store(&soak);
 		drain_logs(&soak);
 		clock_sleep_ms(FAULT_INTERVAL_MIN_MS +
 			       rng_below(&soak.rng, FAULT_INTERVAL_SPREAD_MS));
