object_watch: list when a restored store is watched again

A watch that is activated continued from the revision of its table, also when the instance knew from another call that the store had been restored since. object_watch_check_era() acts only on a change of the era that is known, and only on active watches, so that a watcher that had given way during the outage and took over later could continue from a revision that the store had given out again. It then missed what was written up to there, until the next change of that kind or for up to 20 s.

The desired state is hardly affected, as its watch is asked again within a second.

Start with a list if the table is from before the restore.

test-object-watch, /object-watch/activated: fails before (the endpoint that registered after the return is not known within 5 s), passes after.

--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -253,13 +253,18 @@
 	return watch->in_contact;
 }
 
-void object_watch_check_era(object_watch_t *watch)
+/* Whether the store is known to be in a newer era than a revision. */
+static bool is_before_restore(const object_watch_t *watch, uint64_t revision)
 {
-	uint64_t era = store_revision_era(
-		store_revision_make(watch->options.store->era, 0));
+	return store_revision_era(revision) <
+	       store_revision_era(
+		       store_revision_make(watch->options.store->era, 0));
+}
 
+void object_watch_check_era(object_watch_t *watch)
+{
 	if (!watch->active || watch->listing ||
-	    store_revision_era(watch->options.table->revision) == era)
+	    !is_before_restore(watch, watch->options.table->revision))
 		return;
 	if (watch->call)
 		store_call_cancel(watch->call);
@@ -277,7 +282,9 @@
 	watch->contact_known = false;
 	watch->in_contact = false;
 	if (active) {
-		watch->listing = !watch->options.table->complete;
+		watch->listing = !watch->options.table->complete ||
+				 is_before_restore(
+					 watch, watch->options.table->revision);
 		send_after(watch, 0);
 		return;
 	}
--- a/process/object_watch.h
+++ b/process/object_watch.h
@@ -67,7 +67,8 @@
 
 /**
  * Activates or deactivates the watch. After activation it continues from the
- * revision of the table, or with a list if the table is not complete.
+ * revision of the table, or with a list if the table is not complete or from an
+ * earlier era of the store.
  */
 void object_watch_set_active(object_watch_t *watch, bool active);
 
--- /dev/null
+++ b/t/test-object-watch.c
@@ -0,0 +1,193 @@
+/* The watch of one kind of objects beside a store that is restored from an
+ * older copy; the loop runs on the test's thread. */
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+
+#include "platform/platform_objects.h"
+#include "process/cleanup.h"
+#include "process/clock.h"
+#include "process/object_watch.h"
+#include "process/store_revision.h"
+#include "t/lib/platform_store.h"
+
+enum {
+	WAIT_MS = 5000,
+	POLL_MS = 5,
+	/** Longer than WAIT_MS, so that a watch that missed a change fails. */
+	WATCH_WAIT_MS = 20000,
+	/** Changes of the endpoints after the copy was made. */
+	LOST_CHANGES = 3,
+	/** Changes of other objects after the return. */
+	LATER_CHANGES = 10,
+};
+
+typedef struct rig {
+	platform_store_t *store;
+	struct event_base *base;
+	store_link_t link;
+	rng_t rng;
+	object_table_t table;
+	object_watch_t *watch;
+	bool failing;
+	uint64_t copied; /**< Revision of the copy. */
+} rig_t;
+
+static void on_era(void *context)
+{
+	const rig_t *rig = context;
+
+	object_watch_check_era(rig->watch);
+}
+
+static void on_changed(void *context, object_kind_t kind)
+{
+	(void)context;
+	(void)kind;
+}
+
+static void on_contact(void *context, object_kind_t kind, int err)
+{
+	rig_t *rig = context;
+
+	(void)kind;
+	rig->failing = err != 0;
+	event_base_loopbreak(rig->base);
+}
+
+static void put_endpoint(rig_t *rig, const char *name)
+{
+	platform_store_put(rig->store, "servers", name, json_pack("{}"));
+}
+
+/* Runs the loop for POLL_MS, or until the contact changes. */
+static void run_loop(rig_t *rig)
+{
+	struct timeval poll = { .tv_usec = POLL_MS * 1000 };
+
+	event_base_loopexit(rig->base, &poll);
+	event_base_dispatch(rig->base);
+}
+
+/* Runs the loop until `condition` is true; false after WAIT_MS. */
+#define RUN_UNTIL(rig, condition)                                     \
+	({                                                            \
+		uint64_t deadline_ms_ = clock_now_ms() + WAIT_MS;     \
+                                                                      \
+		while (!(condition) && clock_now_ms() < deadline_ms_) \
+			run_loop(rig);                                \
+		(condition);                                          \
+	})
+
+static bool has_endpoint(const rig_t *rig, const char *name)
+{
+	for (size_t i = 0; i < rig->table.count; i++) {
+		if (!strcmp(rig->table.entries[i].name, name))
+			return true;
+	}
+	return false;
+}
+
+static void rig_open(rig_t *rig)
+{
+	object_watch_options_t options = {
+		.store = &rig->link,
+		.kind = OBJECT_ENDPOINTS,
+		.table = &rig->table,
+		.wait_ms = WATCH_WAIT_MS,
+		.answer_margin_ms = WAIT_MS,
+		.rng = &rig->rng,
+		.changed = on_changed,
+		.contact_changed = on_contact,
+		.context = rig,
+	};
+
+	memset(rig, 0, sizeof(*rig));
+	rig->store = platform_store_start();
+	rig->base = event_base_new();
+	rng_init(&rig->rng, 1);
+	rig->table.kind = OBJECT_ENDPOINTS;
+	rig->link = (store_link_t){
+		.outbound = outbound_open(rig->base),
+		.base = rig->base,
+		.target = { .key = "store",
+			    .connections_max = 2,
+			    .connect_timeout_ms = WAIT_MS },
+		.era_changed = on_era,
+		.context = rig,
+	};
+	rig->link.target.address.v4.sin_family = AF_INET;
+	rig->link.target.address.v4.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	rig->link.target.address.v4.sin_port =
+		htons(platform_store_port(rig->store));
+	rig->watch = object_watch_start(&options);
+	g_assert_nonnull(rig->watch);
+	put_endpoint(rig, "a");
+	rig->copied = platform_store_revision(rig->store);
+	for (int i = 0; i < LOST_CHANGES; i++)
+		put_endpoint(rig, "a");
+	object_watch_set_active(rig->watch, true);
+	g_assert_true(RUN_UNTIL(rig, rig->table.complete));
+}
+
+static void rig_close(rig_t *rig)
+{
+	object_watch_stop(rig->watch);
+	object_table_free(&rig->table);
+	outbound_close(rig->link.outbound);
+	event_base_free(rig->base);
+	platform_store_stop(rig->store);
+}
+
+/* The store is away and returns from the copy. Before the watch is sent again,
+ * the endpoint "b" registers and the revision passes that of the table. */
+static void restore_and_pass(rig_t *rig)
+{
+	platform_store_set_down(rig->store, true);
+	g_assert_true(RUN_UNTIL(rig, rig->failing));
+	platform_store_restore(rig->store, rig->copied);
+	put_endpoint(rig, "b");
+	for (int i = 0; i < LATER_CHANGES; i++)
+		platform_store_put(rig->store, "others", "o", json_pack("{}"));
+	platform_store_set_down(rig->store, false);
+}
+
+static void on_other_answer(void *context, const store_answer_t *answer)
+{
+	(void)context;
+	g_assert_cmpuint(answer->era, ==, 2);
+}
+
+/* Makes another call, whose answer shows the new era. */
+static void make_other_call(rig_t *rig)
+{
+	struct evbuffer *message = evbuffer_new();
+
+	platform_write_get(message, OBJECT_DESIRED, "main");
+	g_assert_nonnull(store_call_send(&rig->link, message, WAIT_MS,
+					 on_other_answer, NULL));
+	evbuffer_free(message);
+}
+
+/* Failure: a watch that was activated after the new era was known went on from
+ * a revision of before the restore. */
+static void test_activated(void)
+{
+	rig_t rig;
+
+	rig_open(&rig);
+	restore_and_pass(&rig);
+	object_watch_set_active(rig.watch, false);
+	make_other_call(&rig);
+	g_assert_true(RUN_UNTIL(&rig, rig.link.era == 2));
+	object_watch_set_active(rig.watch, true);
+	g_assert_true(RUN_UNTIL(&rig, has_endpoint(&rig, "b")));
+	rig_close(&rig);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/object-watch/activated", test_activated);
+	return g_test_run();
+}
