object_watch: do not continue a watch across a restore

A watch that was sent before the instance knew of a restore stays open if the store has passed its revision again. If the table of a peer of the new era was taken meanwhile, the answer's era was compared with that of the table instead of that of the revision which the call watches from. The two agree, so the changes were applied as if they followed the table. What was written between the peer's revision and that of the call was lost, and object_watch_check_era() did not end such a call either, as the table was up to date by its era.

It takes a store that passes the revision before the watch is sent again: a copy that is only a little older, or many instances that register again at once.

Keep the revision that the call watches from, and list again if the answer is of another era than this or the table.

test-object-watch, /object-watch/pending-call/waiting and answered: both fail before (the endpoint written in between is not known within 5 s), pass after.

--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -21,6 +21,7 @@
 	bool contact_known;
 	uint64_t list_revision; /**< Of the store, at the list's first page. */
 	char *list_after;	/**< Last name of the previous page, or NULL. */
+	uint64_t since; /**< Revision that the open call watches from. */
 	uint64_t sent_ms;
 	uint32_t failures;
 };
@@ -141,17 +142,19 @@
 				  : 0);
 }
 
-/* Whether the store was restored since the answer that this one continues: its
- * changes are not those that followed. */
-static bool is_from_new_era(const object_watch_t *watch,
-			    const object_page_t *page)
+/* Whether the store was restored since the answer that this one continues, or
+ * a peer's table of a newer era was taken since the call: its changes are not
+ * those that followed. */
+static bool is_from_other_era(const object_watch_t *watch,
+			      const object_page_t *page)
 {
-	uint64_t known = watch->listing ? watch->list_revision
-					: watch->options.table->revision;
+	uint64_t era = store_revision_era(page->revision);
 
-	if (watch->listing && !watch->list_after)
-		return false;
-	return store_revision_era(page->revision) != store_revision_era(known);
+	if (watch->listing)
+		return watch->list_after &&
+		       store_revision_era(watch->list_revision) != era;
+	return store_revision_era(watch->since) != era ||
+	       store_revision_era(watch->options.table->revision) != era;
 }
 
 static void on_answer(void *context, const store_answer_t *answer)
@@ -164,7 +167,8 @@
 	if (!err)
 		err = platform_read_page(answer->body, answer->len, answer->era,
 					 &page);
-	if (err == ERR_STORE_GONE || (!err && is_from_new_era(watch, &page))) {
+	if (err == ERR_STORE_GONE ||
+	    (!err && is_from_other_era(watch, &page))) {
 		log_list(watch, err);
 		restart_list(watch);
 		send_call(watch);
@@ -194,8 +198,9 @@
 		if (options->probe_first && !watch->contact_known)
 			wait_ms = OBJECT_PROBE_WAIT_MS;
 
+		watch->since = options->table->revision;
 		platform_write_watch(watch->message, options->kind,
-				     options->table->revision, wait_ms);
+				     watch->since, wait_ms);
 		timeout_ms = wait_ms + options->answer_margin_ms;
 	}
 	watch->sent_ms = clock_now_ms();
@@ -264,7 +269,9 @@
 void object_watch_check_era(object_watch_t *watch)
 {
 	if (!watch->active || watch->listing ||
-	    !is_before_restore(watch, watch->options.table->revision))
+	    !is_before_restore(watch, watch->call
+					      ? watch->since
+					      : watch->options.table->revision))
 		return;
 	if (watch->call)
 		store_call_cancel(watch->call);
--- a/process/object_watch.h
+++ b/process/object_watch.h
@@ -61,7 +61,8 @@
 /** Whether the last call was answered. */
 bool object_watch_is_in_contact(const object_watch_t *watch);
 
-/** Reads the whole list again if the table is from an earlier era of the store.
+/** Reads the whole list again if the table, or the revision that the open call
+ * watches from, is from an earlier era of the store.
  */
 void object_watch_check_era(object_watch_t *watch);
 
--- a/t/test-object-watch.c
+++ b/t/test-object-watch.c
@@ -152,6 +152,24 @@
 	platform_store_set_down(rig->store, false);
 }
 
+/* Takes the table of a peer that listed the endpoints right after the return.
+ */
+static void import_from_peer(rig_t *rig)
+{
+	object_table_t peer = { .kind = OBJECT_ENDPOINTS };
+	CLEANUP_JSON json_t *spec = json_pack("{}");
+	object_item_t item = { "a", store_revision_make(2, rig->copied), false,
+			       spec };
+	CLEANUP_JSON json_t *state = NULL;
+
+	object_table_list_begin(&peer);
+	object_table_list_add(&peer, &item);
+	object_table_list_end(&peer, item.revision, 1);
+	state = object_table_export(&peer, 0, 1);
+	g_assert_cmpint(object_table_import(&rig->table, state, 1), ==, 1);
+	object_table_free(&peer);
+}
+
 static void on_other_answer(void *context, const store_answer_t *answer)
 {
 	(void)context;
@@ -169,6 +187,31 @@
 	evbuffer_free(message);
 }
 
+/* Failure: a watch from a revision of before the restore went on after a
+ * peer's table of the new era had been taken, and missed what was written in
+ * between. */
+static void test_pending_call(const void *data)
+{
+	bool answered = *(const bool *)data;
+	rig_t rig;
+	uint32_t calls;
+
+	rig_open(&rig);
+	restore_and_pass(&rig);
+	calls = platform_store_calls(rig.store);
+	g_assert_true(RUN_UNTIL(&rig, platform_store_calls(rig.store) > calls));
+	import_from_peer(&rig);
+	g_assert_false(has_endpoint(&rig, "b"));
+	if (answered)
+		put_endpoint(&rig, "c");
+	else
+		make_other_call(&rig);
+	g_assert_true(RUN_UNTIL(&rig, has_endpoint(&rig, "b")));
+	if (answered)
+		g_assert_true(RUN_UNTIL(&rig, has_endpoint(&rig, "c")));
+	rig_close(&rig);
+}
+
 /* Failure: a watch that was activated after the new era was known went on from
  * a revision of before the restore. */
 static void test_activated(void)
@@ -187,7 +230,13 @@
 
 int main(int argc, char **argv)
 {
+	static const bool answered[] = { false, true };
+
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_data_func("/object-watch/pending-call/waiting", &answered[0],
+			     test_pending_call);
+	g_test_add_data_func("/object-watch/pending-call/answered",
+			     &answered[1], test_pending_call);
 	g_test_add_func("/object-watch/activated", test_activated);
 	return g_test_run();
 }
