object_table: suspect a copy of a gone endpoint over a second restore

An endpoint that had been removed is not used when it appears in the copy that the store was restored from. The suspicion is decided when the entry appears, so a second restore within its 4 s, whose list has the entry again with a newer revision, ended it, and the endpoint that is gone got requests until the store removed it.

Decide again for an entry that is suspect.

test-object-table, /object-table/gone-over-two-restores: fails before (not suspect after the second list), passes after.

--- a/process/object_table.c
+++ b/process/object_table.c
@@ -138,7 +138,8 @@
 static int put_item(object_table_t *table, const object_item_t *item)
 {
 	object_entry_t *entry = find_entry(table, item->name);
-	bool suspect = !entry && is_copy_of_removed(table, item);
+	bool suspect =
+		(!entry || entry->suspect) && is_copy_of_removed(table, item);
 
 	if (entry && entry->revision >= item->revision) {
 		entry->listed = true;
--- a/t/test-object-table.c
+++ b/t/test-object-table.c
@@ -399,6 +399,28 @@
 	object_table_free(&table);
 }
 
+/* Failure: the copy of an endpoint that was gone was used after the store had
+ * been restored once more. */
+static void test_gone_over_two_restores(void)
+{
+	object_table_t table = { .kind = OBJECT_ENDPOINTS,
+				 .order = order_of_content };
+
+	put_endpoint(&table, store_revision_make(1, 50), 7, 40, false);
+	put_endpoint(&table, store_revision_make(1, 51), 7, 40, true);
+	put_endpoint(&table, store_revision_make(2, 45), 7, 30, false);
+	object_table_expire(&table, 1000);
+	put_endpoint(&table, store_revision_make(3, 45), 7, 30, false);
+	g_assert_true(table.entries[0].suspect);
+	object_table_expire(&table, 2000);
+	object_table_expire(&table, 2000 + OBJECT_SUSPECT_MS - 1);
+	g_assert_true(table.entries[0].suspect);
+	/* It has written its entry anew. */
+	put_endpoint(&table, store_revision_make(3, 46), 7, 41, false);
+	g_assert_false(table.entries[0].suspect);
+	object_table_free(&table);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -414,6 +436,8 @@
 	g_test_add_func("/object-table/peer-in-new-era", test_peer_in_new_era);
 	g_test_add_func("/object-table/lost-endpoint", test_lost_endpoint);
 	g_test_add_func("/object-table/lost-setting", test_lost_setting);
+	g_test_add_func("/object-table/gone-over-two-restores",
+			test_gone_over_two_restores);
 	for (size_t i = 0; i < G_N_ELEMENTS(older_cases); i++) {
 		char *path = g_strdup_printf("/object-table/older-content/%s",
 					     older_cases[i].name);
