gateway_control: time out watches that are never answered

Callers' requests went to an endpoint for up to 12 s after it had said that it leaves (rule DRAIN) when the store had been silent for 0.3 s.

The watches of endpoints and weights wait up to 20 s for a change. A call that the store receives while it is silent is never answered, and nothing tells it apart from one that waits. Watchers send the next watch of the endpoints 500 ms after a change, all at the same time, so that one short silence swallows those of all watchers. The watch of the desired state is asked each second and may pass between two of its calls; it then proves contact all the while. After a restore the new era makes watchers list again, so the matter shows only without one.

Let these watches wait 2.2 s at most, and time out 450 ms later as that of the desired state does. With the retry and the 2.1 s for which removals are held then, it is less than 5 s, after which a leaving that is acknowledged 3 s after the silence has to be in force.

/it-gateway/unanswered-endpoints and unanswered-weights: fail before (a leaving endpoint gets requests for over 5 s, engines keep old weights for over 11 s), pass after.

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -34,17 +34,23 @@
 	 * tenth of the time limit for a configuration change. */
 	ENDPOINTS_MIN_INTERVAL_MS = 500,
 	CHANGES_MIN_INTERVAL_MS = 150,
-	/** Longest time that a watch call waits for a change, ms. It is long
-	 * because each call has a price. The margin is added to it for the
-	 * timeout of the answer. */
-	WATCH_WAIT_MS = 20000,
-	WATCH_ANSWER_MARGIN_MS = 1500,
+	/** Longest time that a watch of the members waits for a change, ms. It
+	 * is long because each call has a price. The margin is added to it for
+	 * the timeout of the answer. */
+	MEMBERS_WAIT_MS = 20000,
+	MEMBERS_ANSWER_MARGIN_MS = 1500,
+	/** Likewise for endpoints and weights. A call that the store receives
+	 * while it is silent is never answered, and changes are not known
+	 * until it times out. With the time for which removals are held then,
+	 * this is less than 5 s: instances are held to the limit of 2 s for a
+	 * leaving endpoint once the store has been stable for 3 s. */
+	CHANGES_WAIT_MS = 2200,
 	/** The watch of the desired state also detects when the store no longer
 	 * answers this instance. Its wait is shorter because other instances
 	 * depend on this one for changes, which have to arrive within 2 s. A
 	 * slow store answers within 300 ms. */
 	PROBE_WAIT_MS = 1000,
-	PROBE_ANSWER_MARGIN_MS = 450,
+	ANSWER_MARGIN_MS = 450,
 	/** Outdated weights are no longer used from this long before the end of
 	 * the settling time after a start, ms. */
 	STABLE_MARGIN_MS = 300,
@@ -186,6 +192,18 @@
 	schedule_tick(control, control->was_ready ? TICK_MS : START_TICK_MS);
 }
 
+static uint32_t watch_wait_ms(object_kind_t kind)
+{
+	switch (kind) {
+	case OBJECT_DESIRED:
+		return PROBE_WAIT_MS;
+	case OBJECT_MEMBERS:
+		return MEMBERS_WAIT_MS;
+	default:
+		return CHANGES_WAIT_MS;
+	}
+}
+
 static int start_watches(gateway_control_t *control)
 {
 	object_watch_options_t options = {
@@ -201,12 +219,10 @@
 		options.min_interval_ms = watched_kinds[i] == OBJECT_ENDPOINTS
 						  ? ENDPOINTS_MIN_INTERVAL_MS
 						  : CHANGES_MIN_INTERVAL_MS;
-		options.wait_ms = watched_kinds[i] == OBJECT_DESIRED
-					  ? PROBE_WAIT_MS
-					  : WATCH_WAIT_MS;
-		options.answer_margin_ms = watched_kinds[i] == OBJECT_DESIRED
-						   ? PROBE_ANSWER_MARGIN_MS
-						   : WATCH_ANSWER_MARGIN_MS;
+		options.wait_ms = watch_wait_ms(watched_kinds[i]);
+		options.answer_margin_ms = watched_kinds[i] == OBJECT_MEMBERS
+						   ? MEMBERS_ANSWER_MARGIN_MS
+						   : ANSWER_MARGIN_MS;
 		options.probe_first = watched_kinds[i] == OBJECT_DESIRED;
 		options.table = &control->view_builder.tables[watched_kinds[i]];
 		control->watches[watched_kinds[i]] =
--- a/t/lib/platform_store.c
+++ b/t/lib/platform_store.c
@@ -28,6 +28,8 @@
 	uint64_t revision;
 	uint64_t era;
 	uint32_t calls;
+	uint32_t ignored_calls;
+	const char *ignored_kind; /**< NULL for none. */
 	bool down;
 };
 
@@ -204,7 +206,9 @@
 	}
 	SCOPED_LOCK(guard, &store->lock);
 	store->calls++;
-	if (store->down || !*kind)
+	if (store->ignored_kind && !strcmp(kind, store->ignored_kind))
+		store->ignored_calls++;
+	else if (store->down || !*kind)
 		send_json(store, request, store->down ? 503 : 404, NULL);
 	else if (g_str_has_prefix(request->head, "GET"))
 		answer_get(store, request, kind, name, query);
@@ -288,6 +292,18 @@
 	pthread_cond_broadcast(&store->changed);
 }
 
+void platform_store_ignore(platform_store_t *store, const char *kind)
+{
+	SCOPED_LOCK(guard, &store->lock);
+	store->ignored_kind = kind;
+}
+
+uint32_t platform_store_ignored(platform_store_t *store)
+{
+	SCOPED_LOCK(guard, &store->lock);
+	return store->ignored_calls;
+}
+
 void platform_store_restore(platform_store_t *store, uint64_t revision)
 {
 	SCOPED_LOCK(guard, &store->lock);
--- a/t/lib/platform_store.h
+++ b/t/lib/platform_store.h
@@ -33,6 +33,13 @@
 /** While `down` is set, answers 503 to every request and to open watches. */
 void platform_store_set_down(platform_store_t *store, bool down);
 
+/** Receives calls for a kind from now on without ever answering them; NULL:
+ * none. Open watches are answered. */
+void platform_store_ignore(platform_store_t *store, const char *kind);
+
+/** Calls that were not answered. */
+uint32_t platform_store_ignored(platform_store_t *store);
+
 /**
  * Restores the store as it was at `revision`: later changes are lost, their
  * revisions are given out again, and a new era begins. Ends open watches.
--- a/t/test-it-gateway.c
+++ b/t/test-it-gateway.c
@@ -363,6 +363,64 @@
 	platform_rig_stop(&rig);
 }
 
+enum {
+	/** Time from the moment at which the store answers again until a
+	 * leaving endpoint gets no requests, ms: instances are held to the
+	 * limit of 2 s once the store has been stable for 3 s. */
+	LEAVING_AFTER_SILENCE_MS = 5000,
+	/** Likewise until engines have new weights; the limit is 8 s. */
+	WEIGHTS_AFTER_SILENCE_MS = 11000,
+};
+
+/* Makes the next watch of a kind one that the store never answers. */
+static void lose_watch(platform_rig_t *rig, const char *kind,
+		       void (*change)(platform_rig_t *rig))
+{
+	platform_store_ignore(rig->store, kind);
+	change(rig);
+	g_assert_true(WAIT_UNTIL(platform_store_ignored(rig->store) > 0,
+				 HARNESS_WAIT_MS));
+	platform_store_ignore(rig->store, NULL);
+}
+
+static void change_entry(platform_rig_t *rig)
+{
+	platform_rig_put_entry(&rig->services[0], "ready");
+}
+
+static void change_weights(platform_rig_t *rig)
+{
+	platform_rig_put_target_weights(rig, 2);
+}
+
+/* Failure: a watch that was sent while the store was silent for 0.3 s was not
+ * answered, and a leaving endpoint got requests for 20 s (rule DRAIN). */
+static void test_unanswered_endpoints(void)
+{
+	platform_rig_t rig;
+
+	platform_rig_start(&rig, 1);
+	lose_watch(&rig, "servers", change_entry);
+	platform_rig_put_entry(&rig.services[0], "draining");
+	g_assert_true(
+		WAIT_UNTIL(gets_no_requests(&rig), LEAVING_AFTER_SILENCE_MS));
+	platform_rig_stop(&rig);
+}
+
+/* Failure: likewise, and engines kept old weights. */
+static void test_unanswered_weights(void)
+{
+	platform_rig_t rig;
+
+	platform_rig_start(&rig, 1);
+	lose_watch(&rig, "versions", change_weights);
+	platform_rig_put_target_weights(&rig, 3);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		g_assert_true(WAIT_UNTIL(rig.engines[i].weights == 3,
+					 WEIGHTS_AFTER_SILENCE_MS));
+	platform_rig_stop(&rig);
+}
+
 /* Failure: engines kept old weights, or got orders from two instances; or
  * requests demanded the old weights. */
 static void test_new_weights(void)
@@ -894,6 +952,10 @@
 	g_test_add_func("/it-gateway/time-limit", test_time_limit);
 	g_test_add_func("/it-gateway/store-outage", test_store_outage);
 	g_test_add_func("/it-gateway/leaving", test_leaving);
+	g_test_add_func("/it-gateway/unanswered-endpoints",
+			test_unanswered_endpoints);
+	g_test_add_func("/it-gateway/unanswered-weights",
+			test_unanswered_weights);
 	g_test_add_func("/it-gateway/new-weights", test_new_weights);
 	g_test_add_func("/it-gateway/stop", test_stop);
 	g_test_add_func("/it-gateway/stop-answers-late-request",
