process: simplify the comparison of eras

Found on reading the change as a newcomer: an era was put into a revision and taken out again to be compared, and two comments needed a second reading. No behaviour changes; /object-watch/*, /object-table/* and /it-restored/* pass.

--- a/cmd/gateway_members.c
+++ b/cmd/gateway_members.c
@@ -35,9 +35,9 @@
 		peers->register_after_ms = 0;
 }
 
-/* Newest era of the store that this instance or a peer whose state it fetched
- * has seen. */
-static uint64_t newest_era(const gateway_control_t *control)
+/* A revision of the newest era of the store that this instance, or a peer whose
+ * state it fetched, has seen. */
+static uint64_t newest_revision(const gateway_control_t *control)
 {
 	uint64_t revision = store_revision_make(control->store.era, 0);
 
@@ -47,13 +47,13 @@
 		if (table->revision > revision)
 			revision = table->revision;
 	}
-	return store_revision_era(revision);
+	return revision;
 }
 
 void gateway_members_check_era(gateway_peers_t *peers, uint64_t now_ms)
 {
 	if (!peers->registered ||
-	    newest_era(peers->control) <=
+	    store_revision_era(newest_revision(peers->control)) <=
 		    store_revision_era(peers->registered_revision))
 		return;
 	peers->registered = false;
--- a/cmd/gateway_peers.h
+++ b/cmd/gateway_peers.h
@@ -36,7 +36,7 @@
 	uint64_t fetch_after_ms;
 	store_call_t *register_call;
 	bool registered;
-	uint64_t registered_revision; /**< First of the era of that answer. */
+	uint64_t registered_revision; /**< Lowest of the era of that answer. */
 	bool object_exists; /**< The member object exists and is replaced. */
 	uint64_t register_after_ms;
 	uint64_t sent_ms; /**< Last heartbeat to all. */
--- a/process/object_table.h
+++ b/process/object_table.h
@@ -21,11 +21,11 @@
 #include "process/object.h"
 
 enum {
-	/** Objects that were removed last, of which older copies are told. */
+	/** Removed objects that are remembered, to recognise older copies. */
 	OBJECT_REMOVED_MAX = 128,
 	/** An older copy of a removed endpoint is not used for this long, ms:
-	 * the store removes it again after three heartbeats of 1.2 s that are
-	 * missing. If it stays, the endpoint is alive. */
+	 * the store removes it again after three missing heartbeats of 1.2 s.
+	 * If it stays, the endpoint is alive. */
 	OBJECT_SUSPECT_MS = 4000,
 };
 
@@ -65,7 +65,7 @@
 	uint64_t hold_ms;	/**< Time to hold them; 0: do not hold. */
 	uint64_t updated_ms;	/**< Monotonic time of the last update. */
 	removed_object_t removed[OBJECT_REMOVED_MAX]; /**< Ring. */
-	uint32_t removed_count; /**< Of all that were put into the ring. */
+	uint32_t removed_count; /**< Objects put into the ring so far. */
 } object_table_t;
 
 /** Frees the entries and clears the table. */
@@ -92,8 +92,8 @@
 int object_table_apply(object_table_t *table, const object_page_t *page,
 		       uint64_t now_ms);
 
-/** Drops held entries whose time has passed, and ends the suspicion against
- * others; 1 if there were any. */
+/** Drops held entries whose time has passed, and admits suspect ones whose time
+ * has passed; 1 if there were any. */
 int object_table_expire(object_table_t *table, uint64_t now_ms);
 
 /** Hash of names and revisions; equal for tables with the same content. */
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -261,9 +261,7 @@
 /* Whether the store is known to be in a newer era than a revision. */
 static bool is_before_restore(const object_watch_t *watch, uint64_t revision)
 {
-	return store_revision_era(revision) <
-	       store_revision_era(
-		       store_revision_make(watch->options.store->era, 0));
+	return revision < store_revision_make(watch->options.store->era, 0);
 }
 
 void object_watch_check_era(object_watch_t *watch)
