t: wait for the lease before the limit for weights begins

The test is about the withdrawn request and not about the first lease, so it waits until the lease is held. All checks and the limit remain.

--- a/t/test-it-attempts.c
+++ b/t/test-it-attempts.c
@@ -102,6 +102,9 @@
 	endpoint_t *other;
 
 	platform_rig_start_with(&rig, 1, &options);
+	/* The other engine has to load the new weights within the limit. */
+	g_assert_true(WAIT_UNTIL(has_logged(&rig, "lease_acquired"),
+				 HARNESS_WAIT_MS));
 	platform_rig_set_behaviour(rig.engines, HOLD);
 	start_client(&client, &rig, "POST", test_case->path, MODEL_HEADERS);
 	other = wait_for_arrival(rig.engines, &used);
