object_table: do not send unchanged contents after a restore

After a restore each object has a new revision, so that every instance fetched the contents of all objects from the first peer that had listed them, though nearly all were as before. With 134 instances the link of that peer was full.

Keep the revision at which the content was written. A table for a peer has the content only if this revision is above the peer's, and else the revision, which the peer compares with its own; if they differ, it asks for the whole table as before.

test-object-table, /object-table/unchanged-content: fails before (rows have contents), passes after.

--- a/process/object_table.c
+++ b/process/object_table.c
@@ -150,7 +150,9 @@
 		entry = add_entry(table, item->name);
 	if (!entry)
 		return ERR_NO_MEMORY;
-	if (!has_older_content(table, entry, item)) {
+	if (!json_equal(entry->spec, item->spec) &&
+	    !has_older_content(table, entry, item)) {
+		entry->content_revision = item->revision;
 		json_decref(entry->spec);
 		entry->spec = json_incref(item->spec);
 	}
@@ -280,16 +282,21 @@
 			    const object_entry_t *entry, uint64_t since,
 			    uint64_t now_ms)
 {
-	json_int_t number = number_within(store_revision_era(table->revision),
-					  entry->revision);
-	json_t *row = json_pack("[s,I,O?]", entry->name, number,
-				!number || entry->revision > since ? entry->spec
-								   : NULL);
-
-	if (row && entry->drop_at_ms)
+	uint64_t era = store_revision_era(table->revision);
+	json_int_t number = number_within(era, entry->revision);
+	uint64_t held_ms = entry->drop_at_ms ? entry->drop_at_ms - now_ms : 0;
+	json_t *row =
+		json_pack("[s,I,O?]", entry->name, number,
+			  entry->content_revision > since ? entry->spec : NULL);
+
+	/* A peer takes the revision for that of the content. */
+	if (row &&
+	    (held_ms || entry->content_revision !=
+				store_revision_make(era, (uint64_t)number))) {
+		json_array_append_new(row, json_integer((json_int_t)held_ms));
 		json_array_append_new(
-			row,
-			json_integer((json_int_t)(entry->drop_at_ms - now_ms)));
+			row, json_integer((json_int_t)entry->content_revision));
+	}
 	return row;
 }
 
@@ -325,18 +332,29 @@
 			(uint64_t)json_integer_value(json_array_get(entry, 1))),
 		.spec = json_array_get(entry, 2),
 	};
-	const object_entry_t *current;
+	const json_t *content = json_array_get(entry, 4);
+	uint64_t content_revision =
+		content ? (uint64_t)json_integer_value(content) : item.revision;
+	object_entry_t *current;
 	int result;
 
 	if (!item.name)
 		return ERR_BAD_JSON;
 	current = find_entry(table, item.name);
-	if (json_is_null(item.spec) &&
-	    (!current || current->revision < item.revision))
-		return ERR_BAD_JSON;
+	if (json_is_null(item.spec)) {
+		if (!current || (current->revision < item.revision &&
+				 current->content_revision != content_revision))
+			return ERR_BAD_JSON;
+		item.spec = current->spec;
+	}
 	result = put_item(table, &item);
-	if (result >= 0 && held_ms)
-		find_entry(table, item.name)->drop_at_ms = now_ms + held_ms;
+	if (result < 0)
+		return result;
+	current = find_entry(table, item.name);
+	if (result && current->spec == item.spec)
+		current->content_revision = content_revision;
+	if (held_ms)
+		current->drop_at_ms = now_ms + held_ms;
 	return result;
 }
 
--- a/process/object_table.h
+++ b/process/object_table.h
@@ -33,6 +33,9 @@
 	char *name;
 	uint64_t revision;
 	json_t *spec;
+	/** At which the content was written; a restored store has the same
+	 * content with another revision. */
+	uint64_t content_revision;
 	/** An older copy of an object that was removed; not to be used. */
 	bool suspect;
 	uint64_t suspect_until_ms; /**< Monotonic; 0: not known yet. */
@@ -101,7 +104,7 @@
 
 /**
  * Encodes the table for a peer; NULL when out of memory. It has all names and
- * revisions, but the content only of objects with revisions above `since`, and
+ * revisions, but the content only of objects written after `since`, and
  * the remaining time of objects that are held.
  */
 json_t *object_table_export(const object_table_t *table, uint64_t since,
--- a/t/test-object-table.c
+++ b/t/test-object-table.c
@@ -421,6 +421,33 @@
 	object_table_free(&table);
 }
 
+/* Failure: all instances fetched the contents of all objects after a restore,
+ * though they had them, and the link of the peer that they asked was full. */
+static void test_unchanged_content(void)
+{
+	object_table_t table;
+	object_table_t follower;
+	CLEANUP_JSON json_t *state = NULL;
+	size_t i;
+	json_t *row;
+
+	fill_table(&table);
+	fill_table(&follower);
+	object_table_list_begin(&table);
+	add_to_list(&table, "a", store_revision_make(2, 5));
+	add_to_list(&table, "b", store_revision_make(2, 6));
+	object_table_list_end(&table, store_revision_make(2, 7), 5000);
+	state = object_table_export(&table, follower.revision, 5500);
+	json_array_foreach (json_object_get(state, "rows"), i, row)
+		g_assert_true(json_is_null(json_array_get(row, 2)));
+	g_assert_cmpint(object_table_import(&follower, state, 6000), ==, 1);
+	g_assert_cmpuint(object_table_digest(&follower), ==,
+			 object_table_digest(&table));
+	g_assert_nonnull(follower.entries[0].spec);
+	object_table_free(&table);
+	object_table_free(&follower);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -436,6 +463,8 @@
 	g_test_add_func("/object-table/peer-in-new-era", test_peer_in_new_era);
 	g_test_add_func("/object-table/lost-endpoint", test_lost_endpoint);
 	g_test_add_func("/object-table/lost-setting", test_lost_setting);
+	g_test_add_func("/object-table/unchanged-content",
+			test_unchanged_content);
 	g_test_add_func("/object-table/gone-over-two-restores",
 			test_gone_over_two_restores);
 	for (size_t i = 0; i < G_N_ELEMENTS(older_cases); i++) {
