request: apply the limit for old weights to old weights only

With a time limit shorter than its margins (--weights-ms below 1,500 or 600, which the settings allow) no engine got a request, also one with the newest weights, and requests that waited at such engines were withdrawn in each tick. The margins were added to the age of the replacement without asking whether the weights had been replaced at all.

/attempts/request-on-current-weights-is-withdrawn (limit 300 ms) failed before: no engine got the request; it passes, with the other five.

--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -95,6 +95,7 @@
 	const desired_service_t *service =
 		&exchange->view->desired->services[exchange->service];
 	endpoint_load_t *load = entry->load;
+	uint64_t outdated_ms = 0;
 
 	*candidate = (placement_candidate_t){
 		.state = candidate_state(exchange, entry, now_ms),
@@ -113,18 +114,16 @@
 		.warm_up_ms = entry->warm_up_ms,
 		.same_domain = !strcmp(entry->domain, exchange->env->domain),
 	};
-	if (target_weights) {
-		uint64_t used_ms =
-			EXCHANGE_OLD_WEIGHTS_MARGIN_MS +
-			target_weights_outdated_ms(
-				target_weights,
-				endpoint_weights(entry,
-						 exchange->headers.model),
-				now_ms);
+	if (target_weights)
+		outdated_ms = target_weights_outdated_ms(
+			target_weights,
+			endpoint_weights(entry, exchange->headers.model),
+			now_ms);
+	if (outdated_ms) {
+		uint64_t used_ms = outdated_ms + EXCHANGE_OLD_WEIGHTS_MARGIN_MS;
 		uint64_t limit_ms = exchange->env->weights_ms;
 
-		candidate->old_weights =
-			used_ms > EXCHANGE_OLD_WEIGHTS_MARGIN_MS;
+		candidate->old_weights = true;
 		if (used_ms > limit_ms ||
 		    !placement_begins_within(candidate, limit_ms - used_ms))
 			candidate->state = CANDIDATE_EXCLUDED;
--- a/request/exchange_weights.c
+++ b/request/exchange_weights.c
@@ -48,12 +48,15 @@
 {
 	const desired_service_t *service =
 		&exchange->view->desired->services[exchange->service];
+	uint64_t outdated_ms;
 
-	return exchange->call && !exchange->begun_ms &&
-	       service->role == SERVICE_ENGINE &&
-	       exchange_outdated_ms(exchange, view, exchange->weights, now_ms) +
-			       EXCHANGE_WITHDRAW_MARGIN_MS >=
-		       exchange->env->weights_ms;
+	if (!exchange->call || exchange->begun_ms ||
+	    service->role != SERVICE_ENGINE)
+		return false;
+	outdated_ms =
+		exchange_outdated_ms(exchange, view, exchange->weights, now_ms);
+	return outdated_ms && outdated_ms + EXCHANGE_WITHDRAW_MARGIN_MS >=
+				      exchange->env->weights_ms;
 }
 
 void exchange_withdraw_outdated(exchange_env_t *env)
--- a/t/test-it-attempts.c
+++ b/t/test-it-attempts.c
@@ -15,6 +15,8 @@
 	/** Time limit for replaced weights, ms: shorter than the time after
 	 * which a stream without a first event is sent elsewhere. */
 	WEIGHTS_LIMIT_MS = 1600,
+	/** Several ticks, in each of which requests may be withdrawn, ms. */
+	TICKS_MS = 500,
 };
 
 /** A request that a thread of its own sends. */
@@ -123,6 +125,29 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: with a time limit shorter than the margins, requests were not sent
+ * to engines with the newest weights, or were withdrawn from them. */
+static void test_current_weights(void)
+{
+	const platform_rig_options_t options = {
+		.weights_ms = EXCHANGE_WITHDRAW_MARGIN_MS / 2
+	};
+	platform_rig_t rig;
+	client_t client;
+	endpoint_t *used;
+
+	platform_rig_start_with(&rig, 1, &options);
+	platform_rig_set_behaviour(rig.engines, HOLD);
+	start_client(&client, &rig, "POST", "/stream/again/1", MODEL_HEADERS);
+	(void)wait_for_arrival(rig.engines, &used);
+	g_assert_false(WAIT_UNTIL(has_logged(&rig, "weights_limit"), TICKS_MS));
+	used->release = true;
+	g_assert_true(WAIT_UNTIL(client.done, HARNESS_WAIT_MS));
+	platform_rig_assert_events(client.answer);
+	finish_client(&client);
+	platform_rig_stop(&rig);
+}
+
 /* Failure: a request whose engine was lost while newer weights were set was
  * sent again with the target weights of its arrival, to weights past their
  * limit. */
@@ -225,6 +250,8 @@
 	g_test_init(&argc, &argv, NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(waiting_cases); i++)
 		add_waiting_case(&waiting_cases[i]);
+	g_test_add_func("/attempts/request-on-current-weights-is-withdrawn",
+			test_current_weights);
 	g_test_add_func("/attempts/lost-one-is-repeated-on-expired-weights",
 			test_lost_attempt);
 	g_test_add_func("/attempts/refused-one-goes-to-leaving-endpoint",
