gateway_peers: hear a peer that starts again with an earlier time of day

Cause: the incarnation in a heartbeat was the time of day of the start, and on_heartbeat() dropped any lower one. A process that started while its time of day was ahead made all later ones of its name unheard.

Ruled out: CLOCK_MONOTONIC as the number (starts anew with the machine); numbers of starts in the store (a start would need the store); accepting any different number (a delayed datagram of the ended process would return its beliefs).

Change: the incarnation is random and only compared for equality (process/peer_incarnation). Seeds of generators come from getrandom() too, in one function.

--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -172,12 +172,8 @@
 
 static uint64_t choose_seed(void)
 {
-	uint64_t seed;
-
-	if (router.settings.seed)
-		return hash_string(router.settings.seed);
-	randombytes_buf(&seed, sizeof(seed));
-	return seed;
+	return router.settings.seed ? hash_string(router.settings.seed)
+				    : rng_system_seed();
 }
 
 static int open_store(uint64_t seed)
--- a/cmd/gateway_control.h
+++ b/cmd/gateway_control.h
@@ -26,7 +26,8 @@
 	outbound_t *outbound;
 	store_link_t store;
 	rng_t rng;
-	uint64_t incarnation; /**< Unix time of the start, ms. */
+	uint64_t incarnation; /**< Random; see
+				   process/peer_incarnation.h. */
 	view_builder_t view_builder;
 	object_watch_t *watches[OBJECT_KIND_COUNT];
 	gateway_peers_t *peers;
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -398,8 +398,7 @@
 	front->env.fetch_budget.refilled_ms = clock_now_ms();
 	cache_index_init(&front->env.cache_index);
 	front->env.outbound = outbound_open(front->base);
-	rng_init(&front->env.rng,
-		 clock_unix_ms() ^ hash_string(settings->name));
+	rng_init(&front->env.rng, rng_system_seed());
 	retry_budget_init(&front->env.retry_budget, settings->retry_ratio,
 			  (uint32_t)settings->retry_slack,
 			  (uint32_t)(settings->retry_window_s * 1000));
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -71,8 +71,9 @@
 			? HEARTBEAT_MS
 			: base_heartbeat_interval(peers->target_count);
 
-	return peer->received_ms &&
-	       now_ms - peer->received_ms < PEER_LIVE_HEARTBEATS * interval_ms;
+	return peer->order.received_ms &&
+	       now_ms - peer->order.received_ms <
+		       PEER_LIVE_HEARTBEATS * interval_ms;
 }
 
 uint32_t gateway_domain_hash(const gateway_control_t *control)
@@ -370,27 +371,31 @@
 			 const struct sockaddr_in *from)
 {
 	uint64_t now_ms = clock_now_ms();
+	peer_datagram_t datagram;
 	peer_t *peer;
+	bool was_live;
 	bool is_new;
 
 	if (!strcmp(heartbeat->name, peers->control->gateway->settings.name))
 		return;
 	peer = find_or_add_peer(peers, heartbeat->name);
-	if (!peer || heartbeat->incarnation < peer->heartbeat.incarnation ||
-	    (heartbeat->incarnation == peer->heartbeat.incarnation &&
-	     heartbeat->sequence <= peer->heartbeat.sequence))
+	if (!peer)
 		return;
-	is_new = !gateway_peer_is_live(peers, peer, now_ms) ||
-		 heartbeat->incarnation != peer->heartbeat.incarnation;
+	was_live = gateway_peer_is_live(peers, peer, now_ms);
+	datagram =
+		peer_incarnation_receive(&peer->order, heartbeat->incarnation,
+					 heartbeat->sequence, now_ms);
+	if (datagram == PEER_DATAGRAM_OLD)
+		return;
+	is_new = !was_live || datagram == PEER_DATAGRAM_NEW_PROCESS;
 	if (is_new)
 		event_log(EVENT_PEER_APPEARED, "peer=%s incarnation=%llu",
 			  heartbeat->name,
 			  (unsigned long long)heartbeat->incarnation);
-	if (heartbeat->incarnation != peer->heartbeat.incarnation)
+	if (datagram == PEER_DATAGRAM_NEW_PROCESS)
 		peer->sends_whole = false;
 	peer->heartbeat = *heartbeat;
 	peer->address = *from;
-	peer->received_ms = now_ms;
 	if (is_new)
 		answer_new_peer(peers, peer);
 	if (heartbeat->fencing)
@@ -490,8 +495,8 @@
 	for (size_t i = 0; i < peers->peer_count; i++) {
 		const peer_t *peer = peers->peers[i];
 
-		if (peer->received_ms && peer->heartbeat.fencing &&
-		    now_ms - peer->received_ms < HOLDER_LIVE_MS)
+		if (peer->order.received_ms && peer->heartbeat.fencing &&
+		    now_ms - peer->order.received_ms < HOLDER_LIVE_MS)
 			return peer->heartbeat.name;
 	}
 	return NULL;
--- a/cmd/gateway_peers.h
+++ b/cmd/gateway_peers.h
@@ -13,6 +13,7 @@
 #include "cmd/gateway_control.h"
 #include "connection/inbound.h"
 #include "process/document.h"
+#include "process/peer_incarnation.h"
 #include "process/watcher_election.h"
 
 enum {
@@ -30,7 +31,7 @@
 
 typedef struct peer {
 	struct sockaddr_in address;
-	uint64_t received_ms;	  /**< Last heartbeat; 0: never. */
+	peer_incarnation_t order; /**< Of its heartbeats. */
 	uint64_t fetch_failed_ms; /**< Last failed state fetch; 0: never. */
 	/** It is of a version that sends the desired state only whole. */
 	bool sends_whole;
--- a/cmd/router_engines.c
+++ b/cmd/router_engines.c
@@ -174,7 +174,7 @@
 		.lease_ms = router->settings.lease_ms,
 		.order_max_ms = router->settings.engine_order_max_ms,
 		.state_poll_ms = router->settings.engine_state_ms,
-		.seed = hash_string(router->instance) ^ clock_unix_ms(),
+		.seed = rng_system_seed(),
 		.audit = router_tickets_add_audit,
 		.audit_context = router,
 	};
--- a/cmd/router_sweep.c
+++ b/cmd/router_sweep.c
@@ -1,6 +1,5 @@
 #include "cmd/router_sweep.h"
 
-#include <sodium.h>
 #include <stdlib.h>
 #include <time.h>
 #include <urcu/uatomic.h>
@@ -86,11 +85,9 @@
 	order_settings_t settings = order_default_settings;
 	order_sweep_t sweep;
 	uint64_t next_ms = 0;
-	uint64_t seed;
 	rng_t rng;
 
-	randombytes_buf(&seed, sizeof(seed));
-	rng_init(&rng, seed);
+	rng_init(&rng, rng_system_seed());
 	settings.retention_ms = router->settings.order_retention_ms;
 	order_sweep_init(&sweep, &settings, &rng,
 			 router->settings.order_sweep_ms,
--- a/process/peer_heartbeat.c
+++ b/process/peer_heartbeat.c
@@ -216,7 +216,8 @@
 
 	memset(heartbeat, 0, sizeof(*heartbeat));
 	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
-	ok = convert_heartbeat(&xdr, heartbeat) && heartbeat->name[0];
+	ok = convert_heartbeat(&xdr, heartbeat) && heartbeat->name[0] &&
+	     heartbeat->incarnation;
 	if (ok && xdr_getpos(&xdr) < len)
 		ok = convert_all_crash_news(&xdr, heartbeat);
 	if (ok && xdr_getpos(&xdr) < len)
--- a/process/peer_heartbeat.h
+++ b/process/peer_heartbeat.h
@@ -83,7 +83,7 @@
 
 typedef struct peer_heartbeat {
 	char name[PEER_NAME_MAX_BYTES];
-	uint64_t incarnation; /**< Increases with each start. */
+	uint64_t incarnation; /**< Random; not 0. */
 	uint32_t sequence;    /**< Increases with each datagram. */
 	uint32_t domain;      /**< Hash of the name of the failure domain. */
 	uint32_t link_mbps;   /**< Speed of the machine's network link. */
--- a/process/rng.c
+++ b/process/rng.c
@@ -1,5 +1,8 @@
 #include "process/rng.h"
 
+#include <stdlib.h>
+#include <sys/random.h>
+
 #include <math.h>
 
 void rng_init(rng_t *rng, uint64_t seed)
@@ -13,6 +16,15 @@
 	rng->state = z ? z : 1;
 }
 
+uint64_t rng_system_seed(void)
+{
+	uint64_t seed;
+
+	if (getrandom(&seed, sizeof(seed), 0) != sizeof(seed))
+		abort();
+	return seed;
+}
+
 uint64_t rng_next(rng_t *rng)
 {
 	uint64_t x = rng->state;
--- a/process/rng.h
+++ b/process/rng.h
@@ -15,6 +15,12 @@
 /** Starts a generator; any seed is valid. */
 void rng_init(rng_t *rng, uint64_t seed);
 
+/**
+ * A seed from the system's random source. Ends the process if there is none,
+ * because incarnations and nonces would repeat.
+ */
+uint64_t rng_system_seed(void);
+
 /** Next 64 random bits. */
 uint64_t rng_next(rng_t *rng);
 
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -357,7 +357,7 @@
 static void test_heartbeat_bad_news(const void *data)
 {
 	const bad_news_case_t *test = data;
-	peer_heartbeat_t heartbeat = { .name = "n" };
+	peer_heartbeat_t heartbeat = { .name = "n", .incarnation = 1 };
 	char bytes[PEER_HEARTBEAT_MAX_BYTES];
 	char *count_at;
 	char *end;
--- a/t/test-it-state.c
+++ b/t/test-it-state.c
@@ -23,6 +23,7 @@
 	LEAVING_MS = 3000,
 	HEARTBEAT_MS = 200,
 	STORE_ERA = 1,
+	FIRST_INCARNATION = 1000,
 	/** Gateways before and behind the link. */
 	SOURCE = 0,
 	FOLLOWER = 1,
@@ -39,6 +40,7 @@
 	raw_server_t *old_peer; /**< In place of the proxy. */
 	int fd;
 	pthread_t sender;
+	_Atomic uint64_t incarnation; /**< Of the heartbeats. */
 	_Atomic bool stopping;
 } link_t;
 
@@ -62,7 +64,7 @@
 		STORE_ERA, platform_store_revision(link->rig.store));
 	peer_heartbeat_t heartbeat = {
 		.name = "link",
-		.incarnation = 1,
+		.incarnation = link->incarnation,
 		.sequence = sequence,
 		.domain = (uint32_t)hash_string(""),
 		.link_mbps = 200,
@@ -81,8 +83,12 @@
 static void *send_heartbeats(void *context)
 {
 	link_t *link = context;
+	uint64_t incarnation = 0;
+	uint32_t sequence = 0;
 
-	for (uint32_t sequence = 1; !link->stopping; sequence++) {
+	while (!link->stopping) {
+		sequence = incarnation == link->incarnation ? sequence + 1 : 1;
+		incarnation = link->incarnation;
 		send_heartbeat(link, sequence);
 		WAIT_UNTIL(link->stopping, HEARTBEAT_MS);
 	}
@@ -92,6 +98,7 @@
 /* Sends heartbeats from the address at which state is served. */
 static void start_heartbeats(link_t *link, const struct sockaddr_in *own)
 {
+	link->incarnation = FIRST_INCARNATION;
 	link->fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 	g_assert_cmpint(
 		bind(link->fd, (const struct sockaddr *)own, sizeof(*own)), ==,
@@ -294,6 +301,26 @@
 	stop(&link);
 }
 
+/* Failure: an instance that had started while its time of day was ahead, and
+ * started again after it was back, was ignored from then on. */
+static void test_lower_incarnation(void)
+{
+	link_t link;
+
+	start(&link, "{}");
+	g_assert_true(WAIT_UNTIL(
+		has_logged(&link, FOLLOWER, "name=peer_heard peer=link"),
+		HARNESS_WAIT_MS));
+	link.incarnation = FIRST_INCARNATION - 1;
+	g_assert_true(WAIT_UNTIL(
+		has_logged(&link, FOLLOWER, "peer=link incarnation=999"),
+		HARNESS_WAIT_MS));
+	platform_rig_put_desired(&link.rig, 2, "key-2");
+	g_assert_true(
+		WAIT_UNTIL(has_status(&link, FOLLOWER, "401"), IN_FORCE_MS));
+	stop(&link);
+}
+
 /* Failure: a watch whose answer takes longer than its wait is cut and sent
  * again, so a change of a large configuration is never read from the store. */
 static void test_narrow_link_to_store(void)
@@ -338,6 +365,7 @@
 			test_leaving_endpoint);
 	g_test_add_func("/state/no-configuration", test_no_configuration);
 	g_test_add_func("/state/old-peer", test_old_peer);
+	g_test_add_func("/state/lower-incarnation", test_lower_incarnation);
 	g_test_add_func("/state/large-configuration-from-store",
 			test_narrow_link_to_store);
 	return g_test_run();
