peer_auth, membership: compare no time of day between routers

An instance whose time of day had been ahead was rejected by all others after its next start, and one whose time of day is off by minutes was rejected at once; each seemed failed to the others.

Weighed: a limit on the difference (as before; it also accepts replays at a receiver that has restarted); numbers of starts in the store (a start would need the store). Chosen: a challenge for each sender, renewed when another process of that sender appears; answers contain the sequence number of their request, which starts at a random number. A first call between two processes takes one more round trip. Membership starts with a random incarnation and raises it above that of an earlier process when a member tells it; members now also tell a sender that they know a higher one while it seems alive.

The RPC version is 2: routers of the version before and of this one do not gossip with each other during an upgrade.

--- a/process/error.c
+++ b/process/error.c
@@ -106,6 +106,8 @@
 	{ "crash_blocked",
 	  "this request, or a part of its prompt, has crashed endpoints", 503,
 	  RETRY_LATER, NOT_RUN, 10000 },
+	{ "peer_session", "the peer's message lacks the valid challenge", 403,
+	  RETRY_NOW, NOT_RUN, 0 },
 };
 
 const error_answer_t *error_answer(int err)
--- a/process/error.h
+++ b/process/error.h
@@ -75,8 +75,9 @@
 	ERR_INTERNAL = -51,
 	/* Requests that crash endpoints. */
 	ERR_CRASH_BLOCKED = -52,
+	ERR_PEER_SESSION = -53,
 	/** Number of kinds including ERR_OK; keep last. */
-	ERR_KIND_COUNT = 53,
+	ERR_KIND_COUNT = 54,
 } err_t;
 
 /** What is known about the execution of a request that failed. */
--- a/process/gossip.c
+++ b/process/gossip.c
@@ -526,7 +526,6 @@
 		.cluster = hash_string(settings->cluster),
 		.secret = settings->secret,
 		.id = hash_string(settings->instance),
-		.incarnation = clock_unix_ms(),
 		.address = settings->listen,
 		.port = settings->port,
 		.timeout_ms = GOSSIP_CALL_TIMEOUT_MS,
@@ -539,7 +538,8 @@
 	if (peer_parse_address(settings->advertise, self->address) < 0)
 		return ERR_SETTING;
 	self->id = peer.id;
-	self->incarnation = peer.incarnation;
+	self->incarnation =
+		1 + rng_system_seed() % MEMBERSHIP_START_INCARNATION_MAX;
 	self->domain = gossip_domain_id(settings->domain);
 	/*
 	 * The server may receive a message as soon as it is open, but `self`
--- a/process/membership.c
+++ b/process/membership.c
@@ -105,16 +105,17 @@
 }
 
 /**
- * Refutes an update that says that this instance is not alive, by spreading a
- * higher incarnation.
+ * Refutes an update that says that this instance is not alive, or that is of an
+ * earlier process of it, by spreading a higher incarnation.
  */
 static void refute(membership_t *membership, const peer_member_t *update)
 {
 	peer_member_t *self = &membership->self;
 
 	if (self->state != PEER_MEMBER_ALIVE ||
-	    update->state == PEER_MEMBER_ALIVE ||
-	    update->incarnation < self->incarnation)
+	    update->incarnation < self->incarnation ||
+	    (update->state == PEER_MEMBER_ALIVE &&
+	     update->incarnation == self->incarnation))
 		return;
 	self->incarnation = update->incarnation + 1;
 	spread_member(membership, self);
@@ -187,7 +188,10 @@
 		member->config_position = 0;
 	apply_update(membership, sender, now_ms, true);
 	member = find_member(membership, sender->id);
-	if (!member || sender->incarnation < member->wire.incarnation)
+	if (!member)
+		return;
+	member->sent_lower = sender->incarnation < member->wire.incarnation;
+	if (member->sent_lower)
 		return;
 	member->probe_deadline_ms = 0;
 	if (gossip->config_position > member->config_position)
@@ -485,7 +489,8 @@
 	gossip->sender = membership->self;
 	gossip->config_position = membership->config_position;
 	gossip->config_age_ms = membership->config_age_ms;
-	if (member && member->wire.state != PEER_MEMBER_ALIVE) {
+	if (member &&
+	    (member->wire.state != PEER_MEMBER_ALIVE || member->sent_lower)) {
 		storage[used].kind = PEER_RUMOR_MEMBER;
 		storage[used++].peer_rumor_t_u.member = member->wire;
 	}
--- a/process/membership.h
+++ b/process/membership.h
@@ -50,6 +50,9 @@
 	MEMBERSHIP_ACTIONS_MAX = 8,
 };
 
+/** Highest incarnation of a process that has just started. */
+#define MEMBERSHIP_START_INCARNATION_MAX 0xffffffffULL
+
 typedef struct membership_member {
 	peer_member_t wire; /**< As sent to other instances. */
 	uint64_t state_since_ms;
@@ -58,6 +61,9 @@
 	uint32_t config_age_ms;
 	uint64_t config_age_received_ms;
 	uint64_t probe_deadline_ms; /**< 0 if no probe is open. */
+	/** Its last message had a lower incarnation than is known: it has
+	 * restarted and has to be told. */
+	bool sent_lower;
 	bool indirect_requested;
 } membership_member_t;
 
@@ -96,7 +102,9 @@
 
 /**
  * Starts with this instance as the only member.
- * @param self this instance; its incarnation is its start time
+ * @param self this instance; its incarnation is random and at most
+ *             MEMBERSHIP_START_INCARNATION_MAX. It is raised above that of an
+ *             earlier process once a member tells it.
  */
 void membership_init(membership_t *membership, const peer_member_t *self,
 		     uint64_t seed, uint64_t now_ms);
--- a/process/metrics_list.h
+++ b/process/metrics_list.h
@@ -114,6 +114,9 @@
 	       "Messages sent to other instances.")
 METRIC_COUNTER(PEER_REJECTED, "amv_peer_rejected_total", "",
 	       "Messages from other instances that were not accepted.")
+METRIC_COUNTER(PEER_CHALLENGED, "amv_peer_challenged_total", "",
+	       "Messages from other instances that lacked the valid "
+	       "challenge and were to be repeated with it.")
 METRIC_COUNTER(PEER_BYTES_SENT, "amv_peer_bytes_total", "direction=\"sent\"",
 	       "Payload bytes exchanged with other instances.")
 METRIC_COUNTER(PEER_BYTES_RECEIVED, "amv_peer_bytes_total",
--- a/process/peer.c
+++ b/process/peer.c
@@ -20,11 +20,15 @@
 #include "process/event.h"
 #include "process/metrics.h"
 #include "process/peer_auth.h"
+#include "process/rng.h"
 #include "process/socket_option.h"
 
 /** Descriptors that the server thread polls, including `stop_fd`. */
 #define PEER_POLL_MAX 1024
 #define PEER_LISTEN_BACKLOG 128
+/** Calls for one request: the first may lack a valid challenge, and so may the
+ * second if another process of this instance has just called. */
+#define CALLS_MAX 3
 
 /** An idle client connection. */
 typedef struct connection {
@@ -118,31 +122,41 @@
 	return ERR_PEER_AUTH;
 }
 
-static uint64_t seal(peer_t *peer, peer_envelope_t *envelope, uint64_t receiver,
-		     uint64_t reply_to)
+/* Server side. */
+
+static int check_request(peer_t *peer, const peer_envelope_t *request)
 {
 	SCOPED_LOCK(guard, &peer->lock);
 
-	peer_auth_seal(&peer->auth, envelope, receiver, reply_to,
-		       clock_unix_ms());
-	return envelope->sequence;
+	return peer_auth_check(&peer->auth, request);
 }
 
-static int check(peer_t *peer, const peer_envelope_t *envelope)
+static void seal_answer(peer_t *peer, const peer_envelope_t *request,
+			peer_envelope_t *answer)
 {
 	SCOPED_LOCK(guard, &peer->lock);
 
-	return peer_auth_check(&peer->auth, envelope, clock_unix_ms());
+	peer_auth_seal_answer(&peer->auth, answer, request);
 }
 
-/* Server side. */
+/* A sender whose challenge is not valid any more repeats its request. */
+static void report_rejected(const peer_envelope_t *request, int err)
+{
+	if (err == ERR_PEER_SESSION) {
+		metrics_add(METRIC_PEER_CHALLENGED, 1);
+		return;
+	}
+	metrics_add(METRIC_PEER_REJECTED, 1);
+	event_log(EVENT_PEER_REJECTED, "sender=%016llx error=%s",
+		  (unsigned long long)request->sender, error_type(err));
+}
 
 static void answer_envelope(peer_t *peer, const peer_envelope_t *request,
 			    peer_envelope_t *answer)
 {
 	peer_message_t request_message = { 0 };
 	peer_message_t answer_message = { 0 };
-	int err = check(peer, request);
+	int err = check_request(peer, request);
 
 	if (!err)
 		err = decode(request, &request_message);
@@ -151,14 +165,12 @@
 				       &request_message, &answer_message);
 		peer_message_free(&request_message);
 	} else {
-		metrics_add(METRIC_PEER_REJECTED, 1);
-		event_log(EVENT_PEER_REJECTED, "sender=%016llx error=%s",
-			  (unsigned long long)request->sender, error_type(err));
+		report_rejected(request, err);
 		answer_message.kind = PEER_ERROR_ANSWER;
 		answer_message.peer_message_t_u.error = err;
 	}
 	if (!encode(&answer_message, answer))
-		seal(peer, answer, request->sender, request->sequence);
+		seal_answer(peer, request, answer);
 	metrics_add(METRIC_PEER_BYTES_RECEIVED, request->payload.payload_len);
 	metrics_add(METRIC_PEER_BYTES_SENT, answer->payload.payload_len);
 	peer_message_free(&answer_message);
@@ -291,7 +303,7 @@
 	created->stop_fd = -1;
 	pthread_mutex_init(&created->lock, NULL);
 	peer_auth_init(&created->auth, settings->cluster, settings->secret,
-		       settings->id, settings->incarnation);
+		       settings->id, rng_system_seed());
 	err = start_server(created);
 	if (err) {
 		free(created);
@@ -483,18 +495,38 @@
 	return err;
 }
 
+static uint64_t find_challenge(peer_t *peer, uint64_t receiver)
+{
+	SCOPED_LOCK(guard, &peer->lock);
+
+	return peer_auth_challenge(&peer->auth, receiver);
+}
+
+static void seal_request(peer_t *peer, peer_envelope_t *request,
+			 uint64_t receiver, uint64_t challenge)
+{
+	SCOPED_LOCK(guard, &peer->lock);
+
+	peer_auth_seal(&peer->auth, request, receiver, challenge);
+}
+
+static int check_answer(peer_t *peer, const peer_envelope_t *envelope,
+			uint64_t sequence, uint64_t receiver)
+{
+	SCOPED_LOCK(guard, &peer->lock);
+
+	return peer_auth_check_answer(&peer->auth, envelope, sequence,
+				      receiver);
+}
+
 static int open_answer(peer_t *peer, const peer_envelope_t *envelope,
 		       uint64_t sequence, uint64_t receiver,
 		       peer_message_t *answer)
 {
-	int err = check(peer, envelope);
+	int err = check_answer(peer, envelope, sequence, receiver);
 
-	if (err)
-		return err;
-	if (envelope->reply_to != sequence ||
-	    (receiver && envelope->sender != receiver))
-		return ERR_PEER_AUTH;
-	err = decode(envelope, answer);
+	if (!err)
+		err = decode(envelope, answer);
 	if (err)
 		return err;
 	if (answer->kind == PEER_ERROR_ANSWER) {
@@ -504,32 +536,48 @@
 	return 0;
 }
 
+/** Sends a request once and opens the answer. */
+static int call_once(peer_t *peer, const char *address, uint16_t port,
+		     uint64_t receiver, uint64_t *challenge,
+		     peer_envelope_t *request, peer_message_t *answer,
+		     uint32_t timeout_ms)
+{
+	peer_envelope_t received = { 0 };
+	int err;
+
+	peer_message_free(answer);
+	seal_request(peer, request, receiver, *challenge);
+	err = send_envelope(peer, address, port, request, &received,
+			    timeout_ms);
+	if (!err)
+		err = open_answer(peer, &received, request->sequence, receiver,
+				  answer);
+	*challenge = received.challenge;
+	metrics_add(METRIC_PEER_CALLS, 1);
+	metrics_add(METRIC_PEER_BYTES_SENT, request->payload.payload_len);
+	metrics_add(METRIC_PEER_BYTES_RECEIVED, received.payload.payload_len);
+	xdr_free((xdrproc_t)xdr_peer_envelope_t, (char *)&received);
+	return err;
+}
+
 int peer_call(peer_t *peer, const char address[PEER_ADDRESS_BYTES],
 	      uint16_t port, uint64_t receiver, const peer_message_t *request,
 	      peer_message_t *answer, uint32_t timeout_ms)
 {
-	peer_envelope_t request_envelope = { 0 };
-	peer_envelope_t received_envelope = { 0 };
-	uint64_t sequence;
-	int err = encode(request, &request_envelope);
+	peer_envelope_t envelope = { 0 };
+	uint64_t challenge = find_challenge(peer, receiver);
+	int err = encode(request, &envelope);
+	int calls = 0;
 
 	memset(answer, 0, sizeof(*answer));
 	if (err)
 		return err;
 	if (!timeout_ms)
 		timeout_ms = peer->settings.timeout_ms;
-	sequence = seal(peer, &request_envelope, receiver, 0);
-	err = send_envelope(peer, address, port, &request_envelope,
-			    &received_envelope, timeout_ms);
-	if (!err)
-		err = open_answer(peer, &received_envelope, sequence, receiver,
-				  answer);
-	metrics_add(METRIC_PEER_CALLS, 1);
-	metrics_add(METRIC_PEER_BYTES_SENT,
-		    request_envelope.payload.payload_len);
-	metrics_add(METRIC_PEER_BYTES_RECEIVED,
-		    received_envelope.payload.payload_len);
-	free(request_envelope.payload.payload_val);
-	xdr_free((xdrproc_t)xdr_peer_envelope_t, (char *)&received_envelope);
+	do {
+		err = call_once(peer, address, port, receiver, &challenge,
+				&envelope, answer, timeout_ms);
+	} while (err == ERR_PEER_SESSION && ++calls < CALLS_MAX);
+	free(envelope.payload.payload_val);
 	return err;
 }
--- a/process/peer.h
+++ b/process/peer.h
@@ -4,9 +4,8 @@
  * envelopes over TCP.
  *
  * An envelope is accepted only if its MAC is valid, it is addressed to this
- * cluster and this instance, its time is within PEER_CLOCK_SKEW_MAX_MS of the
- * local clock, and its sequence number was not seen before from that
- * incarnation of the sender.
+ * cluster and this process, and its sequence number was not seen before; see
+ * process/peer_auth.h.
  *
  * The server runs on a thread of its own and calls handlers on it, so they
  * must return quickly and must not call peers. A client connection is never
@@ -22,8 +21,6 @@
 
 enum {
 	PEER_KEY_BYTES = 32,
-	/** Largest accepted clock difference between instances. */
-	PEER_CLOCK_SKEW_MAX_MS = 60000,
 	/** Most idle client connections. */
 	PEER_CLIENT_CONNECTIONS_MAX = 64,
 };
@@ -44,10 +41,9 @@
 	uint64_t cluster;   /**< Hash of the cluster's name. */
 	const char *secret; /**< Shared secret that the MAC key derives from. */
 	uint64_t id;	    /**< Hash of this instance's id. */
-	uint64_t incarnation; /**< Start time, milliseconds since the epoch. */
-	const char *address;  /**< Numeric address to listen on. */
-	uint16_t port;	      /**< 0 for any free port. */
-	uint32_t timeout_ms;  /**< Default timeout of a call. */
+	const char *address; /**< Numeric address to listen on. */
+	uint16_t port;	     /**< 0 for any free port. */
+	uint32_t timeout_ms; /**< Default timeout of a call. */
 	peer_handler_t handler;
 	void *context;
 } peer_settings_t;
@@ -71,7 +67,7 @@
  * @param receiver id of the receiver, or 0 if unknown
  * @param answer zeroed by this call; free it with peer_message_free()
  * @param timeout_ms 0 for the default timeout
- * @return 0, ERR_CONNECT, ERR_TIMEOUT, ERR_PEER_AUTH, ERR_PEER_REPLAY,
+ * @return 0, ERR_CONNECT, ERR_TIMEOUT, ERR_PEER_AUTH, ERR_PEER_SESSION,
  *         or the error that the receiver sent
  */
 int peer_call(peer_t *peer, const char address[PEER_ADDRESS_BYTES],
--- a/process/peer_proto.h
+++ b/process/peer_proto.h
@@ -184,11 +184,11 @@
 struct peer_envelope_t {
 	u_quad_t cluster;
 	u_quad_t sender;
-	u_quad_t sender_incarnation;
+	u_quad_t session;
 	u_quad_t receiver;
+	u_quad_t challenge;
 	u_quad_t sequence;
 	u_quad_t reply_to;
-	u_quad_t unix_ms;
 	struct {
 		u_int payload_len;
 		char *payload_val;
@@ -198,19 +198,19 @@
 typedef struct peer_envelope_t peer_envelope_t;
 
 #define AMV_PEER_PROGRAM 0x20a5a001
-#define AMV_PEER_VERSION 1
+#define AMV_PEER_VERSION 2
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define AMV_EXCHANGE 1
-extern  peer_envelope_t * amv_exchange_1(peer_envelope_t , CLIENT *);
-extern  peer_envelope_t * amv_exchange_1_svc(peer_envelope_t , struct svc_req *);
-extern int amv_peer_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  peer_envelope_t * amv_exchange_2(peer_envelope_t , CLIENT *);
+extern  peer_envelope_t * amv_exchange_2_svc(peer_envelope_t , struct svc_req *);
+extern int amv_peer_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define AMV_EXCHANGE 1
-extern  peer_envelope_t * amv_exchange_1();
-extern  peer_envelope_t * amv_exchange_1_svc();
-extern int amv_peer_program_1_freeresult ();
+extern  peer_envelope_t * amv_exchange_2();
+extern  peer_envelope_t * amv_exchange_2_svc();
+extern int amv_peer_program_2_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
--- a/process/peer_proto.x
+++ b/process/peer_proto.x
@@ -178,18 +178,20 @@
 };
 
 /*
- * The MAC covers all other fields. `reply_to` is the sequence number of the
- * request in an answer, and 0 in a request. `receiver` is 0 while the sender
- * does not know the receiver's id.
+ * The MAC covers all other fields. `session` is a random number of the sending
+ * process. `reply_to` is the sequence number of the request in an answer, and 0
+ * in a request. `receiver` is 0 while the sender does not know the receiver's
+ * id. `challenge` is the number that the receiver's last answer gave, or 0, in
+ * a request; and in an answer what the next request has to give.
  */
 struct peer_envelope_t {
 	unsigned hyper cluster;
 	unsigned hyper sender;
-	unsigned hyper sender_incarnation;
+	unsigned hyper session;
 	unsigned hyper receiver;
+	unsigned hyper challenge;
 	unsigned hyper sequence;
 	unsigned hyper reply_to;
-	unsigned hyper unix_ms;
 	opaque payload<PEER_PAYLOAD_MAX>;
 	opaque mac[PEER_MAC_BYTES];
 };
@@ -197,5 +199,5 @@
 program AMV_PEER_PROGRAM {
 	version AMV_PEER_VERSION {
 		peer_envelope_t AMV_EXCHANGE(peer_envelope_t) = 1;
-	} = 1;
+	} = 2;
 } = 0x20a5a001;
--- a/process/peer_proto_xdr.c
+++ b/process/peer_proto_xdr.c
@@ -305,16 +305,16 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sender))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->sender_incarnation))
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->receiver))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->challenge))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->reply_to))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->unix_ms))
-		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, PEER_PAYLOAD_MAX))
 		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->mac, PEER_MAC_BYTES))
--- a/t/lib/fake_net.c
+++ b/t/lib/fake_net.c
@@ -10,8 +10,8 @@
 {
 	peer_member_t self = {
 		.id = i + 1,
-		.incarnation =
-			1000 * ++net->start_count[i] + net->now_ms * 1000,
+		.incarnation = 1 + rng_below(&net->rng,
+					     MEMBERSHIP_START_INCARNATION_MAX),
 		.domain = i % net->domain_count,
 	};
 
@@ -245,7 +245,6 @@
 	net->delay_max_ms = 40;
 	net->nodes = g_new0(membership_t, node_count);
 	net->up = g_new0(bool, node_count);
-	net->start_count = g_new0(uint64_t, node_count);
 	net->fetching_position = g_new0(uint64_t, node_count);
 	net->partition = g_new0(uint32_t, node_count);
 	net->messages = g_ptr_array_new();
@@ -261,7 +260,6 @@
 	g_ptr_array_unref(net->messages);
 	g_free(net->nodes);
 	g_free(net->up);
-	g_free(net->start_count);
 	g_free(net->fetching_position);
 	g_free(net->partition);
 	g_free(net);
--- a/t/lib/fake_net.h
+++ b/t/lib/fake_net.h
@@ -49,7 +49,6 @@
 	size_t domain_count;
 	membership_t *nodes;
 	bool *up;
-	uint64_t *start_count;
 	/** Configuration position that each node is fetching. */
 	uint64_t *fetching_position;
 	/** Partition of each node; messages between partitions are lost. */
