endpoint_limit: take turns by a clock that instances share

Cause: turns were read from the time of day, and from the rank among the live instances, which moves as a whole when one of them is missed.

Change: heartbeats contain the clock of the turns while a limit is known; the highest that was heard goes on at the rate of the monotonic clock. Each turn is drawn by rendezvous hashing of its number and the names. An instance takes no turn before it has heard the others after its start.

Test: the 18 cases of /endpoint-limit on virtual time.

--- a/cmd/gateway.h
+++ b/cmd/gateway.h
@@ -18,6 +18,7 @@
 
 #include "process/crash_ring.h"
 #include "process/hint_ring.h"
+#include "process/limit_turns.h"
 
 /** Settings of the process, from flags or the settings file;
  * gateway_settings_load() describes each. */
@@ -50,6 +51,7 @@
 	/** Position of this one among the live ones in strcmp() order of names,
 	 * from 0. */
 	_Atomic uint32_t rank;
+	limit_turns_t limit_turns; /**< Set by the control thread. */
 	_Atomic bool stopping;
 	hint_ring_t own_hints;	/**< From the front to the control thread. */
 	hint_ring_t peer_hints; /**< From the control to the front thread. */
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -394,6 +394,7 @@
 	front->env.peer_crash_news = &front->gateway->peer_crash_news;
 	crash_evidence_init(&front->env.crash_evidence);
 	front->env.place.instances = 1;
+	front->env.limit_turns = &front->gateway->limit_turns;
 	front->env.save_budget.refilled_ms = clock_now_ms();
 	front->env.fetch_budget.refilled_ms = clock_now_ms();
 	cache_index_init(&front->env.cache_index);
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -147,6 +147,22 @@
 	}
 }
 
+/* The clock is sent once a limit is known, as no turns are needed before. */
+static void fill_turn_clock(const gateway_control_t *control,
+			    peer_heartbeat_t *heartbeat, uint64_t now_ms)
+{
+	const view_t *view = control->view_builder.view;
+
+	for (size_t i = 0; view && i < view->endpoint_count; i++) {
+		if (atomic_load(&view->endpoints[i].load->limit) ==
+		    ENDPOINT_UNLIMITED)
+			continue;
+		heartbeat->turn_clock_ms = limit_turns_clock(
+			&control->gateway->limit_turns, now_ms);
+		return;
+	}
+}
+
 static void fill_crash_news(crash_ring_t *ring, peer_heartbeat_t *heartbeat,
 			    uint64_t now_ms)
 {
@@ -204,6 +220,7 @@
 		fill_crash_news(&control->gateway->own_crash_news, &heartbeat,
 				now_ms);
 	fill_limits(control->view_builder.view, &heartbeat, now_ms);
+	fill_turn_clock(control, &heartbeat, now_ms);
 	gateway_rollout_fill_heartbeat(control->rollout, &heartbeat, now_ms);
 	fill_loads(control->view_builder.view, &heartbeat);
 	if (to_all)
@@ -349,8 +366,10 @@
 	if (peers->peer_count == PEERS_MAX)
 		return NULL;
 	peer = calloc(1, sizeof(*peer));
-	if (peer)
-		peers->peers[peers->peer_count++] = peer;
+	if (!peer)
+		return NULL;
+	peer->name_hash = hash_string(name);
+	peers->peers[peers->peer_count++] = peer;
 	return peer;
 }
 
@@ -401,6 +420,8 @@
 	if (heartbeat->fencing)
 		apply_peer_weights(peers, heartbeat, now_ms);
 	apply_peer_ejections(peers, heartbeat, now_ms);
+	limit_turns_receive(&peers->control->gateway->limit_turns,
+			    heartbeat->turn_clock_ms, now_ms);
 	apply_peer_limits(peers, heartbeat, now_ms);
 	for (uint32_t i = 0; i < heartbeat->hint_count; i++)
 		hint_ring_put(&peers->control->gateway->peer_hints,
@@ -489,6 +510,23 @@
 	metrics_set(METRIC_MEMBERS_LIVE, live);
 }
 
+/* Right after the start the others have not been heard yet. */
+static void draw_limit_turns(gateway_peers_t *peers, uint64_t now_ms)
+{
+	gateway_t *gateway = peers->control->gateway;
+	uint64_t others[PEERS_MAX];
+	size_t count = 0;
+
+	if (now_ms - peers->started_ms < START_DISCOVERY_MS)
+		return;
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		if (gateway_peer_is_live(peers, peers->peers[i], now_ms))
+			others[count++] = peers->peers[i]->name_hash;
+	}
+	limit_turns_draw(&gateway->limit_turns, peers->name_hash, others, count,
+			 now_ms);
+}
+
 const char *gateway_peers_lease_holder(const gateway_peers_t *peers,
 				       uint64_t now_ms)
 {
@@ -594,6 +632,7 @@
 	send_first_heartbeat(peers, now_ms);
 	sum_loads(peers, now_ms);
 	count_live_instances(peers, now_ms);
+	draw_limit_turns(peers, now_ms);
 	run_watcher_election(peers, now_ms);
 	gateway_state_fetch_missing(peers, now_ms);
 	if (is_heartbeat_due(peers, now_ms))
@@ -641,6 +680,8 @@
 		return NULL;
 	peers->control = control;
 	peers->started_ms = clock_now_ms();
+	peers->name_hash = hash_string(control->gateway->settings.name);
+	limit_turns_init(&control->gateway->limit_turns, peers->started_ms);
 	gateway_state_open(peers);
 	watcher_election_init(
 		&peers->election,
--- a/cmd/gateway_peers.h
+++ b/cmd/gateway_peers.h
@@ -30,6 +30,7 @@
 } fetch_kind_t;
 
 typedef struct peer {
+	uint64_t name_hash;
 	struct sockaddr_in address;
 	peer_incarnation_t order; /**< Of its heartbeats. */
 	uint64_t fetch_failed_ms; /**< Last failed state fetch; 0: never. */
@@ -78,6 +79,7 @@
 	/** Since when peers have had a newer table; 0: they have not. */
 	uint64_t behind_since_ms[OBJECT_KIND_COUNT];
 	uint64_t started_ms;
+	uint64_t name_hash; /**< Of this instance. */
 	/** Whether this instance watches the store. */
 	watcher_election_t election;
 	struct sockaddr_in targets[PEERS_MAX];
--- a/process/peer_heartbeat.c
+++ b/process/peer_heartbeat.c
@@ -158,9 +158,9 @@
 	return ok;
 }
 
-/* Crash news, the era and limits follow in this order, each only if there is
- * something to send in it or in a later one: instances of a version without
- * them ignore what follows. */
+/* Crash news, the era, limits and their clock follow in this order, each only
+ * if there is something to send in it or in a later one: instances of a version
+ * without them ignore what follows. */
 static bool convert_all_crash_news(XDR *xdr, peer_heartbeat_t *heartbeat)
 {
 	bool ok = convert_count(xdr, &heartbeat->crash_news_count,
@@ -190,6 +190,7 @@
 {
 	peer_heartbeat_t copy = *heartbeat;
 	uint64_t era = newest_era(heartbeat);
+	bool has_limits = heartbeat->limit_count || heartbeat->turn_clock_ms;
 	XDR xdr;
 	bool ok;
 	int len;
@@ -197,12 +198,14 @@
 	remove_era(&copy, era);
 	xdrmem_create(&xdr, bytes, (u_int)size, XDR_ENCODE);
 	ok = convert_heartbeat(&xdr, &copy);
-	if (copy.crash_news_count || era || copy.limit_count)
+	if (copy.crash_news_count || era || has_limits)
 		ok = ok && convert_all_crash_news(&xdr, &copy);
-	if (era || copy.limit_count)
+	if (era || has_limits)
 		ok = ok && xdr_uint64_t(&xdr, &era);
-	if (copy.limit_count)
+	if (has_limits)
 		ok = ok && convert_limits(&xdr, &copy);
+	if (copy.turn_clock_ms)
+		ok = ok && xdr_uint64_t(&xdr, &copy.turn_clock_ms);
 	len = ok ? (int)xdr_getpos(&xdr) : ERR_LIMIT;
 	xdr_destroy(&xdr);
 	return len;
@@ -224,6 +227,8 @@
 		ok = xdr_uint64_t(&xdr, &era);
 	if (ok && xdr_getpos(&xdr) < len)
 		ok = convert_limits(&xdr, heartbeat);
+	if (ok && xdr_getpos(&xdr) < len)
+		ok = xdr_uint64_t(&xdr, &heartbeat->turn_clock_ms);
 	add_era(heartbeat, era);
 	xdr_destroy(&xdr);
 	return ok ? 0 : ERR_BAD_FIELD;
--- a/process/peer_heartbeat.h
+++ b/process/peer_heartbeat.h
@@ -105,6 +105,8 @@
 	crash_news_t crash_news[PEER_CRASH_NEWS_MAX];
 	uint32_t limit_count;
 	peer_limit_t limits[PEER_LIMITS_MAX];
+	/** Clock of the turns for limits, ms; 0: it knows of no limit. */
+	uint64_t turn_clock_ms;
 } peer_heartbeat_t;
 
 /** Identifies one incarnation of an endpoint. */
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -25,6 +25,7 @@
 #include "process/fetch_source.h"
 #include "process/first_token_timeout.h"
 #include "process/hint_ring.h"
+#include "process/limit_turns.h"
 #include "process/planned_stop.h"
 #include "process/retry_budget.h"
 #include "process/rng.h"
@@ -83,7 +84,8 @@
 	planned_stop_t stop;
 	uint32_t open_requests; /**< Number of requests in `open`. */
 	crash_evidence_t crash_evidence;
-	instance_place_t place;	       /**< Of this instance. */
+	instance_place_t place; /**< Of this instance. */
+	const limit_turns_t *limit_turns;
 	crash_ring_t *own_crash_news;  /**< For the other instances. */
 	crash_ring_t *peer_crash_news; /**< From the other instances. */
 	uint64_t blocked_shared_ms;
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -72,13 +72,17 @@
 	return false;
 }
 
-static bool is_within_limit(const exchange_t *exchange, endpoint_load_t *load)
+static bool is_within_limit(const exchange_t *exchange, endpoint_load_t *load,
+			    uint64_t now_ms)
 {
 	uint32_t limit = atomic_load(&load->limit);
+	limit_turn_t turn;
 
 	return limit == ENDPOINT_UNLIMITED ||
-	       endpoint_limit_allows(&load->limit_share, limit,
-				     &exchange->env->place, clock_unix_ms());
+	       (limit_turns_current(exchange->env->limit_turns, now_ms,
+				    &turn) &&
+		endpoint_limit_allows(&load->limit_share, limit, &turn,
+				      load->id_hash, now_ms));
 }
 
 static candidate_state_t candidate_state(const exchange_t *exchange,
@@ -90,7 +94,7 @@
 	if (entry->draining || atomic_load(&load->leaving) ||
 	    was_tried(exchange, load->id_hash) ||
 	    now_ms < atomic_load(&load->paused_until_ms) ||
-	    !is_within_limit(exchange, load))
+	    !is_within_limit(exchange, load, now_ms))
 		return CANDIDATE_EXCLUDED;
 	if (now_ms < atomic_load(&load->loading_until_ms) ||
 	    now_ms < atomic_load(&load->ejected_until_ms))
--- a/t/test-endpoint-limit.c
+++ b/t/test-endpoint-limit.c
@@ -2,98 +2,112 @@
 #include <glib.h>
 #include <string.h>
 
-#include "process/endpoint_limit.h"
-#include "process/rng.h"
+#include "process/limit_turns.h"
+#include "t/lib/limit_sim.h"
+#include "t/lib/seeds.h"
 
 enum {
-	INSTANCES_MAX = 340,
-	STEP_MS = 10,
-	RUN_MS = 400000,
-	/** Window in which requests are counted. */
-	WINDOW_MS = 4000,
-	/** Clocks differ by at most this, ms. */
-	SKEW_MS = 500,
-	START_UNIX_MS = 1000000,
+	HOUR_MS = 3600000,
+	NOW_MS = 50000,
+	SEEDS = 3,
 };
 
 typedef struct limit_case {
 	const char *name;
-	uint32_t instances;
-	uint32_t limit; /**< Per 1000 s. */
+	limit_sim_options_t options;
 	/** Of the limit that must be used if there are always requests. */
 	double used_min;
+	/** Longest time without a request, ms; 0: any. */
+	uint64_t idle_max_ms;
 } limit_case_t;
 
 static const limit_case_t cases[] = {
-	{ "one-instance", 1, 1400, 0.7 },
-	{ "14-instances", 14, 1400, 0.7 },
-	{ "340-instances", 340, 1400, 0.7 },
-	{ "less-than-one-a-turn", 14, 200, 0.4 },
-	{ "zero", 14, 0, 0 },
-	{ "more-than-instances", 14, 100000, 0.7 },
-	{ "about-as-many-as-instances", 134, 120000, 0.7 },
+	{ "one-instance", { .instances = 1, .limit = 1400 }, 0.7, 6000 },
+	{ "14-instances", { 14, 1400, .loss = 0.03 }, 0.7, 6000 },
+	{ "340-instances", { 340, 1400, .loss = 0.03 }, 0.7, 6000 },
+	{ "less-than-one-a-turn", { .instances = 14, .limit = 200 }, 0.4, 0 },
+	{ "smallest", { .instances = 14, .limit = 50 }, 0.4, 0 },
+	{ "more-than-instances",
+	  { .instances = 14, .limit = 100000 },
+	  0.7,
+	  6000 },
+	{ "about-as-many-as-instances",
+	  { 134, 120000, .loss = 0.03 },
+	  0.7,
+	  6000 },
+	{ "clocks-off-2400-ms",
+	  { 14, 1400, .clocks_off = 0.25, .clock_off_ms = 2400 },
+	  0.7,
+	  6000 },
+	{ "clocks-off-an-hour",
+	  { 14, 4000, .clocks_off = 0.25, .clock_off_ms = HOUR_MS },
+	  0.7,
+	  6000 },
+	{ "all-clocks-off-an-hour",
+	  { 134, 1400, .clocks_off = 1, .clock_off_ms = HOUR_MS },
+	  0.7,
+	  6000 },
+	{ "restarts", { 14, 2000, .restarts = 0.3 }, 0.5, 0 },
+	{ "restarts-of-many", { 134, 4000, .restarts = 0.6 }, 0.4, 0 },
+	{ "restarts-of-all", { 14, 2000, .restarts = 1 }, 0.4, 0 },
+	{ "freezes", { 14, 2000, .freezes = 0.2 }, 0.5, 0 },
+	{ "unheard-some", { 14, 1400, .deaf_pairs = 0.1 }, 0.7, 0 },
+	{ "unheard-many", { 134, 4000, .deaf_pairs = 0.1 }, 0.7, 0 },
+	{ "all-together",
+	  { 134, 4000, 0.3, HOUR_MS, 0.2, 0.1, 0.02, 0.05 },
+	  0.4,
+	  0 },
+	{ "all-together-at-340",
+	  { 340, 20000, 0.3, HOUR_MS, 0.2, 0.1, 0.02, 0.05 },
+	  0.4,
+	  0 },
 };
 
 /* Failure: instances together sent more than one and a half times what an
- * endpoint accepts, or so little that it was idle (incident second1). */
+ * endpoint accepts, or so little that it was idle, because their turns were
+ * read from times of day that differed (rule LIMIT, incident second1). */
 static void test_all_instances(const void *data)
 {
 	const limit_case_t *c = data;
-	static endpoint_limit_t states[INSTANCES_MAX];
-	static uint32_t sent[RUN_MS / STEP_MS];
-	static uint64_t skews_ms[INSTANCES_MAX];
-	double allowed = 1.5 * WINDOW_MS / 1e6 * c->limit + 5;
-	uint64_t in_window = 0;
-	uint64_t total = 0;
-	rng_t rng;
 
-	rng_init(&rng, 1);
-	memset(states, 0, sizeof(states));
-	for (uint32_t i = 0; i < c->instances; i++)
-		skews_ms[i] = rng_below(&rng, SKEW_MS);
-	for (uint64_t t = 0; t < RUN_MS / STEP_MS; t++) {
-		sent[t] = 0;
-		for (uint32_t i = 0; i < c->instances; i++) {
-			instance_place_t place = { i, c->instances };
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		limit_sim_result_t result =
+			limit_sim_run(&c->options, DIVIDE_DRAWN_TURNS, seed);
 
-			while (endpoint_limit_allows(
-				&states[i], c->limit, &place,
-				START_UNIX_MS + t * STEP_MS + skews_ms[i])) {
-				endpoint_limit_count(&states[i]);
-				sent[t]++;
-			}
-		}
-		total += sent[t];
-		in_window += sent[t];
-		if (t >= WINDOW_MS / STEP_MS)
-			in_window -= sent[t - WINDOW_MS / STEP_MS];
-		g_assert_cmpfloat((double)in_window, <=, allowed);
+		g_assert_cmpfloat(result.over, <=, 1);
+		g_assert_cmpfloat(result.used, >=, c->used_min);
+		if (c->idle_max_ms)
+			g_assert_cmpuint(result.idle_ms, <=, c->idle_max_ms);
 	}
-	g_assert_cmpfloat((double)total, >=,
-			  c->used_min * c->limit * RUN_MS / 1e6);
-	/* Even a limit of zero is tried again, to see whether it has ended. */
-	g_assert_cmpuint(total, >, 0);
 }
 
-/* Failure: a clock that was set back gave an instance its share again, or none
- * until it had caught up. */
-static void test_clock_set_back(void)
+/* The clock of the turns goes on from the highest that was heard. */
+static void test_turn_clock(void)
 {
-	const instance_place_t place = { 0, 1 };
-	endpoint_limit_t state = { 0 };
-	uint32_t sent = 0;
+	limit_turns_t turns;
+	limit_turn_t turn;
 
-	for (uint64_t t = 0; t < RUN_MS; t += STEP_MS) {
-		uint64_t unix_ms =
-			START_UNIX_MS + t - (t > RUN_MS / 2 ? RUN_MS / 4 : 0);
-
-		while (endpoint_limit_allows(&state, 1000, &place, unix_ms)) {
-			endpoint_limit_count(&state);
-			sent++;
-		}
-	}
-	g_assert_cmpuint(sent, <=, RUN_MS / 1000 + 5);
-	g_assert_cmpuint(sent, >=, RUN_MS / 1000 * 7 / 10);
+	limit_turns_init(&turns, NOW_MS);
+	g_assert_cmpuint(limit_turns_clock(&turns, NOW_MS), ==, 0);
+	g_assert_false(limit_turns_current(&turns, NOW_MS, &turn));
+	limit_turns_receive(&turns, 90000, NOW_MS + 10);
+	g_assert_cmpuint(limit_turns_clock(&turns, NOW_MS + 20), ==, 90010);
+	limit_turns_receive(&turns, 80000, NOW_MS + 20);
+	limit_turns_receive(&turns, 0, NOW_MS + 20);
+	limit_turns_receive(&turns, UINT64_MAX, NOW_MS + 20);
+	g_assert_cmpuint(limit_turns_clock(&turns, NOW_MS + 30), ==, 90020);
+	limit_turns_draw(&turns, 1, NULL, 0, NOW_MS + 30);
+	g_assert_true(limit_turns_current(&turns, NOW_MS + 30, &turn));
+	g_assert_cmpuint(turn.number, ==, 90020 / LIMIT_TURN_MS);
+	g_assert_cmpuint(turn.begin_ms, ==,
+			 NOW_MS + 30 - 90020 % LIMIT_TURN_MS);
+	g_assert_cmpuint(turn.position, ==, 0);
+	g_assert_cmpuint(turn.instances, ==, 1);
+	/* The next turn is drawn too, but not the one after it. */
+	g_assert_true(
+		limit_turns_current(&turns, NOW_MS + LIMIT_TURN_MS, &turn));
+	g_assert_false(
+		limit_turns_current(&turns, NOW_MS + 3 * LIMIT_TURN_MS, &turn));
 }
 
 int main(int argc, char **argv)
@@ -106,6 +120,6 @@
 		g_test_add_data_func(path, &cases[i], test_all_instances);
 		g_free(path);
 	}
-	g_test_add_func("/endpoint-limit/clock-set-back", test_clock_set_back);
+	g_test_add_func("/endpoint-limit/turn-clock", test_turn_clock);
 	return g_test_run();
 }
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -302,6 +302,38 @@
 	g_assert_cmpuint(received.limit_count, ==, 0);
 }
 
+typedef struct clock_case {
+	const char *name;
+	uint64_t turn_clock_ms;
+	uint32_t limits;
+} clock_case_t;
+
+static const clock_case_t clock_cases[] = {
+	{ "alone", 1ULL << 40, 0 },
+	{ "with-limits", 77, PEER_LIMITS_MAX },
+	{ "none", 0, 2 },
+};
+
+/* Failure: the clock of the turns got lost where an instance knew of a limit
+ * only from others, so their turns differed. */
+static void test_heartbeat_turn_clock(const void *data)
+{
+	const clock_case_t *c = data;
+	peer_heartbeat_t heartbeat = { .name = "n",
+				       .incarnation = 1,
+				       .turn_clock_ms = c->turn_clock_ms,
+				       .limit_count = c->limits };
+	peer_heartbeat_t received;
+	char bytes[PEER_HEARTBEAT_MAX_BYTES];
+	int len = peer_heartbeat_encode(&heartbeat, bytes, sizeof(bytes));
+
+	g_assert_cmpint(len, >, 0);
+	g_assert_cmpint(peer_heartbeat_decode(&received, bytes, (size_t)len),
+			==, 0);
+	g_assert_cmpuint(received.turn_clock_ms, ==, c->turn_clock_ms);
+	g_assert_cmpuint(received.limit_count, ==, c->limits);
+}
+
 /* Failure: lists grew until the datagram could not be encoded. */
 static void test_heartbeat_free_bytes(void)
 {
@@ -644,6 +676,14 @@
 			test_heartbeat_free_bytes);
 	g_test_add_func("/peer-heartbeat/era", test_heartbeat_era);
 	g_test_add_func("/peer-heartbeat/limits", test_heartbeat_limits);
+	for (size_t i = 0; i < G_N_ELEMENTS(clock_cases); i++) {
+		char *path = g_strdup_printf("/peer-heartbeat/turn-clock/%s",
+					     clock_cases[i].name);
+
+		g_test_add_data_func(path, &clock_cases[i],
+				     test_heartbeat_turn_clock);
+		g_free(path);
+	}
 	g_test_add_func("/crash-ring/full", test_crash_ring_full);
 	g_test_add_func("/crash-ring/threads", test_crash_ring_threads);
 	g_test_add_func("/crash-ring/report-age", test_crash_report_age);
