order, order_sweep: rest at most once on no time of day

Callers: an instance whose time of day was ahead closed a claim that was live, so a repeat got order_unknown; or it removed the record of an order before the retention, so a repeat of the key ran a second time.

Cause: the deadline of a claim and the age of a record were compared with the reader's time of day.

Change: a claim is closed by an instance that has known it unchanged for its validity on its monotonic clock (process/claim_watch); the JSON of a record is the same, the validity is the difference of its two times.

Tries: with the marks read before each page the listing never came at short intervals.

Price: after the end of the instance that claimed a key, order_unknown comes 34 s after the first repeat at an instance, not 34 s after the claim.

--- a/cmd/amaranthvale-router.c
+++ b/cmd/amaranthvale-router.c
@@ -170,6 +170,8 @@
 	return EXIT_FAILURE;
 }
 
+static claim_watch_t claims = CLAIM_WATCH_INIT;
+
 static uint64_t choose_seed(void)
 {
 	return router.settings.seed ? hash_string(router.settings.seed)
@@ -224,6 +226,7 @@
 	relay_init(&router.relay, &relay, router.fleet, router.pool,
 		   router.crash_guard);
 	router.plain_proxy = (plain_proxy_t){
+		.claims = &claims,
 		.settings = { .instance = router.instance,
 			      .connect_timeout_ms =
 				      settings->connect_timeout_ms },
--- a/cmd/router_sweep.c
+++ b/cmd/router_sweep.c
@@ -9,7 +9,7 @@
 #include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
-#include "process/order.h"
+#include "process/order_sweep.h"
 
 enum {
 	/** Minimum interval between two store calls. */
@@ -39,19 +39,59 @@
 		page.count < ORDER_SWEEP_PAGE ? page.count : ORDER_SWEEP_PAGE;
 
 	for (size_t i = 0; !err && i < count; i++) {
-		const json_t *created =
-			json_object_get(page.items[i].value, "created_unix_ms");
-
 		items[i].path = page.items[i].key;
 		items[i].version = page.items[i].version;
-		/* A record without a valid creation time is kept. */
-		items[i].created_unix_ms = json_is_integer(created)
-						   ? json_integer_value(created)
-						   : INT64_MAX;
 	}
 	order_sweep_handle_page(sweep, action->call_id, err, items,
-				err ? 0 : count, page.more,
-				(int64_t)clock_unix_ms());
+				err ? 0 : count, page.more);
+}
+
+/** Reads the marks of the sweeps. An object that is none counts as empty, so
+ * that it is replaced in time. */
+static void read_marks(store_client_t *store, order_sweep_t *sweep,
+		       const order_sweep_action_t *action)
+{
+	CLEANUP_STORE_OBJECT store_object_t object = { 0 };
+	uint64_t marks[ORDER_MARKS];
+	order_sweep_marks_t read = { .marks = marks };
+	const json_t *list;
+	const json_t *mark;
+	size_t i;
+
+	read.result = store_client_get(store, STORE_PURPOSE_STATUS,
+				       action->path, &object);
+	read.version = object.version;
+	list = json_object_get(object.value, "marks");
+	json_array_foreach ((json_t *)list, i, mark) {
+		if (read.count < ORDER_MARKS)
+			marks[read.count++] =
+				(uint64_t)json_integer_value(mark);
+	}
+	order_sweep_handle_marks(sweep, action->call_id, &read, clock_now_ms());
+}
+
+static void write_marks(store_client_t *store, order_sweep_t *sweep,
+			const order_sweep_action_t *action)
+{
+	CLEANUP_JSON json_t *value = json_pack("{s:[]}", "marks");
+	json_t *list = json_object_get(value, "marks");
+	uint64_t version = 0;
+	int err;
+
+	for (size_t i = 0; i < action->mark_count; i++)
+		json_array_append_new(
+			list, json_integer((json_int_t)action->marks[i]));
+	err = action->version
+		      ? store_client_update(store, STORE_PURPOSE_STATUS,
+					    action->path, value,
+					    action->version, &version)
+		      : store_client_create(store, STORE_PURPOSE_STATUS,
+					    action->path, value, &version);
+	event_log(EVENT_ORDER_MARK, "replaced=%llu marks=%zu result=%s",
+		  (unsigned long long)action->version, action->mark_count,
+		  error_type(err));
+	order_sweep_handle_marks_written(sweep, action->call_id, err, version,
+					 clock_now_ms());
 }
 
 /** Does the next action of the sweep. @return whether it called the store */
@@ -62,6 +102,12 @@
 	switch (action.kind) {
 	case ORDER_SWEEP_NONE:
 		return false;
+	case ORDER_SWEEP_READ_MARKS:
+		read_marks(router->store, sweep, &action);
+		return true;
+	case ORDER_SWEEP_WRITE_MARKS:
+		write_marks(router->store, sweep, &action);
+		return true;
 	case ORDER_SWEEP_LIST:
 		if (!*action.path)
 			sweep->member_count = count_instances(router);
--- a/process/order.c
+++ b/process/order.c
@@ -7,8 +7,6 @@
 
 _Static_assert(sizeof(order_t) <= ORDER_SIZE_BYTES,
 	       "order_t exceeds ORDER_SIZE_BYTES");
-_Static_assert(sizeof(order_sweep_t) <= ORDER_SWEEP_SIZE_BYTES,
-	       "order_sweep_t exceeds ORDER_SWEEP_SIZE_BYTES");
 
 /**
  * Store calls that may fail before a request whose key already has a record is
@@ -19,7 +17,7 @@
 const order_settings_t order_default_settings = {
 	.send_window_ms = 2000,
 	.endpoint_timeout_ms = 30000,
-	.clock_skew_ms = 2000,
+	.clock_drift_ms = 2000,
 	.retry_ms = 50,
 	.retry_max_ms = 5000,
 	.answer_wait_ms = 500,
@@ -216,9 +214,9 @@
 	claim->claim_fencing = 1;
 	claim->fencing = 1;
 	claim->created_unix_ms = request->unix_ms;
-	claim->deadline_unix_ms = request->unix_ms + settings->send_window_ms +
-				  settings->endpoint_timeout_ms +
-				  settings->clock_skew_ms;
+	claim->valid_ms = settings->send_window_ms +
+			  settings->endpoint_timeout_ms +
+			  settings->clock_drift_ms;
 	snprintf(claim->digest, sizeof(claim->digest), "%s", request->digest);
 	snprintf(claim->owner, sizeof(claim->owner), "%s", request->owner);
 	claim->provable = request->endpoints_check_fencing;
@@ -330,7 +328,7 @@
 		start_querying(order, actions);
 		return;
 	case ORDER_STATE_OPEN:
-		if (event->read.unix_ms <= record->deadline_unix_ms)
+		if (event->read.unchanged_ms < record->valid_ms)
 			finish_with_error(order, actions,
 					  ERR_ORDER_IN_PROGRESS);
 		else
@@ -695,77 +693,3 @@
 		return;
 	}
 }
-
-static uint64_t next_sweep_ms(const order_sweep_t *sweep, uint64_t now_ms)
-{
-	uint64_t mean_ms = (uint64_t)sweep->interval_ms * sweep->member_count;
-
-	return now_ms + mean_ms / 2 + rng_below(sweep->rng, mean_ms + 1);
-}
-
-void order_sweep_init(order_sweep_t *sweep, const order_settings_t *settings,
-		      rng_t *rng, uint32_t interval_ms, uint32_t member_count,
-		      uint64_t now_ms)
-{
-	memset(sweep, 0, sizeof(*sweep));
-	sweep->settings = settings;
-	sweep->rng = rng;
-	sweep->interval_ms = interval_ms;
-	sweep->member_count = member_count ? member_count : 1;
-	sweep->next_ms = now_ms + rng_below(rng, (uint64_t)interval_ms *
-							 sweep->member_count);
-}
-
-order_sweep_action_t order_sweep_step(order_sweep_t *sweep, uint64_t now_ms)
-{
-	order_sweep_action_t action = { .kind = ORDER_SWEEP_NONE };
-
-	if (sweep->pending_count) {
-		size_t i = --sweep->pending_count;
-
-		action.kind = ORDER_SWEEP_DELETE;
-		action.path = sweep->pending[i];
-		action.version = sweep->pending_version[i];
-		return action;
-	}
-	if (sweep->list_pending || (!sweep->more && now_ms < sweep->next_ms))
-		return action;
-	if (!sweep->more) {
-		sweep->last_path[0] = '\0';
-		sweep->next_ms = next_sweep_ms(sweep, now_ms);
-	}
-	sweep->list_pending = true;
-	action.kind = ORDER_SWEEP_LIST;
-	action.call_id = ++sweep->call_id;
-	action.path = sweep->last_path;
-	return action;
-}
-
-void order_sweep_handle_page(order_sweep_t *sweep, uint32_t call_id, int result,
-			     const order_sweep_item_t *items, size_t count,
-			     bool more, int64_t unix_ms)
-{
-	if (!sweep->list_pending || call_id != sweep->call_id)
-		return;
-	sweep->list_pending = false;
-	sweep->more = result == 0 && more && count > 0;
-	if (result != 0)
-		return;
-	if (count > ORDER_SWEEP_PAGE) {
-		count = ORDER_SWEEP_PAGE;
-		sweep->more = true;
-	}
-	for (size_t i = 0; i < count; i++) {
-		size_t n = sweep->pending_count;
-
-		snprintf(sweep->last_path, sizeof(sweep->last_path), "%s",
-			 items[i].path);
-		if (unix_ms - items[i].created_unix_ms <
-		    sweep->settings->retention_ms)
-			continue;
-		snprintf(sweep->pending[n], sizeof(sweep->pending[n]), "%s",
-			 items[i].path);
-		sweep->pending_version[n] = items[i].version;
-		sweep->pending_count++;
-	}
-}
--- a/process/order.h
+++ b/process/order.h
@@ -18,9 +18,11 @@
  * ERR_STORE_CONDITION; ERR_STORE_DOWN or ERR_STORE_BUDGET if the call
  * certainly had no effect; ERR_STORE_UNKNOWN if it may have had one.
  *
- * Times named `_ms` are monotonic, `_unix_ms` wall-clock. Wall clocks decide
- * only when a claim is closed and when a record is removed; whether a request
- * may be sent never depends on them.
+ * Times named `_ms` are monotonic, `_unix_ms` times of day, which may jump and
+ * differ between instances: nothing is decided by them. A claim is closed by an
+ * instance that has seen it unchanged for its validity, and a record is removed
+ * by its place in the order of the store's changes; see
+ * process/order_sweep.h.
  */
 #ifndef PROCESS_ORDER_H
 #define PROCESS_ORDER_H
@@ -49,10 +51,6 @@
 	ORDER_ACTIONS_MAX = 4,
 	/** Upper bound of sizeof(order_t), checked at compile time. */
 	ORDER_SIZE_BYTES = 4096,
-	/** Upper bound of sizeof(order_sweep_t), checked at compile time. */
-	ORDER_SWEEP_SIZE_BYTES = 4096,
-	/** Maximum number of records in one page of a sweep. */
-	ORDER_SWEEP_PAGE = 16,
 };
 
 /** State of a record. Every state except ORDER_STATE_OPEN is final. */
@@ -85,9 +83,10 @@
 	 * it above claim_fencing.
 	 */
 	uint64_t fencing;
-	int64_t created_unix_ms;
-	/** After this time other instances may close the claim. */
-	int64_t deadline_unix_ms;
+	int64_t created_unix_ms; /**< For operators. */
+	/** An instance that has seen the open claim unchanged for this long may
+	 * close it. */
+	uint32_t valid_ms;
 	char digest[HASH_DIGEST_HEX_BYTES]; /**< Of method, path and body. */
 	char owner[ORDER_ID_MAX_BYTES];
 	/** The only endpoints that the owner may send to. */
@@ -108,8 +107,9 @@
 	uint32_t send_window_ms;
 	/** Timeout for the endpoint's answer. */
 	uint32_t endpoint_timeout_ms;
-	/** Largest assumed difference of the instances' wall clocks. */
-	uint32_t clock_skew_ms;
+	/** Added to the validity of a claim, because monotonic clocks run at
+	 * slightly different rates. */
+	uint32_t clock_drift_ms;
 	/** First delay between store calls; doubles with each failure. */
 	uint32_t retry_ms;
 	/** Limit of that delay. */
@@ -118,7 +118,7 @@
 	uint32_t answer_wait_ms;
 	/** How long the write of the outcome is retried in the background. */
 	uint32_t record_retry_ms;
-	/** Age at which a record is removed. */
+	/** A record is kept for at least this long after its last change. */
 	int64_t retention_ms;
 } order_settings_t;
 
@@ -168,7 +168,9 @@
 			int result;
 			uint64_t version;
 			const order_record_t *record; /**< On success. */
-			int64_t unix_ms;
+			/** For how long this process has known the record at
+			 * this version; see process/claim_watch.h. */
+			uint64_t unchanged_ms;
 		} read;
 		struct {
 			/** Valid until ORDER_ACTION_FINISH. */
@@ -298,68 +300,4 @@
 	return order->sent;
 }
 
-/**
- * Removes old records in the background. Deletes are conditional, so that
- * several instances can sweep at the same time.
- */
-typedef struct order_sweep {
-	const order_settings_t *settings;
-	rng_t *rng;
-	/** Mean time between the sweeps of all instances together. */
-	uint32_t interval_ms;
-	uint32_t member_count; /**< Number of instances that sweep. */
-	uint64_t next_ms;
-	uint32_t call_id;
-	bool list_pending;
-	/** The next page lists the paths after this one. */
-	char last_path[ORDER_PATH_MAX_BYTES];
-	size_t pending_count; /**< Records to delete. */
-	char pending[ORDER_SWEEP_PAGE][ORDER_PATH_MAX_BYTES];
-	uint64_t pending_version[ORDER_SWEEP_PAGE];
-	bool more; /**< The store has further pages. */
-} order_sweep_t;
-
-/** One record of a page of the listing. */
-typedef struct order_sweep_item {
-	const char *path;
-	uint64_t version;
-	int64_t created_unix_ms;
-} order_sweep_item_t;
-
-typedef enum order_sweep_action_kind {
-	ORDER_SWEEP_NONE,
-	ORDER_SWEEP_LIST,   /**< List `order/` after `path`. */
-	ORDER_SWEEP_DELETE, /**< Delete `path` if it has `version`. */
-} order_sweep_action_kind_t;
-
-typedef struct order_sweep_action {
-	order_sweep_action_kind_t kind;
-	uint32_t call_id;
-	const char *path;
-	uint64_t version;
-} order_sweep_action_t;
-
-/**
- * Schedules the first sweep at a random time within `interval_ms` times
- * `member_count`.
- */
-void order_sweep_init(order_sweep_t *sweep, const order_settings_t *settings,
-		      rng_t *rng, uint32_t interval_ms, uint32_t member_count,
-		      uint64_t now_ms);
-
-/**
- * Returns the next store call that is due; at most one per step, to leave
- * store capacity for claims.
- */
-order_sweep_action_t order_sweep_step(order_sweep_t *sweep, uint64_t now_ms);
-
-/**
- * Handles the result of ORDER_SWEEP_LIST.
- * @param result 0, or an error kind, which ends this sweep
- * @param count at most ORDER_SWEEP_PAGE items are used
- */
-void order_sweep_handle_page(order_sweep_t *sweep, uint32_t call_id, int result,
-			     const order_sweep_item_t *items, size_t count,
-			     bool more, int64_t unix_ms);
-
 #endif
--- a/request/order_record.c
+++ b/request/order_record.c
@@ -65,9 +65,9 @@
 		(json_int_t)record->claim_fencing, "fencing",
 		(json_int_t)record->fencing, "created_unix_ms",
 		(json_int_t)record->created_unix_ms, "deadline_unix_ms",
-		(json_int_t)record->deadline_unix_ms, "digest", record->digest,
-		"owner", record->owner, "endpoints", endpoints_to_json(record),
-		"provable", record->provable);
+		(json_int_t)record->created_unix_ms + record->valid_ms,
+		"digest", record->digest, "owner", record->owner, "endpoints",
+		endpoints_to_json(record), "provable", record->provable);
 	if (value && record->state == ORDER_STATE_DONE && record->answer &&
 	    json_object_set_new(value, "answer",
 				answer_to_json(record->answer))) {
@@ -152,6 +152,7 @@
 	json_int_t fencing;
 	json_int_t created;
 	json_int_t deadline;
+	json_int_t valid;
 	const char *state;
 	const char *nonce;
 	int provable;
@@ -163,12 +164,13 @@
 			&provable) ||
 	    !parse_state(state, &record->state) ||
 	    hash_key_from_hex(nonce, &record->nonce) || claim_fencing < 0 ||
-	    fencing < 0)
+	    fencing < 0 || __builtin_sub_overflow(deadline, created, &valid) ||
+	    valid < 0 || valid > UINT32_MAX)
 		return false;
 	record->claim_fencing = (uint64_t)claim_fencing;
 	record->fencing = (uint64_t)fencing;
 	record->created_unix_ms = created;
-	record->deadline_unix_ms = deadline;
+	record->valid_ms = (uint32_t)valid;
 	record->provable = provable;
 	return copy_text(json_object_get(value, "digest"), record->digest,
 			 sizeof(record->digest)) &&
--- a/request/plain_order.c
+++ b/request/plain_order.c
@@ -81,8 +81,11 @@
 		event.read.version = object.version;
 		event.read.record = &run->last_read.record;
 	}
+	if (!err && run->last_read.record.state == ORDER_STATE_OPEN)
+		event.read.unchanged_ms =
+			claim_watch_read(run->proxy->claims, run->order.path,
+					 object.version, clock_now_ms());
 	event.read.result = err;
-	event.read.unix_ms = (int64_t)clock_unix_ms();
 	return event;
 }
 
--- a/request/plain_proxy.h
+++ b/request/plain_proxy.h
@@ -17,6 +17,7 @@
 #include "connection/server.h"
 #include "connection/upstream.h"
 #include "process/byte_buffer.h"
+#include "process/claim_watch.h"
 #include "process/fleet.h"
 #include "process/order.h"
 #include "process/store_client.h"
@@ -42,6 +43,7 @@
 	upstream_pool_t *pool;
 	store_client_t *store;	  /**< NULL: orders are refused. */
 	order_backlog_t *backlog; /**< NULL: server threads retry. */
+	claim_watch_t *claims;	  /**< Open claims that were read. */
 } plain_proxy_t;
 
 /** A client's request whose body was received completely. */
--- a/t/test-order-cases.c
+++ b/t/test-order-cases.c
@@ -12,7 +12,7 @@
 static const order_settings_t settings = {
 	.send_window_ms = 2000,
 	.endpoint_timeout_ms = 1000,
-	.clock_skew_ms = 200,
+	.clock_drift_ms = 200,
 	.retry_ms = 50,
 	.retry_max_ms = 1000,
 	.record_retry_ms = 20000,
@@ -42,7 +42,7 @@
 	bool fencing;
 	bool other_body;
 	bool no_endpoint;
-	int64_t read_unix_ms;
+	uint64_t unchanged_ms;
 	step_t steps[STEPS_MAX];
 } cases[] = {
 	{ "done", .steps = { { WRITTEN(0), .actions = "C" },
@@ -130,13 +130,13 @@
 		     { READ_OTHER(ORDER_STATE_OPEN), .actions = "PF",
 		       .answer_err = ERR_ORDER_IN_PROGRESS } } },
 	{ "repeat after the deadline closes the claim as unknown",
-	  .read_unix_ms = 100000,
+	  .unchanged_ms = 100000,
 	  .steps = { { WRITTEN(ERR_STORE_CONDITION), .actions = "R" },
 		     { READ_OTHER(ORDER_STATE_OPEN), .actions = "W" },
 		     { WRITTEN(0), .actions = "PF",
 		       .answer_err = ERR_ORDER_UNKNOWN } } },
 	{ "another's open claim is never overwritten as not run",
-	  .read_unix_ms = 100000,
+	  .unchanged_ms = 100000,
 	  .steps = { { WRITTEN(ERR_STORE_UNKNOWN), .actions = "R" },
 		     { READ_OTHER(ORDER_STATE_OPEN), .actions = "W" },
 		     { WRITTEN(ERR_STORE_UNKNOWN), .actions = "T" },
@@ -238,7 +238,7 @@
 				event.read.result = step->value;
 				event.read.record = &record;
 				event.read.version = 5;
-				event.read.unix_ms = cases[c].read_unix_ms;
+				event.read.unchanged_ms = cases[c].unchanged_ms;
 				break;
 			case ORDER_EVENT_QUERIED:
 				event.queried.proof = step->value;
--- a/t/test-order.c
+++ b/t/test-order.c
@@ -2,8 +2,9 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process/claim_watch.h"
 #include "process/error.h"
-#include "process/order.h"
+#include "process/order_sweep.h"
 #include "t/lib/sim.h"
 
 enum {
@@ -13,12 +14,13 @@
 	ATTEMPTS = 24,
 	RUN_MS = 60000,
 	SCHEDULES = 1500,
+	DAY_MS = 86400000,
 };
 
 static const order_settings_t settings = {
 	.send_window_ms = 2000,
 	.endpoint_timeout_ms = 1000,
-	.clock_skew_ms = 200,
+	.clock_drift_ms = 200,
 	.retry_ms = 50,
 	.retry_max_ms = 1000,
 	.record_retry_ms = 20000,
@@ -54,6 +56,7 @@
 	uint64_t paused_until_ms;
 	uint64_t incarnation;
 	int64_t wall_offset_ms;
+	claim_watch_t claims;
 } instance_t;
 
 /** State of one simulated schedule. */
@@ -70,6 +73,7 @@
 	attempt_t attempts[ATTEMPTS];
 	size_t attempt_count;
 	order_sweep_t sweep;
+	uint64_t removed; /**< Records. */
 };
 
 /** An event for an instance, delayed while the instance is paused. */
@@ -105,7 +109,9 @@
 	    !attempt->finished) {
 		if (message->event.kind == ORDER_EVENT_READ) {
 			message->event.read.record = &message->record;
-			message->event.read.unix_ms = wall_ms(instance);
+			message->event.read.unchanged_ms = claim_watch_read(
+				&instance->claims, attempt->order.path,
+				message->event.read.version, run->sim.now_ms);
 		}
 		order_step(&attempt->order, &message->event, run->sim.now_ms,
 			   &actions);
@@ -354,6 +360,17 @@
 	perform(attempt, &actions);
 }
 
+/* Sets the time of day ahead or back, by up to two days. */
+static void jump_clock(void *context, uint64_t argument)
+{
+	instance_t *instance = context;
+
+	(void)argument;
+	instance->wall_offset_ms =
+		(int64_t)rng_below(&instance->run->sim.rng, 4 * DAY_MS) -
+		2 * DAY_MS;
+}
+
 static void pause_instance(void *context, uint64_t duration_ms)
 {
 	instance_t *instance = context;
@@ -367,6 +384,7 @@
 
 	(void)argument;
 	instance->incarnation++;
+	instance->claims.count = 0;
 }
 
 static void set_store_down(void *context, uint64_t down)
@@ -379,31 +397,90 @@
 	((run_t *)context)->endpoint_down[argument >> 1] = argument & 1;
 }
 
-static void run_sweep(void *context, uint64_t argument)
+/* Value of ORDER_MARKS_PATH. */
+typedef struct marks {
+	uint64_t versions[ORDER_MARKS];
+	size_t count;
+} marks_t;
+
+static void marks_written(void *context, uint64_t call,
+			  const sim_answer_t *answer)
 {
 	run_t *run = context;
-	sim_t *sim = &run->sim;
-	order_sweep_item_t items[ORDER_SWEEP_PAGE];
-	order_sweep_action_t action =
-		order_sweep_step(&run->sweep, sim->now_ms);
 
-	if (action.kind == ORDER_SWEEP_DELETE) {
-		sim_delete(sim, action.path, action.version);
-	} else if (action.kind == ORDER_SWEEP_LIST) {
-		size_t count = MIN(sim->object_count, ORDER_SWEEP_PAGE);
+	order_sweep_handle_marks_written(&run->sweep, (uint32_t)call,
+					 answer->result, answer->version,
+					 run->sim.now_ms);
+}
+
+static void read_marks(run_t *run, const order_sweep_action_t *action)
+{
+	const sim_object_t *object = sim_find(&run->sim, ORDER_MARKS_PATH);
+	order_sweep_marks_t read = { .result = ERR_NOT_FOUND };
 
-		for (size_t i = 0; i < count; i++) {
-			const order_record_t *record = sim->objects[i].value;
+	if (object) {
+		const marks_t *value = object->value;
 
-			items[i].path = sim->objects[i].key;
-			items[i].version = sim->objects[i].version;
-			items[i].created_unix_ms = record->created_unix_ms;
-		}
-		order_sweep_handle_page(&run->sweep, action.call_id, 0, items,
-					count, false, (int64_t)sim->now_ms);
+		read = (order_sweep_marks_t){ .version = object->version,
+					      .marks = value->versions,
+					      .count = value->count };
+	}
+	order_sweep_handle_marks(&run->sweep, action->call_id, &read,
+				 run->sim.now_ms);
+}
+
+static void write_marks(run_t *run, const order_sweep_action_t *action)
+{
+	marks_t value = { .count = action->mark_count };
+
+	memcpy(value.versions, action->marks,
+	       action->mark_count * sizeof(value.versions[0]));
+	sim_write(&run->sim, ORDER_MARKS_PATH, action->version, &value,
+		  sizeof(value), marks_written, run, action->call_id);
+}
+
+static void list_records(run_t *run, const order_sweep_action_t *action)
+{
+	order_sweep_item_t items[ORDER_SWEEP_PAGE];
+	const sim_t *sim = &run->sim;
+	size_t count = 0;
+
+	for (size_t i = 0; i < sim->object_count && count < ORDER_SWEEP_PAGE;
+	     i++) {
+		if (!strcmp(sim->objects[i].key, ORDER_MARKS_PATH))
+			continue;
+		items[count].path = sim->objects[i].key;
+		items[count++].version = sim->objects[i].version;
+	}
+	order_sweep_handle_page(&run->sweep, action->call_id, 0, items, count,
+				false);
+}
+
+static void run_sweep(void *context, uint64_t argument)
+{
+	run_t *run = context;
+	order_sweep_action_t action =
+		order_sweep_step(&run->sweep, run->sim.now_ms);
+
+	switch (action.kind) {
+	case ORDER_SWEEP_NONE:
+		break;
+	case ORDER_SWEEP_READ_MARKS:
+		read_marks(run, &action);
+		break;
+	case ORDER_SWEEP_WRITE_MARKS:
+		write_marks(run, &action);
+		break;
+	case ORDER_SWEEP_LIST:
+		list_records(run, &action);
+		break;
+	case ORDER_SWEEP_DELETE:
+		run->removed++;
+		sim_delete(&run->sim, action.path, action.version);
+		break;
 	}
 	if (argument)
-		sim_schedule(sim, 200, run_sweep, run, argument - 1);
+		sim_schedule(&run->sim, 200, run_sweep, run, argument - 1);
 }
 
 static void schedule_faults(run_t *run)
@@ -420,6 +497,8 @@
 				     rng_below(rng, i ? 6000 : 45000));
 		sim_schedule(sim, rng_below(rng, RUN_MS), restart_instance,
 			     instance, 0);
+		sim_schedule(sim, rng_below(rng, RUN_MS), jump_clock, instance,
+			     0);
 	}
 	for (int i = 0; i < 3; i++) {
 		uint64_t at_ms = rng_below(rng, RUN_MS);
@@ -494,11 +573,13 @@
 		if (error_answer(attempt->err)->run_state == RUN_STATE_NOT_RUN)
 			g_assert_cmpuint(attempt->executed, ==, 0);
 	}
-	for (size_t i = 0; i < run->sim.object_count; i++)
-		check_record(run, run->sim.objects[i].value);
+	for (size_t i = 0; i < run->sim.object_count; i++) {
+		if (strcmp(run->sim.objects[i].key, ORDER_MARKS_PATH) != 0)
+			check_record(run, run->sim.objects[i].value);
+	}
 }
 
-static void run_schedule(uint64_t seed, uint64_t *counts)
+static uint64_t run_schedule(uint64_t seed, uint64_t *counts)
 {
 	static const sim_faults_t faults = { .lose_request = 3,
 					     .lose_answer = 8,
@@ -507,13 +588,14 @@
 					     .delay_max_ms = 30 };
 	run_t *run = g_new0(run_t, 1);
 	uint64_t steps = 0;
+	uint64_t removed;
 
 	sim_init(&run->sim, seed, &faults);
 	run->fencing = seed % 2;
 	for (int n = 0; n < INSTANCES; n++) {
 		run->instances[n].run = run;
-		run->instances[n].wall_offset_ms =
-			(int64_t)rng_below(&run->sim.rng, 3000) - 1500;
+		run->instances[n].claims = (claim_watch_t)CLAIM_WATCH_INIT;
+		jump_clock(&run->instances[n], 0);
 	}
 	for (int k = 0; k < KEYS; k++) {
 		char name[16];
@@ -534,8 +616,10 @@
 		check_fencing_rises(run);
 	}
 	check_end(run, counts);
+	removed = run->removed;
 	sim_clear(&run->sim);
 	g_free(run);
+	return removed;
 }
 
 /*
@@ -545,13 +629,14 @@
 static void test_schedules(void)
 {
 	uint64_t counts[ERR_KIND_COUNT] = { 0 };
+	uint64_t removed = 0;
 	uint64_t first;
 	uint64_t last;
 
 	sim_seed_range(SCHEDULES, &first, &last);
 	for (uint64_t seed = first; seed <= last; seed++) {
 		g_test_message("seed %" G_GUINT64_FORMAT, seed);
-		run_schedule(seed, counts);
+		removed += run_schedule(seed, counts);
 	}
 	for (int i = 0; i < ERR_KIND_COUNT; i++) {
 		if (counts[i])
@@ -561,6 +646,7 @@
 	/* Too few outcomes of a kind mean that its paths were not tested. */
 	if (last - first + 1 == SCHEDULES) {
 		g_assert_cmpuint(counts[0], >, SCHEDULES);
+		g_assert_cmpuint(removed, >, SCHEDULES / 4);
 		g_assert_cmpuint(counts[-ERR_ORDER_UNKNOWN], >, SCHEDULES / 4);
 		g_assert_cmpuint(counts[-ERR_ORDER_NOT_RUN], >, SCHEDULES / 4);
 	}
