exchange, inbound, http_call: bound what endless answers keep together

Report of other operators: a faulty server sent bytes without end, and the machine that had called it ran out of memory. t/test-it-endless.c has 40 cases with four clients each; not in it were many connections at once, clients that do not read, and the answers of engines to reports and orders.

Shown: 320 endless answers at once cost a gateway 144,904 KB (order), 143,804 KB (lookup) and 76,504 KB (error) where its machine has 96 MB, because each may be buffered up to 256 KB for a retry; two engines' endless answers to reports cost 8,260 KB, because each may be as large as a listing of the store (4 MB), and up to a third of the engines are asked at once; seven clients that do not read kept 1.8 MB where 0.4 MB were set as the limit of all.

Ruled out: heads (4 MB in all), events too long (29 MB), a client that has gone.

Change: answers buffered for a retry take an eighth of the memory in all, beyond it they are relayed as they come and errors are given up; unsent answers likewise pause their sources from 16 KB on; answers of engines are read up to 64 KB.

--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -17,6 +17,12 @@
 #include "version/view.h"
 
 enum {
+	BYTES_PER_MB = 1048576,
+	/** Parts of the machine's memory that request bodies, answers that are
+	 * buffered for a retry, and unsent answers may take: one of so many. */
+	BODIES_MEMORY_PART = 4,
+	BUFFERED_ANSWERS_MEMORY_PART = 8,
+	UNSENT_MEMORY_PART = 8,
 	/** Interval of the front thread's periodic work, ms. */
 	TICK_MS = 100,
 	/** Interval at which metrics are updated and unneeded outbound
@@ -302,6 +308,11 @@
 		  error_type(err < 0 ? err : 0), current->grace_s);
 }
 
+static uint64_t memory_part(const gateway_settings_t *settings, uint32_t part)
+{
+	return (uint64_t)(settings->memory_mb * BYTES_PER_MB / part);
+}
+
 static int open_listener(front_t *front, const char *address_text,
 			 uint16_t port, const inbound_callbacks_t *callbacks,
 			 uint32_t connections_max, inbound_t **inbound)
@@ -310,8 +321,10 @@
 	inbound_options_t options = {
 		.connections_max = connections_max,
 		.body_total_max_bytes =
-			(uint64_t)(settings->memory_mb * 1048576 / 4),
+			memory_part(settings, BODIES_MEMORY_PART),
 		.output_high_watermark = INBOUND_OUTPUT_HIGH_WATERMARK_BYTES,
+		.output_total_max_bytes =
+			memory_part(settings, UNSENT_MEMORY_PART),
 		.write_timeout_ms = INBOUND_WRITE_TIMEOUT_MS,
 		.callbacks = callbacks,
 		.context = front,
@@ -394,6 +407,8 @@
 	front->env.peer_crash_news = &front->gateway->peer_crash_news;
 	crash_evidence_init(&front->env.crash_evidence);
 	front->env.place.instances = 1;
+	front->env.buffered_max_bytes =
+		memory_part(settings, BUFFERED_ANSWERS_MEMORY_PART);
 	front->env.limit_turns = &front->gateway->limit_turns;
 	front->env.save_budget.refilled_ms = clock_now_ms();
 	front->env.fetch_budget.refilled_ms = clock_now_ms();
--- a/cmd/gateway_rollout.c
+++ b/cmd/gateway_rollout.c
@@ -102,7 +102,8 @@
 
 	endpoint_incarnation_key(entry, target.key, sizeof(target.key));
 	call->call = http_call_send(control->outbound, control->base, &target,
-				    message, ENGINE_CALL_MS, done, call);
+				    message, HTTP_CALL_ENGINE_MAX_BYTES,
+				    ENGINE_CALL_MS, done, call);
 	if (!call->call)
 		done(call, ERR_CONNECT, 0, "", 0);
 }
--- a/cmd/gateway_state.c
+++ b/cmd/gateway_state.c
@@ -198,7 +198,8 @@
 	snprintf(target.key, sizeof(target.key), "peer/%s",
 		 peer->heartbeat.name);
 	fetch->call = http_call_send(control->outbound, control->base, &target,
-				     message, FETCH_TIMEOUT_MS, done, fetch);
+				     message, HTTP_CALL_STATE_MAX_BYTES,
+				     FETCH_TIMEOUT_MS, done, fetch);
 	if (fetch->call)
 		http_call_on_head(fetch->call, on_state_head);
 	fetch->peer = peer;
--- a/connection/http_call.c
+++ b/connection/http_call.c
@@ -9,7 +9,8 @@
 	outbound_call_t *call;
 	struct event *timer;
 	struct evbuffer *body;
-	uint64_t timeout_at_ms; /**< Without the bytes that arrived. */
+	size_t answer_max_bytes; /**< Of its body. */
+	uint64_t timeout_at_ms;	 /**< Without the bytes that arrived. */
 	uint16_t status;
 	http_call_head_fn *head; /**< NULL for none. */
 	http_call_fn *done;
@@ -51,8 +52,7 @@
 {
 	http_call_t *call = context;
 
-	if (evbuffer_get_length(call->body) + len <=
-	    HTTP_CALL_ANSWER_MAX_BYTES) {
+	if (evbuffer_get_length(call->body) + len <= call->answer_max_bytes) {
 		evbuffer_add(call->body, bytes, len);
 		return;
 	}
@@ -119,13 +119,15 @@
 
 http_call_t *http_call_send(outbound_t *outbound, struct event_base *base,
 			    const outbound_target_t *target,
-			    struct evbuffer *message, uint32_t timeout_ms,
-			    http_call_fn *done, void *context)
+			    struct evbuffer *message, size_t answer_max_bytes,
+			    uint32_t timeout_ms, http_call_fn *done,
+			    void *context)
 {
 	http_call_t *call = calloc(1, sizeof(*call));
 
 	if (!call)
 		return NULL;
+	call->answer_max_bytes = answer_max_bytes;
 	call->done = done;
 	call->context = context;
 	call->body = evbuffer_new();
--- a/connection/http_call.h
+++ b/connection/http_call.h
@@ -15,9 +15,11 @@
 #include "connection/outbound.h"
 
 enum {
-	/** Largest answer body, bytes; a page of a store listing has about
-	 * 1 MB. */
-	HTTP_CALL_ANSWER_MAX_BYTES = 4 * 1024 * 1024,
+	/** Largest answer body of the store and of peers, bytes; a page of a
+	 * store listing has about 1 MB. */
+	HTTP_CALL_STATE_MAX_BYTES = 4 * 1024 * 1024,
+	/** Largest answer body of an engine, bytes: a report lists its runs. */
+	HTTP_CALL_ENGINE_MAX_BYTES = 64 * 1024,
 	/** Minimum rate of an answer, bytes per ms: a fifth of a link of 10
 	 * Mbit/s. */
 	HTTP_CALL_MIN_BYTES_PER_MS = 250,
@@ -42,14 +44,16 @@
  * Sends one request and collects its answer; for the store, peers and engine
  * orders.
  * @param message head and body; its bytes are moved out of the buffer
+ * @param answer_max_bytes of its body; a larger one ends the call
  * @param timeout_ms until the answer is complete; each byte that arrives
  *        extends it by its time at the minimum rate
  * @return the call, or NULL if it could not be sent; then `done` is not called
  */
 http_call_t *http_call_send(outbound_t *outbound, struct event_base *base,
 			    const outbound_target_t *target,
-			    struct evbuffer *message, uint32_t timeout_ms,
-			    http_call_fn *done, void *context);
+			    struct evbuffer *message, size_t answer_max_bytes,
+			    uint32_t timeout_ms, http_call_fn *done,
+			    void *context);
 
 /** Sets the receiver of the answer's head. */
 void http_call_on_head(http_call_t *call, http_call_head_fn *head);
--- a/connection/inbound.c
+++ b/connection/inbound.c
@@ -60,7 +60,8 @@
 	TAILQ_HEAD(, connection) idle;
 	uint32_t connection_count;
 	uint64_t body_total_bytes;
-	bool accept_paused; /**< All connections are in use. */
+	uint64_t output_total_bytes; /**< Unsent. */
+	bool accept_paused;	     /**< All connections are in use. */
 	bool stopping;
 };
 
@@ -126,6 +127,8 @@
 	if (connection->request.body)
 		evbuffer_free(connection->request.body);
 	event_free(connection->timer);
+	connection->inbound->output_total_bytes -=
+		evbuffer_get_length(bufferevent_get_output(connection->stream));
 	bufferevent_free(connection->stream);
 	http_reader_free(&connection->reader);
 	free(connection);
@@ -410,6 +413,16 @@
 	free(connection);
 }
 
+static void count_output(struct evbuffer *output,
+			 const struct evbuffer_cb_info *info, void *context)
+{
+	inbound_t *inbound = context;
+
+	(void)output;
+	inbound->output_total_bytes += info->n_added;
+	inbound->output_total_bytes -= info->n_deleted;
+}
+
 static int connection_init(connection_t *connection, evutil_socket_t fd)
 {
 	inbound_t *inbound = connection->inbound;
@@ -428,7 +441,9 @@
 	if (!connection->stream)
 		return ERR_NO_MEMORY;
 	connection->timer = evtimer_new(inbound->base, on_timer, connection);
-	if (!connection->timer)
+	if (!connection->timer ||
+	    !evbuffer_add_cb(bufferevent_get_output(connection->stream),
+			     count_output, inbound))
 		return ERR_NO_MEMORY;
 	socket_option_set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 	socket_option_set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
@@ -598,13 +613,7 @@
 
 uint64_t inbound_unsent_bytes(const inbound_t *inbound)
 {
-	const connection_t *connection;
-	uint64_t bytes = 0;
-
-	LIST_FOREACH(connection, &inbound->connections, entry)
-	bytes +=
-		evbuffer_get_length(bufferevent_get_output(connection->stream));
-	return bytes;
+	return inbound->output_total_bytes;
 }
 
 void inbound_close(inbound_t *inbound)
@@ -685,11 +694,22 @@
 	evbuffer_add(output, "\r\n", 2);
 }
 
+static uint32_t output_watermark(const inbound_t *inbound)
+{
+	const inbound_options_t *options = &inbound->options;
+
+	return options->output_total_max_bytes &&
+			       inbound->output_total_bytes >
+				       options->output_total_max_bytes
+		       ? INBOUND_OUTPUT_LOW_WATERMARK_BYTES
+		       : options->output_high_watermark;
+}
+
 /* Returns whether the source may continue. */
 static bool check_watermark(connection_t *connection)
 {
 	if (evbuffer_get_length(bufferevent_get_output(connection->stream)) >
-	    connection->inbound->options.output_high_watermark)
+	    output_watermark(connection->inbound))
 		connection->above_watermark = true;
 	return !connection->above_watermark;
 }
--- a/connection/inbound.h
+++ b/connection/inbound.h
@@ -25,6 +25,7 @@
 	 * pause, bytes: twice the largest socket buffer per connection that a
 	 * machine with 96 MB can afford. */
 	INBOUND_OUTPUT_HIGH_WATERMARK_BYTES = 256 * 1024,
+	INBOUND_OUTPUT_LOW_WATERMARK_BYTES = 16 * 1024,
 	/** A client that reads nothing for this long counts as disconnected,
 	 * ms: twice the longest expected network disturbance. */
 	INBOUND_WRITE_TIMEOUT_MS = 10000,
@@ -81,6 +82,9 @@
 	uint32_t connections_max;
 	/** Bytes; see INBOUND_OUTPUT_HIGH_WATERMARK_BYTES. */
 	uint32_t output_high_watermark;
+	/** Unsent bytes of all connections above which a source pauses from
+	 * INBOUND_OUTPUT_LOW_WATERMARK_BYTES on; 0: no limit. */
+	uint64_t output_total_max_bytes;
 	/** See INBOUND_WRITE_TIMEOUT_MS. */
 	uint32_t write_timeout_ms;
 	const transport_t *transport; /**< NULL for plain TCP. */
--- a/process/store_link.c
+++ b/process/store_link.c
@@ -70,7 +70,8 @@
 	call->done = done;
 	call->context = context;
 	call->call = http_call_send(link->outbound, link->base, &link->target,
-				    message, timeout_ms, on_done, call);
+				    message, HTTP_CALL_STATE_MAX_BYTES,
+				    timeout_ms, on_done, call);
 	if (!call->call) {
 		free(call);
 		return NULL;
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -71,6 +71,16 @@
 			  : (long long)exchange->last_event);
 }
 
+static void count_buffered(struct evbuffer *buffer,
+			   const struct evbuffer_cb_info *info, void *context)
+{
+	exchange_env_t *env = context;
+
+	(void)buffer;
+	env->buffered_bytes += info->n_added;
+	env->buffered_bytes -= info->n_deleted;
+}
+
 static void exchange_free(exchange_t *exchange)
 {
 	if (exchange->call)
@@ -80,8 +90,11 @@
 		event_free(exchange->timer);
 	if (exchange->buffered_head)
 		evbuffer_free(exchange->buffered_head);
-	if (exchange->buffered_body)
+	if (exchange->buffered_body) {
+		exchange->env->buffered_bytes -=
+			evbuffer_get_length(exchange->buffered_body);
 		evbuffer_free(exchange->buffered_body);
+	}
 	sse_splitter_free(&exchange->splitter);
 	view_put(exchange->view);
 	LIST_REMOVE(exchange, entry);
@@ -357,7 +370,8 @@
 	LIST_INSERT_HEAD(&env->open, exchange, entry);
 	env->open_requests++;
 	if (!exchange->timer || !exchange->buffered_head ||
-	    !exchange->buffered_body) {
+	    !exchange->buffered_body ||
+	    !evbuffer_add_cb(exchange->buffered_body, count_buffered, env)) {
 		exchange_free(exchange);
 		return NULL;
 	}
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -83,6 +83,10 @@
 	uint32_t weights_ms; /**< How long replaced weights may be used, ms. */
 	planned_stop_t stop;
 	uint32_t open_requests; /**< Number of requests in `open`. */
+	/** Bodies of buffered answers, and the most for all requests; above it
+	 * an answer is relayed as it is received. */
+	uint64_t buffered_bytes;
+	uint64_t buffered_max_bytes;
 	crash_evidence_t crash_evidence;
 	instance_place_t place; /**< Of this instance. */
 	const limit_turns_t *limit_turns;
--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -230,7 +230,8 @@
 	evbuffer_add(exchange->buffered_body, bytes, len);
 	if (!exchange->relay_started &&
 	    evbuffer_get_length(exchange->buffered_body) <=
-		    EXCHANGE_BUFFERED_ANSWER_MAX_BYTES)
+		    EXCHANGE_BUFFERED_ANSWER_MAX_BYTES &&
+	    exchange->env->buffered_bytes <= exchange->env->buffered_max_bytes)
 		return;
 	if (is_error_answer(exchange))
 		fail_oversized_error(exchange);
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -9,6 +9,7 @@
 #include "process/rng.h"
 
 enum {
+	DEFAULT_CONNECTIONS_MAX = 100,
 	/** How long a dropped order's connection stays open, ms: longer than a
 	 * gateway waits for the answer. */
 	ORDER_DROP_MS = 2000,
@@ -237,6 +238,13 @@
 {
 	char *body;
 
+	if (endpoint->endless_control) {
+		raw_send(request, "%s", endpoint->endless_control->start);
+		raw_send_endless(request, endpoint->endless_control->piece,
+				 endpoint->endless_control->pause_ms);
+		endpoint->endless_control_ends++;
+		return RAW_CLOSE;
+	}
 	if (g_str_has_prefix(request->head, "POST")) {
 		CLEANUP_JSON json_t *order = json_loads(request->body, 0, NULL);
 
@@ -380,12 +388,15 @@
 		route("order", "non_idempotent", "desk", false),
 		route("stream/again", "stream", "llm", true),
 		route("stream/once", "stream", "llm", false));
+	int connections_max = rig->options.connections_max
+				      ? rig->options.connections_max
+				      : DEFAULT_CONNECTIONS_MAX;
 	json_t *services = json_pack(
 		"[{s:s,s:s,s:i},{s:s,s:s,s:i,s:{s:i,s:i,s:i,s:f}}]", "name",
-		"desk", "health_path", "/healthz", "max_conns", 100, "name",
-		"llm", "health_path", "/healthz", "max_conns", 100, "engine",
-		"slots", 8, "kv_capacity", 90000, "kv_token_bytes", 1000,
-		"link_mbps", 1000.0);
+		"desk", "health_path", "/healthz", "max_conns", connections_max,
+		"name", "llm", "health_path", "/healthz", "max_conns",
+		connections_max, "engine", "slots", 8, "kv_capacity", 90000,
+		"kv_token_bytes", 1000, "link_mbps", 1000.0);
 
 	add_idle_routes(rig, routes);
 	if (rig->options.attempts_max)
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -77,6 +77,9 @@
 	_Atomic uint64_t fencing;		/**< Highest of the orders. */
 	char holder[ENDPOINT_HOLDER_MAX_BYTES]; /**< That had this number. */
 	_Atomic bool drops_orders; /**< Neither answers nor executes them. */
+	/** Answer to reports and orders; NULL: a proper one. */
+	const endless_answer_t *endless_control;
+	_Atomic uint32_t endless_control_ends;
 	/** Refuses requests that expect other weights than it has. */
 	_Atomic bool checks_weights;
 	/** A request whose head contains this text crashes the endpoint, which
@@ -101,7 +104,8 @@
 	uint32_t weights_ms; /**< See --weights-ms. */
 	/** Routes of the desired state that get no requests. */
 	int idle_routes;
-	int attempts_max; /**< Of each route. */
+	int attempts_max;    /**< Of each route. */
+	int connections_max; /**< Of each endpoint. */
 } platform_rig_options_t;
 
 typedef struct platform_rig {
--- a/t/test-inbound.c
+++ b/t/test-inbound.c
@@ -16,10 +16,14 @@
 	WAIT_MS = 5000,
 	READ_SIZE = 65536,
 	CONNECTIONS_MAX = 8,
-	/** Allocations of libevent for a new connection, up to its timer. At
-	 * the next one, in bufferevent_setwatermark(), libevent itself ends the
-	 * process. */
-	ACCEPT_ALLOCATIONS = 5,
+	OUTPUT_TOTAL_MAX_BYTES = 400 * 1024,
+	OUTPUT_PIECE_BYTES = 4096,
+	/** Size line and end of a chunk. */
+	CHUNK_FRAME_BYTES = 8,
+	/** Allocations of libevent for a new connection, up to its timer and
+	 * the counter of its output. At the next one, in
+	 * bufferevent_setwatermark(), libevent itself ends the process. */
+	ACCEPT_ALLOCATIONS = 6,
 };
 
 /** The allocation of libevent that fails, counted from now; 0: none. */
@@ -151,6 +155,7 @@
 		.connections_max = CONNECTIONS_MAX,
 		.body_total_max_bytes = 1 << 20,
 		.output_high_watermark = INBOUND_OUTPUT_HIGH_WATERMARK_BYTES,
+		.output_total_max_bytes = OUTPUT_TOTAL_MAX_BYTES,
 		.write_timeout_ms = INBOUND_WRITE_TIMEOUT_MS,
 		.callbacks = &rig_callbacks,
 		.context = rig,
@@ -460,6 +465,48 @@
 	rig_close(&rig);
 }
 
+/* Failure: clients that do not read, each below the limit of one connection,
+ * together made the instance keep more than its memory. */
+static void test_output_total(void)
+{
+	static char piece[OUTPUT_PIECE_BYTES];
+	inbound_request_t *requests[CONNECTIONS_MAX - 1];
+	int others[CONNECTIONS_MAX - 1];
+	struct evbuffer *headers = evbuffer_new();
+	uint64_t total = 0;
+	rig_t rig;
+
+	rig_open(&rig);
+	for (uint32_t i = 0; i < CONNECTIONS_MAX - 1; i++) {
+		others[i] = connect_another(&rig);
+		g_assert_cmpint(send(others[i], GET_REQUEST,
+				     strlen(GET_REQUEST), MSG_NOSIGNAL),
+				==, (ssize_t)strlen(GET_REQUEST));
+		wait_for(&rig, rig.request_count == i + 1);
+		requests[i] = rig.request_in_progress;
+		inbound_begin(requests[i], 200, headers, UINT64_MAX);
+	}
+	for (int i = 0; i < CONNECTIONS_MAX - 1; i++) {
+		while (inbound_write(requests[i], piece, sizeof(piece)))
+			;
+	}
+	total = inbound_unsent_bytes(rig.inbound);
+	g_assert_cmpuint(total, >, OUTPUT_TOTAL_MAX_BYTES);
+	g_assert_cmpuint(
+		total, <,
+		OUTPUT_TOTAL_MAX_BYTES +
+			CONNECTIONS_MAX *
+				(INBOUND_OUTPUT_LOW_WATERMARK_BYTES +
+				 2 * (OUTPUT_PIECE_BYTES + CHUNK_FRAME_BYTES)));
+	for (int i = 0; i < CONNECTIONS_MAX - 1; i++) {
+		inbound_abort(requests[i]);
+		close(others[i]);
+	}
+	wait_for(&rig, inbound_unsent_bytes(rig.inbound) == 0);
+	evbuffer_free(headers);
+	rig_close(&rig);
+}
+
 /* Failure: connections were established with an instance that accepts none any
  * more at the end of a planned stop, and their requests were not answered. */
 static void test_stop_accepting(void)
@@ -549,6 +596,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/inbound/output-total", test_output_total);
 	event_set_mem_functions(allocate, reallocate, free);
 	g_test_add_func("/inbound/abort-at-once", test_abort_at_once);
 	g_test_add_func("/inbound/short-memory", test_short_memory);
--- a/t/test-it-endless.c
+++ b/t/test-it-endless.c
@@ -81,6 +81,8 @@
 	ENDLESS_OTHER_MAX_MS = 500,
 	/** Most memory that the endless answers may cost. */
 	ENDLESS_MEMORY_MAX_KB = 48 * 1024,
+	/** Likewise of engines, to reports and orders. */
+	CONTROL_MEMORY_MAX_KB = 2 * 1024,
 	DRAIN_START_BYTES = 2048,
 	/** Length of the last chunk of a complete answer. */
 	DRAIN_END_BYTES = 5,
@@ -358,6 +360,7 @@
 	const endless_case_t *test_case;
 	pthread_t thread;
 	uint64_t took_ms;
+	const _Atomic bool *may_read; /**< NULL: it reads at once. */
 	GString *start;
 	char end[DRAIN_END_BYTES + 1];
 } drain_call_t;
@@ -399,6 +402,8 @@
 
 	call->start = g_string_new(NULL);
 	drain_send(fd, call->test_case);
+	if (call->may_read)
+		g_assert_true(WAIT_UNTIL(*call->may_read, HARNESS_WAIT_MS));
 	while ((len = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
 		size_t kept = (size_t)len < DRAIN_END_BYTES ? (size_t)len
 							    : DRAIN_END_BYTES;
@@ -596,9 +601,130 @@
 	platform_rig_stop(&rig);
 }
 
+enum {
+	/** Endless answers at once, more than would fit into the machine's 96
+	 * MB if each was kept up to the limit of one answer. */
+	MANY_CLIENTS = 320,
+	MANY_CONNECTIONS_MAX = 600,
+};
+
+typedef struct many_case {
+	const char *name;
+	const char *method;
+	const char *path;
+	endless_answer_t answer;
+	bool slow_clients; /**< They read once no answer is open any more. */
+} many_case_t;
+
+#define PIECE TEXT TEXT TEXT TEXT TEXT TEXT TEXT TEXT
+#define LONG_PIECE PIECE PIECE PIECE PIECE PIECE PIECE PIECE PIECE
+
+static const many_case_t many_cases[] = {
+	{ "order", ORDER, { HEAD_200 "\r\n", LONG_PIECE, 2 }, false },
+	{ "lookup", LOOKUP, { HEAD_200 "\r\n", LONG_PIECE, 2 }, false },
+	{ "error", ORDER, { HEAD_500 "\r\n", LONG_PIECE, 2 }, false },
+	{ "stream", AGAIN, { HEAD_200 EVENTS "data: ", LONG_PIECE, 2 }, false },
+	{ "order-slow-clients",
+	  ORDER,
+	  { HEAD_200 "\r\n", LONG_PIECE, 2 },
+	  true },
+	{ "stream-slow-clients",
+	  AGAIN,
+	  { HEAD_200 EVENTS, "data: " PIECE PIECE "\n\n", 2 },
+	  true },
+	{ "head", LOOKUP, { HEAD_200, "A: " PIECE "\r\n", 2 }, false },
+};
+
+/* Failure: endless answers on many connections, each within the limit of one,
+ * together used up the memory of the machine. */
+static void test_endless_many(const void *data)
+{
+	const many_case_t *many = data;
+	const endless_case_t test_case = { .name = many->name,
+					   .method = many->method,
+					   .path = many->path };
+	const platform_rig_options_t options = { .connections_max =
+							 MANY_CONNECTIONS_MAX };
+	static drain_call_t calls[MANY_CLIENTS];
+	platform_rig_t rig;
+	endpoint_t *endpoints;
+	uint64_t before_kb;
+	_Atomic bool may_read = false;
+
+	platform_rig_start_with(&rig, 1, &options);
+	endpoints = strstr(many->path, "stream") ? rig.engines : rig.services;
+	for (int i = 0; i < ENDPOINT_COUNT; i++) {
+		endpoints[i].endless = &many->answer;
+		endpoints[i].behaviour = ENDLESS;
+	}
+	before_kb = peak_memory_kb(rig.gateways[0]);
+	for (int i = 0; i < MANY_CLIENTS; i++) {
+		calls[i] = (drain_call_t){
+			.rig = &rig,
+			.test_case = &test_case,
+			.may_read = many->slow_clients ? &may_read : NULL,
+		};
+		pthread_create(&calls[i].thread, NULL, drain_main, &calls[i]);
+	}
+	if (many->slow_clients) {
+		g_assert_true(
+			WAIT_UNTIL(endless_open(&rig) > 0, HARNESS_WAIT_MS));
+		g_assert_true(WAIT_UNTIL(!endless_open(&rig), HARNESS_WAIT_MS));
+	}
+	may_read = true;
+	for (int i = 0; i < MANY_CLIENTS; i++) {
+		pthread_join(calls[i].thread, NULL);
+		g_string_free(calls[i].start, TRUE);
+	}
+	g_test_message("%s: %llu KB", many->name,
+		       (unsigned long long)(peak_memory_kb(rig.gateways[0]) -
+					    before_kb));
+	g_assert_cmpuint(peak_memory_kb(rig.gateways[0]) - before_kb, <,
+			 ENDLESS_MEMORY_MAX_KB);
+	g_assert_true(program_is_running(rig.gateways[0]));
+	platform_rig_stop(&rig);
+}
+
+static const endless_answer_t endless_control = {
+	"HTTP/1.1 200 X\r\nContent-Type: application/json\r\n\r\n", LONG_PIECE,
+	0
+};
+
+/* Failure: the answers of engines to reports and orders were kept up to the
+ * size of a listing of the store, each of them. */
+static void test_endless_control(void)
+{
+	platform_rig_t rig;
+	uint64_t before_kb;
+
+	platform_rig_start(&rig, 1);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		rig.engines[i].endless_control = &endless_control;
+	before_kb = peak_memory_kb(rig.gateways[0]);
+	platform_rig_put_target_weights(&rig, 2);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		g_assert_true(
+			WAIT_UNTIL(rig.engines[i].endless_control_ends > 1,
+				   2 * HARNESS_WAIT_MS));
+	g_test_message("%llu KB",
+		       (unsigned long long)(peak_memory_kb(rig.gateways[0]) -
+					    before_kb));
+	g_assert_cmpuint(peak_memory_kb(rig.gateways[0]) - before_kb, <,
+			 CONTROL_MEMORY_MAX_KB);
+	platform_rig_stop(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/it-endless/endless-control", test_endless_control);
+	for (size_t i = 0; i < G_N_ELEMENTS(many_cases); i++) {
+		char *path = g_strdup_printf("/it-endless/endless-many/%s",
+					     many_cases[i].name);
+
+		g_test_add_data_func(path, &many_cases[i], test_endless_many);
+		g_free(path);
+	}
 	g_test_add_func("/it-endless/endless-without-client",
 			test_endless_without_client);
 	for (size_t i = 0; i < G_N_ELEMENTS(unframed_cases); i++) {
--- a/t/test-outbound.c
+++ b/t/test-outbound.c
@@ -281,12 +281,13 @@
 	rig.endless = test_case->piece;
 	evbuffer_add(message, GET_REQUEST, strlen(GET_REQUEST));
 	g_assert_nonnull(http_call_send(rig.outbound, rig.base, &rig.target,
-					message, 2 * WAIT_MS, record_call_end,
+					message, HTTP_CALL_ENGINE_MAX_BYTES,
+					2 * WAIT_MS, record_call_end,
 					&outcome));
 	evbuffer_free(message);
 	wait_for(&rig, outcome.ended);
 	g_assert_cmpint(outcome.err, ==, test_case->err);
-	g_assert_cmpuint(outcome.len, <=, HTTP_CALL_ANSWER_MAX_BYTES);
+	g_assert_cmpuint(outcome.len, <=, HTTP_CALL_ENGINE_MAX_BYTES);
 	g_assert_cmpuint(outbound_connection_count(rig.outbound), ==, 0);
 	wait_for(&rig, rig.endless_ended);
 	rig_close(&rig);
