t: end answers at each byte of their head, for each kind of request

Report of other operators: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -82,6 +82,19 @@
 	g_string_free(start, TRUE);
 }
 
+static raw_next_t send_cut_answer(const endpoint_t *endpoint,
+				  const raw_request_t *request, const char *id)
+{
+	GString *answer = g_string_new(endpoint->cut_answer);
+
+	g_string_replace(answer, "%s", id, 0);
+	if (answer->len > endpoint->cut_bytes)
+		g_string_truncate(answer, endpoint->cut_bytes);
+	raw_send(request, "%s", answer->str);
+	g_string_free(answer, TRUE);
+	return endpoint->cut_resets ? RAW_RESET : RAW_CLOSE;
+}
+
 static const char *more_headers(const endpoint_t *endpoint)
 {
 	const char *lines = endpoint->more_headers;
@@ -127,6 +140,8 @@
 		return RAW_KEEP;
 	case RESET_CONNECTION:
 		return RAW_RESET;
+	case CUT:
+		return send_cut_answer(endpoint, request, id);
 	case WRONG_ID_FIRST:
 		send_answer(request, "of-another", 200, "Response-Stamp: s\r\n",
 			    "not yours");
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -45,6 +45,7 @@
 	UNFRAMED_CUT,	 /**< Likewise, but within its third event. */
 	UNFRAMED_RESET,	 /**< Likewise, but by a reset after its second. */
 	NO_LENGTH_RESET, /**< Resets an answer that has no length. */
+	CUT,		 /**< Sends the first `cut_bytes` of `cut_answer`. */
 } behaviour_t;
 
 /** Answer without an end. */
@@ -65,6 +66,9 @@
 	_Atomic bool release; /**< Ends HOLD and STALL. */
 	_Atomic int after_release;
 	const endless_answer_t *endless;
+	const char *_Atomic cut_answer; /**< `%s`: the request's id. */
+	_Atomic uint32_t cut_bytes;
+	_Atomic bool cut_resets;       /**< Else it closes in order. */
 	_Atomic uint32_t endless_open; /**< Endless answers in progress. */
 	_Atomic uint32_t arrivals;     /**< Requests received. */
 	/** Header lines of its answers to requests; NULL: none. */
--- /dev/null
+++ b/t/test-it-cut.c
@@ -0,0 +1,214 @@
+/*
+ * A gateway before endpoints whose answers end within their head, or within a
+ * body of known length: at each byte, on new and on kept connections, closed in
+ * order or reset, for each kind of request.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/cleanup.h"
+#include "t/lib/platform_rig.h"
+
+/** Length of the request's id in this file, bytes, like that of `%s` there. */
+#define ID_FORMAT "c-%05u"
+
+enum {
+	ID_BYTES = 7,
+	ID_PLACE_BYTES = 2,
+};
+
+#define HEAD "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
+#define TEN_BYTES "0123456789"
+
+typedef struct cut_case {
+	const char *name;
+	const char *method;
+	const char *path; /**< Without the number at its end. */
+	const char *answer;
+	bool repeatable; /**< Another endpoint may answer. */
+} cut_case_t;
+
+static const cut_case_t cut_cases[] = {
+	{ "lookup", "GET", "/get/", HEAD "Content-Length: 10\r\n\r\n" TEN_BYTES,
+	  true },
+	{ "lookup-chunked", "GET", "/get/",
+	  HEAD "Transfer-Encoding: chunked\r\n\r\na\r\n" TEN_BYTES
+	       "\r\n0\r\n\r\n",
+	  true },
+	{ "lookup-no-length", "GET", "/get/", HEAD "\r\n", true },
+	{ "lookup-empty", "GET", "/get/", HEAD "Content-Length: 0\r\n\r\n",
+	  true },
+	{ "order", "POST", "/order/",
+	  HEAD "Content-Length: 10\r\n\r\n" TEN_BYTES, false },
+	{ "order-no-length", "POST", "/order/", HEAD "\r\n", false },
+	{ "stream-once", "POST", "/stream/once/",
+	  HEAD "Content-Type: text/event-stream\r\n"
+	       "Transfer-Encoding: chunked\r\n\r\n",
+	  false },
+	{ "stream-again", "POST", "/stream/again/",
+	  HEAD "Content-Type: text/event-stream\r\n\r\n", true },
+};
+
+typedef struct cut_rig {
+	platform_rig_t rig;
+	const cut_case_t *cut;
+	endpoint_t *endpoints;
+	uint32_t requests;
+} cut_rig_t;
+
+/* Each request has a prompt of its own, so that none is taken for one that has
+ * crashed endpoints. */
+static char *send_request(cut_rig_t *rig)
+{
+	uint32_t number = rig->requests++;
+	g_autofree char *text = g_strdup_printf(
+		"%s %s%u HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " ID_FORMAT
+		"\r\nKey: key-1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n"
+		"%s%x:50,%x:50\r\n\r\n",
+		rig->cut->method, rig->cut->path, number, number,
+		"Model: m\r\nToken-Usage: 100,4\r\nPrompt-Prefix: ",
+		2 * number + 1, 2 * number + 2);
+
+	return raw_call(rig->rig.ports[0], text);
+}
+
+/* Whether a client takes an answer for a whole one. */
+static bool looks_complete(const char *answer)
+{
+	const char *body = strstr(answer, "\r\n\r\n");
+	CLEANUP_FREE char *length = NULL;
+
+	if (!body)
+		return false;
+	length = raw_header(answer, "Content-Length");
+	if (length)
+		return strlen(body + 4) >= strtoul(length, NULL, 10);
+	return g_str_has_suffix(answer, "\r\n0\r\n\r\n");
+}
+
+/* An order may have run, so it must not be called "not run". */
+static void assert_failed(const cut_case_t *cut, const char *answer)
+{
+	if (g_str_has_prefix(answer, "HTTP/1.1 200")) {
+		g_assert_false(looks_complete(answer));
+		return;
+	}
+	if (cut->repeatable)
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 50"));
+	else
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 502"));
+}
+
+static void set_cut(cut_rig_t *rig, int endpoint, uint32_t bytes, bool reset)
+{
+	rig->endpoints[endpoint].cut_bytes = bytes;
+	rig->endpoints[endpoint].cut_resets = reset;
+	rig->endpoints[endpoint].behaviour = CUT;
+}
+
+/* Makes the gateway keep a connection; returns the endpoint at its end. The
+ * other one may be ejected because of answers that were cut before. */
+static int warm_up(cut_rig_t *rig)
+{
+	uint32_t before = rig->endpoints[0].arrivals;
+	g_autofree char *answer = NULL;
+
+	platform_rig_set_behaviour(rig->endpoints, ANSWER);
+	answer = send_request(rig);
+	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+	return rig->endpoints[0].arrivals > before ? 0 : 1;
+}
+
+static void start(cut_rig_t *rig, const cut_case_t *cut)
+{
+	*rig = (cut_rig_t){ .cut = cut };
+	platform_rig_start(&rig->rig, 1);
+	rig->endpoints = strstr(cut->path, "stream") ? rig->rig.engines
+						     : rig->rig.services;
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		rig->endpoints[i].cut_answer = cut->answer;
+}
+
+static uint32_t answer_bytes(const cut_case_t *cut)
+{
+	return (uint32_t)strlen(cut->answer) - ID_PLACE_BYTES + ID_BYTES;
+}
+
+/* Failure: an answer that broke off within its head, or before its end, reached
+ * the client as a whole answer. */
+static void test_cut(const void *data)
+{
+	const cut_case_t *cut = data;
+	cut_rig_t rig;
+	uint32_t arrived;
+
+	start(&rig, cut);
+	for (int reset = 0; reset < 2; reset++) {
+		for (uint32_t bytes = 0; bytes < answer_bytes(cut); bytes++) {
+			uint32_t sent = rig.requests;
+			g_autofree char *answer = NULL;
+
+			arrived = platform_rig_arrivals(rig.endpoints);
+			for (int i = 0; i < ENDPOINT_COUNT; i++)
+				set_cut(&rig, i, bytes, reset);
+			answer = send_request(&rig);
+			g_test_message("%s %u bytes reset=%d: %.60s", cut->name,
+				       bytes, reset, answer);
+			assert_failed(cut, answer);
+			g_assert_cmpuint(platform_rig_arrivals(rig.endpoints) -
+						 arrived,
+					 >=, rig.requests - sent);
+		}
+	}
+	platform_rig_stop(&rig.rig);
+}
+
+/* Failure: likewise, on a connection that had been kept; or a request that may
+ * be repeated was not served by the endpoint that answers. */
+static void test_cut_kept(const void *data)
+{
+	const cut_case_t *cut = data;
+	cut_rig_t rig;
+
+	start(&rig, cut);
+	for (uint32_t bytes = 0; bytes < answer_bytes(cut); bytes++) {
+		g_autofree char *answer = NULL;
+		int kept;
+
+		kept = warm_up(&rig);
+		for (int i = 0; i < ENDPOINT_COUNT; i++)
+			set_cut(&rig, i, bytes, bytes % 2);
+		if (cut->repeatable)
+			rig.endpoints[1 - kept].behaviour = ANSWER;
+		answer = send_request(&rig);
+		if (!cut->repeatable) {
+			assert_failed(cut, answer);
+			continue;
+		}
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+		g_assert_true(looks_complete(answer));
+		if (rig.endpoints == rig.rig.engines)
+			platform_rig_assert_events(answer);
+		else
+			g_assert_nonnull(strstr(answer, "for c-"));
+	}
+	platform_rig_stop(&rig.rig);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cut_cases); i++) {
+		char *path =
+			g_strdup_printf("/it-cut/new/%s", cut_cases[i].name);
+		char *kept =
+			g_strdup_printf("/it-cut/kept/%s", cut_cases[i].name);
+
+		g_test_add_data_func(path, &cut_cases[i], test_cut);
+		g_test_add_data_func(kept, &cut_cases[i], test_cut_kept);
+		g_free(path);
+		g_free(kept);
+	}
+	return g_test_run();
+}
