t: stop a gateway while kept connections send each kind of request

Report of other operators: requests that came late in the grace of a planned stop were passed on and cut at its end with no answer. It does not happen here: /it-gateway/stop-kept-connections has 20 clients that send lookups, orders and both kinds of streams one after the other over kept connections until the process ends, while one endpoint of each service answers nothing from the SIGTERM on and the other takes 0.7 s. What was tested before: new connections and orders only.

--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -122,12 +122,14 @@
 	char *more;
 	char *body;
 
+	if (endpoint->on_run && behaviour != REFUSE)
+		endpoint->on_run(endpoint->context, endpoint, id);
+	if (endpoint->delay_ms)
+		WAIT_UNTIL(endpoint->release, endpoint->delay_ms);
 	if (behaviour == HOLD) {
 		WAIT_UNTIL(endpoint->release, HARNESS_WAIT_MS);
 		behaviour = (behaviour_t)endpoint->after_release;
 	}
-	if (endpoint->on_run && behaviour != REFUSE)
-		endpoint->on_run(endpoint->context, endpoint, id);
 	switch (behaviour) {
 	case REFUSE:
 		more = g_strdup_printf("Not-Executed: 1\r\n%s",
@@ -584,6 +586,12 @@
 	return has;
 }
 
+void platform_rig_release(endpoint_t *endpoints)
+{
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		endpoints[i].release = true;
+}
+
 uint32_t platform_rig_arrivals(const endpoint_t *endpoints)
 {
 	return endpoints[0].arrivals + endpoints[1].arrivals;
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -65,6 +65,7 @@
 	_Atomic int behaviour;
 	_Atomic bool release; /**< Ends HOLD and STALL. */
 	_Atomic int after_release;
+	_Atomic uint32_t delay_ms; /**< Before each answer. */
 	const endless_answer_t *endless;
 	const char *_Atomic cut_answer; /**< `%s`: the request's id. */
 	_Atomic uint32_t cut_bytes;
@@ -180,6 +181,9 @@
 bool platform_rig_has_status(const platform_rig_t *rig, int gateway,
 			     const char *status);
 
+/** Ends HOLD, STALL and delays at both endpoints of a service. */
+void platform_rig_release(endpoint_t *endpoints);
+
 /** Requests received by both endpoints of a service. */
 uint32_t platform_rig_arrivals(const endpoint_t *endpoints);
 
