t: set the time of day of real routers and gateways ahead and back

The soak's gateways have clocks of their own, which jump by seconds, an hour or 25 hours, after one in two faults, from a generator of their own, so that the other faults of a seed remain the same.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 PROG_SRC := $(filter cmd/amaranthvale%,$(CMD_SRC))
 CMD_LIB_SRC := $(filter-out $(PROG_SRC),$(CMD_SRC))
 STANDIN_SRC := $(sort $(wildcard t/standin-*.c t/fault-proxy.c))
+SHIFT_SRC := t/clock-shift.c
 TESTLIB_SRC := $(sort $(wildcard t/lib/*.c))
 TEST_SRC := $(sort $(wildcard t/test-*.c))
 BENCH_SRC := $(sort $(wildcard t/bench-*.c))
@@ -57,8 +58,10 @@
 TESTS = $(call exe,$(TEST_SRC))
 STANDINS = $(call exe,$(STANDIN_SRC))
 BENCHES = $(call exe,$(BENCH_SRC))
+SHIFTED = $(patsubst cmd/amaranthvale-%.c,$(BUILD)/t/shifted-%,\
+	cmd/amaranthvale-gateway.c cmd/amaranthvale-router.c)
 HAND_SRC = $(LIB_SRC) $(CMD_SRC) $(STANDIN_SRC) $(TESTLIB_SRC) $(TEST_SRC) \
-	$(BENCH_SRC) $(FUZZ_SRC)
+	$(BENCH_SRC) $(FUZZ_SRC) $(SHIFT_SRC)
 HEADERS := $(filter-out process/peer_proto.h,$(wildcard process/*.h \
 	connection/*.h version/*.h request/*.h platform/*.h cmd/*.h t/*.h t/lib/*.h))
 
@@ -66,7 +69,7 @@
 	docs check-docs proto clean
 .SECONDARY:
 
-all: progs $(TESTS) $(BENCHES)
+all: progs $(TESTS) $(BENCHES) $(SHIFTED)
 
 progs: $(LIB) $(PROGS) $(STANDINS)
 
@@ -99,6 +102,12 @@
 $(BUILD)/t/%: $(BUILD)/t/%.o $(TESTLIB) $(CMDLIB) $(LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) $(SANFLAGS) -o $@ $^ $(PKG_LIBS)
 
+# Programs whose time of day tests set ahead and back.
+$(SHIFTED): $(BUILD)/t/shifted-%: $(BUILD)/cmd/amaranthvale-%.o \
+		$(call obj,$(SHIFT_SRC)) $(CMDLIB) $(LIB)
+	$(CC) $(CFLAGS) $(LDFLAGS) $(SANFLAGS) -Wl,--wrap=clock_gettime \
+		-Wl,--wrap=time -o $@ $^ $(PKG_LIBS)
+
 $(BUILD)/t/fuzz-%: $(BUILD)/t/fuzz-%.o $(LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) $(SANFLAGS) -fsanitize=fuzzer -o $@ $^ \
 		$(PKG_LIBS)
--- /dev/null
+++ b/t/lib/clock_shift.c
@@ -0,0 +1,40 @@
+#include "t/lib/clock_shift.h"
+
+#include <glib.h>
+#include <unistd.h>
+
+struct clock_shift {
+	char *path;
+	int fd;
+};
+
+clock_shift_t *clock_shift_new(void)
+{
+	clock_shift_t *shift = g_new0(clock_shift_t, 1);
+
+	shift->fd = g_file_open_tmp("clock-shift-XXXXXX", &shift->path, NULL);
+	g_assert_cmpint(shift->fd, >=, 0);
+	clock_shift_set(shift, 0);
+	return shift;
+}
+
+void clock_shift_free(clock_shift_t *shift)
+{
+	if (!shift)
+		return;
+	close(shift->fd);
+	unlink(shift->path);
+	g_free(shift->path);
+	g_free(shift);
+}
+
+void clock_shift_set(const clock_shift_t *shift, int64_t shift_ms)
+{
+	g_assert_cmpint(pwrite(shift->fd, &shift_ms, sizeof(shift_ms), 0), ==,
+			sizeof(shift_ms));
+}
+
+void clock_shift_use(const clock_shift_t *shift)
+{
+	g_setenv("CLOCK_SHIFT_FILE", shift->path, TRUE);
+}
--- /dev/null
+++ b/t/lib/clock_shift.h
@@ -0,0 +1,24 @@
+/**
+ * @file
+ * Times of day that a test sets ahead or back in programs that it starts. The
+ * programs are linked with t/clock-shift.c and are named `shifted-*`. The
+ * monotonic clocks are left alone.
+ */
+#ifndef T_LIB_CLOCK_SHIFT_H
+#define T_LIB_CLOCK_SHIFT_H
+
+#include <stdint.h>
+
+typedef struct clock_shift clock_shift_t;
+
+/** A clock that is right at first; clock_shift_free() it. */
+clock_shift_t *clock_shift_new(void);
+void clock_shift_free(clock_shift_t *shift);
+
+/** Sets the time of day ahead, or back if negative, from now on. */
+void clock_shift_set(const clock_shift_t *shift, int64_t shift_ms);
+
+/** Programs `shifted-*` that are started from now on have this clock. */
+void clock_shift_use(const clock_shift_t *shift);
+
+#endif
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -470,11 +470,16 @@
 				rig->store_ports[index]
 					? rig->store_ports[index]
 					: platform_store_port(rig->store));
+	if (rig->options.own_clocks && !rig->clocks[index])
+		rig->clocks[index] = clock_shift_new();
+	if (rig->clocks[index])
+		clock_shift_use(rig->clocks[index]);
 	rig->gateways[index] = program_start(
-		"amaranthvale-gateway", "--listen", listen, "--ready-listen",
-		ready, "--store", store, "--peer-ip", peer_ip, "--peer-port",
-		peer_port, "--name", name, "--grace-s", "6", "--lease-ms",
-		"1000", "--weights-ms", weights_ms, NULL);
+		rig->clocks[index] ? "shifted-gateway" : "amaranthvale-gateway",
+		"--listen", listen, "--ready-listen", ready, "--store", store,
+		"--peer-ip", peer_ip, "--peer-port", peer_port, "--name", name,
+		"--grace-s", "6", "--lease-ms", "1000", "--weights-ms",
+		weights_ms, NULL);
 	g_free(weights_ms);
 	g_free(listen);
 	g_free(ready);
@@ -526,6 +531,7 @@
 			continue;
 		program_signal(rig->gateways[i], SIGKILL);
 		program_free(rig->gateways[i]);
+		clock_shift_free(rig->clocks[i]);
 	}
 	for (int i = 0; i < ENDPOINT_COUNT; i++) {
 		stop_endpoint(&rig->services[i]);
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "t/lib/clock_shift.h"
 #include "t/lib/harness.h"
 #include "t/lib/platform_store.h"
 #include "t/lib/raw_server.h"
@@ -111,6 +112,8 @@
 	int idle_routes;
 	int attempts_max;    /**< Of each route. */
 	int connections_max; /**< Of each endpoint. */
+	/** Each gateway has a time of day of its own. */
+	bool own_clocks;
 } platform_rig_options_t;
 
 typedef struct platform_rig {
@@ -124,6 +127,7 @@
 	uint16_t peer_ports[GATEWAYS_MAX];
 	/** Port that a gateway takes for the store's; 0: the store's. */
 	uint16_t store_ports[GATEWAYS_MAX];
+	clock_shift_t *clocks[GATEWAYS_MAX]; /**< With `own_clocks`. */
 } platform_rig_t;
 
 /** Starts the store, endpoints and gateways, and waits until they are ready. */
--- a/t/lib/rig.c
+++ b/t/lib/rig.c
@@ -194,8 +194,13 @@
 	add_args(args, domains ? domain_args : standalone_args);
 	add_args(args, rig->options.router_args);
 	g_ptr_array_add(args, NULL);
+	if (rig->options.own_clocks && !rig->clocks[router])
+		rig->clocks[router] = clock_shift_new();
+	if (rig->clocks[router])
+		clock_shift_use(rig->clocks[router]);
 	rig->routers[router] = program_start_args(
-		"amaranthvale-router", (const char *const *)args->pdata);
+		rig->clocks[router] ? "shifted-router" : "amaranthvale-router",
+		(const char *const *)args->pdata);
 	rig->ports[router] = program_main_port(rig->routers[router]);
 	rig->peer_ports[router] =
 		program_port(rig->routers[router], "peer-port");
@@ -397,6 +402,8 @@
 	g_free(rig->weights_url);
 	if (rig->store_proxy)
 		program_free(rig->store_proxy);
+	for (int i = 0; i < RIG_ROUTERS_MAX; i++)
+		clock_shift_free(rig->clocks[i]);
 	remove(rig->bootstrap);
 	g_free(rig->bootstrap);
 	g_free(rig->objects);
--- a/t/lib/rig.h
+++ b/t/lib/rig.h
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "t/lib/clock_shift.h"
 #include "t/lib/harness.h"
 
 enum {
@@ -32,6 +33,7 @@
 	int routers;
 	bool plain_services_check_fencing;
 	bool routers_tls; /**< Clients use TLS; see http_trust(). */
+	bool own_clocks;  /**< Each router has a time of day of its own. */
 	bool engines_check_fencing;
 	/** Engines load from a weight store that allows 8 transfers at once. */
 	bool weights;
@@ -82,7 +84,8 @@
 	uint16_t peer_ports[RIG_ROUTERS_MAX];
 	uint16_t engine_ports[RIG_ENGINES_MAX];
 	uint16_t plain_ports[RIG_PLAIN_SERVICES_MAX];
-	uint16_t ports[RIG_ROUTERS_MAX]; /**< Of the routers. */
+	uint16_t ports[RIG_ROUTERS_MAX];	/**< Of the routers. */
+	clock_shift_t *clocks[RIG_ROUTERS_MAX]; /**< With `own_clocks`. */
 	rig_proxy_t engine_proxies[RIG_ENGINES_MAX];
 	rig_proxy_t plain_proxies[RIG_PLAIN_SERVICES_MAX];
 	rig_proxy_t store_proxies[RIG_ROUTERS_MAX];
--- a/t/test-it-soak.c
+++ b/t/test-it-soak.c
@@ -25,6 +25,8 @@
 	/** After one in this many faults, answers of a service get other
 	 * headers, and the next configuration another number of idle routes. */
 	ANSWER_INTERVAL_FAULTS = 4,
+	/** After one in this many faults the time of day of a gateway jumps. */
+	CLOCK_INTERVAL_FAULTS = 2,
 	IDLE_ROUTES_MAX = 1000,
 	/** Most changes of the store that a restore loses. */
 	LOST_CHANGES_MAX = 60,
@@ -70,6 +72,7 @@
 	/** Of its own, so that a seed's other faults remain the same. */
 	rng_t restore_rng;
 	rng_t answer_rng;	 /**< Likewise, for headers and idle routes. */
+	rng_t clock_rng;	 /**< Likewise, for times of day. */
 	uint64_t first_revision; /**< Of the store, once gateways are ready. */
 	pthread_mutex_t lock;
 	GHashTable *requests; /**< Request id to request_entry_t. */
@@ -348,6 +351,22 @@
 	soak->rig.options.idle_routes = (int)rng_below(rng, IDLE_ROUTES_MAX);
 }
 
+/* Sets the time of day of a gateway ahead or back, by seconds or hours, or
+ * right again. It stays so when the gateway is started again. */
+static void jump_clock(soak_t *soak)
+{
+	static const int64_t spans_ms[] = { 0, 3000, 3600000, 90000000 };
+	rng_t *rng = &soak->clock_rng;
+	int64_t span_ms = spans_ms[rng_below(rng, G_N_ELEMENTS(spans_ms))];
+	int gateway = (int)rng_below(rng, GATEWAYS);
+
+	if (rng_below(rng, 2))
+		span_ms = -span_ms;
+	g_test_message("gateway %d: time of day off by %lld ms", gateway,
+		       (long long)span_ms);
+	clock_shift_set(soak->rig.clocks[gateway], span_ms);
+}
+
 static void inject_fault(soak_t *soak)
 {
 	int gateway = (int)rng_below(&soak->rng, GATEWAYS);
@@ -495,13 +514,16 @@
 	rng_init(&soak->rng, seed);
 	rng_init(&soak->restore_rng, ~seed);
 	rng_init(&soak->answer_rng, seed ^ (~seed << 1));
+	rng_init(&soak->clock_rng, seed * 2 + 1);
 	pthread_mutex_init(&soak->lock, NULL);
 	soak->requests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	soak->key = 1;
 	soak->desired_version = 1;
 	soak->target_weights = 1;
-	platform_rig_start(&soak->rig, GATEWAYS);
+	platform_rig_start_with(
+		&soak->rig, GATEWAYS,
+		&(platform_rig_options_t){ .own_clocks = true });
 	soak->first_revision = platform_store_revision(soak->rig.store);
 	for (int i = 0; i < ENDPOINT_COUNT; i++) {
 		soak->rig.services[i].context = soak;
@@ -537,6 +559,8 @@
 			restore_store(&soak);
 		if (!rng_below(&soak.answer_rng, ANSWER_INTERVAL_FAULTS))
 			change_answers(&soak);
+		if (!rng_below(&soak.clock_rng, CLOCK_INTERVAL_FAULTS))
+			jump_clock(&soak);
 		drain_logs(&soak);
 		clock_sleep_ms(FAULT_INTERVAL_MIN_MS +
 			       rng_below(&soak.rng, FAULT_INTERVAL_SPREAD_MS));
