controller_service: count the time of a suspended machine for leases

Cause: the router's controller counted its lease by CLOCK_MONOTONIC, which stands still while a machine is suspended, so its holder went on ordering after the lease had lapsed for the others.

--- a/process/controller_service.c
+++ b/process/controller_service.c
@@ -150,7 +150,7 @@
 	bool has_event = true;
 
 	while (has_event && pool->controller) {
-		controller_step(pool->controller, &event, clock_now_ms(),
+		controller_step(pool->controller, &event, clock_boot_ms(),
 				&actions);
 		has_event = false;
 		unsent.count = 0;
@@ -319,7 +319,7 @@
 							  &current.items[i],
 							  &record, &event);
 		if (has_event)
-			lease_step(&pool->lease, &event, clock_now_ms(),
+			lease_step(&pool->lease, &event, clock_boot_ms(),
 				   actions);
 	}
 	if (pool->controller) {
@@ -340,7 +340,7 @@
 	lease_actions_t actions;
 
 	pool->lease_timer_ms = 0;
-	lease_step(&pool->lease, event, clock_now_ms(), &actions);
+	lease_step(&pool->lease, event, clock_boot_ms(), &actions);
 	perform_lease_actions(service, pool, &actions);
 }
 
@@ -395,7 +395,7 @@
 		return;
 	}
 	if (pool->competing && pool->lease_timer_ms &&
-	    clock_now_ms() >= pool->lease_timer_ms)
+	    clock_boot_ms() >= pool->lease_timer_ms)
 		step_lease(service, pool, &timer);
 }
 
@@ -440,7 +440,7 @@
 	const pool_t *pool = find_pool(service, name->pool);
 
 	if (!pool || !pool->controller ||
-	    lease_fencing(&pool->lease, clock_now_ms()) != fencing)
+	    lease_fencing(&pool->lease, clock_boot_ms()) != fencing)
 		return false;
 	metrics_add(METRIC_ENGINE_ORDERS_SENT, 1);
 	return true;
@@ -676,7 +676,7 @@
 
 		if (pool->controller)
 			count += controller_count_in_service(pool->controller,
-							     clock_now_ms());
+							     clock_boot_ms());
 	}
 	metrics_set(METRIC_ENGINES_IN_SERVICE, count);
 }
@@ -692,7 +692,7 @@
 	}
 	free_removed_pools(service);
 	update_in_service_metric(service);
-	now_ms = clock_now_ms();
+	now_ms = clock_boot_ms();
 	if (now_ms >= service->next_poll_ms)
 		poll_next_engine(service, now_ms);
 	engine_client_run(service->engines, wait_ms);
@@ -712,12 +712,12 @@
 	static const struct timespec pause = {
 		.tv_nsec = (long)RELEASE_RETRY_MS * 1000000L
 	};
-	uint64_t deadline_ms = clock_now_ms() + RELEASE_TIMEOUT_MS;
+	uint64_t deadline_ms = clock_boot_ms() + RELEASE_TIMEOUT_MS;
 
 	service->stopping = true;
 	for (size_t i = 0; i < service->pool_count; i++)
 		release_lease(service, service->pools[i]);
-	while (is_releasing(service) && clock_now_ms() < deadline_ms) {
+	while (is_releasing(service) && clock_boot_ms() < deadline_ms) {
 		for (size_t i = 0; i < service->pool_count; i++)
 			update_lease(service, service->pools[i]);
 		nanosleep(&pause, NULL);
--- a/process/engine_client.c
+++ b/process/engine_client.c
@@ -153,7 +153,7 @@
 	call->name = *name;
 	call->sent = false;
 	call->answer_bytes = 0;
-	call->requested_ms = clock_now_ms();
+	call->requested_ms = clock_boot_ms();
 	set_url(call, address,
 		call->is_order ? "/engine/order" : "/engine/state");
 	curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
--- a/t/clock-shift.c
+++ b/t/clock-shift.c
@@ -1,8 +1,8 @@
 /*
  * Linked into programs for tests, to set their time of day ahead or back. The
  * linker replaces the calls of clock_gettime() and time() in our code by those
- * here. The monotonic clocks are left alone. CLOCK_SHIFT_FILE names a file that
- * holds the shift as an int64_t, ms; the test changes it at any time.
+ * here. CLOCK_SHIFT_FILE names a file that holds a clock_shift_file_t; the test
+ * changes it at any time.
  */
 #include <fcntl.h>
 #include <stdint.h>
@@ -10,6 +10,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "t/lib/clock_shift.h"
+
 enum {
 	MS_PER_S = 1000,
 	NS_PER_MS = 1000000,
@@ -30,12 +32,17 @@
 		shift_fd = open(path, O_RDONLY | O_CLOEXEC);
 }
 
-static void add_shift(struct timespec *now)
+static clock_shift_file_t read_shift(void)
 {
-	int64_t ms = 0;
+	clock_shift_file_t shift = { 0 };
+
+	if (shift_fd >= 0)
+		(void)!pread(shift_fd, &shift, sizeof(shift), 0);
+	return shift;
+}
 
-	if (shift_fd < 0 || pread(shift_fd, &ms, sizeof(ms), 0) != sizeof(ms))
-		return;
+static void add_ms(struct timespec *now, int64_t ms)
+{
 	now->tv_sec += ms / MS_PER_S;
 	now->tv_nsec += ms % MS_PER_S * NS_PER_MS;
 	if (now->tv_nsec < 0) {
@@ -52,7 +59,9 @@
 	int result = __real_clock_gettime(clock, now);
 
 	if (!result && clock == CLOCK_REALTIME)
-		add_shift(now);
+		add_ms(now, read_shift().time_of_day_ms);
+	if (!result && clock == CLOCK_BOOTTIME)
+		add_ms(now, read_shift().suspended_ms);
 	return result;
 }
 
--- a/t/lib/clock_shift.c
+++ b/t/lib/clock_shift.c
@@ -6,8 +6,16 @@
 struct clock_shift {
 	char *path;
 	int fd;
+	clock_shift_file_t content;
 };
 
+static void write_content(const clock_shift_t *shift)
+{
+	g_assert_cmpint(
+		pwrite(shift->fd, &shift->content, sizeof(shift->content), 0),
+		==, sizeof(shift->content));
+}
+
 clock_shift_t *clock_shift_new(void)
 {
 	clock_shift_t *shift = g_new0(clock_shift_t, 1);
@@ -28,10 +36,16 @@
 	g_free(shift);
 }
 
-void clock_shift_set(const clock_shift_t *shift, int64_t shift_ms)
+void clock_shift_set(clock_shift_t *shift, int64_t shift_ms)
+{
+	shift->content.time_of_day_ms = shift_ms;
+	write_content(shift);
+}
+
+void clock_shift_suspend(clock_shift_t *shift, int64_t duration_ms)
 {
-	g_assert_cmpint(pwrite(shift->fd, &shift_ms, sizeof(shift_ms), 0), ==,
-			sizeof(shift_ms));
+	shift->content.suspended_ms += duration_ms;
+	write_content(shift);
 }
 
 void clock_shift_use(const clock_shift_t *shift)
--- a/t/test-it-clocks.c
+++ b/t/test-it-clocks.c
@@ -19,6 +19,8 @@
 };
 
 #define MEMBERS_METRIC "amv_members_live"
+#define LEASE_CHANGES_METRIC "amv_lease_changes_total{change=\"lost\"}"
+#define LEASES_METRIC "amv_leases_held"
 
 static http_answer_t *dispatch(const rig_t *rig, int router, const char *key)
 {
@@ -159,6 +161,29 @@
 	g_assert_true(WAIT_UNTIL(all_see(rig, ROUTERS), HARNESS_WAIT_MS));
 }
 
+/* Failure: the holder of a lease counted its time without that for which its
+ * machine had been suspended, and went on ordering beside the next holder. */
+static void test_suspended_holder(void)
+{
+	rig_options_t options = { .engines = 2,
+				  .routers = 1,
+				  .weights = true,
+				  .own_clocks = true,
+				  .router_args = { "--lease-ms", "2000" } };
+	g_autoptr(rig_t) rig = rig_start(&options);
+	int64_t changes;
+
+	g_assert_true(WAIT_UNTIL(rig_metric(rig, 0, LEASES_METRIC) == 1,
+				 2 * HARNESS_WAIT_MS));
+	changes = rig_metric(rig, 0, LEASE_CHANGES_METRIC);
+	clock_shift_suspend(rig->clocks[0], HOUR_MS);
+	g_assert_true(
+		WAIT_UNTIL(rig_metric(rig, 0, LEASE_CHANGES_METRIC) > changes,
+			   HARNESS_WAIT_MS));
+	g_assert_true(WAIT_UNTIL(rig_metric(rig, 0, LEASES_METRIC) == 1,
+				 4 * HARNESS_WAIT_MS));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -172,5 +197,6 @@
 	}
 	g_test_add_func("/clocks/record-kept", test_record_kept);
 	g_test_add_func("/clocks/peers", test_peers);
+	g_test_add_func("/clocks/suspended-holder", test_suspended_holder);
 	return g_test_run();
 }
