--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,7 @@
 	connection/*.h version/*.h request/*.h platform/*.h cmd/*.h t/*.h t/lib/*.h))
 
 .PHONY: all progs gateway check demo fuzz fuzz-run bench format check-format lint \
-	docs check-docs proto clean
+	docs check-docs check-clocks proto clean
 .SECONDARY:
 
 all: progs $(TESTS) $(BENCHES) $(SHIFTED)
@@ -156,6 +156,9 @@
 check-docs: progs
 	BUILD=$(BUILD) t/docs.sh --check
 
+check-clocks:
+	t/check-clocks.sh
+
 # The generated files are committed; only this target needs rpcgen.
 proto:
 	cd process && rm -f peer_proto.h peer_proto_xdr.c && \
