claim_watch: count no time when two threads read a claim at once

Found by reading the change: a thread that took the time before another one, and the lock after it, got a difference below zero as a time of centuries, and would have closed a live claim. /claim-watch/read-before-first before: 2^63 - 1 in place of 0; now ok.

--- a/process/claim_watch.c
+++ b/process/claim_watch.c
@@ -37,5 +37,7 @@
 	if (entry->path_hash != path_hash || entry->version != version)
 		*entry = (claim_watch_entry_t){ path_hash, version, now_ms, 0 };
 	entry->last_read_ms = now_ms;
-	return now_ms - entry->first_read_ms;
+	/* Another thread may have read it later and noted that first. */
+	return now_ms > entry->first_read_ms ? now_ms - entry->first_read_ms
+					     : 0;
 }
