--- a/t/lib/raw_server.c
+++ b/t/lib/raw_server.c
@@ -9,6 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "process/cleanup.h"
+
 enum {
 	CONNECTIONS_MAX = 256,
 	READ_BUFFER_BYTES = 65536,
@@ -236,6 +238,19 @@
 	return NULL;
 }
 
+bool raw_is_whole(const char *answer)
+{
+	const char *body = strstr(answer, "\r\n\r\n");
+	CLEANUP_FREE char *length = NULL;
+
+	if (!body)
+		return false;
+	length = raw_header(answer, "Content-Length");
+	if (length)
+		return strlen(body + 4) >= strtoul(length, NULL, 10);
+	return g_str_has_suffix(answer, "\r\n0\r\n\r\n");
+}
+
 static bool send_in_pieces(int fd, const char *request, size_t first_bytes)
 {
 	const char *rest = request + first_bytes;
--- a/t/lib/raw_server.h
+++ b/t/lib/raw_server.h
@@ -53,6 +53,12 @@
 /** Copy of a header's value; free() it. NULL if absent. */
 char *raw_header(const char *head, const char *name);
 
+/**
+ * Whether a client takes an answer for a whole one: it has all bytes of its
+ * stated length, or the last chunk.
+ */
+bool raw_is_whole(const char *answer);
+
 /**
  * Sends a request and reads until the peer closes the connection.
  * @return everything received; g_free() it
--- a/t/test-it-cut.c
+++ b/t/test-it-cut.c
@@ -7,7 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "process/cleanup.h"
 #include "t/lib/platform_rig.h"
 
 /** Length of the request's id in this file, bytes, like that of `%s` there. */
@@ -73,25 +72,11 @@
 	return raw_call(rig->rig.ports[0], text);
 }
 
-/* Whether a client takes an answer for a whole one. */
-static bool looks_complete(const char *answer)
-{
-	const char *body = strstr(answer, "\r\n\r\n");
-	CLEANUP_FREE char *length = NULL;
-
-	if (!body)
-		return false;
-	length = raw_header(answer, "Content-Length");
-	if (length)
-		return strlen(body + 4) >= strtoul(length, NULL, 10);
-	return g_str_has_suffix(answer, "\r\n0\r\n\r\n");
-}
-
 /* An order may have run, so it must not be called "not run". */
 static void assert_failed(const cut_case_t *cut, const char *answer)
 {
 	if (g_str_has_prefix(answer, "HTTP/1.1 200")) {
-		g_assert_false(looks_complete(answer));
+		g_assert_false(raw_is_whole(answer));
 		return;
 	}
 	if (cut->repeatable)
@@ -187,7 +172,7 @@
 			continue;
 		}
 		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
-		g_assert_true(looks_complete(answer));
+		g_assert_true(raw_is_whole(answer));
 		if (rig.endpoints == rig.rig.engines)
 			platform_rig_assert_events(answer);
 		else
--- a/t/test-it-stop.c
+++ b/t/test-it-stop.c
@@ -243,21 +243,6 @@
 	return -1;
 }
 
-static bool is_whole_answer(const char *answer)
-{
-	const char *body = strstr(answer, "\r\n\r\n");
-	char *length;
-	bool whole;
-
-	if (!body)
-		return false;
-	length = raw_header(answer, "Content-Length");
-	whole = length ? strlen(body + 4) >= strtoul(length, NULL, 10)
-		       : g_str_has_suffix(answer, "0\r\n\r\n");
-	free(length);
-	return whole;
-}
-
 /* Reads one answer; false if the connection ended before its end. */
 static bool kept_read(int fd, char answer[KEPT_ANSWER_MAX_BYTES])
 {
@@ -265,7 +250,7 @@
 	ssize_t got;
 
 	answer[0] = '\0';
-	while (!is_whole_answer(answer)) {
+	while (!raw_is_whole(answer)) {
 		got = recv(fd, answer + len, KEPT_ANSWER_MAX_BYTES - 1 - len,
 			   0);
 		if (got <= 0)
