--- a/process/event_list.h
+++ b/process/event_list.h
@@ -61,10 +61,10 @@
       "endpoint's answer.")
 EVENT(1305, ORDER_KEY_REUSED, "order_key_reused", EVENT_WARN,
       "A customer used one idempotency key with two different bodies.")
-EVENT(1307, ORDER_MARK, "order_mark", EVENT_INFO,
-      "The marks of the sweeps were replaced after a part of the retention.")
 EVENT(1306, ORDER_SWEEP, "order_sweep", EVENT_DEBUG,
       "Order records past their retention time were deleted.")
+EVENT(1307, ORDER_MARK, "order_mark", EVENT_INFO,
+      "The marks of the sweeps were replaced after a part of the retention.")
 EVENT(1400, LEASE_ACQUIRED, "lease_acquired", EVENT_INFO,
       "This instance holds the lease with the given fencing number.")
 EVENT(1401, LEASE_LOST, "lease_lost", EVENT_WARN,
