--- a/t/lib/raw_server.c
+++ b/t/lib/raw_server.c
@@ -9,8 +9,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "process/cleanup.h"
-
 enum {
 	CONNECTIONS_MAX = 256,
 	READ_BUFFER_BYTES = 65536,
@@ -241,14 +239,16 @@
 bool raw_is_whole(const char *answer)
 {
 	const char *body = strstr(answer, "\r\n\r\n");
-	CLEANUP_FREE char *length = NULL;
+	char *length;
+	bool whole;
 
 	if (!body)
 		return false;
 	length = raw_header(answer, "Content-Length");
-	if (length)
-		return strlen(body + 4) >= strtoul(length, NULL, 10);
-	return g_str_has_suffix(answer, "\r\n0\r\n\r\n");
+	whole = length ? strlen(body + 4) >= strtoul(length, NULL, 10)
+		       : g_str_has_suffix(answer, "\r\n0\r\n\r\n");
+	free(length);
+	return whole;
 }
 
 static bool send_in_pieces(int fd, const char *request, size_t first_bytes)
--- a/t/test-claim-watch.c
+++ b/t/test-claim-watch.c
@@ -1,6 +1,5 @@
 /* Unit tests of how long open claims have been known. */
 #include <glib.h>
-#include <stdio.h>
 
 #include "process/claim_watch.h"
 
@@ -39,11 +38,10 @@
 static void test_reads(const void *data)
 {
 	const claim_read_t *read = data;
-	g_autofree claim_watch_t *watch = g_new0(claim_watch_t, 1);
+	claim_watch_t watch = CLAIM_WATCH_INIT;
 
-	*watch = (claim_watch_t)CLAIM_WATCH_INIT;
 	for (int i = 0; i < READS_MAX && read[i].path; i++)
-		g_assert_cmpuint(claim_watch_read(watch, read[i].path,
+		g_assert_cmpuint(claim_watch_read(&watch, read[i].path,
 						  read[i].version,
 						  read[i].now_ms),
 				 ==, read[i].known_ms);
@@ -52,19 +50,18 @@
 /* A claim that was replaced in a full table must not seem older than it is. */
 static void test_full_table(void)
 {
-	g_autofree claim_watch_t *watch = g_new0(claim_watch_t, 1);
+	claim_watch_t watch = CLAIM_WATCH_INIT;
 
-	*watch = (claim_watch_t)CLAIM_WATCH_INIT;
 	for (uint64_t i = 0; i <= CLAIM_WATCH_MAX; i++) {
 		char path[32];
 
 		g_snprintf(path, sizeof(path), "order/c/%u", (unsigned int)i);
-		g_assert_cmpuint(claim_watch_read(watch, path, 1, 1000 + i), ==,
-				 0);
+		g_assert_cmpuint(claim_watch_read(&watch, path, 1, 1000 + i),
+				 ==, 0);
 	}
-	g_assert_cmpuint(watch->count, ==, CLAIM_WATCH_MAX);
-	g_assert_cmpuint(claim_watch_read(watch, "order/c/0", 1, 9000), ==, 0);
-	g_assert_cmpuint(claim_watch_read(watch, "order/c/512", 1, 9000), ==,
+	g_assert_cmpuint(watch.count, ==, CLAIM_WATCH_MAX);
+	g_assert_cmpuint(claim_watch_read(&watch, "order/c/0", 1, 9000), ==, 0);
+	g_assert_cmpuint(claim_watch_read(&watch, "order/c/512", 1, 9000), ==,
 			 9000 - 1000 - CLAIM_WATCH_MAX);
 }
 
