--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -223,6 +224,8 @@
 		char *variables[] = { variable, (char *)"PATH=/usr/bin:/bin",
 				      NULL };
 
+		/* Not to be left behind if the case is ended early. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		if (!freopen(log, "a", stdout) || !freopen(log, "a", stderr))
 			_exit(2);
 		execve(arguments[0], arguments, variables);
