--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# 0: the rule held; 1: it was broken; 2: the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x build/review/case-4 ] && [ -x target/amaranthvale-gateway ] || exit 2
+exec timeout -k 2 110 build/review/case-4 review/4
