version: no bound on the length or number of what the store names

Cause: names were copied into buffers of 64 bytes, and json_required_text() took a name that does not fit for an invalid desired state, which was rejected whole. Ruled out: the store did not hold the version back and the other instances had it; the log says desired_rejected on each instance.

The same cause on related paths: splits of a route (8) rejected the state, ids of endpoints (64) and names and number of models (64, 16) hid endpoints and target weights, 32 services of the retry budget shared one entry, names of instances were cut in heartbeats and in the lease, so that two could count as one holder, ids of requests were compared by 47 bytes.

Change: strings and lists have the length of what they hold; a view keeps the strings of its endpoints in one block. Where a fixed length is needed (datagram, key of a connection, log) a hash of the whole name distinguishes. Entries of the retry budget are reused after an idle window.

Weighed: a longer buffer, which moves the fault; rejecting only the customer or route with the long name, which serves part of an accepted state; pointers into the JSON of the tables, which would tie views to the format of the platform. Memory stays bounded by the size of an object and of a page of the store, and the tables already hold these objects. Names in heartbeats stay at 63 bytes, so their size does not change. Kept: 64 KiB for an event of a stream and 16 KiB and 64 lines for the head of an answer, which bound memory for each connection; names of the product's own interface, which refuses a ticket with a longer one at once.

The fuzz target checked a count against the bound that is gone, and now checks that each model has a name.

--- a/cmd/amaranthvale-gateway.c
+++ b/cmd/amaranthvale-gateway.c
@@ -19,6 +19,7 @@
 		return 2;
 	if (err == SETTINGS_EXIT)
 		return 0;
+	peer_name_make(gateway.peer_name, gateway.settings.name);
 	signal(SIGPIPE, SIG_IGN);
 	if (event_open_stdout("amaranthvale-gateway",
 			      (event_level_t)gateway.settings.log_level))
--- a/cmd/gateway.h
+++ b/cmd/gateway.h
@@ -19,6 +19,7 @@
 #include "process/crash_ring.h"
 #include "process/hint_ring.h"
 #include "process/limit_turns.h"
+#include "process/peer_heartbeat.h"
 
 /** Settings of the process, from flags or the settings file;
  * gateway_settings_load() describes each. */
@@ -47,9 +48,10 @@
 
 typedef struct gateway {
 	gateway_settings_t settings;
+	char peer_name[PEER_NAME_MAX_BYTES]; /**< See peer_name_make(). */
 	_Atomic uint32_t instances; /**< Live ones, including this one. */
-	/** Position of this one among the live ones in strcmp() order of names,
-	 * from 0. */
+	/** Position of this one among the live ones in strcmp() order of peer
+	 * names, from 0. */
 	_Atomic uint32_t rank;
 	limit_turns_t limit_turns; /**< Set by the control thread. */
 	_Atomic bool stopping;
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -439,6 +439,7 @@
 		inbound_close(front->metrics_listener);
 	if (front->env.outbound)
 		outbound_close(front->env.outbound);
+	retry_budget_free(&front->env.retry_budget);
 	if (front->base)
 		event_base_free(front->base);
 }
--- a/cmd/gateway_lease.c
+++ b/cmd/gateway_lease.c
@@ -173,7 +173,7 @@
 	lease_actions_t actions;
 
 	lease->started = true;
-	lease_begin(&lease->lease, control->gateway->settings.name,
+	lease_begin(&lease->lease, control->gateway->peer_name,
 		    control->incarnation ^ rng_next(&control->rng),
 		    (uint32_t)(control->gateway->settings.lease_ms /
 			       LEASE_DURATION_DIVISOR),
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -204,8 +204,8 @@
 		.fencing = gateway_rollout_fencing(control->rollout)
 	};
 
-	snprintf(heartbeat.name, sizeof(heartbeat.name), "%s",
-		 control->gateway->settings.name);
+	memcpy(heartbeat.name, control->gateway->peer_name,
+	       sizeof(heartbeat.name));
 	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
 		const object_table_t *table = &control->view_builder.tables[i];
 
@@ -395,7 +395,7 @@
 	bool was_live;
 	bool is_new;
 
-	if (!strcmp(heartbeat->name, peers->control->gateway->settings.name))
+	if (!strcmp(heartbeat->name, peers->control->gateway->peer_name))
 		return;
 	peer = find_or_add_peer(peers, heartbeat->name);
 	if (!peer)
@@ -502,7 +502,7 @@
 		if (!gateway_peer_is_live(peers, peer, now_ms))
 			continue;
 		live++;
-		if (strcmp(peer->heartbeat.name, gateway->settings.name) < 0)
+		if (strcmp(peer->heartbeat.name, gateway->peer_name) < 0)
 			rank++;
 	}
 	atomic_store(&gateway->instances, live);
@@ -680,12 +680,12 @@
 		return NULL;
 	peers->control = control;
 	peers->started_ms = clock_now_ms();
-	peers->name_hash = hash_string(control->gateway->settings.name);
+	peers->name_hash = hash_string(control->gateway->peer_name);
 	limit_turns_init(&control->gateway->limit_turns, peers->started_ms);
 	gateway_state_open(peers);
 	watcher_election_init(
 		&peers->election,
-		watcher_rank(control->gateway->settings.name,
+		watcher_rank(control->gateway->peer_name,
 			     (uint32_t)control->gateway->settings.link_mbps),
 		peers->started_ms);
 	peers->fd = -1;
--- a/cmd/gateway_rollout.c
+++ b/cmd/gateway_rollout.c
@@ -29,8 +29,8 @@
 typedef struct engine_call {
 	gateway_rollout_t *rollout;
 	uint64_t key; /**< See peer_endpoint_key(). */
-	char id[ENDPOINT_ID_MAX_BYTES];
-	char model[DESIRED_NAME_MAX_BYTES];
+	char *id;
+	char *model;
 	uint64_t term; /**< Lease term in which it was sent. */
 	http_call_t *call;
 	struct engine_call *next;
@@ -61,6 +61,13 @@
 
 /* Calls to engines. */
 
+static void free_call(engine_call_t *call)
+{
+	free(call->id);
+	free(call->model);
+	free(call);
+}
+
 static engine_call_t *call_new(gateway_rollout_t *rollout,
 			       const endpoint_entry_t *entry, const char *model,
 			       uint64_t key)
@@ -72,21 +79,25 @@
 	call->rollout = rollout;
 	call->key = key;
 	call->term = rollout->term;
-	snprintf(call->id, sizeof(call->id), "%s", entry->id);
-	snprintf(call->model, sizeof(call->model), "%s", model);
+	call->id = strdup(entry->id);
+	call->model = strdup(model);
+	if (!call->id || !call->model) {
+		free_call(call);
+		return NULL;
+	}
 	call->next = rollout->calls;
 	rollout->calls = call;
 	return call;
 }
 
-static void call_free(engine_call_t *call)
+static void end_call(engine_call_t *call)
 {
 	engine_call_t **link = &call->rollout->calls;
 
 	while (*link != call)
 		link = &(*link)->next;
 	*link = call->next;
-	free(call);
+	free_call(call);
 }
 
 static void send_engine_call(engine_call_t *call, const endpoint_entry_t *entry,
@@ -119,14 +130,12 @@
 	if (!err && status != 200)
 		parsed.result = ERR_ENDPOINT_ANSWER;
 	if (!parsed.result)
-		parsed.result = platform_read_report(body, len, &report);
+		parsed.result =
+			platform_read_report(body, len, call->model, &report);
 	if (!parsed.result) {
 		parsed.busy = report.busy;
 		parsed.accepted = report.accepted_orders;
-		for (uint32_t i = 0; i < report.model_count; i++) {
-			if (!strcmp(report.models[i].model, call->model))
-				parsed.weights = report.models[i].version;
-		}
+		parsed.weights = report.weights;
 	}
 	event_log(EVENT_ENGINE_REPORT,
 		  "endpoint=%s result=%s status=%u busy=%d accepted=%llu "
@@ -138,7 +147,7 @@
 	if (call->term == rollout->term)
 		weights_rollout_on_report(&rollout->engine_states, call->key,
 					  &parsed, clock_now_ms());
-	call_free(call);
+	end_call(call);
 	if (gateway_lease_fencing(rollout->lease, 0))
 		step_rollout(rollout, clock_now_ms());
 }
@@ -157,7 +166,7 @@
 	if (call->term == rollout->term)
 		weights_rollout_on_answer(&rollout->engine_states, call->key,
 					  err ? 0 : status, clock_now_ms());
-	call_free(call);
+	end_call(call);
 }
 
 static void request_report(gateway_rollout_t *rollout,
@@ -458,7 +467,7 @@
 
 		if (call->call)
 			http_call_cancel(call->call);
-		free(call);
+		free_call(call);
 		call = next;
 	}
 	weights_rollout_free(&rollout->engine_states);
--- a/process/endpoint_load.c
+++ b/process/endpoint_load.c
@@ -16,16 +16,23 @@
 	if (!load)
 		return NULL;
 	urcu_ref_init(&load->ref);
-	strncpy(load->id, id, sizeof(load->id) - 1);
+	load->id = strdup(id);
+	if (!load->id) {
+		free(load);
+		return NULL;
+	}
 	load->started_unix_ms = started_unix_ms;
-	load->id_hash = hash_string(load->id);
+	load->id_hash = hash_string(id);
 	load->limit = ENDPOINT_UNLIMITED;
 	return load;
 }
 
 static void load_free(struct urcu_ref *ref)
 {
-	free(caa_container_of(ref, endpoint_load_t, ref));
+	endpoint_load_t *load = caa_container_of(ref, endpoint_load_t, ref);
+
+	free(load->id);
+	free(load);
 }
 
 void endpoint_load_get(endpoint_load_t *load)
--- a/process/endpoint_load.h
+++ b/process/endpoint_load.h
@@ -18,8 +18,6 @@
 #include "process/endpoint_limit.h"
 
 enum {
-	/** Longest id of an endpoint with its NUL, bytes. */
-	ENDPOINT_ID_MAX_BYTES = 64,
 	/** Consecutive failures after which an endpoint is ejected. */
 	ENDPOINT_LOAD_FAILURES_MAX = 2,
 	/** First and longest ejection time, ms. The first covers the connection
@@ -39,7 +37,7 @@
 
 typedef struct endpoint_load {
 	struct urcu_ref ref;
-	char id[ENDPOINT_ID_MAX_BYTES];
+	char *id;
 	/** Time of its start; 0 if not known. */
 	uint64_t started_unix_ms;
 	uint64_t id_hash;
--- a/process/peer_heartbeat.c
+++ b/process/peer_heartbeat.c
@@ -1,9 +1,11 @@
 #include "process/peer_heartbeat.h"
 
 #include <rpc/rpc.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "process/error.h"
+#include "process/hash.h"
 #include "process/store_revision.h"
 
 /** First number of each datagram; the last byte is the format version. */
@@ -171,6 +173,20 @@
 	return ok;
 }
 
+void peer_name_make(char peer_name[PEER_NAME_MAX_BYTES], const char *name)
+{
+	char hash[HASH_KEY_HEX_BYTES];
+	size_t len = strlen(name);
+
+	if (len < PEER_NAME_MAX_BYTES) {
+		memcpy(peer_name, name, len + 1);
+		return;
+	}
+	hash_key_to_hex(hash_string(name), hash);
+	snprintf(peer_name, PEER_NAME_MAX_BYTES, "%.*s~%s",
+		 (int)(PEER_NAME_MAX_BYTES - sizeof(hash) - 1), name, hash);
+}
+
 size_t peer_heartbeat_free_bytes(const peer_heartbeat_t *heartbeat)
 {
 	size_t used = PEER_HEARTBEAT_HEADER_BYTES +
--- a/process/peer_heartbeat.h
+++ b/process/peer_heartbeat.h
@@ -18,7 +18,7 @@
 #include "process/object.h"
 
 enum {
-	/** Longest name of an instance including the NUL, bytes. */
+	/** Longest name of an instance in a heartbeat with its NUL, bytes. */
 	PEER_NAME_MAX_BYTES = 64,
 	/** Largest datagram, bytes: fits one packet without fragmentation. */
 	PEER_HEARTBEAT_MAX_BYTES = 1400,
@@ -82,11 +82,11 @@
 } peer_limit_t;
 
 typedef struct peer_heartbeat {
-	char name[PEER_NAME_MAX_BYTES];
-	uint64_t incarnation; /**< Random; not 0. */
-	uint32_t sequence;    /**< Increases with each datagram. */
-	uint32_t domain;      /**< Hash of the name of the failure domain. */
-	uint32_t link_mbps;   /**< Speed of the machine's network link. */
+	char name[PEER_NAME_MAX_BYTES]; /**< See peer_name_make(). */
+	uint64_t incarnation;		/**< Random; not 0. */
+	uint32_t sequence;		/**< Increases with each datagram. */
+	uint32_t domain;    /**< Hash of the name of the failure domain. */
+	uint32_t link_mbps; /**< Speed of the machine's network link. */
 	bool stopping;
 	bool watching;	  /**< It watches the store, which answers. */
 	bool yielded;	  /**< It yields in the watcher election. */
@@ -109,6 +109,10 @@
 	uint64_t turn_clock_ms;
 } peer_heartbeat_t;
 
+/** Writes the name of an instance for the others: `name`, or if that is too
+ * long, its first bytes and a hash of all. */
+void peer_name_make(char peer_name[PEER_NAME_MAX_BYTES], const char *name);
+
 /** Identifies one incarnation of an endpoint. */
 static inline uint64_t peer_endpoint_key(uint64_t id_hash,
 					 uint64_t started_unix_ms)
--- a/process/retry_budget.h
+++ b/process/retry_budget.h
@@ -11,18 +11,17 @@
 #define PROCESS_RETRY_BUDGET_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 enum {
-	/** Entries; services beyond that number share the last one. */
-	RETRY_SERVICES_MAX = 32,
 	/** Buckets of the sliding window. */
 	RETRY_BUCKETS = 10,
 };
 
 /** Counts for one service. */
 typedef struct retry_entry {
-	uint64_t service; /**< Hash of its name; 0 when free. */
+	uint64_t service; /**< Hash of its name. */
 	/** Number of the bucket's period since time 0; a bucket of an older
 	 * window is stale. */
 	uint64_t epochs[RETRY_BUCKETS];
@@ -34,18 +33,23 @@
 	double ratio;	/**< Retries allowed per request. */
 	uint32_t slack; /**< Extra retries per window, of all instances. */
 	uint32_t window_ms;
-	uint32_t instances; /**< Sharing the slack; at least 1. */
-	retry_entry_t entries[RETRY_SERVICES_MAX];
+	uint32_t instances;	/**< Sharing the slack; at least 1. */
+	retry_entry_t *entries; /**< Of the services of the last window. */
+	size_t count;
+	size_t capacity;
 } retry_budget_t;
 
 void retry_budget_init(retry_budget_t *budget, double ratio, uint32_t slack,
 		       uint32_t window_ms);
 
+void retry_budget_free(retry_budget_t *budget);
+
 /** Counts a request for a service. */
 void retry_budget_count_request(retry_budget_t *budget, uint64_t service,
 				uint64_t now_ms);
 
-/** Takes one retry from the budget. @return false if it is used up */
+/** Takes one retry from the budget. @return false if it is used up, or when out
+ * of memory */
 bool retry_budget_take(retry_budget_t *budget, uint64_t service,
 		       uint64_t now_ms);
 
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -362,7 +362,8 @@
 	platform_read_request(request->head, &exchange->headers);
 	snprintf(exchange->id, sizeof(exchange->id), "%s",
 		 exchange->headers.id ? exchange->headers.id : "-");
-	exchange->has_id = exchange->headers.id != NULL;
+	if (exchange->headers.id)
+		exchange->id_hash = hash_string(exchange->headers.id);
 	exchange->last_event = exchange->headers.last_event;
 	exchange->timer = evtimer_new(env->base, on_timer, exchange);
 	exchange->buffered_head = evbuffer_new();
--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -4,6 +4,7 @@
 
 #include "process/clock.h"
 #include "process/event.h"
+#include "process/hash.h"
 #include "process/metrics.h"
 
 /** How long an engine is avoided that has other weights than expected, ms: the
@@ -19,9 +20,9 @@
 	if (head->status < 200)
 		return false;
 	platform_read_answer(head, &headers);
-	if (!headers.id || !exchange->has_id)
+	if (!headers.id || !exchange->id_hash)
 		return true;
-	return !strncmp(headers.id, exchange->id, sizeof(exchange->id) - 1);
+	return hash_string(headers.id) == exchange->id_hash;
 }
 
 static void record_weights(exchange_t *exchange)
@@ -98,7 +99,7 @@
 
 	platform_read_answer(head, &exchange->answer);
 	/* It may be an earlier refusal, sent once more. */
-	if (exchange->has_id && !exchange->answer.id)
+	if (exchange->id_hash && !exchange->answer.id)
 		exchange->answer.not_run = false;
 	exchange->has_answer_head = true;
 	exchange->status = head->status;
--- a/request/exchange_job.h
+++ b/request/exchange_job.h
@@ -40,8 +40,9 @@
 	const desired_route_t *route;
 	const desired_customer_t *customer; /**< NULL: needs no API key. */
 	request_headers_t headers;
-	char id[EXCHANGE_ID_MAX_BYTES]; /**< Of the request; "-" if none. */
-	bool has_id;
+	/** Id of the request for the log, which may be cut; "-" if none. */
+	char id[EXCHANGE_ID_MAX_BYTES];
+	uint64_t id_hash; /**< Of the whole id; 0 if none. */
 	struct event *timer;
 	uint64_t started_ms;
 	uint64_t deadline_ms; /**< Earlier one of client and route. */
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "process/cleanup.h"
 #include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
@@ -14,8 +15,6 @@
  * request is sent to another endpoint, and the shortest such time, ms. */
 #define SLOW_TARGET_FACTOR 2
 #define SLOW_MIN_MS 300
-/** Buffer size for a cache salt with its NUL, bytes. */
-#define SALT_MAX_BYTES (DESIRED_NAME_MAX_BYTES + 24)
 /** Largest priority value that engines accept; 0 is the most urgent. */
 #define PRIORITY_MAX 9
 
@@ -145,14 +144,17 @@
 	}
 }
 
-static void format_cache_salt(const exchange_t *exchange,
-			      char salt[SALT_MAX_BYTES])
+/* Returns a new string; NULL when out of memory. */
+static char *format_cache_salt(const exchange_t *exchange)
 {
 	const desired_customer_t *customer = exchange->customer;
+	char *salt;
 
-	snprintf(salt, SALT_MAX_BYTES, "%s.%llu",
-		 customer && customer->isolated ? customer->name : "",
-		 (unsigned long long)exchange->weights);
+	if (asprintf(&salt, "%s.%llu",
+		     customer && customer->isolated ? customer->name : "",
+		     (unsigned long long)exchange->weights) < 0)
+		return NULL;
+	return salt;
 }
 
 static int32_t request_priority(const exchange_t *exchange)
@@ -185,7 +187,7 @@
 	const desired_service_t *store = NULL;
 	struct evbuffer *body = exchange->request->body;
 	struct evbuffer *message = evbuffer_new();
-	char salt[SALT_MAX_BYTES];
+	CLEANUP_FREE char *salt = NULL;
 	outbound_target_t target = {
 		.address.v4 = endpoint->address,
 		.connections_max = connection_limit(exchange),
@@ -211,7 +213,11 @@
 		exchange->saving = store && exchange_reserve_save(
 						    exchange, store,
 						    exchange->weights, now_ms);
-		format_cache_salt(exchange, salt);
+		salt = format_cache_salt(exchange);
+		if (!salt) {
+			evbuffer_free(message);
+			return ERR_NO_MEMORY;
+		}
 		dispatch.cache_salt = salt;
 		dispatch.weights_version = exchange->weights;
 		dispatch.priority = request_priority(exchange);
--- a/t/fuzz-platform.c
+++ b/t/fuzz-platform.c
@@ -4,6 +4,7 @@
  * other software.
  */
 #include <ctype.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "platform/platform_desired.h"
@@ -25,8 +26,11 @@
 		(void)desired_find_key(state, "k");
 		desired_put(state);
 	}
-	if (!platform_read_endpoint("i", spec, &entry))
-		FUZZ_CHECK(entry.model_count <= VIEW_MODELS_MAX);
+	if (!platform_read_endpoint("i", spec, &entry)) {
+		for (uint32_t i = 0; i < entry.model_count; i++)
+			FUZZ_CHECK(entry.models[i].model[0] != '\0');
+		free(entry.models);
+	}
 	(void)platform_read_weights(spec, &weights);
 }
 
@@ -75,7 +79,7 @@
 	engine_report_t report;
 
 	read_spec(root);
-	(void)platform_read_report((const char *)data, size, &report);
+	(void)platform_read_report((const char *)data, size, "m", &report);
 	if (!platform_read_page((const char *)data, size, 1, &page)) {
 		(void)object_table_apply(&table, &page, 1);
 		for (size_t i = 0; i < page.count; i++)
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process/cleanup.h"
 #include "process/crash_ring.h"
 #include "process/endpoint_load.h"
 #include "process/error.h"
@@ -18,6 +19,11 @@
 	INSTANCE_COUNT = 14,
 	RETRY_SLACK = 108,
 	WINDOW_MS = 10000,
+	SERVICE_COUNT = 50,
+	SERVICE_REQUESTS = 1000,
+	/** Models of an engine, and bytes of their names. */
+	MODEL_COUNT = 40,
+	MODEL_NAME_BYTES = 200,
 	/** Reports that are passed between two threads. */
 	REPORT_COUNT = 200000,
 	NOW_MS = 50000,
@@ -45,6 +51,8 @@
 	}
 	g_assert_cmpuint(retries, <=, (uint32_t)(0.2 * requests) + RETRY_SLACK);
 	g_assert_cmpuint(retries, >, RETRY_SLACK / 2);
+	for (int i = 0; i < INSTANCE_COUNT; i++)
+		retry_budget_free(&budgets[i]);
 }
 
 /* Failure: a retry budget that was used up was never refilled, or services
@@ -59,6 +67,31 @@
 	g_assert_true(retry_budget_take(&budget, 2, 5000));
 	g_assert_false(retry_budget_take(&budget, 1, 5000 + WINDOW_MS / 2));
 	g_assert_true(retry_budget_take(&budget, 1, 5000 + 2 * WINDOW_MS));
+	retry_budget_free(&budget);
+}
+
+/* Failure: services beyond the 31st shared one budget, and one of them could
+ * spend what the requests for the others allow. */
+static void test_budget_many_services(void)
+{
+	retry_budget_t budget;
+	uint32_t retries = 0;
+
+	retry_budget_init(&budget, 0.2, RETRY_SLACK, WINDOW_MS);
+	for (uint64_t service = 1; service <= SERVICE_COUNT; service++) {
+		for (int i = 0; i < SERVICE_REQUESTS; i++)
+			retry_budget_count_request(&budget, service, NOW_MS);
+	}
+	while (retry_budget_take(&budget, SERVICE_COUNT, NOW_MS))
+		retries++;
+	g_assert_cmpuint(retries, <=, SERVICE_REQUESTS / 5 + RETRY_SLACK);
+	g_assert_true(retry_budget_take(&budget, SERVICE_COUNT - 1, NOW_MS));
+	/* Services that are gone take no memory. */
+	for (uint64_t i = 1; i <= SERVICE_COUNT; i++)
+		retry_budget_count_request(&budget, SERVICE_COUNT + i,
+					   NOW_MS + 2 * WINDOW_MS);
+	g_assert_cmpuint(budget.count, ==, SERVICE_COUNT);
+	retry_budget_free(&budget);
 }
 
 /* Failure: an endpoint that is down was not ejected, so every request was tried
@@ -653,12 +686,101 @@
 	view_builder_free(&builder);
 }
 
+static char *model_name(int number)
+{
+	g_autofree char *prefix = g_strnfill(MODEL_NAME_BYTES, 'm');
+
+	return g_strdup_printf("%s-%d", prefix, number);
+}
+
+static json_t *pack_models(int version)
+{
+	json_t *models = json_array();
+
+	for (int i = 0; i < MODEL_COUNT; i++) {
+		g_autofree char *name = model_name(i);
+
+		json_array_append_new(models,
+				      json_pack("{s:s,s:i}", "name", name,
+						"version", version));
+	}
+	return models;
+}
+
+/* Adds the target weights of all models in one list. */
+static void put_many_weights(view_builder_t *builder, int version)
+{
+	object_table_t *table = &builder->tables[OBJECT_WEIGHTS];
+
+	object_table_list_begin(table);
+	for (int i = 0; i < MODEL_COUNT; i++) {
+		g_autofree char *name = model_name(i);
+		CLEANUP_JSON json_t *spec = json_pack("{s:s,s:i}", "model",
+						      name, "version", version);
+		object_item_t item = { .name = name,
+				       .revision = (uint64_t)version,
+				       .spec = spec };
+
+		g_assert_cmpint(object_table_list_add(table, &item), ==, 1);
+	}
+	object_table_list_end(table, (uint64_t)version, NOW_MS);
+}
+
+/* Failure: a model with a name of 64 bytes or more, or beyond the 16th, had no
+ * target weights, so engines kept the old ones. */
+static void test_many_models(void)
+{
+	view_builder_t builder = { 0 };
+
+	build_first_view(&builder);
+	put_object(&builder, OBJECT_ENDPOINTS, "e", 2,
+		   json_pack("{s:s,s:s,s:s,s:i,s:s,s:o}", "service", "s",
+			     "addr", "10.0.0.1:80", "zone", "z", "slots", 4,
+			     "state", "ready", "models", pack_models(1)));
+	put_many_weights(&builder, 2);
+	g_assert_cmpint(view_builder_publish(&builder, NOW_MS), ==, 0);
+	g_assert_cmpuint(builder.view->endpoint_count, ==, 1);
+	for (int i = 0; i < MODEL_COUNT; i++) {
+		g_autofree char *name = model_name(i);
+		const target_weights_t *target =
+			view_weights(builder.view, name);
+
+		g_assert_nonnull(target);
+		g_assert_cmpuint(target->versions[0], ==, 2);
+		g_assert_cmpuint(
+			endpoint_weights(&builder.view->endpoints[0], name), ==,
+			1);
+	}
+	view_builder_free(&builder);
+}
+
+/* Failure: instances whose names begin with the same 63 bytes were taken for
+ * one, also in the lease. */
+static void test_peer_names(void)
+{
+	char name[2 * PEER_NAME_MAX_BYTES];
+	char first[PEER_NAME_MAX_BYTES];
+	char second[PEER_NAME_MAX_BYTES];
+
+	peer_name_make(first, "front-1");
+	g_assert_cmpstr(first, ==, "front-1");
+	memset(name, 'n', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	peer_name_make(first, name);
+	name[sizeof(name) - 2] = 'o';
+	peer_name_make(second, name);
+	g_assert_cmpstr(first, !=, second);
+	g_assert_cmpuint(strlen(first), ==, PEER_NAME_MAX_BYTES - 1);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/retry-budget/all-instances",
 			test_budget_all_instances);
 	g_test_add_func("/retry-budget/window", test_budget_window);
+	g_test_add_func("/retry-budget/many-services",
+			test_budget_many_services);
 	g_test_add_func("/endpoint-load/ejection", test_ejection);
 	g_test_add_func("/endpoint-load/peer-ejection", test_peer_ejection);
 	g_test_add_func("/sse-splitter/event-limit", test_splitter_event_limit);
@@ -714,5 +836,7 @@
 				     test_heartbeat_bad_news);
 		g_free(path);
 	}
+	g_test_add_func("/view-builder/many-models", test_many_models);
+	g_test_add_func("/peers/long-names", test_peer_names);
 	return g_test_run();
 }
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -369,13 +369,19 @@
 	static const char invalid[] = "{\"busy\":true}";
 	engine_report_t report;
 
-	g_assert_cmpint(platform_read_report(valid, strlen(valid), &report), ==,
-			0);
+	g_assert_cmpint(
+		platform_read_report(valid, strlen(valid), "m", &report), ==,
+		0);
 	g_assert_true(report.busy);
 	g_assert_cmpuint(report.accepted_orders, ==, 2);
-	g_assert_cmpuint(report.model_count, ==, 1);
-	g_assert_cmpint(platform_read_report(invalid, strlen(invalid), &report),
-			==, ERR_BAD_JSON);
+	g_assert_cmpuint(report.weights, ==, 3);
+	g_assert_cmpint(
+		platform_read_report(valid, strlen(valid), "n", &report), ==,
+		0);
+	g_assert_cmpuint(report.weights, ==, 0);
+	g_assert_cmpint(
+		platform_read_report(invalid, strlen(invalid), "m", &report),
+		==, ERR_BAD_JSON);
 }
 
 int main(int argc, char **argv)
--- a/version/desired.c
+++ b/version/desired.c
@@ -41,10 +41,15 @@
 		free(state->routes[i].name);
 		free(state->routes[i].host);
 		free(state->routes[i].path_prefix);
+		free(state->routes[i].splits);
 	}
 	for (size_t i = 0; i < state->service_count; i++) {
+		free(state->services[i].name);
+		free(state->services[i].domain);
 		free(state->services[i].cache_address);
 	}
+	for (size_t i = 0; i < state->customer_count; i++)
+		free(state->customers[i].name);
 	free_keys(state);
 	free(state->routes);
 	free(state->services);
--- a/version/desired.h
+++ b/version/desired.h
@@ -2,7 +2,8 @@
  * @file
  * The desired state, that is the configuration that an operator sets on the
  * users' platform: one immutable version of routes, services, customers and
- * limits, with a reference count.
+ * limits, with a reference count. The platform sets no limit to the length of a
+ * name or the number of entries, other than the size of the object.
  */
 #ifndef VERSION_DESIRED_H
 #define VERSION_DESIRED_H
@@ -13,11 +14,6 @@
 #include <urcu/ref.h>
 
 enum {
-	/** Longest name of a service, customer, model or domain, bytes with
-	 * NUL. */
-	DESIRED_NAME_MAX_BYTES = 64,
-	/** Most services that the traffic of a route is split between. */
-	DESIRED_SPLITS_MAX = 8,
 	/** Priority of a customer without a priority of its own. */
 	DESIRED_NO_PRIORITY = -1,
 };
@@ -47,7 +43,7 @@
 	uint32_t attempts_max;	/**< Most attempts, each at a new endpoint. */
 	int32_t priority;	/**< 0 is the most urgent. */
 	uint32_t split_count;
-	desired_split_t splits[DESIRED_SPLITS_MAX];
+	desired_split_t *splits;
 } desired_route_t;
 
 /** Capacity of each engine of a service. */
@@ -65,9 +61,8 @@
 } service_role_t;
 
 typedef struct desired_service {
-	char name[DESIRED_NAME_MAX_BYTES];
-	/** Failure domain of a cache store. */
-	char domain[DESIRED_NAME_MAX_BYTES];
+	char *name;
+	char *domain;	     /**< Failure domain of a cache store. */
 	char *cache_address; /**< IP:PORT of a cache store. */
 	service_role_t role;
 	uint32_t connections_max;
@@ -75,7 +70,7 @@
 } desired_service_t;
 
 typedef struct desired_customer {
-	char name[DESIRED_NAME_MAX_BYTES];
+	char *name;
 	int32_t priority; /**< Or DESIRED_NO_PRIORITY. */
 	bool isolated;	  /**< Shares no cache with other customers. */
 } desired_customer_t;
--- a/version/view.c
+++ b/version/view.c
@@ -6,6 +6,8 @@
 #include <urcu-bp.h>
 #include <urcu/compiler.h>
 
+#include "process/error.h"
+
 static view_t *published;
 
 static void view_free(struct urcu_ref *ref)
@@ -14,7 +16,12 @@
 
 	for (size_t i = 0; i < view->endpoint_count; i++)
 		endpoint_load_put(view->endpoints[i].load);
+	for (size_t i = 0; i < view->weights_count; i++)
+		free(view->weights[i].model);
 	desired_put(view->desired);
+	free(view->weights);
+	free(view->texts);
+	free(view->models);
 	free(view->endpoints);
 	free(view->groups);
 	free(view->grouped);
@@ -50,35 +57,107 @@
 	}
 }
 
+static size_t text_bytes(const endpoint_entry_t *entry)
+{
+	size_t bytes = strlen(entry->id) + strlen(entry->service) +
+		       strlen(entry->domain) + strlen(entry->address_text) + 4;
+
+	for (uint32_t i = 0; i < entry->model_count; i++)
+		bytes += strlen(entry->models[i].model) + 1;
+	return bytes;
+}
+
+/* Copies a text to `*end` and moves `*end` behind it. */
+static const char *append_text(char **end, const char *text)
+{
+	char *copy = *end;
+
+	*end = stpcpy(copy, text) + 1;
+	return copy;
+}
+
+static void copy_endpoint(view_t *view, const endpoint_entry_t *from,
+			  char **texts_end, model_weights_t **models_end)
+{
+	endpoint_entry_t *entry = &view->endpoints[view->endpoint_count++];
+
+	*entry = *from;
+	entry->id = append_text(texts_end, from->id);
+	entry->service = append_text(texts_end, from->service);
+	entry->domain = append_text(texts_end, from->domain);
+	entry->address_text = append_text(texts_end, from->address_text);
+	entry->models = *models_end;
+	for (uint32_t i = 0; i < from->model_count; i++)
+		*(*models_end)++ = (model_weights_t){
+			append_text(texts_end, from->models[i].model),
+			from->models[i].version,
+		};
+	endpoint_load_get(entry->load);
+}
+
+static int copy_endpoints(view_t *view, const endpoint_entry_t *endpoints,
+			  size_t count)
+{
+	size_t bytes = 0;
+	size_t model_count = 0;
+	char *texts_end;
+	model_weights_t *models_end;
+
+	for (size_t i = 0; i < count; i++) {
+		bytes += text_bytes(&endpoints[i]);
+		model_count += endpoints[i].model_count;
+	}
+	/* One more, so that none of the sizes is 0. */
+	view->endpoints = calloc(count + 1, sizeof(*endpoints));
+	view->texts = malloc(bytes + 1);
+	view->models = calloc(model_count + 1, sizeof(*view->models));
+	if (!view->endpoints || !view->texts || !view->models)
+		return ERR_NO_MEMORY;
+	texts_end = view->texts;
+	models_end = view->models;
+	for (size_t i = 0; i < count; i++)
+		copy_endpoint(view, &endpoints[i], &texts_end, &models_end);
+	return 0;
+}
+
+static int copy_weights(view_t *view, const target_weights_t *weights,
+			size_t count)
+{
+	view->weights = calloc(count + 1, sizeof(*weights));
+	if (!view->weights)
+		return ERR_NO_MEMORY;
+	for (size_t i = 0; i < count; i++) {
+		view->weights[i] = weights[i];
+		view->weights[i].model = strdup(weights[i].model);
+		view->weights_count++;
+		if (!view->weights[i].model)
+			return ERR_NO_MEMORY;
+	}
+	return 0;
+}
+
 view_t *view_new(desired_state_t *desired, const endpoint_entry_t *endpoints,
 		 size_t endpoint_count, const target_weights_t *weights,
-		 uint32_t weights_count)
+		 size_t weights_count)
 {
 	view_t *view = calloc(1, sizeof(*view));
 
 	if (!view)
 		return NULL;
 	urcu_ref_init(&view->ref);
-	/* One more, so that none of the sizes is 0. */
-	view->endpoints = calloc(endpoint_count + 1, sizeof(*endpoints));
 	view->groups =
 		calloc(desired->service_count + 1, sizeof(*view->groups));
 	view->grouped = calloc(endpoint_count + 1, sizeof(endpoint_entry_t *));
 	view->grouped_hashes =
 		calloc(endpoint_count + 1, sizeof(*view->grouped_hashes));
-	if (!view->endpoints || !view->groups || !view->grouped ||
-	    !view->grouped_hashes) {
+	if (!view->groups || !view->grouped || !view->grouped_hashes ||
+	    copy_endpoints(view, endpoints, endpoint_count) ||
+	    copy_weights(view, weights, weights_count)) {
 		view_free(&view->ref);
 		return NULL;
 	}
-	memcpy(view->endpoints, endpoints, endpoint_count * sizeof(*endpoints));
-	view->endpoint_count = endpoint_count;
-	for (size_t i = 0; i < endpoint_count; i++)
-		endpoint_load_get(view->endpoints[i].load);
 	desired_get(desired);
 	view->desired = desired;
-	memcpy(view->weights, weights, weights_count * sizeof(*weights));
-	view->weights_count = weights_count;
 	group_endpoints(view);
 	return view;
 }
@@ -107,7 +186,7 @@
 
 const target_weights_t *view_weights(const view_t *view, const char *model)
 {
-	for (uint32_t i = 0; i < view->weights_count; i++) {
+	for (size_t i = 0; i < view->weights_count; i++) {
 		if (!strcmp(view->weights[i].model, model))
 			return &view->weights[i];
 	}
@@ -151,7 +230,8 @@
 void endpoint_incarnation_key(const endpoint_entry_t *endpoint, char *key,
 			      size_t size)
 {
-	snprintf(key, size, "%s/%llx", endpoint->id,
+	snprintf(key, size, "%llx/%llx",
+		 (unsigned long long)endpoint->load->id_hash,
 		 (unsigned long long)endpoint->started_unix_ms);
 }
 
--- a/version/view.h
+++ b/version/view.h
@@ -16,9 +16,6 @@
 #include "version/desired.h"
 
 enum {
-	/** Most models of an endpoint or a view; the growth plan for two years
-	 * has 15 models. */
-	VIEW_MODELS_MAX = 16,
 	/** Target versions of a model that are kept: those set during the 10 s
 	 * in which an older version may still serve, at three a second. If
 	 * there are more, engines that are further behind count as outdated
@@ -28,24 +25,25 @@
 
 /** Weights version of one model at an endpoint. */
 typedef struct model_weights {
-	char model[DESIRED_NAME_MAX_BYTES];
+	const char *model;
 	uint64_t version;
 } model_weights_t;
 
 /** Target weights of one model: the last versions, newest first. */
 typedef struct target_weights {
-	char model[DESIRED_NAME_MAX_BYTES];
+	char *model;
 	uint32_t count; /**< At least 1. */
 	uint64_t versions[VIEW_TARGET_VERSIONS_MAX];
 	uint64_t known_since_ms[VIEW_TARGET_VERSIONS_MAX]; /**< Monotonic. */
 } target_weights_t;
 
-/** Entry of the endpoint list. */
+/** Entry of the endpoint list. The strings and models of an entry in a view
+ * belong to the view. */
 typedef struct endpoint_entry {
-	char id[ENDPOINT_ID_MAX_BYTES];
-	char service[DESIRED_NAME_MAX_BYTES];
-	char domain[DESIRED_NAME_MAX_BYTES]; /**< Failure domain. */
-	char address_text[32];		     /**< IP:PORT */
+	const char *id;
+	const char *service;
+	const char *domain;	  /**< Failure domain. */
+	const char *address_text; /**< IP:PORT */
 	struct sockaddr_in address;
 	uint32_t slots;
 	uint32_t warm_up_ms;
@@ -54,7 +52,7 @@
 	uint64_t started_unix_ms;
 	uint64_t revision; /**< Of its last change in the store. */
 	uint32_t model_count;
-	model_weights_t models[VIEW_MODELS_MAX];
+	model_weights_t *models;
 	endpoint_load_t *load;
 } endpoint_entry_t;
 
@@ -74,18 +72,21 @@
 	/** Arrays behind the groups: entries and their id hashes by service. */
 	const endpoint_entry_t **grouped;
 	uint64_t *grouped_hashes;
-	uint32_t weights_count;
-	target_weights_t weights[VIEW_MODELS_MAX];
+	size_t weights_count;
+	target_weights_t *weights;
+	/** Arrays behind the endpoints: their strings and models. */
+	char *texts;
+	model_weights_t *models;
 } view_t;
 
 /**
  * Creates a view with one reference. It takes references of its own to the
- * desired state and to the loads of the endpoints.
+ * desired state and to the loads of the endpoints, and copies the rest.
  * @return NULL when out of memory
  */
 view_t *view_new(desired_state_t *desired, const endpoint_entry_t *endpoints,
 		 size_t endpoint_count, const target_weights_t *weights,
-		 uint32_t weights_count);
+		 size_t weights_count);
 
 /**
  * Publishes a view for view_acquire() and drops the previous one after a grace
@@ -113,7 +114,8 @@
 uint64_t target_weights_outdated_ms(const target_weights_t *target,
 				    uint64_t version, uint64_t now_ms);
 
-/** Writes the key of one incarnation of an endpoint: id and start time. */
+/** Writes the key of one incarnation of an endpoint, of fixed length: a hash of
+ * the id, and the start time. */
 void endpoint_incarnation_key(const endpoint_entry_t *endpoint, char *key,
 			      size_t size);
 
--- a/version/view_builder.c
+++ b/version/view_builder.c
@@ -12,6 +12,9 @@
 {
 	for (int i = 0; i < OBJECT_KIND_COUNT; i++)
 		object_table_free(&builder->tables[i]);
+	for (size_t i = 0; i < builder->weights_count; i++)
+		free(builder->weights[i].model);
+	free(builder->weights);
 	desired_put(builder->desired);
 	view_put(builder->view);
 	memset(builder, 0, sizeof(*builder));
@@ -66,23 +69,41 @@
 	return 0;
 }
 
-static void update_target_weights(view_builder_t *builder,
-				  const model_weights_t *parsed,
-				  uint64_t now_ms)
+/* Adds a model without target weights; NULL when out of memory. */
+static target_weights_t *add_model(view_builder_t *builder, const char *model)
+{
+	target_weights_t *weights =
+		realloc(builder->weights,
+			(builder->weights_count + 1) * sizeof(*weights));
+	target_weights_t *added;
+
+	if (!weights)
+		return NULL;
+	builder->weights = weights;
+	added = &weights[builder->weights_count];
+	memset(added, 0, sizeof(*added));
+	added->model = strdup(model);
+	if (!added->model)
+		return NULL;
+	builder->weights_count++;
+	return added;
+}
+
+static int update_target_weights(view_builder_t *builder,
+				 const model_weights_t *parsed, uint64_t now_ms)
 {
 	target_weights_t *target = NULL;
 
-	for (uint32_t i = 0; i < builder->weights_count; i++) {
+	for (size_t i = 0; i < builder->weights_count; i++) {
 		if (!strcmp(builder->weights[i].model, parsed->model))
 			target = &builder->weights[i];
 	}
-	if (!target) {
-		if (builder->weights_count == VIEW_MODELS_MAX)
-			return;
-		target = &builder->weights[builder->weights_count++];
-		memcpy(target->model, parsed->model, sizeof(target->model));
-	}
+	if (!target)
+		target = add_model(builder, parsed->model);
+	if (!target)
+		return ERR_NO_MEMORY;
 	target_weights_add(target, parsed->version, now_ms);
+	return 0;
 }
 
 /* Earliest time of a change that becomes known now. */
@@ -114,9 +135,10 @@
 		builder->peers_weights_ms = since_ms;
 }
 
-static void update_weights(view_builder_t *builder, uint64_t now_ms)
+static int update_weights(view_builder_t *builder, uint64_t now_ms)
 {
 	const object_table_t *table = &builder->tables[OBJECT_WEIGHTS];
+	int err = 0;
 
 	now_ms = earliest_change_ms(builder, now_ms);
 	if (builder->peers_weights_ms && builder->peers_weights_ms < now_ms)
@@ -125,12 +147,13 @@
 	/* The first view contains versions that were set earlier. */
 	if (!builder->view)
 		now_ms -= builder->initial_weights_age_ms;
-	for (size_t i = 0; i < table->count; i++) {
+	for (size_t i = 0; !err && i < table->count; i++) {
 		model_weights_t parsed;
 
 		if (!platform_read_weights(table->entries[i].spec, &parsed))
-			update_target_weights(builder, &parsed, now_ms);
+			err = update_target_weights(builder, &parsed, now_ms);
 	}
+	return err;
 }
 
 /* Carries the load of an endpoint over from the last view if its incarnation
@@ -158,20 +181,24 @@
 	return endpoint_load_new(entry->id, entry->started_unix_ms);
 }
 
-/* Reads all valid entries; returns their number, or ERR_NO_MEMORY. */
-static int read_endpoints(view_builder_t *builder, endpoint_entry_t *entries)
+/* Reads all valid entries. `*count` entries are to be cleared in any case. */
+static int read_endpoints(view_builder_t *builder, endpoint_entry_t *entries,
+			  size_t *count)
 {
 	const object_table_t *table = &builder->tables[OBJECT_ENDPOINTS];
 	size_t cursor = 0;
-	int count = 0;
+	int err;
 
 	for (size_t i = 0; i < table->count; i++) {
 		const object_entry_t *object = &table->entries[i];
-		endpoint_entry_t *entry = &entries[count];
+		endpoint_entry_t *entry = &entries[*count];
 
 		if (object->suspect)
 			continue;
-		if (platform_read_endpoint(object->name, object->spec, entry)) {
+		err = platform_read_endpoint(object->name, object->spec, entry);
+		if (err == ERR_NO_MEMORY)
+			return err;
+		if (err) {
 			event_log(EVENT_ENTRY_REJECTED,
 				  "endpoint=%s revision=%llu", object->name,
 				  (unsigned long long)store_revision_number(
@@ -180,11 +207,21 @@
 		}
 		entry->revision = object->revision;
 		entry->load = get_or_create_load(builder, entry, &cursor);
+		(*count)++;
 		if (!entry->load)
 			return ERR_NO_MEMORY;
-		count++;
 	}
-	return count;
+	return 0;
+}
+
+/* The view has its own references and copies. */
+static void clear_entries(endpoint_entry_t *entries, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		endpoint_load_put(entries[i].load);
+		free(entries[i].models);
+	}
+	free(entries);
 }
 
 static int publish_entries(view_builder_t *builder,
@@ -217,7 +254,7 @@
 int view_builder_publish(view_builder_t *builder, uint64_t now_ms)
 {
 	endpoint_entry_t *entries;
-	int count;
+	size_t count = 0;
 	int err;
 
 	if (!view_builder_is_complete(builder))
@@ -227,17 +264,16 @@
 	err = update_desired(builder);
 	if (err && !builder->desired)
 		return err;
-	update_weights(builder, now_ms);
+	err = update_weights(builder, now_ms);
+	if (err)
+		return err;
 	entries = calloc(builder->tables[OBJECT_ENDPOINTS].count + 1,
 			 sizeof(*entries));
 	if (!entries)
 		return ERR_NO_MEMORY;
-	count = read_endpoints(builder, entries);
-	err = count < 0 ? count
-			: publish_entries(builder, entries, (size_t)count);
-	/* The view has its own references. */
-	for (int i = 0; i < count; i++)
-		endpoint_load_put(entries[i].load);
-	free(entries);
+	err = read_endpoints(builder, entries, &count);
+	if (!err)
+		err = publish_entries(builder, entries, count);
+	clear_entries(entries, count);
 	return err;
 }
--- a/version/view_builder.h
+++ b/version/view_builder.h
@@ -25,8 +25,8 @@
 	object_table_t tables[OBJECT_KIND_COUNT];
 	desired_state_t *desired; /**< Current; NULL before the first. */
 	view_t *view;		  /**< The last one built. */
-	target_weights_t weights[VIEW_MODELS_MAX];
-	uint32_t weights_count;
+	target_weights_t *weights;
+	size_t weights_count;
 	/** Age that the target weights of the first view are assumed to have,
 	 * ms: the store does not say when they were set. */
 	uint32_t initial_weights_age_ms;
