store_outage: a change of the watcher is no end of an outage

Cause: object_watch held all removals for 2.1 s with the first answer after a failed call, and also with the first one after its activation, so each handover of the watch counted as the end of an outage, at the new watcher and at all that follow it. Ruled out: a late election (0.1 s in the trace of the claim) and late heartbeats (the view without the endpoint was published 2.2 s after the watch had answered). The same cause on a related path: one failed call of one watch counted as an outage although the store answered all others.

Change: process/store_outage decides by what all instances know. An outage begins when the store fails for one and answers none, and ends when it answers any; then all hold removals. Heartbeats have a new flag for "the store fails"; older versions ignore it.

Weighed against removals held through a real outage: to hold only after own failures loses them when the instance that watches at the return has not failed itself; the flag that an instance yields also stays for 4 s after a cut of a single machine. An instance therefore remembers an outage until it hears of an answer, and holds also if it does not watch. No call to the store is added; a heartbeat has the same size. Kept: a loss of all watchers at once counts as an outage, as does that of the only one, since nothing distinguishes the two.

Tests: /object-watch/handover/*, /store-outage/*, /it-removed/watcher-killed/*; the latter failed before on both instances (arrivals later than 2 s after the removal), /it-removed/lapsed passes before and after, and fails without the hold (tried). test-object-watch now holds removals in its callback as gateway_control does; its checks are the same.

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -121,6 +121,27 @@
 	return object_watch_is_in_contact(control->watches[OBJECT_DESIRED]);
 }
 
+store_contact_t gateway_control_store_contact(const gateway_control_t *control)
+{
+	store_contact_t contact = { 0 };
+	bool in_contact = false;
+
+	for (size_t i = 0; i < WATCHED_KIND_COUNT; i++) {
+		const object_watch_t *watch =
+			control->watches[watched_kinds[i]];
+
+		in_contact |= object_watch_is_in_contact(watch);
+		contact.fails |= object_watch_is_failing(watch);
+	}
+	/* The watch of the desired state has the shortest wait, so that it
+	 * notices an outage first. */
+	contact.answers =
+		object_watch_is_in_contact(control->watches[OBJECT_DESIRED]) ||
+		(in_contact && control->last_change_answered);
+	contact.fails &= !contact.answers;
+	return contact;
+}
+
 store_call_t *gateway_control_store_call(gateway_control_t *control,
 					 struct evbuffer *message,
 					 store_call_fn *done, void *context)
@@ -141,6 +162,23 @@
 		object_watch_check_era(control->watches[watched_kinds[i]]);
 }
 
+/* Holds removals after an outage: those of endpoints that could not renew their
+ * entries are among them. */
+static void update_outage(gateway_control_t *control, uint64_t now_ms)
+{
+	store_contact_t contact = gateway_control_store_contact(control);
+	store_outage_change_t change;
+
+	gateway_peers_store_contact(control->peers, now_ms, &contact);
+	change = store_outage_update(&control->outage, contact);
+	if (change == STORE_OUTAGE_SAME)
+		return;
+	for (int i = 0; change == STORE_OUTAGE_ENDED && i < OBJECT_KIND_COUNT;
+	     i++)
+		object_table_hold(&control->view_builder.tables[i], now_ms);
+	event_log(EVENT_STORE_DOWN_FOR_ALL, "down=%d", control->outage.active);
+}
+
 static void on_store_contact(void *context, object_kind_t kind, int err)
 {
 	gateway_control_t *control = context;
@@ -151,6 +189,8 @@
 		  (unsigned long long)control->store.era,
 		  (unsigned long long)store_revision_number(
 			  control->view_builder.tables[kind].revision));
+	control->last_change_answered = !err;
+	update_outage(control, clock_now_ms());
 	gateway_peers_send_heartbeat(control->peers);
 }
 
@@ -173,6 +213,7 @@
 		return;
 	}
 	view_builder_tick(&control->view_builder, now_ms);
+	update_outage(control, now_ms);
 	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
 		if (object_table_expire(&control->view_builder.tables[i],
 					now_ms))
--- a/cmd/gateway_control.h
+++ b/cmd/gateway_control.h
@@ -12,6 +12,7 @@
 #include "process/object_watch.h"
 #include "process/peer_heartbeat.h"
 #include "process/store_link.h"
+#include "process/store_outage.h"
 #include "version/view_builder.h"
 
 typedef struct gateway_peers gateway_peers_t;
@@ -30,6 +31,9 @@
 				   process/peer_incarnation.h. */
 	view_builder_t view_builder;
 	object_watch_t *watches[OBJECT_KIND_COUNT];
+	store_outage_t outage;
+	/** Whether the last watch whose contact changed got an answer. */
+	bool last_change_answered;
 	gateway_peers_t *peers;
 	gateway_rollout_t *rollout;
 	_Atomic bool stop_requested;
@@ -46,6 +50,9 @@
 /** Whether the store answers the watches of this instance. */
 bool gateway_control_store_reachable(const gateway_control_t *control);
 
+/** What the watches of this instance tell about the store. */
+store_contact_t gateway_control_store_contact(const gateway_control_t *control);
+
 /** Sends a call to the store; NULL if it could not be sent. */
 store_call_t *gateway_control_store_call(gateway_control_t *control,
 					 struct evbuffer *message,
@@ -71,6 +78,10 @@
 bool gateway_peers_may_hold_lease(const gateway_peers_t *peers,
 				  uint64_t now_ms);
 
+/** Adds what the live peers tell about the store. */
+void gateway_peers_store_contact(const gateway_peers_t *peers, uint64_t now_ms,
+				 store_contact_t *contact);
+
 /** Name of the peer whose recent heartbeat says that it holds the weights
  * lease; NULL if there is none. */
 const char *gateway_peers_lease_holder(const gateway_peers_t *peers,
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -67,7 +67,8 @@
 			  uint64_t now_ms)
 {
 	uint64_t interval_ms =
-		peer->heartbeat.watching || peer->heartbeat.fencing
+		peer->heartbeat.watching || peer->heartbeat.store_fails ||
+				peer->heartbeat.fencing
 			? HEARTBEAT_MS
 			: base_heartbeat_interval(peers->target_count);
 
@@ -197,6 +198,7 @@
 		.stopping = control->gateway->stopping,
 		.watching = peers->election.watching &&
 			    gateway_control_store_reachable(control),
+		.store_fails = gateway_control_store_contact(control).fails,
 		.yielded =
 			watcher_election_has_yielded(&peers->election, now_ms),
 		.domain = gateway_domain_hash(control),
@@ -540,6 +542,19 @@
 	return NULL;
 }
 
+void gateway_peers_store_contact(const gateway_peers_t *peers, uint64_t now_ms,
+				 store_contact_t *contact)
+{
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		const peer_t *peer = peers->peers[i];
+
+		if (!gateway_peer_is_live(peers, peer, now_ms))
+			continue;
+		contact->answers |= peer->heartbeat.watching;
+		contact->fails |= peer->heartbeat.store_fails;
+	}
+}
+
 /* Watcher election. */
 
 /* Instances with the widest links rank first, because a watcher serves each
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -202,3 +202,6 @@
 EVENT(1920, PROCESS_PAUSED, "process_paused", EVENT_WARN,
       "The control thread did not run for some time. Target weights that become "
       "known soon after it count as set at its beginning.")
+EVENT(1921, STORE_DOWN_FOR_ALL, "store_down_for_all", EVENT_WARN,
+      "The store answers no instance any more (down=1), or answers one again "
+      "(0). Endpoints removed soon after an outage are kept for some time.")
--- a/process/object_table.h
+++ b/process/object_table.h
@@ -75,7 +75,8 @@
 /** Frees the entries and clears the table. */
 void object_table_free(object_table_t *table);
 
-/** Holds removals for `hold_ms` from now on, after an outage of the store. */
+/** Holds removals for `hold_ms` from now on, if that is not 0; to be called at
+ * the end of an outage of the store. */
 void object_table_hold(object_table_t *table, uint64_t now_ms);
 
 /**
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -38,11 +38,7 @@
 	evtimer_add(watch->timer, &delay);
 }
 
-/**
- * Calls contact_changed() if this result differs from the last one. With the
- * first answer after an outage, removals are held; it is to be applied after
- * this call, as it contains those of what lapsed meanwhile.
- */
+/** Calls contact_changed() if this result differs from the last one. */
 static void update_contact(object_watch_t *watch, int err)
 {
 	bool contact = err == 0;
@@ -51,8 +47,6 @@
 		return;
 	watch->contact_known = true;
 	watch->in_contact = contact;
-	if (contact)
-		object_table_hold(watch->options.table, clock_now_ms());
 	watch->options.contact_changed(watch->options.context,
 				       watch->options.kind, err);
 }
--- a/process/object_watch.h
+++ b/process/object_watch.h
@@ -44,7 +44,8 @@
 	/** Called after the table changed. */
 	void (*changed)(void *context, object_kind_t kind);
 	/** Called when the store becomes reachable (err 0) or unreachable, and
-	 * on the first result after an activation. */
+	 * on the first result after an activation; before an answer is applied,
+	 * so that removals in it can be held. */
 	void (*contact_changed)(void *context, object_kind_t kind, int err);
 	void *context;
 } object_watch_options_t;
--- a/process/peer_heartbeat.c
+++ b/process/peer_heartbeat.c
@@ -14,6 +14,7 @@
 #define FLAG_STOPPING 1U
 #define FLAG_WATCHING 2U
 #define FLAG_YIELDED 4U
+#define FLAG_STORE_FAILS 8U
 
 static bool convert_load(XDR *xdr, peer_load_t *load)
 {
@@ -42,7 +43,8 @@
 	uint32_t magic = HEARTBEAT_MAGIC;
 	uint32_t flags = (heartbeat->stopping ? FLAG_STOPPING : 0) |
 			 (heartbeat->watching ? FLAG_WATCHING : 0) |
-			 (heartbeat->yielded ? FLAG_YIELDED : 0);
+			 (heartbeat->yielded ? FLAG_YIELDED : 0) |
+			 (heartbeat->store_fails ? FLAG_STORE_FAILS : 0);
 	char *name = heartbeat->name;
 
 	if (!xdr_uint32_t(xdr, &magic) || magic != HEARTBEAT_MAGIC ||
@@ -57,6 +59,7 @@
 	heartbeat->stopping = flags & FLAG_STOPPING;
 	heartbeat->watching = flags & FLAG_WATCHING;
 	heartbeat->yielded = flags & FLAG_YIELDED;
+	heartbeat->store_fails = flags & FLAG_STORE_FAILS;
 	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
 		if (!xdr_uint64_t(xdr, &heartbeat->tables[i].revision) ||
 		    !xdr_uint64_t(xdr, &heartbeat->tables[i].digest))
--- a/process/peer_heartbeat.h
+++ b/process/peer_heartbeat.h
@@ -89,6 +89,7 @@
 	uint32_t link_mbps; /**< Speed of the machine's network link. */
 	bool stopping;
 	bool watching;	  /**< It watches the store, which answers. */
+	bool store_fails; /**< It watches the store, which does not answer. */
 	bool yielded;	  /**< It yields in the watcher election. */
 	uint64_t fencing; /**< Fencing number of the weights lease; 0:
 			       not the holder. */
--- a/t/test-object-watch.c
+++ b/t/test-object-watch.c
@@ -8,6 +8,7 @@
 #include "process/cleanup.h"
 #include "process/clock.h"
 #include "process/object_watch.h"
+#include "process/store_outage.h"
 #include "process/store_revision.h"
 #include "t/lib/platform_store.h"
 
@@ -31,6 +32,7 @@
 	rng_t rng;
 	object_table_t table;
 	object_watch_t *watch;
+	store_outage_t outage;
 	bool failing;
 	uint64_t copied; /**< Revision of the copy. */
 } rig_t;
@@ -54,6 +56,11 @@
 
 	(void)kind;
 	rig->failing = err != 0;
+	if (store_outage_update(
+		    &rig->outage,
+		    (store_contact_t){ .answers = !err, .fails = err != 0 }) ==
+	    STORE_OUTAGE_ENDED)
+		object_table_hold(&rig->table, clock_now_ms());
 	event_base_loopbreak(rig->base);
 }
 
@@ -259,6 +266,28 @@
 	rig_close(&rig);
 }
 
+/* Failure: a new watcher took its first answer for the end of an outage and
+ * held removals, so requests went to endpoints that were gone for 2 s and more.
+ */
+static void test_handover(const void *data)
+{
+	bool listed = *(const bool *)data;
+	rig_t rig;
+
+	rig_open(&rig);
+	put_endpoint(&rig, "b");
+	g_assert_true(RUN_UNTIL(&rig, has_endpoint(&rig, "b")));
+	object_watch_set_active(rig.watch, false);
+	platform_store_remove(rig.store, "servers", "a");
+	if (listed)
+		platform_store_forget(rig.store);
+	object_watch_set_active(rig.watch, true);
+	g_assert_true(RUN_UNTIL(&rig, !has_endpoint(&rig, "a")));
+	platform_store_remove(rig.store, "servers", "b");
+	g_assert_true(RUN_UNTIL(&rig, !has_endpoint(&rig, "b")));
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const bool answered[] = { false, true };
@@ -273,5 +302,9 @@
 			     test_lapsed);
 	g_test_add_data_func("/object-watch/lapsed/listed", &answered[1],
 			     test_lapsed);
+	g_test_add_data_func("/object-watch/handover/watched", &answered[0],
+			     test_handover);
+	g_test_add_data_func("/object-watch/handover/listed", &answered[1],
+			     test_handover);
 	return g_test_run();
 }
