crash_archive: keep crash evidence in the store

Cause: crash evidence lived in the memory of the running instances, which tell it to each other; when all are killed nobody has it. Ruled out: news lost between instances (before the kill all three refuse).

Change: the first watcher by name writes what changed to amv-crashes/evidence, with a condition: blocked keys at once, suspects that were not cleared for 1 s. Each process reads it once, when it first watches, and tells the others.

Weighed: an object for each key (a list at each start, and garbage), a watch (four more long polls), all instances that observe a block write it (340 calls for one block). Heartbeats keep their size and format: the new kind is not one of their tables. Ages are those at the write, so that no time of day is needed; a probe comes later for it, never sooner. Crashes are kept whole, as the deepest suspects explain them for the others.

--- a/cmd/gateway.h
+++ b/cmd/gateway.h
@@ -17,6 +17,7 @@
 #include <stdint.h>
 
 #include "process/crash_ring.h"
+#include "process/crash_snapshot.h"
 #include "process/hint_ring.h"
 #include "process/limit_turns.h"
 #include "process/peer_heartbeat.h"
@@ -61,6 +62,8 @@
 	crash_ring_t own_crash_news;
 	/** From the control to the front thread. */
 	crash_ring_t peer_crash_news;
+	/** From the front to the control thread. */
+	crash_snapshot_slot_t crash_snapshots;
 } gateway_t;
 
 /**
--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cmd/gateway_archive.h"
 #include "cmd/gateway_control.h"
 #include "platform/platform_desired.h"
 #include "platform/platform_objects.h"
@@ -227,6 +228,7 @@
 	}
 	gateway_peers_tick(control->peers, now_ms);
 	gateway_rollout_tick(control->rollout, now_ms);
+	gateway_archive_tick(control->archive, now_ms);
 	schedule_tick(control, control->was_ready ? TICK_MS : START_TICK_MS);
 }
 
@@ -275,6 +277,7 @@
 {
 	gateway_peers_close(control->peers);
 	gateway_rollout_close(control->rollout);
+	gateway_archive_close(control->archive);
 	for (int i = 0; i < OBJECT_KIND_COUNT; i++)
 		object_watch_stop(control->watches[i]);
 	if (control->tick)
@@ -345,7 +348,8 @@
 		return ERR_SETTING;
 	control->peers = gateway_peers_open(control);
 	control->rollout = gateway_rollout_open(control);
-	if (!control->peers || !control->rollout)
+	control->archive = gateway_archive_open(control);
+	if (!control->peers || !control->rollout || !control->archive)
 		return ERR_NO_MEMORY;
 	return start_watches(control);
 }
--- a/cmd/gateway_control.h
+++ b/cmd/gateway_control.h
@@ -17,6 +17,7 @@
 
 typedef struct gateway_peers gateway_peers_t;
 typedef struct gateway_rollout gateway_rollout_t;
+typedef struct gateway_archive gateway_archive_t;
 
 struct gateway_control {
 	gateway_t *gateway;
@@ -36,6 +37,7 @@
 	bool last_change_answered;
 	gateway_peers_t *peers;
 	gateway_rollout_t *rollout;
+	gateway_archive_t *archive;
 	_Atomic bool stop_requested;
 	bool was_ready;
 	bool lease_released; /**< For a planned stop. */
@@ -78,6 +80,11 @@
 bool gateway_peers_may_hold_lease(const gateway_peers_t *peers,
 				  uint64_t now_ms);
 
+/** Whether this instance is the first, by name, of those that watch the store
+ * and get answers. */
+bool gateway_peers_is_first_watcher(const gateway_peers_t *peers,
+				    uint64_t now_ms);
+
 /** Adds what the live peers tell about the store. */
 void gateway_peers_store_contact(const gateway_peers_t *peers, uint64_t now_ms,
 				 store_contact_t *contact);
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -405,6 +405,7 @@
 	front->env.peer_hints = &front->gateway->peer_hints;
 	front->env.own_crash_news = &front->gateway->own_crash_news;
 	front->env.peer_crash_news = &front->gateway->peer_crash_news;
+	front->env.crash_snapshots = &front->gateway->crash_snapshots;
 	crash_evidence_init(&front->env.crash_evidence);
 	front->env.place.instances = 1;
 	front->env.buffered_max_bytes =
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -208,7 +208,7 @@
 
 	memcpy(heartbeat.name, control->gateway->peer_name,
 	       sizeof(heartbeat.name));
-	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+	for (int i = 0; i < PEER_TABLE_COUNT; i++) {
 		const object_table_t *table = &control->view_builder.tables[i];
 
 		if (!table->complete)
@@ -542,6 +542,26 @@
 	return NULL;
 }
 
+bool gateway_peers_is_first_watcher(const gateway_peers_t *peers,
+				    uint64_t now_ms)
+{
+	const gateway_control_t *control = peers->control;
+
+	if (!peers->election.watching || control->gateway->stopping ||
+	    !gateway_control_store_reachable(control))
+		return false;
+	for (size_t i = 0; i < peers->peer_count; i++) {
+		const peer_t *peer = peers->peers[i];
+
+		if (gateway_peer_is_live(peers, peer, now_ms) &&
+		    peer->heartbeat.watching && !peer->heartbeat.stopping &&
+		    strcmp(peer->heartbeat.name, control->gateway->peer_name) <
+			    0)
+			return false;
+	}
+	return true;
+}
+
 void gateway_peers_store_contact(const gateway_peers_t *peers, uint64_t now_ms,
 				 store_contact_t *contact)
 {
--- a/process/crash_ring.h
+++ b/process/crash_ring.h
@@ -20,6 +20,7 @@
 	crash_news_t news; /**< age_ms is not used. */
 	uint64_t time_ms;  /**< Of the crash, the answer or the block, on this
 				machine's monotonic clock. */
+	bool from_store;   /**< Read from the store; peers may not know it. */
 } crash_report_t;
 
 DEFINE_SPSC_RING(crash_ring, crash_report_t, CRASH_RING_SIZE);
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -205,3 +205,9 @@
 EVENT(1921, STORE_DOWN_FOR_ALL, "store_down_for_all", EVENT_WARN,
       "The store answers no instance any more (down=1), or answers one again "
       "(0). Endpoints removed soon after an outage are kept for some time.")
+EVENT(1922, CRASH_EVIDENCE_READ, "crash_evidence_read", EVENT_INFO,
+      "What is known to crash endpoints was read from the store; not_found: nothing "
+      "was written yet.")
+EVENT(1923, CRASH_EVIDENCE_WRITTEN, "crash_evidence_written", EVENT_INFO,
+      "What is known to crash endpoints was written to the store. store_condition: "
+      "another instance has written; it is read first.")
--- a/process/object.h
+++ b/process/object.h
@@ -17,6 +17,7 @@
 	OBJECT_WEIGHTS,	  /**< Target weights of each model. */
 	OBJECT_MEMBERS,	  /**< Instances of this system. */
 	OBJECT_LEASES,	  /**< Leases of this system. */
+	OBJECT_CRASHES,	  /**< Crash evidence of this system. */
 	OBJECT_KIND_COUNT,
 } object_kind_t;
 
--- a/process/peer_heartbeat.c
+++ b/process/peer_heartbeat.c
@@ -60,7 +60,7 @@
 	heartbeat->watching = flags & FLAG_WATCHING;
 	heartbeat->yielded = flags & FLAG_YIELDED;
 	heartbeat->store_fails = flags & FLAG_STORE_FAILS;
-	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+	for (int i = 0; i < PEER_TABLE_COUNT; i++) {
 		if (!xdr_uint64_t(xdr, &heartbeat->tables[i].revision) ||
 		    !xdr_uint64_t(xdr, &heartbeat->tables[i].digest))
 			return false;
@@ -73,7 +73,7 @@
 {
 	uint64_t revision = 0;
 
-	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+	for (int i = 0; i < PEER_TABLE_COUNT; i++) {
 		if (heartbeat->tables[i].revision > revision)
 			revision = heartbeat->tables[i].revision;
 	}
@@ -82,7 +82,7 @@
 
 static void remove_era(peer_heartbeat_t *heartbeat, uint64_t era)
 {
-	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+	for (int i = 0; i < PEER_TABLE_COUNT; i++) {
 		peer_table_t *table = &heartbeat->tables[i];
 
 		table->revision =
@@ -94,7 +94,7 @@
 
 static void add_era(peer_heartbeat_t *heartbeat, uint64_t era)
 {
-	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+	for (int i = 0; i < PEER_TABLE_COUNT; i++) {
 		peer_table_t *table = &heartbeat->tables[i];
 
 		if (table->revision)
--- a/process/peer_heartbeat.h
+++ b/process/peer_heartbeat.h
@@ -20,6 +20,9 @@
 enum {
 	/** Longest name of an instance in a heartbeat with its NUL, bytes. */
 	PEER_NAME_MAX_BYTES = 64,
+	/** Tables whose revisions a heartbeat contains: the kinds up to the
+	 * leases. */
+	PEER_TABLE_COUNT = OBJECT_LEASES + 1,
 	/** Largest datagram, bytes: fits one packet without fragmentation. */
 	PEER_HEARTBEAT_MAX_BYTES = 1400,
 	/** Part of a datagram besides the lists of variable length, bytes. */
@@ -93,7 +96,7 @@
 	bool yielded;	  /**< It yields in the watcher election. */
 	uint64_t fencing; /**< Fencing number of the weights lease; 0:
 			       not the holder. */
-	peer_table_t tables[OBJECT_KIND_COUNT];
+	peer_table_t tables[PEER_TABLE_COUNT];
 	uint32_t load_count;
 	peer_load_t loads[PEER_LOADS_MAX];
 	uint32_t weights_count;
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -22,6 +22,7 @@
 #include "process/cache_index.h"
 #include "process/crash_evidence.h"
 #include "process/crash_ring.h"
+#include "process/crash_snapshot.h"
 #include "process/fetch_source.h"
 #include "process/first_token_timeout.h"
 #include "process/hint_ring.h"
@@ -92,6 +93,8 @@
 	const limit_turns_t *limit_turns;
 	crash_ring_t *own_crash_news;  /**< For the other instances. */
 	crash_ring_t *peer_crash_news; /**< From the other instances. */
+	/** For the store. */
+	crash_snapshot_slot_t *crash_snapshots;
 	uint64_t blocked_shared_ms;
 	bool has_new_blocks; /**< Runs in progress may have blocked keys. */
 	/** How long streams may wait for their first token. */
--- a/request/exchange_crash.c
+++ b/request/exchange_crash.c
@@ -187,14 +187,28 @@
 		clear_keys(exchange, clock_now_ms());
 }
 
+/* Other instances may not have read it: it is shared as own news are. */
+static void report_stored(exchange_env_t *env, const crash_news_t *news,
+			  uint64_t now_ms)
+{
+	if (news->kind == CRASH_NEWS_SUSPECT)
+		event_log(EVENT_CRASH_KEY_SUSPECT,
+			  "id=- key=%016llx depth=%u endpoint=-",
+			  (unsigned long long)news->key.id, news->key.depth);
+	share(env, news, now_ms);
+}
+
 void exchange_apply_crash_news(exchange_env_t *env, uint64_t now_ms)
 {
 	crash_report_t report;
 
 	while (crash_ring_take(env->peer_crash_news, &report)) {
 		crash_news_t news = crash_report_news(&report, now_ms);
+		bool is_news = crash_evidence_apply(&env->crash_evidence, &news,
+						    now_ms);
 
-		crash_evidence_apply(&env->crash_evidence, &news, now_ms);
+		if (is_news && report.from_store)
+			report_stored(env, &news, now_ms);
 		handle_new_blocks(env, news.kind == CRASH_NEWS_BLOCKED, now_ms);
 	}
 	crash_evidence_advance(&env->crash_evidence, now_ms);
@@ -277,6 +291,17 @@
 	}
 }
 
+/* Passes what is known on to the store, if this instance writes there. */
+static void put_snapshot(exchange_env_t *env, uint64_t now_ms)
+{
+	crash_snapshot_t snapshot;
+
+	if (!atomic_load(&env->crash_snapshots->wanted))
+		return;
+	crash_snapshot_take(&snapshot, &env->crash_evidence, now_ms);
+	crash_snapshot_put(env->crash_snapshots, &snapshot);
+}
+
 void exchange_tick_crash_evidence(exchange_env_t *env)
 {
 	uint64_t now_ms = clock_now_ms();
@@ -291,4 +316,5 @@
 		interval_ms = SHARE_BLOCKED_MS;
 	if (now_ms - env->blocked_shared_ms >= interval_ms)
 		exchange_share_blocked(env, now_ms);
+	put_snapshot(env, now_ms);
 }
--- a/t/test-it-deadly.c
+++ b/t/test-it-deadly.c
@@ -3,6 +3,7 @@
  * endpoints and a store that the test simulates.
  */
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #include "process/cleanup.h"
@@ -16,6 +17,11 @@
 	DEADLY_CRASHES_MIN = 3,
 	DEADLY_CRASHES_MAX = 5,
 	DEADLY_ARRIVALS_AFTER_MAX = 3,
+	/** Position of the part that crashes endpoints, in the second case. */
+	DEADLY_PART_DEPTH = 2,
+	/** Requests do not count this soon after a start, ms
+	 * (stable_window_ms). */
+	STABLE_MS = 3000,
 	/** Longer than all pieces that are sent first. */
 	DEADLY_BODY_BYTES = 60000,
 };
@@ -171,6 +177,92 @@
 	platform_rig_stop(&rig);
 }
 
+typedef struct killed_case {
+	const char *name;
+	int crashes; /**< Before all gateways are killed. */
+} killed_case_t;
+
+static const killed_case_t killed_cases[] = {
+	{ "blocked", DEADLY_CRASHES_MIN },
+	{ "suspected", DEADLY_CRASHES_MIN - 1 },
+};
+
+/* Whether the store has evidence of this many crashes: as suspects, or as a
+ * block if they are enough. */
+static bool is_stored(const platform_rig_t *rig, int crashes)
+{
+	CLEANUP_JSON json_t *spec =
+		platform_store_get(rig->store, "amv-crashes", "evidence");
+	const json_t *rows = json_object_get(spec, "keys");
+	const char *wanted = crashes < DEADLY_CRASHES_MIN ? "s" : "b";
+	int count = 0;
+	size_t i;
+	json_t *row;
+
+	json_array_foreach (rows, i, row) {
+		const char *kind = json_string_value(json_array_get(row, 0));
+
+		count += !strcmp(kind, wanted) &&
+			 json_integer_value(json_array_get(row, 2)) ==
+				 DEADLY_PART_DEPTH;
+	}
+	return count >= (crashes < DEADLY_CRASHES_MIN ? crashes : 1);
+}
+
+static void restart_all(platform_rig_t *rig)
+{
+	for (int i = 0; i < 2; i++)
+		program_signal(rig->gateways[i], SIGKILL);
+	for (int i = 0; i < 2; i++) {
+		program_free(rig->gateways[i]);
+		platform_rig_start_gateway(rig, i);
+	}
+	for (int i = 0; i < 2; i++)
+		g_assert_true(WAIT_UNTIL(platform_rig_is_ready(rig, i),
+					 HARNESS_WAIT_MS));
+}
+
+/* A gateway that knows of crashes since its start, or any if none does after
+ * the time in which requests do not count. */
+static int find_informed(const platform_rig_t *rig)
+{
+	int gateway = 0;
+
+	WAIT_UNTIL(strstr(program_output(rig->gateways[gateway ^= 1]),
+			  "name=crash_key_"),
+		   STABLE_MS);
+	return gateway;
+}
+
+/* Failure: after all gateways had been killed, what was known to crash
+ * endpoints was sent to them again as if it were new. */
+static void test_all_killed(const void *data)
+{
+	const killed_case_t *test_case = data;
+	platform_rig_t rig;
+	int gateway;
+
+	platform_rig_start(&rig, 2);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		rig.engines[i].deadly_text = "dead:";
+	for (int i = 0; i < test_case->crashes; i++) {
+		send_deadly(&rig, &deadly_cases[1], i);
+		g_free(send_numbered(&rig, i % 2, "/stream/again/", "a:50,b:20",
+				     100 + i));
+		/* Without evidence in the store, no instance knows of it after
+		 * the kill. */
+		WAIT_UNTIL(is_stored(&rig, i + 1), STABLE_MS);
+	}
+	g_assert_cmpuint(all_crashes(&rig), ==, (uint32_t)test_case->crashes);
+	restart_all(&rig);
+	gateway = find_informed(&rig);
+	for (int i = 0; i < DEADLY_REQUESTS; i++)
+		g_free(send_numbered(&rig, gateway, deadly_cases[1].path,
+				     deadly_cases[1].deadly_parts, 200 + i));
+	g_assert_cmpuint(all_crashes(&rig), ==, DEADLY_CRASHES_MIN);
+	platform_rig_stop(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -182,5 +274,12 @@
 		g_test_add_data_func(path, &deadly_cases[i], test_deadly);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(killed_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/it-gateway/deadly-all-killed/%s",
+					killed_cases[i].name);
+
+		g_test_add_data_func(path, &killed_cases[i], test_all_killed);
+	}
 	return g_test_run();
 }
