retry_budget: no part of the slack in the first window of a process

What an instance has used of its part of the retry budget is in its memory, so each start had a whole part again.

Change: a process gets no slack in its first window. Weighed: counts in the store, several calls a second for each instance; a part that grows with time, which still spends up to twice the slack.

Test: /retry-budget/restarts, fails with the slack from the start (tried). test_budget_all_instances() and test_budget_window() begin a window after the start now; their bounds are the same.

--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -418,7 +418,8 @@
 	rng_init(&front->env.rng, rng_system_seed());
 	retry_budget_init(&front->env.retry_budget, settings->retry_ratio,
 			  (uint32_t)settings->retry_slack,
-			  (uint32_t)(settings->retry_window_s * 1000));
+			  (uint32_t)(settings->retry_window_s * 1000),
+			  clock_now_ms());
 	if (!front->env.outbound)
 		return ERR_NO_MEMORY;
 	return open_listeners(front);
--- a/process/retry_budget.c
+++ b/process/retry_budget.c
@@ -10,13 +10,14 @@
 #define ENTRIES_FIRST 8
 
 void retry_budget_init(retry_budget_t *budget, double ratio, uint32_t slack,
-		       uint32_t window_ms)
+		       uint32_t window_ms, uint64_t now_ms)
 {
 	memset(budget, 0, sizeof(*budget));
 	budget->ratio = ratio;
 	budget->slack = slack;
 	budget->window_ms = window_ms;
 	budget->instances = 1;
+	budget->started_ms = now_ms;
 }
 
 void retry_budget_free(retry_budget_t *budget)
@@ -105,6 +106,13 @@
 		entry->requests[open_bucket(entry, epoch)]++;
 }
 
+static double slack_part(const retry_budget_t *budget, uint64_t now_ms)
+{
+	if (now_ms - budget->started_ms < budget->window_ms)
+		return 0;
+	return (double)budget->slack / budget->instances;
+}
+
 bool retry_budget_take(retry_budget_t *budget, uint64_t service,
 		       uint64_t now_ms)
 {
@@ -123,9 +131,8 @@
 		requests += entry->requests[i];
 		retries += entry->retries[i];
 	}
-	if (retries + 1 >
-	    SPENDABLE_SHARE * (budget->ratio * requests +
-			       (double)budget->slack / budget->instances))
+	if (retries + 1 > SPENDABLE_SHARE * (budget->ratio * requests +
+					     slack_part(budget, now_ms)))
 		return false;
 	entry->retries[bucket]++;
 	return true;
--- a/process/retry_budget.h
+++ b/process/retry_budget.h
@@ -5,7 +5,8 @@
  *
  * The fleet's limit holds without communication between instances: each one
  * retries at most the given ratio of its own requests plus an equal part of the
- * slack.
+ * slack. In its first window a process gets no part of the slack: the one
+ * before it may have used that up.
  */
 #ifndef PROCESS_RETRY_BUDGET_H
 #define PROCESS_RETRY_BUDGET_H
@@ -33,14 +34,15 @@
 	double ratio;	/**< Retries allowed per request. */
 	uint32_t slack; /**< Extra retries per window, of all instances. */
 	uint32_t window_ms;
-	uint32_t instances;	/**< Sharing the slack; at least 1. */
+	uint32_t instances; /**< Sharing the slack; at least 1. */
+	uint64_t started_ms;
 	retry_entry_t *entries; /**< Of the services of the last window. */
 	size_t count;
 	size_t capacity;
 } retry_budget_t;
 
 void retry_budget_init(retry_budget_t *budget, double ratio, uint32_t slack,
-		       uint32_t window_ms);
+		       uint32_t window_ms, uint64_t now_ms);
 
 void retry_budget_free(retry_budget_t *budget);
 
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -19,6 +19,8 @@
 	INSTANCE_COUNT = 14,
 	RETRY_SLACK = 108,
 	WINDOW_MS = 10000,
+	/** Interval between two starts of a process. */
+	RESTART_MS = 3000,
 	SERVICE_COUNT = 50,
 	SERVICE_REQUESTS = 1000,
 	/** Models of an engine, and bytes of their names. */
@@ -38,10 +40,11 @@
 	uint32_t requests = 0;
 
 	for (int i = 0; i < INSTANCE_COUNT; i++) {
-		retry_budget_init(&budgets[i], 0.2, RETRY_SLACK, WINDOW_MS);
+		retry_budget_init(&budgets[i], 0.2, RETRY_SLACK, WINDOW_MS, 0);
 		budgets[i].instances = INSTANCE_COUNT;
 	}
-	for (uint64_t now_ms = 0; now_ms < WINDOW_MS; now_ms += 100) {
+	for (uint64_t now_ms = WINDOW_MS; now_ms < 2 * WINDOW_MS;
+	     now_ms += 100) {
 		for (int i = 0; i < INSTANCE_COUNT; i++) {
 			retry_budget_count_request(&budgets[i], 7, now_ms);
 			requests++;
@@ -61,12 +64,42 @@
 {
 	retry_budget_t budget;
 
-	retry_budget_init(&budget, 0.2, 10, WINDOW_MS);
-	while (retry_budget_take(&budget, 1, 5000))
+	retry_budget_init(&budget, 0.2, 10, WINDOW_MS, 0);
+	while (retry_budget_take(&budget, 1, NOW_MS))
 		;
-	g_assert_true(retry_budget_take(&budget, 2, 5000));
-	g_assert_false(retry_budget_take(&budget, 1, 5000 + WINDOW_MS / 2));
-	g_assert_true(retry_budget_take(&budget, 1, 5000 + 2 * WINDOW_MS));
+	g_assert_true(retry_budget_take(&budget, 2, NOW_MS));
+	g_assert_false(retry_budget_take(&budget, 1, NOW_MS + WINDOW_MS / 2));
+	g_assert_true(retry_budget_take(&budget, 1, NOW_MS + 2 * WINDOW_MS));
+	retry_budget_free(&budget);
+}
+
+/* Failure: all instances were killed within a window, and each new process used
+ * up its part of the budget again. */
+static void test_budget_restarts(void)
+{
+	retry_budget_t budget;
+	uint32_t requests = 0;
+	uint32_t retries = 0;
+	uint64_t now_ms = NOW_MS;
+
+	retry_budget_init(&budget, 0.2, RETRY_SLACK, WINDOW_MS, 0);
+	for (; now_ms < NOW_MS + WINDOW_MS; now_ms += 100) {
+		if (now_ms % RESTART_MS == 0) {
+			retry_budget_free(&budget);
+			retry_budget_init(&budget, 0.2, RETRY_SLACK, WINDOW_MS,
+					  now_ms);
+		}
+		retry_budget_count_request(&budget, 1, now_ms);
+		requests++;
+		while (retry_budget_take(&budget, 1, now_ms))
+			retries++;
+	}
+	g_assert_cmpuint(retries, <=, (uint32_t)(0.2 * requests) + RETRY_SLACK);
+	/* It has its part again a window after the last start. */
+	now_ms += WINDOW_MS;
+	for (retries = 0; retry_budget_take(&budget, 1, now_ms); retries++)
+		;
+	g_assert_cmpuint(retries, >, RETRY_SLACK / 2);
 	retry_budget_free(&budget);
 }
 
@@ -77,7 +110,7 @@
 	retry_budget_t budget;
 	uint32_t retries = 0;
 
-	retry_budget_init(&budget, 0.2, RETRY_SLACK, WINDOW_MS);
+	retry_budget_init(&budget, 0.2, RETRY_SLACK, WINDOW_MS, 0);
 	for (uint64_t service = 1; service <= SERVICE_COUNT; service++) {
 		for (int i = 0; i < SERVICE_REQUESTS; i++)
 			retry_budget_count_request(&budget, service, NOW_MS);
@@ -779,6 +812,7 @@
 	g_test_add_func("/retry-budget/all-instances",
 			test_budget_all_instances);
 	g_test_add_func("/retry-budget/window", test_budget_window);
+	g_test_add_func("/retry-budget/restarts", test_budget_restarts);
 	g_test_add_func("/retry-budget/many-services",
 			test_budget_many_services);
 	g_test_add_func("/endpoint-load/ejection", test_ejection);
