retry_budget: a process begins with one retry and the margin

Change: one retry at once, if the ordinary part allows one, and the margin of a fifth in proportion to the time since the start. Starts that follow each other share one margin. Weighed: the whole part for a process whose peers live; a herd of half of the instances then spends 1.24 times the slack.

The rig of the integration tests sets a large slack now: tests of resumed streams and of answers that break off begin with many retries at once on an instance that has just started; what the budget allows is checked by /retry-budget/* alone, with the bounds as they were.

--- a/process/retry_budget.c
+++ b/process/retry_budget.c
@@ -1,5 +1,6 @@
 #include "process/retry_budget.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -106,11 +107,17 @@
 		entry->requests[open_bucket(entry, epoch)]++;
 }
 
-static double slack_part(const retry_budget_t *budget, uint64_t now_ms)
+/* Retries allowed beyond the ratio. */
+static double spendable_slack(const retry_budget_t *budget, uint64_t now_ms)
 {
-	if (now_ms - budget->started_ms < budget->window_ms)
-		return 0;
-	return (double)budget->slack / budget->instances;
+	uint64_t run_ms = now_ms - budget->started_ms;
+	double part = (double)budget->slack / budget->instances;
+	double margin = (1 - SPENDABLE_SHARE) * part;
+
+	if (run_ms >= budget->window_ms)
+		return SPENDABLE_SHARE * part;
+	return fmax(fmin(1, SPENDABLE_SHARE * part),
+		    margin * (double)run_ms / budget->window_ms);
 }
 
 bool retry_budget_take(retry_budget_t *budget, uint64_t service,
@@ -131,8 +138,8 @@
 		requests += entry->requests[i];
 		retries += entry->retries[i];
 	}
-	if (retries + 1 > SPENDABLE_SHARE * (budget->ratio * requests +
-					     slack_part(budget, now_ms)))
+	if (retries + 1 > SPENDABLE_SHARE * budget->ratio * requests +
+				  spendable_slack(budget, now_ms))
 		return false;
 	entry->retries[bucket]++;
 	return true;
--- a/process/retry_budget.h
+++ b/process/retry_budget.h
@@ -5,8 +5,12 @@
  *
  * The fleet's limit holds without communication between instances: each one
  * retries at most the given ratio of its own requests plus an equal part of the
- * slack. In its first window a process gets no part of the slack: the one
- * before it may have used that up.
+ * slack.
+ *
+ * A process may have been started because the one before it was killed after it
+ * had used its part up. In its first window it therefore gets only one retry,
+ * or what is left as a margin otherwise, in proportion to the time since its
+ * start: starts that follow each other get no more of it together.
  */
 #ifndef PROCESS_RETRY_BUDGET_H
 #define PROCESS_RETRY_BUDGET_H
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -17,6 +17,10 @@
 	WEIGHTS_MS = 8000,
 };
 
+/** So large that tests may begin with retries right after a start, when a
+ * process gets a small part of it. */
+#define RETRY_SLACK "100000"
+
 static void send_events(const endpoint_t *endpoint, behaviour_t behaviour,
 			const raw_request_t *request, const char *id, int after)
 {
@@ -479,7 +483,7 @@
 		"--listen", listen, "--ready-listen", ready, "--store", store,
 		"--peer-ip", peer_ip, "--peer-port", peer_port, "--name", name,
 		"--grace-s", "6", "--lease-ms", "1000", "--weights-ms",
-		weights_ms, NULL);
+		weights_ms, "--retry-slack", RETRY_SLACK, NULL);
 	g_free(weights_ms);
 	g_free(listen);
 	g_free(ready);
