exchange: end a request whose answer broke off while it was relayed

Cause: an answer above 256 KiB is relayed as it arrives; exchange_after_attempt() sent the request to another endpoint without a look at relay_started, and the body of the next run was appended. Ruled out: streams, which go on after a numbered event (/it-gateway/stream-resumes).

Change: only a stream goes on after its answer has begun to be relayed; any other request ends, and its connection is closed without the last chunk. On a related path a success without Response-Stamp above 256 KiB was relayed, then run again; it is not relayed any more and another endpoint may serve the request.

--- a/request/exchange.c
+++ b/request/exchange.c
@@ -258,6 +258,13 @@
 	exchange_finish(exchange);
 }
 
+/* Whether another attempt can go on where the last one ended. Only a stream
+ * can: its events have ids, while the bytes of two runs cannot be joined. */
+static bool can_go_on(const exchange_t *exchange)
+{
+	return !exchange->relay_started || exchange_is_stream(exchange);
+}
+
 void exchange_after_attempt(exchange_t *exchange, attempt_outcome_t outcome)
 {
 	bool retry = false;
@@ -267,6 +274,10 @@
 				   outcome == ATTEMPT_FAILED;
 
 	exchange_cancel_attempt(exchange);
+	if (!can_go_on(exchange)) {
+		exchange_refuse(exchange, ERR_ENDPOINT_LOST);
+		return;
+	}
 	switch (outcome) {
 	case ATTEMPT_NOT_SENT:
 		exchange->runs--;
--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -195,12 +195,15 @@
 	exchange_after_attempt(exchange, ATTEMPT_UNKNOWN);
 }
 
-/* Whether the answer says that the request failed, so that its body may be
- * given up. */
+/* Whether the answer says that the request failed, or is not one of an endpoint
+ * that ran it, so that its body may be given up. */
 static bool is_error_answer(const exchange_t *exchange)
 {
+	bool success = exchange->status / 100 == 2;
+
 	return exchange->status >= 500 || exchange->answer.not_run ||
-	       (exchange_is_stream(exchange) && exchange->status / 100 != 2);
+	       (success && !exchange->answer.has_response_stamp) ||
+	       (exchange_is_stream(exchange) && !success);
 }
 
 static void fail_oversized_error(exchange_t *exchange)
--- a/t/test-it-cut.c
+++ b/t/test-it-cut.c
@@ -15,9 +15,15 @@
 enum {
 	ID_BYTES = 7,
 	ID_PLACE_BYTES = 2,
+	/** Length of an answer that is relayed as it arrives, and where it
+	 * ends.
+	 */
+	OVERSIZED_BYTES = 400000,
+	OVERSIZED_SENT_BYTES = 300000,
 };
 
 #define HEAD "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
+#define OVERSIZED_TEXT "400000"
 #define TEN_BYTES "0123456789"
 
 typedef struct cut_case {
@@ -181,6 +187,47 @@
 	platform_rig_stop(&rig.rig);
 }
 
+typedef struct oversized_case {
+	const char *name;
+	const char *head;
+	bool resets;
+} oversized_case_t;
+
+static const oversized_case_t oversized_cases[] = {
+	{ "length", HEAD "Content-Length: " OVERSIZED_TEXT "\r\n\r\n", false },
+	{ "length-reset", HEAD "Content-Length: " OVERSIZED_TEXT "\r\n\r\n",
+	  true },
+	{ "no-stamp",
+	  "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n"
+	  "Content-Length: " OVERSIZED_TEXT "\r\n\r\n",
+	  false },
+};
+
+/* Failure: an answer that was too large to be buffered and broke off while it
+ * was relayed was continued with the body of another run, and ended as
+ * complete. */
+static void test_oversized(const void *data)
+{
+	static const cut_case_t lookup = { "lookup", "GET", "/get/", "", true };
+	const oversized_case_t *test_case = data;
+	g_autofree char *body = g_strnfill(OVERSIZED_BYTES, 'x');
+	g_autofree char *cut_answer = g_strconcat(test_case->head, body, NULL);
+	cut_rig_t rig;
+
+	start(&rig, &lookup);
+	rig.endpoints[0].cut_answer = cut_answer;
+	set_cut(&rig, 0, OVERSIZED_SENT_BYTES, test_case->resets);
+	while (!rig.endpoints[0].arrivals) {
+		g_autofree char *answer = send_request(&rig);
+
+		if (strstr(answer, "xxx"))
+			g_assert_false(raw_is_whole(answer));
+		else
+			g_assert_nonnull(strstr(answer, "desk-1 for c-"));
+	}
+	platform_rig_stop(&rig.rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -195,5 +242,11 @@
 		g_free(path);
 		g_free(kept);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(oversized_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/it-cut/oversized/%s", oversized_cases[i].name);
+
+		g_test_add_data_func(path, &oversized_cases[i], test_oversized);
+	}
 	return g_test_run();
 }
