exchange: target weights count at engines only

What callers saw: a lookup of a plain service that carries a Model header was answered 503 once the time limit of the model's weights had passed.

Cause: the endpoints of a plain service have no weights, which counted as version 0. The log of the refused one's neighbours shows outdated_ms growing at endpoints without models. Ruled out: ejection and limits (one endpoint was well and had answered 0.1 ms before).

Change: requested_weights() is NULL unless the service is one of engines.

--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -343,13 +343,25 @@
 		candidates->entries[i] = group->entries[selected[i]];
 }
 
+/* Target weights of the request's model; NULL if it has none. Only engines have
+ * weights, also if a request to another service names a model. */
+static const target_weights_t *requested_weights(const exchange_t *exchange)
+{
+	const view_t *view = exchange->view;
+	const char *model = exchange->headers.model;
+
+	if (!model ||
+	    view->desired->services[exchange->service].role != SERVICE_ENGINE)
+		return NULL;
+	return view_weights(view, model);
+}
+
 static void fill_candidates(const exchange_t *exchange, uint64_t now_ms,
 			    const placement_request_t *demand,
 			    candidates_t *candidates)
 {
 	const char *model = exchange->headers.model;
-	const target_weights_t *target_weights =
-		model ? view_weights(exchange->view, model) : NULL;
+	const target_weights_t *target_weights = requested_weights(exchange);
 
 	select_candidates(exchange, demand, candidates);
 	for (size_t i = 0; i < candidates->count; i++) {
--- a/t/test-it-attempts.c
+++ b/t/test-it-attempts.c
@@ -6,10 +6,13 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process/clock.h"
 #include "request/exchange.h"
 #include "t/lib/platform_rig.h"
 
 enum {
+	/** Time for which outdated weights may be used, ms. */
+	PLAIN_LIMIT_MS = 500,
 	/** Time limit for replaced weights, ms: shorter than the time after
 	 * which a stream without a first event is sent elsewhere. */
 	WEIGHTS_LIMIT_MS = 1600,
@@ -246,6 +249,27 @@
 	platform_rig_stop(&rig);
 }
 
+/* Failure: a lookup that named a model was refused once the time limit of the
+ * model's weights had passed, though its service has no models. */
+static void test_model_at_plain_service(void)
+{
+	platform_rig_t rig;
+	uint64_t end_ms;
+	const platform_rig_options_t options = {
+		.weights_ms = EXCHANGE_OLD_WEIGHTS_MARGIN_MS + PLAIN_LIMIT_MS,
+	};
+
+	platform_rig_start_with(&rig, 1, &options);
+	end_ms = clock_now_ms() + 2 * PLAIN_LIMIT_MS;
+	while (clock_now_ms() < end_ms) {
+		g_autofree char *answer = platform_rig_request(
+			&rig, 0, "GET", "/get/1", MODEL_HEADERS);
+
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+	}
+	platform_rig_stop(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -260,5 +284,7 @@
 			test_refused_attempt);
 	g_test_add_func("/attempts/refusing-engine-is-taken-for-up-to-date",
 			test_unexpected_weights);
+	g_test_add_func("/attempts/model-at-plain-service",
+			test_model_at_plain_service);
 	return g_test_run();
 }
