store_outage, retry_budget: document what a newcomer asks

Found when the whole change was read once more: store_outage_update() and retry_budget_free() had no doc comment, and that an outage is kept while nothing is known was said by the tests alone.

--- a/process/retry_budget.h
+++ b/process/retry_budget.h
@@ -38,8 +38,8 @@
 	double ratio;	/**< Retries allowed per request. */
 	uint32_t slack; /**< Extra retries per window, of all instances. */
 	uint32_t window_ms;
-	uint32_t instances; /**< Sharing the slack; at least 1. */
-	uint64_t started_ms;
+	uint32_t instances;	/**< Sharing the slack; at least 1. */
+	uint64_t started_ms;	/**< Start of the process, monotonic. */
 	retry_entry_t *entries; /**< Of the services of the last window. */
 	size_t count;
 	size_t capacity;
@@ -48,6 +48,7 @@
 void retry_budget_init(retry_budget_t *budget, double ratio, uint32_t slack,
 		       uint32_t window_ms, uint64_t now_ms);
 
+/** Frees what an initialised budget holds. */
 void retry_budget_free(retry_budget_t *budget);
 
 /** Counts a request for a service. */
--- a/process/store_outage.h
+++ b/process/store_outage.h
@@ -15,8 +15,8 @@
 
 /** What the last calls of this instance, or of all, tell about the store. */
 typedef struct store_contact {
-	bool answers; /**< The last call was answered, of any instance. */
-	bool fails;   /**< The last call failed, of any instance. */
+	bool answers; /**< It answers this instance, or any. */
+	bool fails;   /**< Calls of this instance, or of any, fail. */
 } store_contact_t;
 
 typedef enum store_outage_change {
@@ -29,6 +29,11 @@
 	bool active;
 } store_outage_t;
 
+/**
+ * Applies what is known now. The state is kept while nothing is known, so that
+ * an outage lasts over a change of the watcher.
+ * @param outage zeroed at the start
+ */
 store_outage_change_t store_outage_update(store_outage_t *outage,
 					  store_contact_t contact);
 
