rollout: log the orders that are open when a term ends

The logs showed when an order was sent and when its call ended, but not which ones were open at the end of a term. engine_order_open names them. No decision changes.

--- a/cmd/gateway_rollout.c
+++ b/cmd/gateway_rollout.c
@@ -32,6 +32,7 @@
 	char *id;
 	char *model;
 	uint64_t term; /**< Lease term in which it was sent. */
+	bool is_order; /**< Else it is a request for a report. */
 	http_call_t *call;
 	struct engine_call *next;
 } engine_call_t;
@@ -217,6 +218,8 @@
 	}
 	call = call_new(rollout, entry, model, action->key);
 	message = evbuffer_new();
+	if (call)
+		call->is_order = true;
 	event_log(
 		EVENT_ENGINE_ORDER,
 		"endpoint=%s model=%s version=%llu fencing=%llu accepted=%llu "
@@ -410,10 +413,23 @@
 	}
 }
 
+/* Orders may arrive after the lease that they were sent under has ended. */
+static void log_open_orders(const gateway_rollout_t *rollout)
+{
+	for (const engine_call_t *call = rollout->calls; call;
+	     call = call->next) {
+		if (call->is_order && call->term == rollout->term)
+			event_log(EVENT_ENGINE_ORDER_OPEN,
+				  "endpoint=%s model=%s", call->id,
+				  call->model);
+	}
+}
+
 static void on_term_changed(void *context)
 {
 	gateway_rollout_t *rollout = context;
 
+	log_open_orders(rollout);
 	rollout->term++;
 	weights_rollout_reset(
 		&rollout->engine_states,
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -79,6 +79,9 @@
 EVENT(1412, ENGINE_ORDER_UNKNOWN, "engine_order_unknown", EVENT_WARN,
       "The outcome of an engine order is unknown; its slot stays reserved "
       "until the engine reports it or the longest duration has passed.")
+EVENT(1413, ENGINE_ORDER_OPEN, "engine_order_open", EVENT_WARN,
+      "The lease ended while an order to an engine had no answer; it may still "
+      "arrive.")
 EVENT(1500, PEER_REJECTED, "peer_rejected", EVENT_WARN,
       "A message from a peer was not authentic or a replay. Check that all "
       "instances have the same cluster name and secret, and that their "
