rollout: log orders before they are sent, and wait for those of earlier holders

Cause: the lease bounds when an order is sent, not when it arrives. Its validity is checked when the call is made; then the bytes may wait for a connection, in the socket and on the link, also after the call timed out and the lease ended. The next holder acted at a fixed time after the last renewal, whatever was on the way. A planned stop made it worse: the lease was handed over at once.

Change: process/rollout_log is a write-ahead log of orders in the store. An order is sent only after the log names it. A holder reads the log before it sends anything, and sends nothing to an engine to which an order of an earlier holder may be on the way: until the engine has counted that order, or the transit time has passed. If the store has lost the log in a restore, any engine may have such an order. At the end of a term the holder withdraws its open orders: their connections are reset, so that bytes that have not left are discarded. No time of the lease is changed.

--- a/cmd/gateway_lease.c
+++ b/cmd/gateway_lease.c
@@ -225,6 +225,11 @@
 			      : 0;
 }
 
+uint64_t gateway_lease_observed_ms(const gateway_lease_t *lease)
+{
+	return clock_boot_ms() - lease->lease.observed_at_ms;
+}
+
 void gateway_lease_store_era(gateway_lease_t *lease)
 {
 	lease_event_t event = { .kind = LEASE_EVENT_ERA,
--- a/cmd/gateway_lease.h
+++ b/cmd/gateway_lease.h
@@ -32,4 +32,8 @@
  * else 0. */
 uint64_t gateway_lease_fencing(const gateway_lease_t *lease, uint32_t ahead_ms);
 
+/** Time since this instance first read the record as it was before it acquired
+ * the lease, ms. */
+uint64_t gateway_lease_observed_ms(const gateway_lease_t *lease);
+
 #endif
--- a/cmd/gateway_rollout.c
+++ b/cmd/gateway_rollout.c
@@ -4,6 +4,7 @@
 
 #include "cmd/gateway_control.h"
 #include "cmd/gateway_lease.h"
+#include "cmd/gateway_rollout_log.h"
 #include "platform/platform_engine.h"
 #include "process/clock.h"
 #include "process/error.h"
@@ -23,6 +24,9 @@
 	COMPLETED_MAX = 512,
 	/** No order is sent this shortly before the lease ends, ms. */
 	ORDER_MARGIN_MS = 100,
+	/** Capacity of the first allocation for orders that are not logged
+	 * yet. */
+	UNLOGGED_FIRST = 16,
 };
 
 /** An open call to an engine. */
@@ -49,6 +53,10 @@
 	gateway_lease_t *lease;
 	uint64_t term; /**< Changes when the lease is acquired or lost. */
 	weights_rollout_t engine_states;
+	gateway_rollout_log_t *log;
+	rollout_action_t *unlogged; /**< Orders that are not logged yet. */
+	size_t unlogged_count;
+	size_t unlogged_capacity;
 	engine_call_t *calls;
 	completed_engine_t completed[COMPLETED_MAX];
 	size_t completed_count;
@@ -60,6 +68,11 @@
 
 static void step_rollout(gateway_rollout_t *rollout, uint64_t now_ms);
 
+static rollout_log_t *log_state(const gateway_rollout_t *rollout)
+{
+	return gateway_rollout_log_state(rollout->log);
+}
+
 /* Calls to engines. */
 
 static void free_call(engine_call_t *call)
@@ -110,6 +123,7 @@
 		.connections_max = 4,
 		.connect_timeout_ms = ENGINE_CONNECT_MS,
 		.user_timeout_ms = ENGINE_CALL_MS,
+		.reset_on_close = true,
 	};
 
 	endpoint_incarnation_key(entry, target.key, sizeof(target.key));
@@ -125,6 +139,7 @@
 {
 	engine_call_t *call = context;
 	gateway_rollout_t *rollout = call->rollout;
+	uint64_t now_ms = clock_now_ms();
 	engine_report_t report;
 	rollout_report_t parsed = { .result = err };
 
@@ -138,19 +153,23 @@
 		parsed.accepted = report.accepted_orders;
 		parsed.weights = report.weights;
 	}
+	if (call->term == rollout->term && !parsed.result)
+		rollout_log_on_report(log_state(rollout), call->key,
+				      parsed.accepted, now_ms);
 	event_log(EVENT_ENGINE_REPORT,
 		  "endpoint=%s result=%s status=%u busy=%d accepted=%llu "
-		  "weights=%llu running=%u",
+		  "weights=%llu running=%u hold=%d",
 		  call->id, error_type(parsed.result), status, parsed.busy,
 		  (unsigned long long)parsed.accepted,
 		  (unsigned long long)parsed.weights,
-		  parsed.result ? 0 : report.running);
+		  parsed.result ? 0 : report.running,
+		  rollout_log_hold(log_state(rollout), call->key, now_ms));
 	if (call->term == rollout->term)
 		weights_rollout_on_report(&rollout->engine_states, call->key,
-					  &parsed, clock_now_ms());
+					  &parsed, now_ms);
 	end_call(call);
 	if (gateway_lease_fencing(rollout->lease, 0))
-		step_rollout(rollout, clock_now_ms());
+		step_rollout(rollout, now_ms);
 }
 
 static void on_order_answer(void *context, int err, uint16_t status,
@@ -164,9 +183,12 @@
 	event_log(err ? EVENT_ENGINE_ORDER_UNKNOWN : EVENT_ENGINE_ORDER_RESULT,
 		  "endpoint=%s result=%s status=%u", call->id, error_type(err),
 		  status);
-	if (call->term == rollout->term)
+	if (call->term == rollout->term) {
+		rollout_log_on_answer(log_state(rollout), call->key, !err,
+				      clock_now_ms());
 		weights_rollout_on_answer(&rollout->engine_states, call->key,
 					  err ? 0 : status, clock_now_ms());
+	}
 	end_call(call);
 }
 
@@ -192,6 +214,15 @@
 		evbuffer_free(message);
 }
 
+/* An order that is not sent counts as unanswered: the engine's report is
+ * requested next. */
+static void drop_order(gateway_rollout_t *rollout, uint64_t key)
+{
+	rollout_log_drop(log_state(rollout), key);
+	weights_rollout_on_answer(&rollout->engine_states, key, 0,
+				  clock_now_ms());
+}
+
 static void send_order(gateway_rollout_t *rollout,
 		       const endpoint_entry_t *entry, const char *model,
 		       const rollout_action_t *action)
@@ -206,37 +237,103 @@
 		.fencing = fencing,
 		.expected_orders = action->accepted,
 	};
-	engine_call_t *call;
-	struct evbuffer *message;
+	engine_call_t *call = call_new(rollout, entry, model, action->key);
+	struct evbuffer *message = evbuffer_new();
 
-	/* An order that cannot be sent counts as unanswered: the engine's
-	 * report is requested next. */
-	if (!gateway_lease_fencing(rollout->lease, ORDER_MARGIN_MS)) {
-		weights_rollout_on_answer(&rollout->engine_states, action->key,
-					  0, clock_now_ms());
-		return;
-	}
-	call = call_new(rollout, entry, model, action->key);
-	message = evbuffer_new();
-	if (call)
+	if (call && message && !platform_write_order(message, &order)) {
 		call->is_order = true;
-	event_log(
-		EVENT_ENGINE_ORDER,
-		"endpoint=%s model=%s version=%llu fencing=%llu accepted=%llu "
-		"runs_left=%d",
-		entry->id, model, (unsigned long long)action->version,
-		(unsigned long long)fencing,
-		(unsigned long long)action->accepted, action->runs_left);
-	metrics_add(METRIC_ENGINE_ORDERS_SENT, 1);
-	if (call && message && !platform_write_order(message, &order))
+		event_log(EVENT_ENGINE_ORDER,
+			  "endpoint=%s model=%s version=%llu fencing=%llu "
+			  "accepted=%llu runs_left=%d",
+			  entry->id, model, (unsigned long long)action->version,
+			  (unsigned long long)fencing,
+			  (unsigned long long)action->accepted,
+			  action->runs_left);
+		metrics_add(METRIC_ENGINE_ORDERS_SENT, 1);
+		rollout_log_on_sent(log_state(rollout), action->key);
 		send_engine_call(call, entry, message, on_order_answer);
-	else if (call)
-		on_order_answer(call, ERR_NO_MEMORY, 0, "", 0);
+	} else {
+		if (call)
+			end_call(call);
+		drop_order(rollout, action->key);
+	}
+	if (message)
+		evbuffer_free(message);
+}
+
+static const endpoint_entry_t *find_engine(const gateway_rollout_t *rollout,
+					   uint64_t key)
+{
+	const view_t *view = rollout->control->view_builder.view;
+
+	for (size_t i = 0; view && i < view->endpoint_count; i++) {
+		const endpoint_entry_t *entry = &view->endpoints[i];
+
+		if (entry->model_count &&
+		    peer_endpoint_key(entry->load->id_hash,
+				      entry->load->started_unix_ms) == key)
+			return entry;
+	}
+	return NULL;
+}
+
+/* Sends an order once it has been logged, while the lease lasts. */
+static void send_logged_order(gateway_rollout_t *rollout,
+			      const rollout_action_t *action)
+{
+	const endpoint_entry_t *entry = find_engine(rollout, action->key);
+
+	if (entry && gateway_lease_fencing(rollout->lease, ORDER_MARGIN_MS))
+		send_order(rollout, entry, entry->models[0].model, action);
 	else
+		drop_order(rollout, action->key);
+}
+
+static void on_logged(void *context)
+{
+	gateway_rollout_t *rollout = context;
+	size_t count = rollout->unlogged_count;
+	size_t kept = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		rollout_action_t action = rollout->unlogged[i];
+
+		if (rollout_log_is_logged(log_state(rollout), action.key))
+			send_logged_order(rollout, &action);
+		else
+			rollout->unlogged[kept++] = action;
+	}
+	rollout->unlogged_count = kept;
+}
+
+static bool reserve_unlogged(gateway_rollout_t *rollout)
+{
+	size_t capacity = rollout->unlogged_capacity
+				  ? 2 * rollout->unlogged_capacity
+				  : UNLOGGED_FIRST;
+	rollout_action_t *unlogged;
+
+	if (rollout->unlogged_count < rollout->unlogged_capacity)
+		return true;
+	unlogged = realloc(rollout->unlogged, capacity * sizeof(*unlogged));
+	if (!unlogged)
+		return false;
+	rollout->unlogged = unlogged;
+	rollout->unlogged_capacity = capacity;
+	return true;
+}
+
+static void log_order(gateway_rollout_t *rollout,
+		      const rollout_action_t *action)
+{
+	if (!reserve_unlogged(rollout) ||
+	    rollout_log_add(log_state(rollout), action->key,
+			    action->accepted)) {
 		weights_rollout_on_answer(&rollout->engine_states, action->key,
 					  0, clock_now_ms());
-	if (message)
-		evbuffer_free(message);
+		return;
+	}
+	rollout->unlogged[rollout->unlogged_count++] = *action;
 }
 
 static void record_completed(gateway_rollout_t *rollout, uint64_t key,
@@ -272,8 +369,8 @@
 }
 
 /* Lists the engines of the view whose model has target weights. */
-static size_t list_engines(const view_t *view, uint64_t now_ms,
-			   rollout_engine_t *engines)
+static size_t list_engines(const view_t *view, const rollout_log_t *log,
+			   uint64_t now_ms, rollout_engine_t *engines)
 {
 	size_t count = 0;
 
@@ -303,6 +400,7 @@
 			.reachable = !entry->draining && !load->leaving &&
 				     now_ms >= load->ejected_until_ms,
 		};
+		engine->hold = rollout_log_hold(log, engine->key, now_ms);
 	}
 	return count;
 }
@@ -323,7 +421,7 @@
 			     now_ms + ROLLOUT_LOADING_TTL_MS);
 		break;
 	case ROLLOUT_ACTION_ORDER:
-		send_order(rollout, entry, model, action);
+		log_order(rollout, action);
 		break;
 	case ROLLOUT_ACTION_DONE:
 		atomic_store(&entry->load->observed_weights, action->version);
@@ -363,7 +461,8 @@
 	    !reserve_engines(rollout, view->endpoint_count))
 		return;
 	rollout->stepping = true;
-	count = list_engines(view, now_ms, rollout->engines);
+	count = list_engines(view, log_state(rollout), now_ms,
+			     rollout->engines);
 	weights_rollout_step(&rollout->engine_states, rollout->engines, count,
 			     now_ms, &rollout->actions);
 	for (size_t i = 0; i < actions->count; i++) {
@@ -373,6 +472,7 @@
 			actions->items[i].kind == ROLLOUT_ACTION_DONE;
 	}
 	rollout->stepping = false;
+	gateway_rollout_log_step(rollout->log);
 	extend_loading(rollout, now_ms);
 	if (must_announce)
 		gateway_peers_send_heartbeat(rollout->control->peers);
@@ -413,15 +513,20 @@
 	}
 }
 
-/* Orders may arrive after the lease that they were sent under has ended. */
-static void log_open_orders(const gateway_rollout_t *rollout)
+/* Withdraws the orders that have no answer, as far as their bytes have not left
+ * yet; the others may still arrive. */
+static void withdraw_orders(gateway_rollout_t *rollout)
 {
-	for (const engine_call_t *call = rollout->calls; call;
-	     call = call->next) {
-		if (call->is_order && call->term == rollout->term)
-			event_log(EVENT_ENGINE_ORDER_OPEN,
-				  "endpoint=%s model=%s", call->id,
-				  call->model);
+	engine_call_t *next;
+
+	for (engine_call_t *call = rollout->calls; call; call = next) {
+		next = call->next;
+		if (!call->is_order)
+			continue;
+		event_log(EVENT_ENGINE_ORDER_OPEN, "endpoint=%s model=%s",
+			  call->id, call->model);
+		http_call_cancel(call->call);
+		end_call(call);
 	}
 }
 
@@ -429,11 +534,15 @@
 {
 	gateway_rollout_t *rollout = context;
 
-	log_open_orders(rollout);
+	withdraw_orders(rollout);
 	rollout->term++;
+	rollout->unlogged_count = 0;
 	weights_rollout_reset(
 		&rollout->engine_states,
 		(uint32_t)rollout->control->gateway->settings.weights_ms);
+	gateway_rollout_log_set_term(rollout->log,
+				     gateway_lease_fencing(rollout->lease, 0),
+				     gateway_lease_observed_ms(rollout->lease));
 }
 
 uint64_t gateway_rollout_fencing(const gateway_rollout_t *rollout)
@@ -465,12 +574,16 @@
 	if (!rollout)
 		return NULL;
 	rollout->control = control;
-	rollout->lease = gateway_lease_open(control, on_term_changed, rollout);
-	if (!rollout->lease) {
-		free(rollout);
-		return NULL;
-	}
-	return rollout;
+	rollout->log = gateway_rollout_log_open(control, on_logged, rollout);
+	if (rollout->log)
+		rollout->lease =
+			gateway_lease_open(control, on_term_changed, rollout);
+	if (rollout->lease)
+		return rollout;
+	if (rollout->log)
+		gateway_rollout_log_close(rollout->log);
+	free(rollout);
+	return NULL;
 }
 
 void gateway_rollout_close(gateway_rollout_t *rollout)
@@ -486,7 +599,9 @@
 		free_call(call);
 		call = next;
 	}
+	gateway_rollout_log_close(rollout->log);
 	weights_rollout_free(&rollout->engine_states);
+	free(rollout->unlogged);
 	free(rollout->engines);
 	free(rollout);
 }
--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -341,6 +341,8 @@
 	if (target->user_timeout_ms)
 		socket_option_set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
 				  (int)target->user_timeout_ms);
+	if (target->reset_on_close)
+		socket_option_reset_on_close(fd);
 }
 
 static connection_t *connection_new(outbound_t *outbound,
--- a/connection/outbound.h
+++ b/connection/outbound.h
@@ -74,6 +74,8 @@
 	/** TCP_USER_TIMEOUT: bytes that stay unacknowledged for this long end a
 	 * connection, ms; 0 for the system's default. */
 	uint32_t user_timeout_ms;
+	/** Closing a connection discards bytes that have not arrived yet. */
+	bool reset_on_close;
 } outbound_target_t;
 
 /** Counters since outbound_open(). */
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -82,6 +82,12 @@
 EVENT(1413, ENGINE_ORDER_OPEN, "engine_order_open", EVENT_WARN,
       "The lease ended while an order to an engine had no answer; it may still "
       "arrive.")
+EVENT(1414, ROLLOUT_LOG_READ, "rollout_log_read", EVENT_INFO,
+      "The log of orders to engines was read: orders of earlier holders that "
+      "may be on the way. If it is of an earlier era of the store, or there is "
+      "none, all engines are held for the transit time.")
+EVENT(1415, ROLLOUT_LOG_WRITTEN, "rollout_log_written", EVENT_DEBUG,
+      "Orders to engines were written to the log, so that they may be sent.")
 EVENT(1500, PEER_REJECTED, "peer_rejected", EVENT_WARN,
       "A message from a peer was not authentic or a replay. Check that all "
       "instances have the same cluster name and secret, and that their "
--- a/process/weights_rollout.c
+++ b/process/weights_rollout.c
@@ -148,7 +148,7 @@
 {
 	rollout_action_t *action;
 
-	if (!engine->reachable) {
+	if (!engine->reachable || engine->hold != ROLLOUT_HOLD_NONE) {
 		enter_state(entry, ROLLOUT_READY, now_ms, 0);
 		return;
 	}
@@ -197,6 +197,25 @@
 	return age_a != age_b ? age_a > age_b : a->runs < b->runs;
 }
 
+/* Whether the engine's update may begin, or its next report is due. */
+static bool is_due(const rollout_entry_t *entry, const rollout_engine_t *engine,
+		   uint64_t now_ms)
+{
+	if (now_ms < entry->not_before_ms ||
+	    (entry->state != ROLLOUT_IDLE && entry->state != ROLLOUT_READY))
+		return false;
+	switch (engine->hold) {
+	case ROLLOUT_HOLD_NONE:
+		return true;
+	case ROLLOUT_HOLD_REPORTS:
+		return entry->state == ROLLOUT_IDLE ||
+		       now_ms >= entry->since_ms + ROLLOUT_POLL_MS;
+	case ROLLOUT_HOLD_ALL:
+		return false;
+	}
+	return false;
+}
+
 static const rollout_engine_t *next_engine(weights_rollout_t *rollout,
 					   const rollout_engine_t *engines,
 					   size_t count, uint64_t now_ms)
@@ -208,9 +227,7 @@
 		const rollout_entry_t *entry = find_entry(rollout, engine->key);
 
 		if (!entry || !engine->reachable ||
-		    now_ms < entry->not_before_ms ||
-		    (entry->state != ROLLOUT_IDLE &&
-		     entry->state != ROLLOUT_READY) ||
+		    !is_due(entry, engine, now_ms) ||
 		    !is_outdated(entry, engine))
 			continue;
 		if (!best || has_priority(engine, best))
@@ -222,7 +239,8 @@
 static void begin_update(rollout_entry_t *entry, const rollout_engine_t *engine,
 			 uint64_t now_ms, rollout_actions_t *actions)
 {
-	if (entry->state == ROLLOUT_IDLE) {
+	if (entry->state == ROLLOUT_IDLE ||
+	    engine->hold == ROLLOUT_HOLD_REPORTS) {
 		add_action(actions, ROLLOUT_ACTION_POLL, engine);
 		enter_state(entry, ROLLOUT_POLLING, now_ms, UINT32_MAX);
 		return;
--- a/process/weights_rollout.h
+++ b/process/weights_rollout.h
@@ -9,7 +9,9 @@
  * weights, then it is polled for reports until it has loaded them; an order
  * that has not been executed by then is repeated without a pause. An order
  * contains the target version and the number of orders that the engine has
- * accepted so far, so that a delayed order cannot undo a newer one.
+ * accepted so far, so that a delayed order cannot undo a newer one. An engine
+ * to which an order of an earlier holder may be on the way gets none until that
+ * is settled (process/rollout_log.h).
  */
 #ifndef PROCESS_WEIGHTS_ROLLOUT_H
 #define PROCESS_WEIGHTS_ROLLOUT_H
@@ -18,6 +20,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "process/rollout_log.h"
+
 enum {
 	/** Actions returned by one step, which may end the updates of a third
 	 * of the engines and begin those of another third: the largest region
@@ -70,6 +74,7 @@
 	uint32_t runs;		 /**< Requests that it is running. */
 	uint64_t outdated_ms; /**< Time since newer target weights were set. */
 	bool reachable;	      /**< Not ejected and not leaving. */
+	rollout_hold_t hold;  /**< See rollout_log_hold(). */
 } rollout_engine_t;
 
 typedef struct rollout_entry {
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -13,6 +13,9 @@
 	/** How long a dropped order's connection stays open, ms: longer than a
 	 * gateway waits for the answer. */
 	ORDER_DROP_MS = 2000,
+	/** Longest time that an order is on the way. */
+	ORDER_DELAY_MS = 20000,
+	LEASE_MS = 1000,
 	/** Default of platform_rig_options_t::weights_ms. */
 	WEIGHTS_MS = 8000,
 };
@@ -254,6 +257,16 @@
 	pthread_mutex_unlock(&endpoint->lock);
 }
 
+/* Whether the order was on the way for longer. */
+static bool delay_order(endpoint_t *endpoint)
+{
+	if (!atomic_exchange(&endpoint->delays_order, false))
+		return false;
+	endpoint->delayed_orders++;
+	WAIT_UNTIL(endpoint->order_arrives, ORDER_DELAY_MS);
+	return true;
+}
+
 static raw_next_t answer_control_request(endpoint_t *endpoint,
 					 const raw_request_t *request)
 {
@@ -269,8 +282,12 @@
 	if (g_str_has_prefix(request->head, "POST")) {
 		CLEANUP_JSON json_t *order = json_loads(request->body, 0, NULL);
 
+		bool delayed = delay_order(endpoint);
+
 		endpoint->orders++;
 		check_order_fencing(endpoint, order);
+		if (delayed)
+			endpoint->delayed_orders--;
 		if (endpoint->drops_orders) {
 			WAIT_UNTIL(endpoint->release, ORDER_DROP_MS);
 			return RAW_CLOSE;
@@ -282,6 +299,7 @@
 		send_answer(request, "", 202, "", "{}");
 		return RAW_KEEP;
 	}
+	endpoint->reports++;
 	body = g_strdup_printf("{\"busy\":false,\"seq\":%u,\"models\":[{"
 			       "\"name\":\"m\",\"version\":%llu}]}",
 			       endpoint->orders,
@@ -463,6 +481,7 @@
 	char *peer_port = g_strdup_printf("%u", rig->peer_ports[0]);
 	char *name = g_strdup_printf("gw-%d", index);
 	char *weights_ms = g_strdup_printf("%u", rig->options.weights_ms);
+	char *lease_ms = g_strdup_printf("%u", rig->options.lease_ms);
 
 	if (!rig->ports[index]) {
 		rig->ports[index] = harness_free_port();
@@ -482,9 +501,10 @@
 		rig->clocks[index] ? "shifted-gateway" : "amaranthvale-gateway",
 		"--listen", listen, "--ready-listen", ready, "--store", store,
 		"--peer-ip", peer_ip, "--peer-port", peer_port, "--name", name,
-		"--grace-s", "6", "--lease-ms", "1000", "--weights-ms",
+		"--grace-s", "6", "--lease-ms", lease_ms, "--weights-ms",
 		weights_ms, "--retry-slack", RETRY_SLACK, NULL);
 	g_free(weights_ms);
+	g_free(lease_ms);
 	g_free(listen);
 	g_free(ready);
 	g_free(store);
@@ -505,6 +525,8 @@
 	rig->options = *options;
 	if (!rig->options.weights_ms)
 		rig->options.weights_ms = WEIGHTS_MS;
+	if (!rig->options.lease_ms)
+		rig->options.lease_ms = LEASE_MS;
 	rig->store = platform_store_start();
 	rig->peer_ports[0] = harness_free_port();
 	platform_rig_put_desired(rig, 1, "key-1");
@@ -596,6 +618,17 @@
 	return has;
 }
 
+int platform_rig_lease_holder(const platform_rig_t *rig)
+{
+	CLEANUP_JSON json_t *record =
+		platform_store_get(rig->store, "amv-leases", "weights");
+	const char *holder =
+		json_string_value(json_object_get(record, "holder"));
+
+	return holder && g_str_has_prefix(holder, "gw-") ? atoi(holder + 3)
+							 : -1;
+}
+
 void platform_rig_release(endpoint_t *endpoints)
 {
 	for (int i = 0; i < ENDPOINT_COUNT; i++)
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -83,6 +83,11 @@
 	_Atomic uint64_t fencing;		/**< Highest of the orders. */
 	char holder[ENDPOINT_HOLDER_MAX_BYTES]; /**< That had this number. */
 	_Atomic bool drops_orders; /**< Neither answers nor executes them. */
+	/** The next order stays on the way until `order_arrives`. */
+	_Atomic bool delays_order;
+	_Atomic bool order_arrives;
+	_Atomic uint32_t delayed_orders; /**< Orders that are on the way. */
+	_Atomic uint32_t reports;	 /**< Requests for a report. */
 	/** Answer to reports and orders; NULL: a proper one. */
 	const endless_answer_t *endless_control;
 	_Atomic uint32_t endless_control_ends;
@@ -108,6 +113,7 @@
 /** Settings of the gateways; 0 for the default. */
 typedef struct platform_rig_options {
 	uint32_t weights_ms; /**< See --weights-ms. */
+	uint32_t lease_ms;   /**< See --lease-ms. */
 	/** Routes of the desired state that get no requests. */
 	int idle_routes;
 	int attempts_max;    /**< Of each route. */
@@ -185,6 +191,9 @@
 bool platform_rig_has_status(const platform_rig_t *rig, int gateway,
 			     const char *status);
 
+/** Gateway that holds the weights lease; -1 if none does. */
+int platform_rig_lease_holder(const platform_rig_t *rig);
+
 /** Ends HOLD, STALL and delays at both endpoints of a service. */
 void platform_rig_release(endpoint_t *endpoints);
 
--- a/t/test-it-restored.c
+++ b/t/test-it-restored.c
@@ -267,20 +267,9 @@
 }
 
 /** Index of the gateway that holds the lease by its record; -1: none. */
-static int lease_holder(platform_rig_t *rig)
-{
-	CLEANUP_JSON json_t *record =
-		platform_store_get(rig->store, "amv-leases", "weights");
-	const char *holder =
-		json_string_value(json_object_get(record, "holder"));
-
-	return holder && g_str_has_prefix(holder, "gw-") ? atoi(holder + 3)
-							 : -1;
-}
-
 static bool has_other_holder(platform_rig_t *rig, int holder)
 {
-	int current = lease_holder(rig);
+	int current = platform_rig_lease_holder(rig);
 
 	return current >= 0 && current != holder;
 }
@@ -316,13 +305,14 @@
 	int second;
 
 	platform_rig_start(&rig, LEASE_GATEWAYS);
-	g_assert_true(WAIT_UNTIL(lease_holder(&rig) >= 0, HARNESS_WAIT_MS));
-	first = lease_holder(&rig);
+	g_assert_true(WAIT_UNTIL(platform_rig_lease_holder(&rig) >= 0,
+				 HARNESS_WAIT_MS));
+	first = platform_rig_lease_holder(&rig);
 	copied = platform_store_revision(rig.store);
 	program_signal(rig.gateways[first], signal_number);
 	g_assert_true(
 		WAIT_UNTIL(has_other_holder(&rig, first), HARNESS_WAIT_MS));
-	second = lease_holder(&rig);
+	second = platform_rig_lease_holder(&rig);
 	roll_out_weights(&rig, 2);
 	lost = platform_store_revision(rig.store);
 	platform_store_restore(rig.store, copied);
