rollout_log: write the log when no earlier order can arrive any more

Now a holder that finds no log of this era writes one as soon as it may send orders, so that the holders after it wait only for the engines that it names. It costs one write for each era of the store.

--- a/process/rollout_log.c
+++ b/process/rollout_log.c
@@ -82,6 +82,7 @@
 	log->superseded = false;
 	log->calling = false;
 	log->stale = false;
+	log->lost = false;
 	log->retry_ms = 0;
 	log->revision = 0;
 	log->unknown_until_ms = now_ms;
@@ -127,6 +128,8 @@
 		if (log->orders[i].state == ROLLOUT_LOG_WANTED)
 			return true;
 	}
+	if (log->lost)
+		return now_ms >= log->unknown_until_ms;
 	return log->stale && now_ms - log->settled_ms >= ROLLOUT_LOG_CLEAN_MS;
 }
 
@@ -151,6 +154,7 @@
 			log->orders[i].state = ROLLOUT_LOG_WRITING;
 	}
 	log->stale = false;
+	log->lost = false;
 	return true;
 }
 
@@ -204,6 +208,8 @@
 	}
 	if (complete && record->fencing < log->fencing)
 		log->unknown_until_ms = 0;
+	/* Later holders need not wait if they find a log of this era. */
+	log->lost = !complete;
 	log->loaded = true;
 	log->revision = err ? 0 : revision;
 }
--- a/process/rollout_log.h
+++ b/process/rollout_log.h
@@ -90,7 +90,9 @@
 	bool loaded;	 /**< The log has been read in this term. */
 	bool superseded; /**< A later holder has written it. */
 	bool calling;
-	bool stale;	     /**< The store has entries that are settled. */
+	bool stale; /**< The store has entries that are settled. */
+	bool lost;  /**< There is no log of this era; it is written once no
+		       order of an earlier holder can arrive. */
 	uint64_t settled_ms; /**< When the first of them was. */
 	uint64_t retry_ms;   /**< No call before this time. */
 	uint64_t revision;   /**< Of the object; 0: there is none. */
