t: move the schedules of the lease test to t/lib

The test of the rollout's log needs the same schedules: instances that pause, restart and release the lease, lost and late answers of the store, and a store that is restored. They are now in t/lib/lease_sim; what a test does with the lease is added by callbacks.

--- a/t/test-lease.c
+++ b/t/test-lease.c
@@ -10,19 +10,13 @@
 #include "process/error.h"
 #include "process/lease.h"
 #include "process/store_revision.h"
-#include "t/lib/sim.h"
+#include "t/lib/lease_sim.h"
 
 enum {
-	INSTANCES = 4,
-	DURATION_MS = 3000,
-	RUN_MS = 60000,
+	DURATION_MS = LEASE_SIM_DURATION_MS,
+	RUN_MS = LEASE_SIM_RUN_MS,
 	SEND_INTERVAL_MS = 50,
 	SCHEDULES = 2000,
-	COPY_INTERVAL_MS = 1000,
-	COPIES_MAX = RUN_MS / COPY_INTERVAL_MS,
-	RESTORES = 4,
-	/** Time of a holder's last write to the end of its validity. */
-	VALID_MS = DURATION_MS * 2 / 3,
 };
 
 #define WRITTEN LEASE_EVENT_WRITTEN
@@ -33,8 +27,6 @@
 #define FENCING(era, number) \
 	(((uint64_t)(era) << STORE_REVISION_BITS) + (number))
 
-static const char lease_key[] = "lease/pool";
-
 /* ---- Cases ---- */
 
 /** Record that a read returns. */
@@ -318,17 +310,6 @@
 
 /* ---- Schedules ---- */
 
-typedef struct run run_t;
-
-typedef struct instance {
-	run_t *run;
-	int index;
-	char id[8];
-	uint64_t incarnation;
-	uint64_t paused_until_ms;
-	lease_t lease;
-} instance_t;
-
 /** An endpoint that checks fencing numbers. */
 typedef struct endpoint {
 	uint64_t fencing;
@@ -337,161 +318,12 @@
 } endpoint_t;
 
 /** State of one simulated schedule. */
-struct run {
-	sim_t sim;
-	instance_t instances[INSTANCES];
+typedef struct run {
+	lease_sim_t leases;
 	endpoint_t endpoint;
-	uint64_t last_acquired; /**< Fencing number. */
-	uint64_t acquisitions;
-	uint64_t record_fencing; /**< In the store's record, last seen. */
 	uint64_t requests_sent;
 	uint64_t last_sent; /**< Fencing number. */
-	uint64_t releases;
-	bool has_restores;
-	sim_copy_t copies[COPIES_MAX];
-	size_t copy_count;
-	uint64_t restored_at_ms; /**< Start of the current era. */
-	uint64_t restores;
-	bool ended;
-};
-
-/** An event for an instance, delayed while the instance is paused. */
-typedef struct message {
-	instance_t *instance;
-	uint64_t incarnation;
-	lease_event_t event;
-	lease_record_t record;
-} message_t;
-
-static void perform(instance_t *instance, const lease_actions_t *actions);
-
-static void deliver(void *context, uint64_t argument)
-{
-	message_t *message = context;
-	instance_t *instance = message->instance;
-	sim_t *sim = &instance->run->sim;
-	lease_actions_t actions;
-
-	(void)argument;
-	if (sim->now_ms < instance->paused_until_ms) {
-		sim_schedule(sim, instance->paused_until_ms - sim->now_ms,
-			     deliver, message, 0);
-		return;
-	}
-	if (message->incarnation == instance->incarnation) {
-		if (message->event.kind == LEASE_EVENT_READ)
-			message->event.read.record = &message->record;
-		lease_step(&instance->lease, &message->event, sim->now_ms,
-			   &actions);
-		perform(instance, &actions);
-	}
-	g_free(message);
-}
-
-static void post_event(instance_t *instance, uint64_t incarnation,
-		       const lease_event_t *event, const lease_record_t *record,
-		       uint64_t delay_ms)
-{
-	message_t *message = g_new0(message_t, 1);
-
-	message->instance = instance;
-	message->incarnation = incarnation;
-	message->event = *event;
-	if (record)
-		message->record = *record;
-	sim_schedule(&instance->run->sim, delay_ms, deliver, message, 0);
-}
-
-/** `argument`: incarnation, call, and whether it was a read. */
-static void store_answered(void *context, uint64_t argument,
-			   const sim_answer_t *answer)
-{
-	lease_event_t event = { .kind = LEASE_EVENT_WRITTEN,
-				.call_id = (uint32_t)(argument >> 1),
-				.era = answer->era };
-
-	if (argument & 1) {
-		event.kind = LEASE_EVENT_READ;
-		event.read.result = answer->result;
-		event.read.version = answer->version;
-	} else {
-		event.written.result = answer->result;
-		event.written.version = answer->version;
-	}
-	post_event(context, argument >> 33, &event, answer->value, 0);
-}
-
-/** In a new era a holder of before may be valid for the rest of its lease, and
- * no other may act before all instances had to see it expire. */
-static void check_era(const instance_t *instance)
-{
-	const run_t *run = instance->run;
-
-	if (!run->has_restores)
-		return;
-	if (instance->lease.era == run->sim.era)
-		g_assert_cmpuint(run->sim.now_ms, >=,
-				 run->restored_at_ms + DURATION_MS);
-	else
-		g_assert_cmpuint(run->sim.now_ms, <,
-				 run->restored_at_ms + VALID_MS);
-}
-
-static void check_acquisition(instance_t *instance, uint64_t fencing)
-{
-	run_t *run = instance->run;
-
-	check_era(instance);
-	g_assert_cmpuint(fencing, >, run->last_acquired);
-	run->last_acquired = fencing;
-	run->acquisitions++;
-	for (int n = 0; n < INSTANCES; n++) {
-		if (n != instance->index)
-			g_assert_false(lease_is_valid(&run->instances[n].lease,
-						      run->sim.now_ms));
-	}
-}
-
-static void perform(instance_t *instance, const lease_actions_t *actions)
-{
-	sim_t *sim = &instance->run->sim;
-
-	for (size_t i = 0; i < actions->count; i++) {
-		const lease_action_t *action = &actions->items[i];
-		uint64_t argument = instance->incarnation << 33 |
-				    (uint64_t)action->call_id << 1;
-		lease_event_t timer = { .kind = LEASE_EVENT_TIMER,
-					.call_id = action->call_id };
-
-		switch (action->kind) {
-		case LEASE_ACTION_READ:
-			sim_read(sim, lease_key, store_answered, instance,
-				 argument | 1);
-			break;
-		case LEASE_ACTION_WRITE:
-			sim_write(sim, lease_key, action->write.if_version,
-				  &action->write.record,
-				  sizeof(action->write.record), store_answered,
-				  instance, argument);
-			break;
-		case LEASE_ACTION_WAIT:
-			post_event(instance, instance->incarnation, &timer,
-				   NULL,
-				   action->wait_until_ms > sim->now_ms
-					   ? action->wait_until_ms - sim->now_ms
-					   : 0);
-			break;
-		case LEASE_ACTION_ACQUIRED:
-			check_acquisition(instance, action->fencing);
-			break;
-		case LEASE_ACTION_LOST:
-		case LEASE_ACTION_STOPPED:
-			g_assert_false(
-				lease_is_valid(&instance->lease, sim->now_ms));
-			break;
-		}
-	}
-}
+} run_t;
 
 /** A request sent under a lease reaches the endpoint, possibly late. */
 static void leased_request_arrives(void *context, uint64_t argument)
@@ -512,19 +344,14 @@
 
 static void send_leased_request(void *context, uint64_t remaining)
 {
-	instance_t *instance = context;
-	run_t *run = instance->run;
-	sim_t *sim = &run->sim;
+	lease_sim_instance_t *instance = context;
+	run_t *run = instance->run->user.context;
+	sim_t *sim = &run->leases.sim;
 	uint64_t fencing = lease_fencing(&instance->lease, sim->now_ms);
 
 	if (sim->now_ms >= instance->paused_until_ms && fencing) {
 		/* No two instances may consider their lease valid. */
-		for (int n = 0; n < INSTANCES; n++) {
-			if (n != instance->index)
-				g_assert_false(lease_is_valid(
-					&run->instances[n].lease, sim->now_ms));
-		}
-		check_era(instance);
+		lease_sim_check_holder(instance);
 		g_assert_cmpuint(fencing, >=, run->last_sent);
 		run->last_sent = fencing;
 		run->requests_sent++;
@@ -537,189 +364,27 @@
 			     instance, remaining - 1);
 }
 
-static void start_instance(void *context, uint64_t argument)
-{
-	instance_t *instance = context;
-	lease_actions_t actions;
-
-	(void)argument;
-	if (instance->run->ended)
-		return;
-	instance->incarnation++;
-	lease_begin(&instance->lease, instance->id,
-		    instance->incarnation << 8 | (uint64_t)instance->index,
-		    DURATION_MS, &instance->run->sim.rng, &actions);
-	perform(instance, &actions);
-}
-
-static void pause_instance(void *context, uint64_t duration_ms)
-{
-	instance_t *instance = context;
-
-	instance->paused_until_ms = instance->run->sim.now_ms + duration_ms;
-}
-
-/** The holder releases the lease in a planned stop and starts again later. */
-static void release_lease(void *context, uint64_t successor)
+static void start_sending(void *context, lease_sim_instance_t *instance)
 {
 	run_t *run = context;
-	lease_event_t event = { .kind = LEASE_EVENT_RELEASE };
-	lease_actions_t actions;
-
-	for (int n = 0; n < INSTANCES; n++) {
-		instance_t *instance = &run->instances[n];
-
-		if (!lease_is_valid(&instance->lease, run->sim.now_ms) ||
-		    run->sim.now_ms < instance->paused_until_ms)
-			continue;
-		if (successor < INSTANCES)
-			event.release.successor = run->instances[successor].id;
-		lease_step(&instance->lease, &event, run->sim.now_ms, &actions);
-		perform(instance, &actions);
-		run->releases++;
-		sim_schedule(&run->sim, 5000, start_instance, instance, 0);
-		return;
-	}
-}
-
-static void set_store_down(void *context, uint64_t down)
-{
-	((run_t *)context)->sim.store_down = down;
-}
 
-static void copy_store(void *context, uint64_t argument)
-{
-	run_t *run = context;
-
-	(void)argument;
-	/* Changes of other objects use up revisions, too. */
-	run->sim.next_version += rng_below(&run->sim.rng, 3);
-	if (run->copy_count == COPIES_MAX)
-		return;
-	sim_copy(&run->sim, &run->copies[run->copy_count++]);
-	sim_schedule(&run->sim, COPY_INTERVAL_MS, copy_store, run, 0);
-}
-
-static void restore_store(void *context, uint64_t argument)
-{
-	run_t *run = context;
-	sim_t *sim = &run->sim;
-
-	(void)argument;
-	if (run->ended)
-		return;
-	sim_restore(sim, &run->copies[rng_below(&sim->rng, run->copy_count)]);
-	sim->store_down = false;
-	run->restored_at_ms = sim->now_ms;
-	run->restores++;
-	/* Some instances learn of the era from their other calls. */
-	for (int n = 0; n < INSTANCES; n++) {
-		lease_event_t event = { .kind = LEASE_EVENT_ERA,
-					.era = sim->era };
-
-		if (sim_chance(sim, 50))
-			post_event(&run->instances[n],
-				   run->instances[n].incarnation, &event, NULL,
-				   rng_below(&sim->rng, DURATION_MS));
-	}
-}
-
-static void schedule_restores(run_t *run)
-{
-	sim_t *sim = &run->sim;
-
-	sim->era = 1;
-	run->restored_at_ms = sim->now_ms;
-	sim_schedule(sim, 0, copy_store, run, 0);
-	for (int i = 0; i < RESTORES; i++) {
-		uint64_t at_ms = rng_below(&sim->rng, RUN_MS);
-
-		sim_schedule(sim, at_ms, set_store_down, run, 1);
-		sim_schedule(sim, 1 + at_ms + rng_below(&sim->rng, DURATION_MS),
-			     restore_store, run, 0);
-	}
-}
-
-static void schedule_faults(run_t *run)
-{
-	sim_t *sim = &run->sim;
-	rng_t *rng = &sim->rng;
-
-	for (int n = 0; n < INSTANCES; n++) {
-		instance_t *instance = &run->instances[n];
-
-		instance->run = run;
-		instance->index = n;
-		g_snprintf(instance->id, sizeof(instance->id), "n%d", n);
-		sim_schedule(sim, rng_below(rng, 100), start_instance, instance,
-			     0);
-		sim_schedule(sim, 200, send_leased_request, instance,
-			     RUN_MS / SEND_INTERVAL_MS);
-		for (int i = 0; i < 4; i++)
-			sim_schedule(sim, rng_below(rng, RUN_MS),
-				     pause_instance, instance,
-				     rng_below(rng, 3 * DURATION_MS));
-		sim_schedule(sim, 200 + rng_below(rng, RUN_MS), start_instance,
-			     instance, 0);
-	}
-	for (int i = 0; i < 2; i++) {
-		uint64_t at_ms = rng_below(rng, RUN_MS);
-
-		sim_schedule(sim, 200 + rng_below(rng, RUN_MS), release_lease,
-			     run, rng_below(rng, 2 * INSTANCES));
-		sim_schedule(sim, at_ms, set_store_down, run, 1);
-		sim_schedule(sim, at_ms + rng_below(rng, 2 * DURATION_MS),
-			     set_store_down, run, 0);
-	}
-}
-
-static void check_record(run_t *run)
-{
-	const sim_object_t *object = sim_find(&run->sim, lease_key);
-	const lease_record_t *record = object ? object->value : NULL;
-
-	/* After a restore, writes of an earlier era may replace newer ones. */
-	if (!record || run->restores)
-		return;
-	g_assert_cmpuint(record->fencing, >=, run->record_fencing);
-	run->record_fencing = record->fencing;
-}
-
-/** Runs the events that are left, which frees their messages. */
-static void discard_remaining_events(run_t *run)
-{
-	run->ended = true;
-	for (int n = 0; n < INSTANCES; n++)
-		run->instances[n].incarnation++;
-	while (sim_run_one(&run->sim, UINT64_MAX))
-		;
+	sim_schedule(&run->leases.sim, 200, send_leased_request, instance,
+		     RUN_MS / SEND_INTERVAL_MS);
 }
 
 static void run_schedule(uint64_t seed, bool has_restores, run_t *totals)
 {
-	static const sim_faults_t faults = { .lose_request = 3,
-					     .lose_answer = 8,
-					     .late_effect = 6,
-					     .repeat_answer = 10,
-					     .delay_max_ms = 60 };
 	run_t *run = g_new0(run_t, 1);
+	const lease_sim_user_t user = { .context = run,
+					.added = start_sending,
+					.has_restores = has_restores };
 
-	sim_init(&run->sim, seed, &faults);
-	schedule_faults(run);
-	run->has_restores = has_restores;
-	if (has_restores)
-		schedule_restores(run);
-	while (sim_run_one(&run->sim, 1000000 + RUN_MS))
-		check_record(run);
-	discard_remaining_events(run);
-	totals->acquisitions += run->acquisitions;
+	lease_sim_run(&run->leases, seed, &user);
+	totals->leases.acquisitions += run->leases.acquisitions;
 	totals->requests_sent += run->requests_sent;
 	totals->endpoint.accepted += run->endpoint.accepted;
-	totals->releases += run->releases;
-	totals->restores += run->restores;
-	for (size_t i = 0; i < run->copy_count; i++)
-		sim_copy_clear(&run->copies[i]);
-	sim_clear(&run->sim);
+	totals->leases.releases += run->leases.releases;
+	totals->leases.restores += run->leases.restores;
 	g_free(run);
 }
 
@@ -738,10 +403,12 @@
 		"%" G_GUINT64_FORMAT ", accepted %" G_GUINT64_FORMAT
 		", releases %" G_GUINT64_FORMAT ", restores %" G_GUINT64_FORMAT
 		"\n",
-		totals->acquisitions, totals->requests_sent,
-		totals->endpoint.accepted, totals->releases, totals->restores);
+		totals->leases.acquisitions, totals->requests_sent,
+		totals->endpoint.accepted, totals->leases.releases,
+		totals->leases.restores);
 	/* Without acquisitions and changes of holder the run proves nothing. */
-	g_assert_cmpuint(totals->acquisitions, >, 3 * (last - first + 1));
+	g_assert_cmpuint(totals->leases.acquisitions, >,
+			 3 * (last - first + 1));
 	g_assert_cmpuint(totals->requests_sent * SEND_INTERVAL_MS, >,
 			 (last - first + 1) * RUN_MS * sent_share_percent /
 				 100);
