rollout: count an order as arrived only from a count of after earlier ones

Cause: a log entry says how many orders the engine had accepted before, and a higher count later shows that the order has arrived. But the number may come from a report of before an earlier order arrived: while an engine is on hold it is polled, then the transit time passes, and the order is logged with the last count, up to the time of a poll and a drain old. The earlier order has raised the count since. If the holder then loses the lease with the order on the way, the next one takes the higher count for this order, sends its own, and the late order arrives after it. The same when an own order was settled by time.

Change: rollout_log_add() is told when the report of the number was requested. If another order may have been accepted since, the entry says that the number is not known, and only time or an answer settles it.

--- a/cmd/gateway_rollout.c
+++ b/cmd/gateway_rollout.c
@@ -327,8 +327,8 @@
 		      const rollout_action_t *action)
 {
 	if (!reserve_unlogged(rollout) ||
-	    rollout_log_add(log_state(rollout), action->key,
-			    action->accepted)) {
+	    rollout_log_add(log_state(rollout), action->key, action->accepted,
+			    action->counted_ms)) {
 		weights_rollout_on_answer(&rollout->engine_states, action->key,
 					  0, clock_now_ms());
 		return;
--- a/process/rollout_log.c
+++ b/process/rollout_log.c
@@ -82,6 +82,7 @@
 	log->superseded = false;
 	log->calling = false;
 	log->stale = false;
+	log->expired_ms = 0;
 	log->retry_ms = 0;
 	log->revision = 0;
 	log->unknown_until_ms = now_ms;
@@ -104,10 +105,17 @@
 	return now_ms >= log->acquired_ms + log->transit_ms;
 }
 
+static void expire(rollout_log_t *log, uint64_t until_ms)
+{
+	if (log->expired_ms < until_ms)
+		log->expired_ms = until_ms;
+}
+
 static void settle(rollout_log_t *log, uint64_t now_ms)
 {
 	if (log->earlier.count && transit_has_passed(log, now_ms)) {
 		log->earlier.count = 0;
+		expire(log, log->acquired_ms + log->transit_ms);
 		mark_stale(log, now_ms);
 	}
 	for (size_t i = log->order_count; i-- > 0;) {
@@ -116,6 +124,7 @@
 		if (order->state != ROLLOUT_LOG_UNKNOWN ||
 		    now_ms < order->until_ms)
 			continue;
+		expire(log, order->until_ms);
 		remove_order(log, order);
 		mark_stale(log, now_ms);
 	}
@@ -235,6 +244,15 @@
 
 /* Orders. */
 
+static bool has_earlier(const rollout_log_t *log, uint64_t key)
+{
+	for (size_t i = 0; i < log->earlier.count; i++) {
+		if (log->earlier.entries[i].key == key)
+			return true;
+	}
+	return false;
+}
+
 rollout_hold_t rollout_log_hold(const rollout_log_t *log, uint64_t key,
 				uint64_t now_ms)
 {
@@ -244,14 +262,11 @@
 		return ROLLOUT_HOLD_ALL;
 	if (transit_has_passed(log, now_ms))
 		return ROLLOUT_HOLD_NONE;
-	for (size_t i = 0; i < log->earlier.count; i++) {
-		if (log->earlier.entries[i].key == key)
-			return ROLLOUT_HOLD_REPORTS;
-	}
-	return ROLLOUT_HOLD_NONE;
+	return has_earlier(log, key) ? ROLLOUT_HOLD_REPORTS : ROLLOUT_HOLD_NONE;
 }
 
-int rollout_log_add(rollout_log_t *log, uint64_t key, uint64_t accepted)
+int rollout_log_add(rollout_log_t *log, uint64_t key, uint64_t accepted,
+		    uint64_t counted_ms)
 {
 	rollout_log_order_t *order = find_order(log, key);
 
@@ -270,7 +285,12 @@
 		order = &log->orders[log->order_count++];
 		memset(order, 0, sizeof(*order));
 		order->entry.key = key;
-		order->entry.accepted = accepted;
+		/* An order that arrived after the report would be taken for
+		 * this one. */
+		order->entry.accepted =
+			counted_ms < log->expired_ms || has_earlier(log, key)
+				? ROLLOUT_LOG_UNCOUNTED
+				: accepted;
 	}
 	/* Which of several orders has arrived is not known from a count. */
 	order->entry.sent++;
--- a/process/rollout_log.h
+++ b/process/rollout_log.h
@@ -32,10 +32,14 @@
 	ROLLOUT_LOG_CLEAN_MS = 1000,
 };
 
+#define ROLLOUT_LOG_UNCOUNTED INT64_MAX
+
 /** Orders with one number that may not have arrived at an engine yet. */
 typedef struct rollout_log_entry {
-	uint64_t key;	   /**< Incarnation of the engine. */
-	uint64_t accepted; /**< Orders that it had accepted before. */
+	uint64_t key; /**< Incarnation of the engine. */
+	/** Orders that it had accepted before; ROLLOUT_LOG_UNCOUNTED: not
+	 * known, so that a higher number doesn't show that it has arrived. */
+	uint64_t accepted;
 	/** Orders sent with this number; the engine accepts at most one. */
 	uint32_t sent;
 } rollout_log_entry_t;
@@ -94,6 +98,9 @@
 	uint64_t settled_ms; /**< When the first of them was. */
 	uint64_t retry_ms;   /**< No call before this time. */
 	uint64_t revision;   /**< Of the object; 0: there is none. */
+	/** When the last entry was settled by time, not by a report: an order
+	 * may have been accepted until then. */
+	uint64_t expired_ms;
 	/** Any engine may have an order on the way until then. */
 	uint64_t unknown_until_ms;
 	rollout_log_order_t *orders;
@@ -144,8 +151,14 @@
 rollout_hold_t rollout_log_hold(const rollout_log_t *log, uint64_t key,
 				uint64_t now_ms);
 
-/** Asks for an order to be logged. @return 0 or ERR_NO_MEMORY */
-int rollout_log_add(rollout_log_t *log, uint64_t key, uint64_t accepted);
+/**
+ * Asks for an order to be logged.
+ * @param accepted number of orders that the engine has accepted
+ * @param counted_ms when the report of that number was requested
+ * @return 0 or ERR_NO_MEMORY
+ */
+int rollout_log_add(rollout_log_t *log, uint64_t key, uint64_t accepted,
+		    uint64_t counted_ms);
 
 /** Whether an order has been logged and may be sent. */
 bool rollout_log_is_logged(const rollout_log_t *log, uint64_t key);
--- a/process/weights_rollout.c
+++ b/process/weights_rollout.c
@@ -125,6 +125,7 @@
 	action->key = engine->key;
 	action->version = engine->target_version;
 	action->accepted = 0;
+	action->counted_ms = 0;
 	action->runs_left = false;
 	return action;
 }
@@ -156,6 +157,7 @@
 		return;
 	action = add_action(actions, ROLLOUT_ACTION_ORDER, engine);
 	action->accepted = entry->accepted;
+	action->counted_ms = entry->counted_ms;
 	action->runs_left = engine->runs > 0;
 	entry->ordered_version = engine->target_version;
 	enter_state(entry, ROLLOUT_ORDERED, now_ms, UINT32_MAX);
@@ -177,6 +179,7 @@
 			return;
 		}
 		add_action(actions, ROLLOUT_ACTION_POLL, engine);
+		entry->counted_ms = now_ms;
 		entry->not_before_ms = now_ms + UINT32_MAX;
 		return;
 	case ROLLOUT_IDLE:
@@ -242,6 +245,7 @@
 	if (entry->state == ROLLOUT_IDLE ||
 	    engine->hold == ROLLOUT_HOLD_REPORTS) {
 		add_action(actions, ROLLOUT_ACTION_POLL, engine);
+		entry->counted_ms = now_ms;
 		enter_state(entry, ROLLOUT_POLLING, now_ms, UINT32_MAX);
 		return;
 	}
--- a/process/weights_rollout.h
+++ b/process/weights_rollout.h
@@ -84,6 +84,7 @@
 	uint64_t not_before_ms;	  /**< Time of the next action. */
 	uint64_t drain_since_ms;  /**< When it last began to drain. */
 	uint64_t accepted;	  /**< Orders that the engine accepted. */
+	uint64_t counted_ms;	  /**< When that report was requested. */
 	uint64_t ordered_version; /**< Version in the last order. */
 	uint64_t confirmed;	  /**< Version by report or answer. */
 	bool seen;		  /**< Listed in the current step. */
@@ -111,10 +112,11 @@
 	uint32_t index; /**< From rollout_engine_t. */
 	uint64_t key;
 	uint64_t version;
-	uint64_t accepted; /**< In an order: number of accepted orders that is
-			      expected of the engine. */
-	bool runs_left;	   /**< In an order: running requests continue under
-			      the new weights. */
+	uint64_t accepted;   /**< In an order: number of accepted orders that is
+				expected of the engine. */
+	uint64_t counted_ms; /**< In an order: see rollout_log_add(). */
+	bool runs_left;	     /**< In an order: running requests continue under
+				the new weights. */
 } rollout_action_t;
 
 typedef struct rollout_actions {
