t: add the cases of the rollout's log

A table of cases: what a read of the log finds (nothing, an unreadable object, a log of an earlier or later holder, of an earlier era, of this holder after a lost answer), that an order is sent only once it is logged, failed conditions and lost answers, what settles an order, and what an engine gets until then. Round trip through the store, and objects of other writers.

--- a/t/test-rollout-log.c
+++ b/t/test-rollout-log.c
@@ -29,6 +29,561 @@
 
 static const char log_key[] = "lease/pool-orders";
 
+/* ---- Cases ---- */
+
+enum {
+	/** The term of all cases begins then. */
+	ACQUIRED_MS = 10000,
+	OBSERVED_MS = 2000,
+	FENCING = 7,
+	ERA = 2,
+	/** Without a log, any engine may have an order on the way. */
+	UNKNOWN_UNTIL_MS = ACQUIRED_MS + TRANSIT_MS - OBSERVED_MS,
+	TRANSIT_END_MS = ACQUIRED_MS + TRANSIT_MS,
+};
+
+/** What a read of the log returns. */
+typedef enum found_log {
+	NO_LOG,
+	STORE_DOWN,
+	UNREADABLE,
+	EARLIER, /**< Of an earlier holder: 1:3*1 2:5*2. */
+	OLD_ERA, /**< The same, of an earlier era of the store. */
+	OWN,	 /**< What this holder wrote last. */
+	LATER,	 /**< Of a later holder. */
+} found_log_t;
+
+typedef enum step_kind {
+	STEP,	 /**< `expected`: rollout_log_action_t. */
+	READ,	 /**< `value`: found_log_t. */
+	WRITTEN, /**< `value`: error. */
+	HOLD,	 /**< `expected`: rollout_hold_t. */
+	ADD,	 /**< `value`: number of accepted orders, known now. */
+	ADD_OLD, /**< The number was requested 10 ms ago. */
+	LOGGED,	 /**< `expected`: whether the order may be sent. */
+	SENT,
+	DROP,
+	ANSWERED,
+	UNANSWERED,
+	REPORT, /**< `value`: number of accepted orders. */
+	END,	/**< `expected`: orders that may not have arrived. */
+} step_kind_t;
+
+typedef struct step {
+	step_kind_t kind;
+	uint64_t at_ms;
+	uint64_t key; /**< Of the engine. */
+	int value;
+	int expected;
+	/** Entries of a write: engine, ':', orders accepted before, '*',
+	 * orders sent. */
+	const char *written;
+} step_t;
+
+#define NONE ROLLOUT_LOG_NONE
+#define DO_READ ROLLOUT_LOG_READ
+#define WRITE ROLLOUT_LOG_WRITE
+#define FREE ROLLOUT_HOLD_NONE
+#define REPORTS ROLLOUT_HOLD_REPORTS
+#define ALL ROLLOUT_HOLD_ALL
+
+static const struct {
+	const char *name;
+	step_t steps[24];
+} cases[] = {
+	{ "no log: any engine may have an order on the way",
+	  { { HOLD, 10000, 1, 0, ALL, NULL },
+	    { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { STEP, 10001, 0, 0, NONE, NULL },
+	    { READ, 10010, 0, NO_LOG, 0, NULL },
+	    { HOLD, UNKNOWN_UNTIL_MS - 1, 1, 0, ALL, NULL },
+	    { HOLD, UNKNOWN_UNTIL_MS, 1, 0, FREE, NULL },
+	    { STEP, UNKNOWN_UNTIL_MS, 0, 0, NONE, NULL },
+	    { ADD, UNKNOWN_UNTIL_MS, 1, 3, 0, NULL },
+	    { STEP, UNKNOWN_UNTIL_MS, 0, 0, WRITE, "1:3*1" } } },
+	{ "log of an earlier holder: its engines get requests for reports",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, EARLIER, 0, NULL },
+	    { HOLD, 10010, 1, 0, REPORTS, NULL },
+	    { HOLD, 10010, 2, 0, REPORTS, NULL },
+	    { HOLD, 10010, 3, 0, FREE, NULL },
+	    { HOLD, TRANSIT_END_MS - 1, 1, 0, REPORTS, NULL },
+	    { HOLD, TRANSIT_END_MS, 1, 0, FREE, NULL },
+	    { HOLD, TRANSIT_END_MS, 2, 0, FREE, NULL } } },
+	{ "log of an earlier era: newer entries may be lost",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, OLD_ERA, 0, NULL },
+	    { HOLD, 10010, 3, 0, ALL, NULL },
+	    { HOLD, UNKNOWN_UNTIL_MS - 1, 1, 0, ALL, NULL },
+	    { HOLD, UNKNOWN_UNTIL_MS, 1, 0, FREE, NULL } } },
+	{ "log that is unreadable: replaced by the next write",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, UNREADABLE, 0, NULL },
+	    { HOLD, UNKNOWN_UNTIL_MS - 1, 3, 0, ALL, NULL },
+	    { HOLD, UNKNOWN_UNTIL_MS, 3, 0, FREE, NULL },
+	    { ADD, UNKNOWN_UNTIL_MS, 3, 0, 0, NULL },
+	    { STEP, UNKNOWN_UNTIL_MS, 0, 0, WRITE, "3:0*1" } } },
+	{ "store that is down: nothing is sent before the log is read",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, STORE_DOWN, 0, NULL },
+	    { STEP, 10209, 0, 0, NONE, NULL },
+	    { HOLD, 20000, 1, 0, ALL, NULL },
+	    { STEP, 20000, 0, 0, DO_READ, NULL },
+	    { READ, 20010, 0, EARLIER, 0, NULL },
+	    { HOLD, 20010, 1, 0, FREE, NULL } } },
+	{ "log of a later holder: nothing is sent",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, LATER, 0, NULL },
+	    { HOLD, 20000, 1, 0, ALL, NULL },
+	    { ADD, 20000, 1, 0, 0, NULL },
+	    { STEP, 20000, 0, 0, NONE, NULL },
+	    { LOGGED, 20000, 1, 0, false, NULL } } },
+	{ "an order is sent once it is logged",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, EARLIER, 0, NULL },
+	    { ADD, 10020, 3, 8, 0, NULL },
+	    { LOGGED, 10020, 3, 0, false, NULL },
+	    { STEP, 10020, 0, 0, WRITE, "1:3*1 2:5*2 3:8*1" },
+	    { LOGGED, 10030, 3, 0, false, NULL },
+	    { ADD, 10030, 4, 0, 0, NULL },
+	    { STEP, 10030, 0, 0, NONE, NULL },
+	    { WRITTEN, 10040, 0, 0, 0, NULL },
+	    { LOGGED, 10040, 3, 0, true, NULL },
+	    { LOGGED, 10040, 4, 0, false, NULL },
+	    { SENT, 10040, 3, 0, 0, NULL },
+	    { LOGGED, 10040, 3, 0, false, NULL },
+	    { STEP, 10050, 0, 0, WRITE, "1:3*1 2:5*2 3:8*1 4:0*1" },
+	    { WRITTEN, 10060, 0, 0, 0, NULL },
+	    { LOGGED, 10060, 3, 0, false, NULL },
+	    { LOGGED, 10060, 4, 0, true, NULL },
+	    { END, 10070, 0, 0, 1, NULL },
+	    { LOGGED, 10070, 4, 0, false, NULL } } },
+	{ "failed condition: read and written again",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, NO_LOG, 0, NULL },
+	    { ADD, 14000, 3, 8, 0, NULL },
+	    { STEP, 14000, 0, 0, WRITE, "3:8*1" },
+	    { WRITTEN, 14010, 0, ERR_STORE_CONDITION, 0, NULL },
+	    { LOGGED, 14010, 3, 0, false, NULL },
+	    { HOLD, 14010, 4, 0, ALL, NULL },
+	    { STEP, 14010, 0, 0, DO_READ, NULL },
+	    { READ, 14020, 0, EARLIER, 0, NULL },
+	    { HOLD, 14020, 1, 0, REPORTS, NULL },
+	    { LOGGED, 14020, 3, 0, false, NULL },
+	    { STEP, 14020, 0, 0, WRITE, "1:3*1 2:5*2 3:8*1" },
+	    { WRITTEN, 14030, 0, 0, 0, NULL },
+	    { LOGGED, 14030, 3, 0, true, NULL } } },
+	{ "lost answer, own write found: written again",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, EARLIER, 0, NULL },
+	    { ADD, 10020, 3, 8, 0, NULL },
+	    { STEP, 10020, 0, 0, WRITE, "1:3*1 2:5*2 3:8*1" },
+	    { WRITTEN, 10400, 0, ERR_STORE_UNKNOWN, 0, NULL },
+	    { LOGGED, 10400, 3, 0, false, NULL },
+	    { HOLD, 10400, 1, 0, REPORTS, NULL },
+	    { HOLD, 10400, 4, 0, FREE, NULL },
+	    { STEP, 10599, 0, 0, NONE, NULL },
+	    { STEP, 10600, 0, 0, DO_READ, NULL },
+	    { READ, 10610, 0, OWN, 0, NULL },
+	    { HOLD, 10610, 1, 0, REPORTS, NULL },
+	    { HOLD, 10610, 3, 0, FREE, NULL },
+	    { LOGGED, 10610, 3, 0, false, NULL },
+	    { STEP, 10610, 0, 0, WRITE, "1:3*1 2:5*2 3:8*1" },
+	    { WRITTEN, 10620, 0, 0, 0, NULL },
+	    { LOGGED, 10620, 3, 0, true, NULL } } },
+	{ "lost answer, a later holder has written: no order is sent",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, EARLIER, 0, NULL },
+	    { ADD, 10020, 3, 8, 0, NULL },
+	    { STEP, 10020, 0, 0, WRITE, "1:3*1 2:5*2 3:8*1" },
+	    { WRITTEN, 10400, 0, ERR_STORE_UNKNOWN, 0, NULL },
+	    { STEP, 10600, 0, 0, DO_READ, NULL },
+	    { READ, 10610, 0, LATER, 0, NULL },
+	    { STEP, 20000, 0, 0, NONE, NULL },
+	    { LOGGED, 20000, 3, 0, false, NULL } } },
+	{ "an order that is answered is cleaned from the store",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, NO_LOG, 0, NULL },
+	    { ADD, 14000, 3, 8, 0, NULL },
+	    { STEP, 14000, 0, 0, WRITE, "3:8*1" },
+	    { WRITTEN, 14010, 0, 0, 0, NULL },
+	    { SENT, 14010, 3, 0, 0, NULL },
+	    { STEP, 18000, 0, 0, NONE, NULL },
+	    { ANSWERED, 18000, 3, 0, 0, NULL },
+	    { STEP, 18999, 0, 0, NONE, NULL },
+	    { STEP, 19000, 0, 0, WRITE, "" },
+	    { WRITTEN, 19010, 0, 0, 0, NULL },
+	    { STEP, 30000, 0, 0, NONE, NULL },
+	    { END, 30000, 0, 0, 0, NULL } } },
+	{ "the next order replaces one that is settled",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, NO_LOG, 0, NULL },
+	    { ADD, 14000, 3, 8, 0, NULL },
+	    { STEP, 14000, 0, 0, WRITE, "3:8*1" },
+	    { WRITTEN, 14010, 0, 0, 0, NULL },
+	    { SENT, 14010, 3, 0, 0, NULL },
+	    { ANSWERED, 14020, 3, 0, 0, NULL },
+	    { ADD, 14030, 4, 2, 0, NULL },
+	    { STEP, 14030, 0, 0, WRITE, "4:2*1" },
+	    { WRITTEN, 14040, 0, 0, 0, NULL },
+	    { STEP, 19000, 0, 0, NONE, NULL } } },
+	{ "an order without an answer: settled by a report",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, NO_LOG, 0, NULL },
+	    { ADD, 14000, 3, 8, 0, NULL },
+	    { STEP, 14000, 0, 0, WRITE, "3:8*1" },
+	    { WRITTEN, 14010, 0, 0, 0, NULL },
+	    { SENT, 14010, 3, 0, 0, NULL },
+	    { UNANSWERED, 14510, 3, 0, 0, NULL },
+	    { REPORT, 14600, 3, 8, 0, NULL },
+	    { REPORT, 14600, 4, 9, 0, NULL },
+	    { STEP, 15600, 0, 0, NONE, NULL },
+	    { REPORT, 15700, 3, 9, 0, NULL },
+	    { STEP, 16699, 0, 0, NONE, NULL },
+	    { STEP, 16700, 0, 0, WRITE, "" } } },
+	{ "an order without an answer: settled by time",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, NO_LOG, 0, NULL },
+	    { ADD, 14000, 3, 8, 0, NULL },
+	    { STEP, 14000, 0, 0, WRITE, "3:8*1" },
+	    { WRITTEN, 14010, 0, 0, 0, NULL },
+	    { SENT, 14010, 3, 0, 0, NULL },
+	    { UNANSWERED, 14510, 3, 0, 0, NULL },
+	    { ADD, 20509, 4, 0, 0, NULL },
+	    { STEP, 20509, 0, 0, WRITE, "3:8*1 4:0*1" },
+	    { WRITTEN, 20509, 0, 0, 0, NULL },
+	    { STEP, 20510, 0, 0, NONE, NULL },
+	    { STEP, 21510, 0, 0, WRITE, "4:0*1" } } },
+	{ "an order without an answer when the term ends",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, NO_LOG, 0, NULL },
+	    { ADD, 14000, 3, 8, 0, NULL },
+	    { STEP, 14000, 0, 0, WRITE, "3:8*1" },
+	    { WRITTEN, 14010, 0, 0, 0, NULL },
+	    { SENT, 14010, 3, 0, 0, NULL },
+	    { UNANSWERED, 14510, 3, 0, 0, NULL },
+	    { END, 14520, 0, 0, 1, NULL },
+	    { STEP, 14520, 0, 0, NONE, NULL } } },
+	{ "repeated order: the number proves nothing",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, NO_LOG, 0, NULL },
+	    { ADD, 14000, 3, 8, 0, NULL },
+	    { STEP, 14000, 0, 0, WRITE, "3:8*1" },
+	    { WRITTEN, 14010, 0, 0, 0, NULL },
+	    { SENT, 14010, 3, 0, 0, NULL },
+	    { UNANSWERED, 14510, 3, 0, 0, NULL },
+	    { ADD, 14910, 3, 8, 0, NULL },
+	    { LOGGED, 14910, 3, 0, false, NULL },
+	    { STEP, 14910, 0, 0, WRITE, "3:8*2" },
+	    { WRITTEN, 14920, 0, 0, 0, NULL },
+	    { LOGGED, 14920, 3, 0, true, NULL },
+	    { SENT, 14920, 3, 0, 0, NULL },
+	    { ANSWERED, 15000, 3, 0, 0, NULL },
+	    { REPORT, 15100, 3, 9, 0, NULL },
+	    { ADD, 20999, 4, 0, 0, NULL },
+	    { STEP, 20999, 0, 0, WRITE, "3:8*2 4:0*1" },
+	    { WRITTEN, 20999, 0, 0, 0, NULL },
+	    { STEP, 21000, 0, 0, NONE, NULL },
+	    { STEP, 22000, 0, 0, WRITE, "4:0*1" } } },
+	{ "hold by reports: ends when the order has arrived",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, EARLIER, 0, NULL },
+	    { REPORT, 10100, 1, 3, 0, NULL },
+	    { HOLD, 10100, 1, 0, REPORTS, NULL },
+	    { REPORT, 10350, 1, 4, 0, NULL },
+	    { HOLD, 10350, 1, 0, FREE, NULL },
+	    { REPORT, 10350, 2, 6, 0, NULL },
+	    { HOLD, 10350, 2, 0, REPORTS, NULL },
+	    { REPORT, 10350, 2, 7, 0, NULL },
+	    { HOLD, 10350, 2, 0, REPORTS, NULL },
+	    { STEP, 11349, 0, 0, NONE, NULL },
+	    { STEP, 11350, 0, 0, WRITE, "2:5*2" },
+	    { WRITTEN, 11360, 0, 0, 0, NULL },
+	    { STEP, TRANSIT_END_MS, 0, 0, NONE, NULL },
+	    { STEP, TRANSIT_END_MS + 1000, 0, 0, WRITE, "" } } },
+	{ "number of before an order was settled by time: proves nothing",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, EARLIER, 0, NULL },
+	    { STEP, TRANSIT_END_MS, 0, 0, NONE, NULL },
+	    { ADD_OLD, TRANSIT_END_MS, 1, 3, 0, NULL },
+	    { ADD, TRANSIT_END_MS, 3, 8, 0, NULL },
+	    { STEP, TRANSIT_END_MS, 0, 0, WRITE, "1:?*1 3:8*1" },
+	    { WRITTEN, 16010, 0, 0, 0, NULL },
+	    { SENT, 16010, 1, 0, 0, NULL },
+	    { UNANSWERED, 16510, 1, 0, 0, NULL },
+	    { REPORT, 16600, 1, 4, 0, NULL },
+	    { ADD_OLD, 16610, 4, 1, 0, NULL },
+	    { STEP, 16610, 0, 0, WRITE, "1:?*1 3:8*1 4:1*1" },
+	    { END, 16620, 0, 0, 1, NULL } } },
+	{ "an order that is added before the hold is settled",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, EARLIER, 0, NULL },
+	    { ADD, TRANSIT_END_MS, 1, 3, 0, NULL },
+	    { STEP, TRANSIT_END_MS, 0, 0, WRITE, "1:?*1" } } },
+	{ "a repeated order that is not sent: the first may arrive",
+	  { { STEP, 10000, 0, 0, DO_READ, NULL },
+	    { READ, 10010, 0, NO_LOG, 0, NULL },
+	    { ADD, 14000, 3, 8, 0, NULL },
+	    { STEP, 14000, 0, 0, WRITE, "3:8*1" },
+	    { WRITTEN, 14010, 0, 0, 0, NULL },
+	    { SENT, 14010, 3, 0, 0, NULL },
+	    { UNANSWERED, 14510, 3, 0, 0, NULL },
+	    { ADD, 14910, 3, 8, 0, NULL },
+	    { DROP, 14910, 3, 0, 0, NULL },
+	    { STEP, 14910, 0, 0, NONE, NULL },
+	    { END, 14920, 0, 0, 1, NULL } } },
+};
+
+static rollout_log_entry_t earlier_entries[] = { { 1, 3, 1 }, { 2, 5, 2 } };
+
+static void give_read(rollout_log_t *log, const step_t *s, uint64_t revision)
+{
+	rollout_log_record_t record = { .fencing = FENCING - 1,
+					.era = ERA,
+					.entries = earlier_entries,
+					.count =
+						G_N_ELEMENTS(earlier_entries) };
+	const rollout_log_record_t nothing = { 0 };
+	int err = 0;
+
+	if (s->value == NO_LOG)
+		err = ERR_NOT_FOUND;
+	else if (s->value == STORE_DOWN)
+		err = ERR_STORE_DOWN;
+	else if (s->value == UNREADABLE)
+		record = nothing;
+	else if (s->value == OLD_ERA)
+		record.era--;
+	else if (s->value == OWN)
+		record = log->written;
+	else if (s->value == LATER)
+		record.fencing = FENCING + 1;
+	rollout_log_on_read(log, err, err ? 0 : revision,
+			    err ? &nothing : &record, s->at_ms);
+}
+
+static void check_written(const rollout_log_t *log, const char *expected)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	for (size_t i = 0; i < log->written.count; i++) {
+		const rollout_log_entry_t *entry = &log->written.entries[i];
+
+		g_string_append_printf(text, "%s%d:", i ? " " : "",
+				       (int)entry->key);
+		if (entry->accepted == ROLLOUT_LOG_UNCOUNTED)
+			g_string_append_c(text, '?');
+		else
+			g_string_append_printf(text, "%d",
+					       (int)entry->accepted);
+		g_string_append_printf(text, "*%d", (int)entry->sent);
+	}
+	g_assert_cmpstr(text->str, ==, expected);
+	g_assert_cmpuint(log->written.fencing, ==, FENCING);
+	g_assert_cmpuint(log->written.era, ==, ERA);
+}
+
+static void run_step(rollout_log_t *log, const step_t *s, uint64_t revision)
+{
+	switch (s->kind) {
+	case STEP:
+		g_assert_cmpint(rollout_log_step(log, s->at_ms), ==,
+				s->expected);
+		if (s->expected == WRITE)
+			check_written(log, s->written);
+		return;
+	case READ:
+		give_read(log, s, revision);
+		return;
+	case WRITTEN:
+		rollout_log_on_written(log, s->value, s->value ? 0 : revision,
+				       s->at_ms);
+		return;
+	case HOLD:
+		g_assert_cmpint(rollout_log_hold(log, s->key, s->at_ms), ==,
+				s->expected);
+		return;
+	case ADD:
+	case ADD_OLD:
+		g_assert_cmpint(
+			rollout_log_add(log, s->key, (uint64_t)s->value,
+					s->at_ms -
+						(s->kind == ADD_OLD ? 10 : 0)),
+			==, 0);
+		return;
+	case LOGGED:
+		g_assert_cmpint(rollout_log_is_logged(log, s->key), ==,
+				s->expected);
+		return;
+	case SENT:
+		rollout_log_on_sent(log, s->key);
+		return;
+	case DROP:
+		rollout_log_drop(log, s->key);
+		return;
+	case ANSWERED:
+	case UNANSWERED:
+		rollout_log_on_answer(log, s->key, s->kind == ANSWERED,
+				      s->at_ms);
+		return;
+	case REPORT:
+		rollout_log_on_report(log, s->key, (uint64_t)s->value,
+				      s->at_ms);
+		return;
+	case END:
+		g_assert_cmpuint(rollout_log_end(log), ==, s->expected);
+		return;
+	}
+}
+
+static void begin_term(rollout_log_t *log)
+{
+	const rollout_term_t term = { .fencing = FENCING,
+				      .era = ERA,
+				      .transit_ms = TRANSIT_MS,
+				      .observed_ms = OBSERVED_MS };
+
+	rollout_log_begin(log, &term, ACQUIRED_MS);
+}
+
+/* Guards against an order that is not logged, and one that is sent while an
+ * earlier one may be on the way. */
+static void test_cases(void)
+{
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		rollout_log_t log = { 0 };
+		uint64_t revision = 30;
+
+		begin_term(&log);
+		for (const step_t *s = cases[c].steps; s->at_ms; s++) {
+			g_test_message("%s: step %d at %d", cases[c].name,
+				       (int)(s - cases[c].steps),
+				       (int)s->at_ms);
+			run_step(&log, s, ++revision);
+		}
+		rollout_log_free(&log);
+	}
+}
+
+/* Guards against a condition on a revision that is not the newest known one. */
+static void test_revision(void)
+{
+	static const step_t steps[] = {
+		{ STEP, 10000, 0, 0, DO_READ, NULL },
+		{ READ, 10010, 0, EARLIER, 0, NULL },
+		{ ADD, 10020, 3, 8, 0, NULL },
+		{ STEP, 10020, 0, 0, WRITE, "1:3*1 2:5*2 3:8*1" },
+		{ WRITTEN, 10030, 0, 0, 0, NULL },
+		{ ADD, 10040, 4, 0, 0, NULL },
+		{ STEP, 10040, 0, 0, WRITE, "1:3*1 2:5*2 3:8*1 4:0*1" },
+		{ WRITTEN, 10050, 0, ERR_STORE_CONDITION, 0, NULL },
+		{ STEP, 10050, 0, 0, DO_READ, NULL },
+		{ READ, 10060, 0, OWN, 0, NULL },
+	};
+	static const uint64_t revisions[] = { 0,  31, 31, 31, 34,
+					      34, 34, 34, 34, 39 };
+	rollout_log_t log = { 0 };
+
+	begin_term(&log);
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		run_step(&log, &steps[i], 30 + i);
+		g_assert_cmpuint(log.revision, ==, revisions[i]);
+	}
+	/* Nothing of a term is known in the next one. */
+	begin_term(&log);
+	g_assert_cmpuint(log.revision, ==, 0);
+	g_assert_cmpint(rollout_log_hold(&log, 3, ACQUIRED_MS), ==, ALL);
+	g_assert_cmpint(rollout_log_step(&log, ACQUIRED_MS), ==, DO_READ);
+	rollout_log_free(&log);
+}
+
+/* ---- Value in the store ---- */
+
+static rollout_log_record_t pass_through_store(const rollout_log_record_t *from)
+{
+	rollout_log_record_t read = { 0 };
+	CLEANUP_JSON json_t *value = rollout_log_to_json(from);
+	CLEANUP_FREE char *text = json_dumps(value, 0);
+	CLEANUP_JSON json_t *parsed = json_loads(text, 0, NULL);
+
+	g_assert_cmpint(rollout_log_from_json(parsed, &read), ==, 0);
+	return read;
+}
+
+/* Guards against a log that is read differently from what was written. */
+static void test_round_trip(void)
+{
+	rollout_log_entry_t entries[100];
+
+	for (size_t count = 0; count <= G_N_ELEMENTS(entries); count += 25) {
+		rollout_log_record_t record = { .fencing = INT64_MAX,
+						.era = count,
+						.entries = entries,
+						.count = count };
+		CLEANUP_ROLLOUT_LOG_RECORD rollout_log_record_t read = { 0 };
+
+		for (size_t i = 0; i < count; i++)
+			entries[i] = (rollout_log_entry_t){
+				.key = UINT64_MAX - i,
+				.accepted = i ? i : ROLLOUT_LOG_UNCOUNTED,
+				.sent = UINT32_MAX - (uint32_t)i,
+			};
+		read = pass_through_store(&record);
+		g_assert_cmpuint(read.fencing, ==, record.fencing);
+		g_assert_cmpuint(read.era, ==, record.era);
+		g_assert_cmpuint(read.count, ==, count);
+		for (size_t i = 0; i < count; i++) {
+			g_assert_cmpuint(read.entries[i].key, ==,
+					 entries[i].key);
+			g_assert_cmpuint(read.entries[i].accepted, ==,
+					 entries[i].accepted);
+			g_assert_cmpuint(read.entries[i].sent, ==,
+					 entries[i].sent);
+		}
+	}
+}
+
+#define ROW_HEAD "{\"fencing\":1,\"era\":1,\"orders\":["
+#define KEY "\"0000000000000007\""
+
+static const char *const bad_objects[] = {
+	"[]",
+	"{}",
+	"{\"fencing\":1,\"era\":1}",
+	"{\"fencing\":1,\"era\":1,\"orders\":{}}",
+	"{\"era\":1,\"orders\":[]}",
+	"{\"fencing\":1,\"orders\":[]}",
+	"{\"fencing\":\"1\",\"era\":1,\"orders\":[]}",
+	"{\"fencing\":-1,\"era\":1,\"orders\":[]}",
+	"{\"fencing\":1,\"era\":1.5,\"orders\":[]}",
+	ROW_HEAD "7]}",
+	ROW_HEAD "[]]}",
+	ROW_HEAD "[" KEY "]]}",
+	ROW_HEAD "[" KEY ",1]]}",
+	ROW_HEAD "[7,1,1]]}",
+	ROW_HEAD "[\"7\",1,1]]}",
+	ROW_HEAD "[" KEY ",-1,1]]}",
+	ROW_HEAD "[" KEY ",\"1\",1]]}",
+	ROW_HEAD "[" KEY ",1,-1]]}",
+	ROW_HEAD "[" KEY ",1,4294967296]]}",
+	ROW_HEAD "[" KEY ",1,1],[" KEY ",1]]}",
+};
+
+/* Guards against an object of another writer that is taken for a log. */
+static void test_bad_objects(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_objects); i++) {
+		CLEANUP_ROLLOUT_LOG_RECORD rollout_log_record_t record = { 0 };
+		CLEANUP_JSON json_t *value =
+			json_loads(bad_objects[i], 0, NULL);
+
+		g_test_message("%s", bad_objects[i]);
+		g_assert_nonnull(value);
+		g_assert_cmpint(rollout_log_from_json(value, &record), ==,
+				ERR_BAD_JSON);
+	}
+}
+
 /* ---- Schedules ---- */
 
 /** An order that has been sent and has not arrived yet. */
@@ -664,6 +1219,10 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/rollout-log/cases", test_cases);
+	g_test_add_func("/rollout-log/revision", test_revision);
+	g_test_add_func("/rollout-log/round-trip", test_round_trip);
+	g_test_add_func("/rollout-log/bad-objects", test_bad_objects);
 	g_test_add_func("/rollout-log/schedules", test_schedules);
 	g_test_add_func("/rollout-log/restored-schedules",
 			test_restored_schedules);
