rollout: clean the log entry of an order that is not sent

An order that was logged and then not sent (the lease is about to end, the engine is gone, out of memory) was forgotten at once, but its entry stayed in the store until a later write. If none followed, the next holder kept the engine on hold for the transit time because of an order that was never sent.

Now the next step settles such an order, and its entry is cleaned like others.

--- a/process/rollout_log.c
+++ b/process/rollout_log.c
@@ -61,9 +61,13 @@
 {
 	size_t open = 0;
 
-	for (size_t i = 0; i < log->order_count; i++)
-		open += log->orders[i].state == ROLLOUT_LOG_SENT ||
-			log->orders[i].state == ROLLOUT_LOG_UNKNOWN;
+	for (size_t i = 0; i < log->order_count; i++) {
+		const rollout_log_order_t *order = &log->orders[i];
+
+		open += order->state == ROLLOUT_LOG_SENT ||
+			(order->state == ROLLOUT_LOG_UNKNOWN &&
+			 order->entry.sent);
+	}
 	log->fencing = 0;
 	log->order_count = 0;
 	log->earlier.count = 0;
@@ -285,6 +289,8 @@
 		order = &log->orders[log->order_count++];
 		memset(order, 0, sizeof(*order));
 		order->entry.key = key;
+	}
+	if (!order->entry.sent) {
 		/* An order that arrived after the report would be taken for
 		 * this one. */
 		order->entry.accepted =
@@ -319,11 +325,9 @@
 
 	if (!order)
 		return;
-	if (--order->entry.sent) {
-		order->state = ROLLOUT_LOG_UNKNOWN;
-		return;
-	}
-	remove_order(log, order);
+	/* The store may have it; the next step settles it. */
+	order->entry.sent--;
+	order->state = ROLLOUT_LOG_UNKNOWN;
 }
 
 void rollout_log_on_answer(rollout_log_t *log, uint64_t key, bool answered,
