t: check what the rollout does with engines on hold

An engine that is held for everything gets nothing; one that may be asked for reports is polled each ROLLOUT_POLL_MS and gets neither a drain nor an order, also if the hold begins while it drains; the other engines are updated within the time limit, and a held one within it after the hold ends. In all tests the number of orders in an order is that of the last report, and its time.

--- a/t/test-weights-rollout.c
+++ b/t/test-weights-rollout.c
@@ -36,6 +36,13 @@
 	uint64_t target; /**< Of the order being executed; 0: none. */
 	uint64_t done_ms;
 	uint64_t requests_end_ms; /**< 0: no running requests. */
+	rollout_hold_t hold;
+	uint32_t polls;
+	uint32_t drains;
+	uint32_t orders;
+	uint64_t polled_ms; /**< Last request for a report. */
+	uint64_t poll_interval_min_ms;
+	uint64_t poll_interval_max_ms;
 	bool lose_answer;  /**< Lose the answer to the next order, which is
 			      executed. */
 	bool drop_order;   /**< Lose the next order. */
@@ -200,6 +207,41 @@
 	}
 }
 
+static void count_poll(simulated_engine_t *engine, uint64_t now_ms)
+{
+	uint64_t interval_ms = now_ms - engine->polled_ms;
+
+	engine->polled_ms = now_ms;
+	if (engine->polls++ == 0)
+		return;
+	if (engine->polls == 2 || interval_ms < engine->poll_interval_min_ms)
+		engine->poll_interval_min_ms = interval_ms;
+	if (interval_ms > engine->poll_interval_max_ms)
+		engine->poll_interval_max_ms = interval_ms;
+}
+
+static void count_action(simulation_t *simulation,
+			 const rollout_action_t *action)
+{
+	simulated_engine_t *engine = &simulation->engines[action->index];
+
+	switch (action->kind) {
+	case ROLLOUT_ACTION_POLL:
+		count_poll(engine, simulation->now_ms);
+		return;
+	case ROLLOUT_ACTION_DRAIN:
+		engine->drains++;
+		return;
+	case ROLLOUT_ACTION_ORDER:
+		/* The number of orders is that of the last report. */
+		g_assert_cmpuint(action->counted_ms, ==, engine->polled_ms);
+		engine->orders++;
+		return;
+	case ROLLOUT_ACTION_DONE:
+		return;
+	}
+}
+
 static void run_actions(simulation_t *simulation,
 			const rollout_actions_t *actions)
 {
@@ -207,6 +249,7 @@
 		const rollout_action_t *action = &actions->items[i];
 		bool unanswered;
 
+		count_action(simulation, action);
 		if (action->kind != ROLLOUT_ACTION_POLL &&
 		    action->kind != ROLLOUT_ACTION_ORDER)
 			continue;
@@ -260,6 +303,7 @@
 					: 0,
 			.outdated_ms = old ? simulation->now_ms - first_ms : 0,
 			.reachable = true,
+			.hold = simulated->hold,
 		};
 	}
 	weights_rollout_step(&simulation->rollout, engines, simulation->count,
@@ -428,6 +472,88 @@
 	}
 }
 
+typedef struct hold_case {
+	const char *name;
+	size_t engines;
+	size_t held; /**< The first of them. */
+	rollout_hold_t hold;
+} hold_case_t;
+
+static const hold_case_t hold_cases[] = {
+	{ "all", 1, 1, ROLLOUT_HOLD_ALL },
+	{ "reports", 1, 1, ROLLOUT_HOLD_REPORTS },
+	{ "all-of-nine", 9, 1, ROLLOUT_HOLD_ALL },
+	{ "reports-of-nine", 9, 1, ROLLOUT_HOLD_REPORTS },
+	{ "all-of-two-thirds", 9, 6, ROLLOUT_HOLD_ALL },
+	{ "reports-of-two-thirds", 9, 6, ROLLOUT_HOLD_REPORTS },
+};
+
+static void run_until_others_loaded(simulation_t *simulation, size_t held)
+{
+	uint64_t deadline_ms = simulation->now_ms + TIME_LIMIT_MS;
+
+	while (simulation->now_ms < deadline_ms)
+		step(simulation);
+	for (size_t i = held; i < simulation->count; i++)
+		g_assert_cmpuint(simulation->engines[i].weights, ==, 2);
+}
+
+static void check_held(const simulated_engine_t *engine,
+		       const hold_case_t *test_case)
+{
+	g_assert_cmpuint(engine->weights, ==, 1);
+	g_assert_cmpuint(engine->drains, ==, 0);
+	g_assert_cmpuint(engine->orders, ==, 0);
+	if (test_case->hold == ROLLOUT_HOLD_ALL) {
+		g_assert_cmpuint(engine->polls, ==, 0);
+		return;
+	}
+	g_assert_cmpuint(engine->polls, >, 1);
+	g_assert_cmpuint(engine->poll_interval_min_ms, >=, ROLLOUT_POLL_MS);
+	/* A poll and its answer take a step each. */
+	if (test_case->engines == 1)
+		g_assert_cmpuint(engine->poll_interval_max_ms, <=,
+				 ROLLOUT_POLL_MS + STEP_MS);
+}
+
+/* Failure: an engine to which an order of an earlier lease holder was on the
+ * way got another one; or it stopped the update of other engines. */
+static void test_hold(const void *data)
+{
+	const hold_case_t *test_case = data;
+	static simulation_t simulation;
+
+	simulation_init(&simulation, test_case->engines);
+	for (size_t i = 0; i < test_case->held; i++)
+		simulation.engines[i].hold = test_case->hold;
+	set_target(&simulation, 2);
+	run_until_others_loaded(&simulation, test_case->held);
+	for (size_t i = 0; i < test_case->held; i++) {
+		check_held(&simulation.engines[i], test_case);
+		simulation.engines[i].hold = ROLLOUT_HOLD_NONE;
+	}
+	run_until_loaded(&simulation, 2, TIME_LIMIT_MS);
+}
+
+/* Failure: an engine got an order although it was held since its drain began.
+ */
+static void test_hold_while_draining(void)
+{
+	static simulation_t simulation;
+	simulated_engine_t *engine = &simulation.engines[0];
+
+	simulation_init(&simulation, 1);
+	set_target(&simulation, 2);
+	while (!engine->drains)
+		step(&simulation);
+	engine->hold = ROLLOUT_HOLD_REPORTS;
+	for (int i = 0; i < TIME_LIMIT_MS / STEP_MS; i++)
+		step(&simulation);
+	g_assert_cmpuint(engine->orders, ==, 0);
+	engine->hold = ROLLOUT_HOLD_NONE;
+	run_until_loaded(&simulation, 2, TIME_LIMIT_MS);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -438,6 +564,15 @@
 		g_test_add_data_func(path, &cases[i], test_in_time);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(hold_cases); i++) {
+		char *path = g_strdup_printf("/weights-rollout/hold/%s",
+					     hold_cases[i].name);
+
+		g_test_add_data_func(path, &hold_cases[i], test_hold);
+		g_free(path);
+	}
+	g_test_add_func("/weights-rollout/hold-while-draining",
+			test_hold_while_draining);
 	g_test_add_func("/weights-rollout/repeated-targets",
 			test_repeated_targets);
 	g_test_add_func("/weights-rollout/lost-answer", test_lost_answer);
