t: add tests of streams beside several software versions

ORDER: a stream may go on only at the software version that began it. Gateways as real processes, three engines of each version, streams that break off at their engine, by a cut of the client, or with the instances, and are taken up again at another instance, also after all instances were killed.

--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -1,15 +1,20 @@
 #include "t/lib/platform_rig.h"
 
+#include <arpa/inet.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "process/cleanup.h"
 #include "process/rng.h"
 
 enum {
 	DEFAULT_CONNECTIONS_MAX = 100,
+	DEFAULT_TIMEOUT_MS = 3000,
+	STREAM_TIMEOUT_S = 10,
 	/** How long a dropped order's connection stays open, ms: longer than a
 	 * gateway waits for the answer. */
 	ORDER_DROP_MS = 2000,
@@ -24,6 +29,24 @@
  * process gets a small part of it. */
 #define RETRY_SLACK "100000"
 
+static int event_count(const endpoint_t *endpoint)
+{
+	return endpoint->event_count ? endpoint->event_count : EVENT_COUNT;
+}
+
+static char *make_event(const endpoint_t *endpoint, int number)
+{
+	return g_strdup_printf("id: %d\ndata: e%d%s%s\n\n", number, number,
+			       endpoint->names_itself ? " " : "",
+			       endpoint->names_itself ? endpoint->id : "");
+}
+
+static void pause_before_event(const endpoint_t *endpoint, int number)
+{
+	if (number > 2 && endpoint->event_pause_ms)
+		WAIT_UNTIL(endpoint->release, endpoint->event_pause_ms);
+}
+
 static void send_events(const endpoint_t *endpoint, behaviour_t behaviour,
 			const raw_request_t *request, const char *id, int after)
 {
@@ -32,9 +55,10 @@
 		 "Content-Type: text/event-stream\r\n"
 		 "Transfer-Encoding: chunked\r\n\r\n",
 		 id);
-	for (int i = after + 1; i <= EVENT_COUNT; i++) {
-		char *event = g_strdup_printf("id: %d\ndata: e%d\n\n", i, i);
+	for (int i = after + 1; i <= event_count(endpoint); i++) {
+		char *event = make_event(endpoint, i);
 
+		pause_before_event(endpoint, i);
 		if (behaviour == STALL && i == 3) {
 			g_free(event);
 			WAIT_UNTIL(endpoint->release, HARNESS_WAIT_MS);
@@ -52,7 +76,8 @@
 }
 
 /* Sends a stream that has neither a length nor chunks. */
-static raw_next_t send_unframed_events(behaviour_t behaviour,
+static raw_next_t send_unframed_events(const endpoint_t *endpoint,
+				       behaviour_t behaviour,
 				       const raw_request_t *request,
 				       const char *id, int after)
 {
@@ -60,7 +85,10 @@
 		 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
 		 "Content-Type: text/event-stream\r\n\r\n",
 		 id);
-	for (int i = after + 1; i <= EVENT_COUNT; i++) {
+	for (int i = after + 1; i <= event_count(endpoint); i++) {
+		char *event;
+
+		pause_before_event(endpoint, i);
 		if (behaviour == UNFRAMED_CUT && i == 3) {
 			raw_send(request, "id: %d\nda", i);
 			return RAW_CLOSE;
@@ -70,7 +98,9 @@
 			g_usleep(100000);
 			return RAW_RESET;
 		}
-		raw_send(request, "id: %d\ndata: e%d\n\n", i, i);
+		event = make_event(endpoint, i);
+		raw_send(request, "%s", event);
+		g_free(event);
 	}
 	return RAW_CLOSE;
 }
@@ -118,14 +148,22 @@
 		 status, id, more, strlen(body), body);
 }
 
+static behaviour_t next_behaviour(const endpoint_t *endpoint, bool stream)
+{
+	if (stream && endpoint->next_behaviour)
+		return (behaviour_t)atomic_exchange(endpoint->next_behaviour,
+						    ANSWER);
+	return (behaviour_t)endpoint->behaviour;
+}
+
 static raw_next_t answer_request(endpoint_t *endpoint,
 				 const raw_request_t *request)
 {
 	CLEANUP_FREE char *id = raw_header(request->head, "Request-Id");
 	CLEANUP_FREE char *last = raw_header(request->head, "Last-Event-Id");
-	/* Read once, as the test may change it at any time. */
-	behaviour_t behaviour = (behaviour_t)endpoint->behaviour;
 	bool stream = strstr(request->head, "/stream/") != NULL;
+	/* Read once, as the test may change it at any time. */
+	behaviour_t behaviour = next_behaviour(endpoint, stream);
 	char *more;
 	char *body;
 
@@ -186,7 +224,7 @@
 	case UNFRAMED_STREAM:
 	case UNFRAMED_CUT:
 	case UNFRAMED_RESET:
-		return send_unframed_events(behaviour, request, id,
+		return send_unframed_events(endpoint, behaviour, request, id,
 					    last ? atoi(last) : 0);
 	case HOLD:
 	case TRUNCATE_EVENT:
@@ -216,17 +254,20 @@
 			? json_array()
 			: json_pack("[{s:s,s:I}]", "name", "m", "version",
 				    (json_int_t)endpoint->weights);
+	json_t *entry;
 
 	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
 		   raw_server_port(endpoint->server));
-	platform_store_put(
-		endpoint->store, "servers", id,
-		json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:i,s:I}", "service",
+	entry = json_pack("{s:s,s:s,s:s,s:i,s:s,s:o,s:i,s:I}", "service",
 			  endpoint->service, "addr", address, "zone", "z",
 			  "slots", 8, "state", state, "models", models, "seq",
 			  ++endpoint->entries, "born",
 			  (json_int_t)1000 + endpoint->number +
-				  ENDPOINT_COUNT * endpoint->crashes));
+				  ENGINES_MAX * endpoint->crashes);
+	if (endpoint->software)
+		json_object_set_new(entry, "version",
+				    json_string(endpoint->software));
+	platform_store_put(endpoint->store, "servers", id, entry);
 }
 
 void platform_rig_put_entry(endpoint_t *endpoint, const char *state)
@@ -359,12 +400,15 @@
 }
 
 static void start_endpoint(platform_rig_t *rig, endpoint_t *endpoint,
-			   const char *service, int number)
+			   const char *service, int number,
+			   const char *software)
 {
 	memset(endpoint, 0, sizeof(*endpoint));
 	g_snprintf(endpoint->id, sizeof(endpoint->id), "%s-%d", service,
 		   number);
 	endpoint->service = service;
+	endpoint->software = software;
+	endpoint->names_itself = software;
 	endpoint->number = number;
 	endpoint->weights = 1;
 	endpoint->store = rig->store;
@@ -380,9 +424,9 @@
 	json_t *route_json = json_pack(
 		"{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:b}", "name", name,
 		"host", "h.example", "path_prefix", prefix, "kind", kind,
-		"timeout_ms", 3000, "target_latency_ms", 150, "priority", 1,
-		"service", service, "max_attempts", 2, "anonymous", 0,
-		"resumable", resumable);
+		"timeout_ms", DEFAULT_TIMEOUT_MS, "target_latency_ms", 150,
+		"priority", 1, "service", service, "max_attempts", 2,
+		"anonymous", 0, "resumable", resumable);
 
 	g_free(prefix);
 	return route_json;
@@ -409,15 +453,13 @@
 	}
 }
 
-static void set_attempts_max(const platform_rig_t *rig, json_t *routes)
+static void set_in_routes(json_t *routes, const char *field, int value)
 {
 	size_t index;
 	json_t *item;
 
-	json_array_foreach (routes, index, item) {
-		json_object_set_new(item, "max_attempts",
-				    json_integer(rig->options.attempts_max));
-	}
+	json_array_foreach (routes, index, item)
+		json_object_set_new(item, field, json_integer(value));
 }
 
 void platform_rig_put_desired(platform_rig_t *rig, int version, const char *key)
@@ -439,7 +481,10 @@
 
 	add_idle_routes(rig, routes);
 	if (rig->options.attempts_max)
-		set_attempts_max(rig, routes);
+		set_in_routes(routes, "max_attempts",
+			      rig->options.attempts_max);
+	if (rig->options.timeout_ms)
+		set_in_routes(routes, "timeout_ms", rig->options.timeout_ms);
 	platform_store_put(
 		rig->store, "config", "main",
 		json_pack(
@@ -513,6 +558,19 @@
 	g_free(name);
 }
 
+void platform_rig_kill_gateways(platform_rig_t *rig)
+{
+	for (int i = 0; i < GATEWAYS_MAX; i++) {
+		if (rig->gateways[i])
+			program_signal(rig->gateways[i], SIGKILL);
+	}
+	for (int i = 0; i < GATEWAYS_MAX; i++) {
+		if (rig->gateways[i])
+			program_free(rig->gateways[i]);
+		rig->gateways[i] = NULL;
+	}
+}
+
 void platform_rig_start(platform_rig_t *rig, int gateways)
 {
 	platform_rig_start_with(rig, gateways, &(platform_rig_options_t){ 0 });
@@ -527,14 +585,19 @@
 		rig->options.weights_ms = WEIGHTS_MS;
 	if (!rig->options.lease_ms)
 		rig->options.lease_ms = LEASE_MS;
+	if (!rig->options.engines)
+		rig->options.engines = ENDPOINT_COUNT;
 	rig->store = platform_store_start();
 	rig->peer_ports[0] = harness_free_port();
 	platform_rig_put_desired(rig, 1, "key-1");
 	platform_rig_put_target_weights(rig, 1);
-	for (int i = 0; i < ENDPOINT_COUNT; i++) {
-		start_endpoint(rig, &rig->services[i], "desk", i);
-		start_endpoint(rig, &rig->engines[i], "llm", i);
-	}
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		start_endpoint(rig, &rig->services[i], "desk", i, NULL);
+	for (int i = 0; i < rig->options.engines; i++)
+		start_endpoint(rig, &rig->engines[i], "llm", i,
+			       options->engine_software
+				       ? options->engine_software[i]
+				       : NULL);
 	for (int i = 0; i < gateways; i++)
 		platform_rig_start_gateway(rig, i);
 	for (int i = 0; i < gateways; i++)
@@ -559,10 +622,10 @@
 		program_free(rig->gateways[i]);
 		clock_shift_free(rig->clocks[i]);
 	}
-	for (int i = 0; i < ENDPOINT_COUNT; i++) {
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
 		stop_endpoint(&rig->services[i]);
+	for (int i = 0; i < rig->options.engines; i++)
 		stop_endpoint(&rig->engines[i]);
-	}
 	platform_store_stop(rig->store);
 }
 
@@ -581,6 +644,52 @@
 	return answer;
 }
 
+void platform_rig_open_stream(platform_rig_stream_t *stream,
+			      const platform_rig_t *rig, int gateway,
+			      const char *request)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(rig->ports[gateway]),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	struct timeval limit = { .tv_sec = STREAM_TIMEOUT_S };
+
+	stream->answer = g_string_new(NULL);
+	stream->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(stream->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	if (!connect(stream->fd, (struct sockaddr *)&address, sizeof(address)))
+		(void)send(stream->fd, request, strlen(request), MSG_NOSIGNAL);
+}
+
+static bool has_event(const char *answer, int number)
+{
+	CLEANUP_FREE char *start = g_strdup_printf("id: %d\n", number);
+	const char *event = strstr(answer, start);
+
+	return event && strstr(event, "\n\n");
+}
+
+bool platform_rig_read_event(platform_rig_stream_t *stream, int number)
+{
+	char bytes[4096];
+	ssize_t len;
+
+	while (!has_event(stream->answer->str, number)) {
+		len = recv(stream->fd, bytes, sizeof(bytes), 0);
+		if (len <= 0)
+			return false;
+		g_string_append_len(stream->answer, bytes, len);
+	}
+	return true;
+}
+
+void platform_rig_close_stream(platform_rig_stream_t *stream)
+{
+	close(stream->fd);
+	g_string_free(stream->answer, TRUE);
+}
+
 static void *call_main(void *context)
 {
 	platform_rig_call_t *call = context;
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -22,6 +22,7 @@
 
 enum {
 	ENDPOINT_COUNT = 2,
+	ENGINES_MAX = 6,
 	ENDPOINT_HOLDER_MAX_BYTES = 64,
 	GATEWAYS_MAX = 3,
 	EVENT_COUNT = 4,
@@ -62,10 +63,21 @@
 	raw_server_t *server;
 	char id[16];
 	const char *service;
+	/** Version of its software in its entry of the endpoint list; NULL: the
+	 * entry has none. */
+	const char *software;
 	int number;
 	_Atomic int behaviour;
 	_Atomic bool release; /**< Ends HOLD and STALL. */
 	_Atomic int after_release;
+	/** Behaviour for the next stream at any of the endpoints that share
+	 * this; ANSWER from then on. NULL: `behaviour` applies. */
+	_Atomic int *next_behaviour;
+	/** The events of its streams contain its id. */
+	bool names_itself;
+	_Atomic int event_count; /**< Of its streams; 0: EVENT_COUNT. */
+	/** Before each event after the second one, until `release`. */
+	_Atomic uint32_t event_pause_ms;
 	_Atomic uint32_t delay_ms; /**< Before each answer. */
 	const endless_answer_t *endless;
 	const char *_Atomic cut_answer; /**< `%s`: the request's id. */
@@ -118,6 +130,11 @@
 	int idle_routes;
 	int attempts_max;    /**< Of each route. */
 	int connections_max; /**< Of each endpoint. */
+	int timeout_ms;	     /**< Of each route. */
+	int engines;	     /**< At most ENGINES_MAX. */
+	/** Versions of the engines' software; events of the engines contain
+	 * the engine's id. NULL: the entries of the engines have none. */
+	const char *const *engine_software;
 	/** Each gateway has a time of day of its own. */
 	bool own_clocks;
 } platform_rig_options_t;
@@ -126,7 +143,7 @@
 	platform_rig_options_t options;
 	platform_store_t *store;
 	endpoint_t services[ENDPOINT_COUNT]; /**< Of one plain service. */
-	endpoint_t engines[ENDPOINT_COUNT];
+	endpoint_t engines[ENGINES_MAX];
 	program_t *gateways[GATEWAYS_MAX];
 	uint16_t ports[GATEWAYS_MAX];
 	uint16_t ready_ports[GATEWAYS_MAX];
@@ -145,6 +162,9 @@
 /** Starts a gateway, or restarts it on the same ports. */
 void platform_rig_start_gateway(platform_rig_t *rig, int index);
 
+/** Kills all gateways with SIGKILL. */
+void platform_rig_kill_gateways(platform_rig_t *rig);
+
 /** Whether the readiness probe of a gateway succeeds. */
 bool platform_rig_is_ready(platform_rig_t *rig, int gateway);
 
@@ -169,6 +189,24 @@
 			   const char *method, const char *path,
 			   const char *more);
 
+/** An answer that is read bit by bit. */
+typedef struct platform_rig_stream {
+	int fd;
+	GString *answer; /**< Received so far. */
+} platform_rig_stream_t;
+
+/** Sends a request, as the text that goes over the connection. */
+void platform_rig_open_stream(platform_rig_stream_t *stream,
+			      const platform_rig_t *rig, int gateway,
+			      const char *request);
+
+/** Reads until the answer contains an event.
+ * @return false if the connection has ended before */
+bool platform_rig_read_event(platform_rig_stream_t *stream, int number);
+
+/** Closes the client's end of the connection. */
+void platform_rig_close_stream(platform_rig_stream_t *stream);
+
 /** A request to the first gateway that a thread of its own sends. */
 typedef struct platform_rig_call {
 	const platform_rig_t *rig;
--- a/t/lib/platform_store.c
+++ b/t/lib/platform_store.c
@@ -29,6 +29,7 @@
 	uint64_t forgotten; /**< Watches from before this revision fail. */
 	uint64_t era;
 	uint32_t calls;
+	GHashTable *kind_calls; /**< Number of calls for each kind. */
 	uint32_t ignored_calls;
 	const char *ignored_kind; /**< NULL for none. */
 	bool down;
@@ -189,6 +190,15 @@
 						    false)));
 }
 
+static void count_call(platform_store_t *store, const char *kind)
+{
+	guint count =
+		GPOINTER_TO_UINT(g_hash_table_lookup(store->kind_calls, kind));
+
+	g_hash_table_insert(store->kind_calls, g_strdup(kind),
+			    GUINT_TO_POINTER(count + 1));
+}
+
 static raw_next_t answer(void *context, const raw_request_t *request)
 {
 	platform_store_t *store = context;
@@ -207,6 +217,7 @@
 	}
 	SCOPED_LOCK(guard, &store->lock);
 	store->calls++;
+	count_call(store, kind);
 	if (store->ignored_kind && !strcmp(kind, store->ignored_kind))
 		store->ignored_calls++;
 	else if (store->down || !*kind)
@@ -235,6 +246,8 @@
 	pthread_mutex_init(&store->lock, NULL);
 	clock_cond_init(&store->changed);
 	store->changes = g_ptr_array_new_with_free_func(free_change);
+	store->kind_calls =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->revision = 1;
 	store->era = 1;
 	store->server = raw_server_start(answer, store);
@@ -246,6 +259,7 @@
 	platform_store_set_down(store, true);
 	raw_server_stop(store->server);
 	g_ptr_array_free(store->changes, TRUE);
+	g_hash_table_destroy(store->kind_calls);
 	pthread_cond_destroy(&store->changed);
 	pthread_mutex_destroy(&store->lock);
 	g_free(store);
@@ -333,3 +347,9 @@
 	SCOPED_LOCK(guard, &store->lock);
 	return store->calls;
 }
+
+uint32_t platform_store_calls_of(platform_store_t *store, const char *kind)
+{
+	SCOPED_LOCK(guard, &store->lock);
+	return GPOINTER_TO_UINT(g_hash_table_lookup(store->kind_calls, kind));
+}
--- a/t/lib/platform_store.h
+++ b/t/lib/platform_store.h
@@ -52,4 +52,7 @@
 /** Requests received since the start. */
 uint32_t platform_store_calls(platform_store_t *store);
 
+/** Likewise, for objects of a kind. */
+uint32_t platform_store_calls_of(platform_store_t *store, const char *kind);
+
 #endif
