exchange: a stream goes on only at the software version that began it

Cause: the software version of an endpoint was not read, so the choice of an endpoint for the rest of a stream did not look at it.

Change: an endpoint's entry has its software version. From the first event that is relayed, only endpoints with the version that made it are candidates; without one, the answer breaks off, and the client may take the stream up.

--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -157,6 +157,7 @@
 
 	exchange->has_event = true;
 	if (id != SSE_SPLITTER_NO_ID) {
+		exchange->software = exchange->endpoint->software;
 		if (exchange->last_event != REQUEST_NO_LAST_EVENT &&
 		    id <= exchange->last_event)
 			return;
--- a/request/exchange_job.h
+++ b/request/exchange_job.h
@@ -19,6 +19,7 @@
 
 #include "platform/platform_request.h"
 #include "process/endpoint_load.h"
+#include "process/software.h"
 #include "request/exchange.h"
 #include "request/sse_splitter.h"
 #include "version/view.h"
@@ -84,6 +85,9 @@
 			      * that the client resumes after, or
 			      * REQUEST_NO_LAST_EVENT. */
 	uint64_t first_event_ms; /**< 0: no event was relayed. */
+	/** Version of the endpoints' software at which a stream began that may
+	 * be resumed; it goes on at no other one. SOFTWARE_UNKNOWN: none yet. */
+	uint32_t software;
 	sse_splitter_t splitter;
 	/** Header lines and body of an answer that is not relayed yet. */
 	struct evbuffer *buffered_head;
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -1,6 +1,7 @@
 #include "request/exchange_job.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "process/cleanup.h"
@@ -328,19 +329,71 @@
 	return from >= 0 ? candidates->entries[from]->id : "-";
 }
 
+/* The endpoints of the service that the request may be sent to. */
+typedef struct eligible {
+	const endpoint_entry_t *const *entries;
+	const uint64_t *id_hashes;
+	size_t count;
+	/** Owned copies; NULL if all endpoints are eligible. */
+	const endpoint_entry_t **own_entries;
+	uint64_t *own_hashes;
+} eligible_t;
+
+static void eligible_free(eligible_t *eligible)
+{
+	free(eligible->own_entries);
+	free(eligible->own_hashes);
+}
+
+#define CLEANUP_ELIGIBLE __attribute__((cleanup(eligible_free)))
+
+/* Keeps the endpoints with the version of the software at which the stream
+ * began; none when out of memory. */
+static void keep_software(eligible_t *eligible, uint32_t software)
+{
+	size_t count = eligible->count;
+
+	eligible->count = 0;
+	eligible->own_entries = calloc(count + 1, sizeof(*eligible->entries));
+	eligible->own_hashes = calloc(count + 1, sizeof(*eligible->id_hashes));
+	if (!eligible->own_entries || !eligible->own_hashes)
+		return;
+	for (size_t i = 0; i < count; i++) {
+		if (eligible->entries[i]->software != software)
+			continue;
+		eligible->own_entries[eligible->count] = eligible->entries[i];
+		eligible->own_hashes[eligible->count++] =
+			eligible->id_hashes[i];
+	}
+	eligible->entries = eligible->own_entries;
+	eligible->id_hashes = eligible->own_hashes;
+}
+
+static void find_eligible(const exchange_t *exchange, eligible_t *eligible)
+{
+	const view_group_t *group = &exchange->view->groups[exchange->service];
+
+	eligible->entries = group->entries;
+	eligible->id_hashes = group->id_hashes;
+	eligible->count = group->count;
+	if (exchange->software != SOFTWARE_UNKNOWN)
+		keep_software(eligible, exchange->software);
+}
+
 static void select_candidates(const exchange_t *exchange,
 			      const placement_request_t *demand,
 			      candidates_t *candidates)
 {
-	const view_group_t *group = &exchange->view->groups[exchange->service];
+	CLEANUP_ELIGIBLE eligible_t eligible = { 0 };
 	uint32_t selected[PLACEMENT_CANDIDATES_MAX];
 
+	find_eligible(exchange, &eligible);
 	candidates->count = placement_select(
-		group->id_hashes, group->count,
+		eligible.id_hashes, eligible.count,
 		demand->prefix_key ? demand->prefix_key : demand->tie_break,
 		demand->tie_break, selected);
 	for (size_t i = 0; i < candidates->count; i++)
-		candidates->entries[i] = group->entries[selected[i]];
+		candidates->entries[i] = eligible.entries[selected[i]];
 }
 
 /* Target weights of the request's model; NULL if it has none. Only engines have
@@ -473,11 +526,14 @@
 	charge_fetch(exchange, &candidates, choice.index);
 	event_log(
 		EVENT_REQUEST_PLACED,
-		"id=%s endpoint=%s home=%d weights=%llu outdated_ms=%llu "
+		"id=%s endpoint=%s software=%s resumed=%d home=%d weights=%llu "
+		"outdated_ms=%llu "
 		"wait_ms=%u cost_ms=%.0f "
 		"shared=%u held=%u fetchable=%u from=%s saving=%d prefill=%u runs=%u "
 		"left_ms=%llu reused=%d err=%s",
-		exchange->id, endpoint->id, choice.index == choice.preferred,
+		exchange->id, endpoint->id, endpoint->software_name,
+		exchange->software != SOFTWARE_UNKNOWN,
+		choice.index == choice.preferred,
 		(unsigned long long)exchange->weights,
 		(unsigned long long)exchange_outdated_ms(
 			exchange, exchange->view, exchange->weights, now_ms),
--- a/version/view.c
+++ b/version/view.c
@@ -60,7 +60,8 @@
 static size_t text_bytes(const endpoint_entry_t *entry)
 {
 	size_t bytes = strlen(entry->id) + strlen(entry->service) +
-		       strlen(entry->domain) + strlen(entry->address_text) + 4;
+		       strlen(entry->domain) + strlen(entry->address_text) +
+		       strlen(entry->software_name) + 5;
 
 	for (uint32_t i = 0; i < entry->model_count; i++)
 		bytes += strlen(entry->models[i].model) + 1;
@@ -86,6 +87,7 @@
 	entry->service = append_text(texts_end, from->service);
 	entry->domain = append_text(texts_end, from->domain);
 	entry->address_text = append_text(texts_end, from->address_text);
+	entry->software_name = append_text(texts_end, from->software_name);
 	entry->models = *models_end;
 	for (uint32_t i = 0; i < from->model_count; i++)
 		*(*models_end)++ = (model_weights_t){
--- a/version/view.h
+++ b/version/view.h
@@ -47,6 +47,9 @@
 	struct sockaddr_in address;
 	uint32_t slots;
 	uint32_t warm_up_ms;
+	/** Version of its software, and its number; see software_number(). */
+	const char *software_name;
+	uint32_t software;
 	bool draining;
 	/** Time of its start; 0 if not known. */
 	uint64_t started_unix_ms;
