lease: keep a note of the holders in the record

What the holders know must outlive the death of all instances without another object in the store. The record gets a text of up to 255 bytes: an acquisition keeps the note that it finds, lease_set_note() replaces it from the holder's next renewal or release on, and there is no write of its own for it. The JSON field "note" is left out when empty, so records without one read as empty and are written as before. LEASE_SIZE_BYTES rises with the struct to 1,536.

--- a/process/controller_codec.c
+++ b/process/controller_codec.c
@@ -50,15 +50,16 @@
 	char nonce[HASH_KEY_HEX_BYTES];
 	json_t *era =
 		record->era ? json_integer((json_int_t)record->era) : NULL;
+	const char *note = record->note[0] ? record->note : NULL;
 
 	/* JSON integers are signed; a nonce uses all 64 bits. */
 	hash_key_to_hex(record->nonce, nonce);
-	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:o*}", "holder",
+	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:o*,s:s*}", "holder",
 			 record->holder, "successor", record->successor,
 			 "nonce", nonce, "fencing", (json_int_t)record->fencing,
 			 "write_id", (json_int_t)record->write_id,
 			 "duration_ms", (json_int_t)record->duration_ms, "era",
-			 era);
+			 era, "note", note);
 }
 
 int lease_record_from_json(const json_t *value, lease_record_t *record)
@@ -81,6 +82,9 @@
 	if (json_object_get(value, "era") &&
 	    !read_u64(value, "era", &record->era))
 		return ERR_BAD_JSON;
+	if (json_object_get(value, "note") &&
+	    !read_string(value, "note", record->note, sizeof(record->note)))
+		return ERR_BAD_JSON;
 	record->duration_ms = (uint32_t)duration_ms;
 	return 0;
 }
--- a/process/lease.c
+++ b/process/lease.c
@@ -120,6 +120,13 @@
 	return (fencing > least ? fencing : least) + 1;
 }
 
+static const char *found_note(const lease_t *lease)
+{
+	static const char no_note[LEASE_NOTE_MAX_BYTES];
+
+	return lease->have_record ? lease->record.note : no_note;
+}
+
 static void try_acquire(lease_t *lease, lease_actions_t *actions,
 			uint64_t now_ms)
 {
@@ -131,6 +138,7 @@
 	record->fencing = next_fencing(lease);
 	record->era = lease->era;
 	record->duration_ms = lease->duration_ms;
+	memcpy(record->note, found_note(lease), sizeof(record->note));
 	lease->acquiring = true;
 	write_record(lease, actions, LEASE_PHASE_ACQUIRING, now_ms);
 }
@@ -165,18 +173,32 @@
 	lease->valid_until_ms = valid_until_ms;
 	lease->renew_at_ms =
 		lease->written_at_ms + lease->duration_ms / RENEW_DENOMINATOR;
-	if (is_new)
+	if (is_new) {
+		memcpy(lease->note, lease->record.note, sizeof(lease->note));
 		add(lease, actions, LEASE_ACTION_ACQUIRED)->fencing =
 			lease->record.fencing;
+	}
 	wait_until(lease, actions, lease->renew_at_ms);
 }
 
 static void renew(lease_t *lease, lease_actions_t *actions, uint64_t now_ms)
 {
 	lease->written = lease->record;
+	memcpy(lease->written.note, lease->note, sizeof(lease->written.note));
 	write_record(lease, actions, LEASE_PHASE_RENEWING, now_ms);
 }
 
+void lease_set_note(lease_t *lease, const char *note)
+{
+	if (lease->valid_until_ms)
+		snprintf(lease->note, sizeof(lease->note), "%s", note);
+}
+
+const char *lease_note(const lease_t *lease)
+{
+	return lease->valid_until_ms ? lease->note : found_note(lease);
+}
+
 static bool may_take_released(const lease_t *lease)
 {
 	const lease_record_t *record = &lease->record;
@@ -415,6 +437,7 @@
 	}
 	lease->written = lease->record;
 	lease->written.holder[0] = '\0';
+	memcpy(lease->written.note, lease->note, sizeof(lease->written.note));
 	snprintf(lease->written.successor, sizeof(lease->written.successor),
 		 "%s", successor ? successor : "");
 	write_record(lease, actions, LEASE_PHASE_RELEASING, now_ms);
--- a/process/lease.h
+++ b/process/lease.h
@@ -28,10 +28,12 @@
 enum {
 	/** Longest holder id with its NUL, bytes. */
 	LEASE_ID_MAX_BYTES = 64,
+	/** Longest note with its NUL, bytes. */
+	LEASE_NOTE_MAX_BYTES = 256,
 	/** Maximum number of actions returned by one step. */
 	LEASE_ACTIONS_MAX = 4,
 	/** Upper bound of sizeof(lease_t), checked at compile time. */
-	LEASE_SIZE_BYTES = 1024,
+	LEASE_SIZE_BYTES = 1536,
 };
 
 /** Value of the lease's record in the store. */
@@ -44,6 +46,8 @@
 	uint64_t write_id; /**< Different in each write with this nonce. */
 	uint64_t era;	   /**< Era of the store that it was written in. */
 	uint32_t duration_ms;
+	/** Text of the holders; kept until one of them replaces it. */
+	char note[LEASE_NOTE_MAX_BYTES];
 } lease_record_t;
 
 typedef enum lease_phase {
@@ -80,6 +84,7 @@
 	uint64_t observed_at_ms;
 	uint64_t valid_until_ms; /**< 0 if not the holder. */
 	uint64_t renew_at_ms;
+	char note[LEASE_NOTE_MAX_BYTES]; /**< For our next renewals. */
 } lease_t;
 
 typedef enum lease_event_kind {
@@ -157,6 +162,18 @@
 	lease->id_is_unique = true;
 }
 
+/**
+ * Replaces the note in the record, from the holder's next renewal or release
+ * on. Without effect while not the holder, as its next acquisition keeps the
+ * note that it finds.
+ * @param note at most LEASE_NOTE_MAX_BYTES; the rest is cut off
+ */
+void lease_set_note(lease_t *lease, const char *note);
+
+/** The holder's note, which after an acquisition is that of the holders before;
+ * while not the holder, the one of the record as last read. */
+const char *lease_note(const lease_t *lease);
+
 /** Advances the lease by one event. */
 void lease_step(lease_t *lease, const lease_event_t *event, uint64_t now_ms,
 		lease_actions_t *actions);
--- a/t/test-lease.c
+++ b/t/test-lease.c
@@ -24,6 +24,8 @@
 #define TIMER LEASE_EVENT_TIMER
 #define RELEASE LEASE_EVENT_RELEASE
 #define ERA LEASE_EVENT_ERA
+/** Note in the records of others. */
+#define NOTE "a1:7"
 #define FENCING(era, number) \
 	(((uint64_t)(era) << STORE_REVISION_BITS) + (number))
 
@@ -219,7 +221,8 @@
 				  .nonce = 99,
 				  .fencing = 4,
 				  .era = era,
-				  .duration_ms = DURATION_MS };
+				  .duration_ms = DURATION_MS,
+				  .note = NOTE };
 
 	if (found == OUR_WRITE)
 		return lease->written;
@@ -234,6 +237,77 @@
 	return record;
 }
 
+/** A step, and a note that is set after it. */
+typedef struct note_step {
+	step_t step;
+	const char *set;     /**< NULL: none. */
+	const char *note;    /**< lease_note() after that. */
+	const char *written; /**< In the write of this step; NULL: no write. */
+} note_step_t;
+
+static const struct {
+	const char *name;
+	note_step_t steps[9];
+} note_cases[] = {
+	{ "kept by the acquisition and renewals of another",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, NULL, NOTE, NOTE },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", 5 }, NULL, NOTE, NULL },
+	    { { TIMER, 0, NOTHING, 0, 1000, "W", 5 }, NULL, NOTE, NOTE },
+	    { { WRITTEN, 0, NOTHING, 7, 1100, "T", 5 }, NULL, NOTE, NULL },
+	    { { RELEASE, 0, NOTHING, 0, 1200, "LW", 0 }, NULL, NOTE, NOTE } } },
+	{ "replaced by the holder, also while a renewal is pending",
+	  { { { READ, ERR_NOT_FOUND, NOTHING, 0, 0, "W", 0 }, NULL, "", "" },
+	    { { WRITTEN, 0, NOTHING, 1, 10, "AT", 1 }, "b2:8", "b2:8", NULL },
+	    { { TIMER, 0, NOTHING, 0, 1000, "W", 1 }, "c3:9", "c3:9", "b2:8" },
+	    { { WRITTEN, 0, NOTHING, 2, 1010, "T", 1 }, NULL, "c3:9", NULL },
+	    { { TIMER, 0, NOTHING, 0, 2000, "W", 1 }, "", "", "c3:9" },
+	    { { WRITTEN, 0, NOTHING, 3, 2010, "T", 1 }, NULL, "", NULL },
+	    { { TIMER, 0, NOTHING, 0, 3000, "W", 1 }, NULL, "", "" } } },
+	{ "replaced by a release",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, NULL, NOTE, NOTE },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", 5 }, "b2:8", "b2:8", NULL },
+	    { { RELEASE, 0, NOTHING, 0, 200, "LW", 0 }, NULL, NOTE, "b2:8" },
+	    { { WRITTEN, ERR_STORE_DOWN, NOTHING, 0, 300, "T", 0 },
+	      NULL,
+	      NOTE,
+	      NULL },
+	    { { TIMER, 0, NOTHING, 0, 500, "W", 0 }, NULL, NOTE, "b2:8" } } },
+	{ "one that is set while not the holder replaces none",
+	  { { { READ, 0, HELD_BY_OTHER, 5, 0, "T", 0 }, "b2:8", NOTE, NULL },
+	    { { READ, 0, HELD_BY_OTHER, 5, 3000, "W", 0 }, "b2:8", NOTE, NOTE },
+	    { { WRITTEN, 0, NOTHING, 6, 3010, "AT", 5 }, NULL, NOTE, NULL },
+	    { { TIMER, 0, NOTHING, 0, 4000, "W", 5 }, NULL, NOTE, NOTE } } },
+	{ "renewal with a lost answer",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, NULL, NOTE, NOTE },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", 5 }, "b2:8", "b2:8", NULL },
+	    { { TIMER, 0, NOTHING, 0, 1000, "W", 5 }, NULL, "b2:8", "b2:8" },
+	    { { WRITTEN, ERR_STORE_UNKNOWN, NOTHING, 0, 1400, "R", 5 },
+	      "c3:9",
+	      "c3:9",
+	      NULL },
+	    { { READ, 0, OUR_EARLIER, 6, 1500, "W", 5 },
+	      NULL,
+	      "c3:9",
+	      "c3:9" } } },
+	{ "our expired lease, which nobody took over",
+	  { { { READ, 0, RELEASED, 5, 0, "W", 0 }, NULL, NOTE, NOTE },
+	    { { WRITTEN, 0, NOTHING, 6, 10, "AT", 5 }, "b2:8", "b2:8", NULL },
+	    { { TIMER, 0, NOTHING, 0, 1000, "W", 5 }, NULL, "b2:8", "b2:8" },
+	    { { WRITTEN, 0, NOTHING, 7, 1010, "T", 5 }, NULL, "b2:8", NULL },
+	    { { TIMER, 0, NOTHING, 0, 4000, "LR", 0 }, NULL, "b2:8", NULL },
+	    { { READ, 0, OUR_WRITE, 7, 4010, "W", 0 }, NULL, "b2:8", "b2:8" },
+	    { { WRITTEN, 0, NOTHING, 8, 4020, "AT", 6 },
+	      NULL,
+	      "b2:8",
+	      NULL } } },
+	{ "another took our expired lease over and replaced the note",
+	  { { { READ, ERR_NOT_FOUND, NOTHING, 0, 0, "W", 0 }, NULL, "", "" },
+	    { { WRITTEN, 0, NOTHING, 1, 10, "AT", 1 }, "b2:8", "b2:8", NULL },
+	    { { TIMER, 0, NOTHING, 0, 4000, "LR", 0 }, NULL, "", NULL },
+	    { { READ, 0, RELEASED, 7, 4010, "W", 0 }, NULL, NOTE, NOTE },
+	    { { WRITTEN, 0, NOTHING, 8, 4020, "AT", 5 }, NULL, NOTE, NULL } } },
+};
+
 /** A lease, and the record of its last write but one. */
 typedef struct case_run {
 	lease_t lease;
@@ -308,6 +382,28 @@
 	}
 }
 
+/* Guards against a note that an acquisition, a renewal or a release loses. */
+static void test_note_cases(void)
+{
+	for (size_t c = 0; c < G_N_ELEMENTS(note_cases); c++) {
+		case_run_t run;
+
+		begin_case(&run);
+		for (const note_step_t *s = note_cases[c].steps;
+		     s->step.actions; s++) {
+			run_step(&run, note_cases[c].name, &s->step, 0, 0);
+			g_assert_true(!strchr(s->step.actions, 'W') ==
+				      !s->written);
+			if (s->written)
+				g_assert_cmpstr(run.lease.written.note, ==,
+						s->written);
+			if (s->set)
+				lease_set_note(&run.lease, s->set);
+			g_assert_cmpstr(lease_note(&run.lease), ==, s->note);
+		}
+	}
+}
+
 /* ---- Schedules ---- */
 
 /** An endpoint that checks fencing numbers. */
@@ -322,6 +418,8 @@
 	lease_sim_t leases;
 	endpoint_t endpoint;
 	uint64_t requests_sent;
+	uint64_t note_found; /**< By the last holder. */
+	uint64_t notes_changed;
 	uint64_t last_sent; /**< Fencing number. */
 } run_t;
 
@@ -372,11 +470,34 @@
 		     RUN_MS / SEND_INTERVAL_MS);
 }
 
+static uint64_t parse_note(const char *note)
+{
+	return g_ascii_strtoull(note, NULL, 16);
+}
+
+/* Each holder notes its fencing number; without restores the next one finds it,
+ * or, if it was never written, that of an earlier one. */
+static void check_note(void *context, lease_sim_instance_t *instance)
+{
+	run_t *run = context;
+	uint64_t found = parse_note(lease_note(&instance->lease));
+	char note[LEASE_NOTE_MAX_BYTES];
+
+	if (!run->leases.user.has_restores)
+		g_assert_cmpuint(found, >=, run->note_found);
+	run->notes_changed += found > run->note_found;
+	run->note_found = found;
+	g_snprintf(note, sizeof(note), "%" G_GINT64_MODIFIER "x",
+		   instance->lease.record.fencing);
+	lease_set_note(&instance->lease, note);
+}
+
 static void run_schedule(uint64_t seed, bool has_restores, run_t *totals)
 {
 	run_t *run = g_new0(run_t, 1);
 	const lease_sim_user_t user = { .context = run,
 					.added = start_sending,
+					.acquired = check_note,
 					.has_restores = has_restores };
 
 	lease_sim_run(&run->leases, seed, &user);
@@ -385,6 +506,7 @@
 	totals->endpoint.accepted += run->endpoint.accepted;
 	totals->leases.releases += run->leases.releases;
 	totals->leases.restores += run->leases.restores;
+	totals->notes_changed += run->notes_changed;
 	g_free(run);
 }
 
@@ -412,6 +534,9 @@
 	g_assert_cmpuint(totals->requests_sent * SEND_INTERVAL_MS, >,
 			 (last - first + 1) * RUN_MS * sent_share_percent /
 				 100);
+	if (!has_restores)
+		g_assert_cmpuint(totals->notes_changed, >,
+				 3 * (last - first + 1));
 	g_free(totals);
 }
 
@@ -457,6 +582,35 @@
 	}
 }
 
+/*
+ * Guards against a note that differs when read, a field in records without a
+ * note, and a note that is cut off.
+ */
+static void test_record_note(void)
+{
+	static const size_t lengths[] = { 0, 1, LEASE_NOTE_MAX_BYTES - 1 };
+	char note[LEASE_NOTE_MAX_BYTES + 1] = "";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lengths); i++) {
+		lease_record_t record = { .holder = "self", .nonce = 7 };
+		lease_record_t decoded;
+		CLEANUP_JSON json_t *value = NULL;
+
+		memset(record.note, 'f', lengths[i]);
+		value = lease_record_to_json(&record);
+		g_assert_true(!json_object_get(value, "note") == !lengths[i]);
+		g_assert_cmpint(lease_record_from_json(value, &decoded), ==, 0);
+		g_assert_cmpstr(decoded.note, ==, record.note);
+		memset(note, 'f', LEASE_NOTE_MAX_BYTES);
+		json_object_set_new(value, "note", json_string(note));
+		g_assert_cmpint(lease_record_from_json(value, &decoded), ==,
+				ERR_BAD_JSON);
+		json_object_set_new(value, "note", json_integer(1));
+		g_assert_cmpint(lease_record_from_json(value, &decoded), ==,
+				ERR_BAD_JSON);
+	}
+}
+
 /*
  * Guards against an instance that, after a restart of all instances, waits for
  * the expiry of a lease that its own earlier incarnation held.
@@ -501,5 +655,7 @@
 	g_test_add_func("/lease/restored-schedules", test_restored_schedules);
 	g_test_add_func("/lease/record-json", test_record_json);
 	g_test_add_func("/lease/unique-id", test_unique_id);
+	g_test_add_func("/lease/note-cases", test_note_cases);
+	g_test_add_func("/lease/record-note", test_record_note);
 	return g_test_run();
 }
