peer_heartbeat: say what an instance knows of software versions

Two more bits of the flags word: versions are mixed, and the instance knows which versions there were. The datagram is as long as before.

Test: /peer-heartbeat/flags, all 64 combinations of the flags.

--- a/process/peer_heartbeat.c
+++ b/process/peer_heartbeat.c
@@ -15,6 +15,8 @@
 #define FLAG_WATCHING 2U
 #define FLAG_YIELDED 4U
 #define FLAG_STORE_FAILS 8U
+#define FLAG_MIXED 16U
+#define FLAG_COMPLETE 32U
 
 static bool convert_load(XDR *xdr, peer_load_t *load)
 {
@@ -44,7 +46,9 @@
 	uint32_t flags = (heartbeat->stopping ? FLAG_STOPPING : 0) |
 			 (heartbeat->watching ? FLAG_WATCHING : 0) |
 			 (heartbeat->yielded ? FLAG_YIELDED : 0) |
-			 (heartbeat->store_fails ? FLAG_STORE_FAILS : 0);
+			 (heartbeat->store_fails ? FLAG_STORE_FAILS : 0) |
+			 (heartbeat->software_mixed ? FLAG_MIXED : 0) |
+			 (heartbeat->software_complete ? FLAG_COMPLETE : 0);
 	char *name = heartbeat->name;
 
 	if (!xdr_uint32_t(xdr, &magic) || magic != HEARTBEAT_MAGIC ||
@@ -60,6 +64,8 @@
 	heartbeat->watching = flags & FLAG_WATCHING;
 	heartbeat->yielded = flags & FLAG_YIELDED;
 	heartbeat->store_fails = flags & FLAG_STORE_FAILS;
+	heartbeat->software_mixed = flags & FLAG_MIXED;
+	heartbeat->software_complete = flags & FLAG_COMPLETE;
 	for (int i = 0; i < PEER_TABLE_COUNT; i++) {
 		if (!xdr_uint64_t(xdr, &heartbeat->tables[i].revision) ||
 		    !xdr_uint64_t(xdr, &heartbeat->tables[i].digest))
--- a/process/peer_heartbeat.h
+++ b/process/peer_heartbeat.h
@@ -94,6 +94,10 @@
 	bool watching;	  /**< It watches the store, which answers. */
 	bool store_fails; /**< It watches the store, which does not answer. */
 	bool yielded;	  /**< It yields in the watcher election. */
+	/** Versions are mixed, see software_history_says_mixed(). */
+	bool software_mixed;
+	/** It knows which versions there were. */
+	bool software_complete;
 	uint64_t fencing; /**< Fencing number of the weights lease; 0:
 			       not the holder. */
 	peer_table_t tables[PEER_TABLE_COUNT];
--- a/t/test-gateway-parts.c
+++ b/t/test-gateway-parts.c
@@ -400,6 +400,47 @@
 	g_assert_cmpuint(received.limit_count, ==, c->limits);
 }
 
+static const size_t flag_offsets[] = {
+	offsetof(peer_heartbeat_t, stopping),
+	offsetof(peer_heartbeat_t, watching),
+	offsetof(peer_heartbeat_t, store_fails),
+	offsetof(peer_heartbeat_t, yielded),
+	offsetof(peer_heartbeat_t, software_mixed),
+	offsetof(peer_heartbeat_t, software_complete),
+};
+
+/* Failure: a flag was lost, was read as another one, or took more bytes. */
+static void test_heartbeat_flags(void)
+{
+	uint32_t count = G_N_ELEMENTS(flag_offsets);
+	int empty_len = 0;
+
+	for (uint32_t set = 0; set < 1U << count; set++) {
+		peer_heartbeat_t heartbeat;
+		peer_heartbeat_t decoded;
+		char bytes[PEER_HEARTBEAT_MAX_BYTES];
+		int len;
+
+		memset(&heartbeat, 0, sizeof(heartbeat));
+		heartbeat.name[0] = 'n';
+		heartbeat.incarnation = 1;
+		for (uint32_t i = 0; i < count; i++) {
+			bool *flag =
+				(bool *)((char *)&heartbeat + flag_offsets[i]);
+
+			*flag = set & 1U << i;
+		}
+		len = peer_heartbeat_encode(&heartbeat, bytes, sizeof(bytes));
+		empty_len = set ? empty_len : len;
+		g_assert_cmpint(len, ==, empty_len);
+		g_assert_cmpint(
+			peer_heartbeat_decode(&decoded, bytes, (size_t)len), ==,
+			0);
+		g_assert_cmpmem(&heartbeat, sizeof(heartbeat), &decoded,
+				sizeof(decoded));
+	}
+}
+
 /* Failure: lists grew until the datagram could not be encoded. */
 static void test_heartbeat_free_bytes(void)
 {
@@ -830,6 +871,7 @@
 			     test_heartbeat_malformed);
 	g_test_add_func("/peer-heartbeat/free-bytes",
 			test_heartbeat_free_bytes);
+	g_test_add_func("/peer-heartbeat/flags", test_heartbeat_flags);
 	g_test_add_func("/peer-heartbeat/era", test_heartbeat_era);
 	g_test_add_func("/peer-heartbeat/limits", test_heartbeat_limits);
 	for (size_t i = 0; i < G_N_ELEMENTS(clock_cases); i++) {
