gateway: take up a stream at the software version that began it

Cause: no instance knew at which version the request had begun that `Resumes` names, and any endpoint of the service was taken.

Change: while a service has several versions, or had lately, each instance reports its streams to the watcher of its failure domain, which keeps them in the store (amv-streams). A take-up goes on at the version that this instance, the store or, with one version only, the endpoint list tells; otherwise it is refused as not run. That there is only one version is relied on only while the endpoint list is known to be current, and an endpoint of a new version gets no new streams for 1.5 s unless nothing else is usable, so that all instances know of it. An instance that has just started learns which versions there were from others, or from a note in the record of the weights lease. With one version no call is made and no memory is used.

--- a/cmd/gateway.h
+++ b/cmd/gateway.h
@@ -16,10 +16,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "connection/outbound.h"
 #include "process/crash_ring.h"
 #include "process/crash_snapshot.h"
 #include "process/hint_ring.h"
 #include "process/limit_turns.h"
+#include "process/stream_ring.h"
 #include "process/peer_heartbeat.h"
 
 /** Settings of the process, from flags or the settings file;
@@ -64,6 +66,8 @@
 	crash_ring_t peer_crash_news;
 	/** From the front to the control thread. */
 	crash_snapshot_slot_t crash_snapshots;
+	stream_ring_t own_streams; /**< From the front to the control thread. */
+	stream_policy_t stream_policy; /**< Set by the control thread. */
 } gateway_t;
 
 /**
@@ -78,6 +82,9 @@
 /** Starts the control thread; NULL if it cannot be started. */
 gateway_control_t *gateway_control_start(gateway_t *gateway);
 
+/** Where the store is; 0 or ERR_SETTING. */
+int gateway_store_target(const gateway_t *gateway, outbound_target_t *target);
+
 /** Stops the control thread and frees its state. */
 void gateway_control_stop(gateway_control_t *control);
 
--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -4,6 +4,7 @@
 
 #include "cmd/gateway_archive.h"
 #include "cmd/gateway_control.h"
+#include "cmd/gateway_streams.h"
 #include "platform/platform_desired.h"
 #include "platform/platform_objects.h"
 #include "process/clock.h"
@@ -65,10 +66,13 @@
 static void on_rebuild(evutil_socket_t fd, short what, void *context)
 {
 	gateway_control_t *control = context;
-	int err = view_builder_publish(&control->view_builder, clock_now_ms());
+	uint64_t now_ms = clock_now_ms();
+	int err = view_builder_publish(&control->view_builder, now_ms);
 
 	(void)fd;
 	(void)what;
+	if (!err)
+		gateway_streams_view_changed(control->streams, now_ms);
 	if (!err && !control->was_ready) {
 		control->was_ready = true;
 		event_log(EVENT_READY, "desired_version=%llu",
@@ -229,6 +233,7 @@
 	gateway_peers_tick(control->peers, now_ms);
 	gateway_rollout_tick(control->rollout, now_ms);
 	gateway_archive_tick(control->archive, now_ms);
+	gateway_streams_tick(control->streams, now_ms);
 	schedule_tick(control, control->was_ready ? TICK_MS : START_TICK_MS);
 }
 
@@ -278,6 +283,7 @@
 	gateway_peers_close(control->peers);
 	gateway_rollout_close(control->rollout);
 	gateway_archive_close(control->archive);
+	gateway_streams_close(control->streams);
 	for (int i = 0; i < OBJECT_KIND_COUNT; i++)
 		object_watch_stop(control->watches[i]);
 	if (control->tick)
@@ -310,6 +316,18 @@
 	return limit_ms > usable_ms ? limit_ms - usable_ms : 0;
 }
 
+int gateway_store_target(const gateway_t *gateway, outbound_target_t *target)
+{
+	*target = (outbound_target_t){
+		.key = "store",
+		.connections_max = STORE_CONNECTIONS_MAX,
+		.connect_timeout_ms = STORE_CONNECT_MS,
+		.user_timeout_ms = STORE_USER_TIMEOUT_MS,
+	};
+	return platform_read_address(gateway->settings.store,
+				     &target->address.v4);
+}
+
 static int control_open(gateway_control_t *control)
 {
 	control->base = event_base_new();
@@ -336,16 +354,14 @@
 	control->store = (store_link_t){
 		.outbound = control->outbound,
 		.base = control->base,
-		.target = { .key = "store",
-			    .connections_max = STORE_CONNECTIONS_MAX,
-			    .connect_timeout_ms = STORE_CONNECT_MS,
-			    .user_timeout_ms = STORE_USER_TIMEOUT_MS },
 		.era_changed = on_store_era,
 		.context = control,
 	};
-	if (platform_read_address(control->gateway->settings.store,
-				  &control->store.target.address.v4))
+	if (gateway_store_target(control->gateway, &control->store.target))
 		return ERR_SETTING;
+	control->streams = gateway_streams_open(control);
+	if (!control->streams)
+		return ERR_NO_MEMORY;
 	control->peers = gateway_peers_open(control);
 	control->rollout = gateway_rollout_open(control);
 	control->archive = gateway_archive_open(control);
--- a/cmd/gateway_control.h
+++ b/cmd/gateway_control.h
@@ -18,6 +18,7 @@
 typedef struct gateway_peers gateway_peers_t;
 typedef struct gateway_rollout gateway_rollout_t;
 typedef struct gateway_archive gateway_archive_t;
+typedef struct gateway_streams gateway_streams_t;
 
 struct gateway_control {
 	gateway_t *gateway;
@@ -38,6 +39,7 @@
 	gateway_peers_t *peers;
 	gateway_rollout_t *rollout;
 	gateway_archive_t *archive;
+	gateway_streams_t *streams;
 	_Atomic bool stop_requested;
 	bool was_ready;
 	bool lease_released; /**< For a planned stop. */
@@ -75,6 +77,10 @@
  * wait than it can hold. */
 void gateway_peers_send_heartbeat(gateway_peers_t *peers);
 
+/** Sends a datagram to another instance. */
+void gateway_peers_send_to(const gateway_peers_t *peers, const char *bytes,
+			   size_t len, const struct sockaddr_in *target);
+
 /** Whether this instance may compete for the weights lease. Only the watchers
  * of the store do: they have the widest links of their failure domains. */
 bool gateway_peers_may_hold_lease(const gateway_peers_t *peers,
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -47,6 +47,7 @@
 	inbound_t *ready_listener;
 	inbound_t *metrics_listener;
 	exchange_env_t env;
+	store_link_t store; /**< For lookups of streams. */
 	inbound_limits_t limits;
 	uint32_t ticks;
 } front_t;
@@ -264,6 +265,7 @@
 	};
 	exchange_tick_crash_evidence(&front->env);
 	exchange_withdraw_outdated(&front->env);
+	exchange_tick_streams(&front->env);
 	if (front->ticks % SWEEP_INTERVAL_TICKS == 0)
 		update_metrics(front);
 	if (planned_stop_has_begun(&front->env.stop))
@@ -387,6 +389,25 @@
 	return 0;
 }
 
+/* The control thread handles the eras of the store. */
+static void on_store_era(void *context)
+{
+	(void)context;
+}
+
+static int open_store(front_t *front)
+{
+	front->store = (store_link_t){
+		.outbound = front->env.outbound,
+		.base = front->base,
+		.era_changed = on_store_era,
+	};
+	if (gateway_store_target(front->gateway, &front->store.target))
+		return ERR_SETTING;
+	return stream_lookups_init(&front->env.stream_lookups, front->base,
+				   &front->store);
+}
+
 static int front_open(front_t *front)
 {
 	const gateway_settings_t *settings = &front->gateway->settings;
@@ -406,6 +427,8 @@
 	front->env.own_crash_news = &front->gateway->own_crash_news;
 	front->env.peer_crash_news = &front->gateway->peer_crash_news;
 	front->env.crash_snapshots = &front->gateway->crash_snapshots;
+	front->env.own_streams = &front->gateway->own_streams;
+	front->env.stream_policy = &front->gateway->stream_policy;
 	crash_evidence_init(&front->env.crash_evidence);
 	front->env.place.instances = 1;
 	front->env.buffered_max_bytes =
@@ -420,7 +443,7 @@
 			  (uint32_t)settings->retry_slack,
 			  (uint32_t)(settings->retry_window_s * 1000),
 			  clock_now_ms());
-	if (!front->env.outbound)
+	if (!front->env.outbound || open_store(front))
 		return ERR_NO_MEMORY;
 	return open_listeners(front);
 }
@@ -439,6 +462,8 @@
 		inbound_close(front->ready_listener);
 	if (front->metrics_listener)
 		inbound_close(front->metrics_listener);
+	stream_lookups_free(&front->env.stream_lookups);
+	stream_table_free(&front->env.streams);
 	if (front->env.outbound)
 		outbound_close(front->env.outbound);
 	retry_budget_free(&front->env.retry_budget);
--- a/cmd/gateway_lease.c
+++ b/cmd/gateway_lease.c
@@ -3,6 +3,7 @@
 
 #include <stdlib.h>
 
+#include "cmd/gateway_streams.h"
 #include "platform/platform_objects.h"
 #include "process/cleanup.h"
 #include "process/clock.h"
@@ -123,6 +124,8 @@
 
 static void begin_term(gateway_lease_t *lease, uint64_t fencing)
 {
+	gateway_streams_lease_acquired(lease->control->streams,
+				       lease_note(&lease->lease));
 	lease->term_changed(lease->context);
 	metrics_add(METRIC_LEASES_ACQUIRED, 1);
 	event_log(EVENT_LEASE_ACQUIRED, "lease=%s fencing=%llu era=%llu",
@@ -254,6 +257,9 @@
 			return;
 		start_competing(lease);
 	}
+	if (gateway_lease_fencing(lease, 0))
+		lease_set_note(&lease->lease,
+			       gateway_streams_note(lease->control->streams));
 	check_lease_timer(lease, now_ms);
 }
 
--- a/cmd/gateway_peers.c
+++ b/cmd/gateway_peers.c
@@ -7,12 +7,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "cmd/gateway_streams.h"
 #include "platform/platform_desired.h"
 #include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
 #include "process/hash.h"
 #include "process/metrics.h"
+#include "process/stream_report.h"
 
 enum {
 	/** Interval of heartbeats, ms, which is the greatest age of peer loads.
@@ -216,6 +218,7 @@
 		heartbeat.tables[i].revision = table->revision;
 		heartbeat.tables[i].digest = object_table_digest(table);
 	}
+	gateway_streams_fill_heartbeat(control->streams, &heartbeat, now_ms);
 	fill_ejected(control->view_builder.view, &heartbeat, now_ms);
 	/* Before weights and loads, which the next heartbeat repeats. */
 	if (to_all)
@@ -232,8 +235,8 @@
 }
 
 /* Errors are ignored: the next heartbeat replaces a lost one. */
-static void send_datagram(gateway_peers_t *peers, const char *bytes, size_t len,
-			  const struct sockaddr_in *target)
+void gateway_peers_send_to(const gateway_peers_t *peers, const char *bytes,
+			   size_t len, const struct sockaddr_in *target)
 {
 	(void)sendto(peers->fd, bytes, len, 0, (const struct sockaddr *)target,
 		     sizeof(*target));
@@ -247,7 +250,8 @@
 
 	peers->sent_ms = clock_now_ms();
 	for (size_t i = 0; len > 0 && i < peers->target_count; i++)
-		send_datagram(peers, bytes, (size_t)len, &peers->targets[i]);
+		gateway_peers_send_to(peers, bytes, (size_t)len,
+				      &peers->targets[i]);
 }
 
 static bool has_crash_news(const gateway_peers_t *peers)
@@ -276,7 +280,8 @@
 		return;
 	len = encode_heartbeat(peers, false, bytes);
 	if (len > 0)
-		send_datagram(peers, bytes, (size_t)len, &peer->address);
+		gateway_peers_send_to(peers, bytes, (size_t)len,
+				      &peer->address);
 }
 
 static endpoint_load_t *find_load(const gateway_peers_t *peers, uint64_t key)
@@ -444,7 +449,10 @@
 	while ((len = recvfrom(fd, bytes, sizeof(bytes), MSG_DONTWAIT,
 			       (struct sockaddr *)&from, &from_len)) > 0) {
 		metrics_add(METRIC_PEER_BYTES_RECEIVED, len);
-		if (peer_heartbeat_decode(&heartbeat, bytes, (size_t)len))
+		if (stream_report_is_one(bytes, (size_t)len))
+			gateway_streams_receive(peers->control->streams, bytes,
+						(size_t)len);
+		else if (peer_heartbeat_decode(&heartbeat, bytes, (size_t)len))
 			metrics_add(METRIC_PEER_REJECTED, 1);
 		else
 			on_heartbeat(peers, &heartbeat, &from);
--- a/process/endpoint_load.h
+++ b/process/endpoint_load.h
@@ -60,6 +60,10 @@
 	/** No requests of this instance before this monotonic time, ms: the
 	 * endpoint asked for it. */
 	_Atomic uint64_t paused_until_ms;
+	/** No new streams that may be resumed before this monotonic time, ms,
+	 * unless nothing else is usable: not all instances may know the version
+	 * of its software. */
+	_Atomic uint64_t streams_from_ms;
 	_Atomic uint32_t failures;     /**< Consecutive. */
 	_Atomic uint32_t ejections;    /**< Since the last success. */
 	_Atomic uint32_t error_rate;   /**< Moving average, in 1/1024. */
--- a/process/error.c
+++ b/process/error.c
@@ -108,6 +108,9 @@
 	  RETRY_LATER, NOT_RUN, 10000 },
 	{ "peer_session", "the peer's message lacks the valid challenge", 403,
 	  RETRY_NOW, NOT_RUN, 0 },
+	{ "stream_unknown",
+	  "the software version at which the stream began is not known", 503,
+	  RETRY_LATER, NOT_RUN, 1000 },
 };
 
 const error_answer_t *error_answer(int err)
--- a/process/error.h
+++ b/process/error.h
@@ -76,8 +76,9 @@
 	/* Requests that crash endpoints. */
 	ERR_CRASH_BLOCKED = -52,
 	ERR_PEER_SESSION = -53,
+	ERR_STREAM_UNKNOWN = -54,
 	/** Number of kinds including ERR_OK; keep last. */
-	ERR_KIND_COUNT = 54,
+	ERR_KIND_COUNT = 55,
 } err_t;
 
 /** What is known about the execution of a request that failed. */
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -88,6 +88,20 @@
       "none, all engines are held for the transit time.")
 EVENT(1415, ROLLOUT_LOG_WRITTEN, "rollout_log_written", EVENT_DEBUG,
       "Orders to engines were written to the log, so that they may be sent.")
+EVENT(1420, STREAM_RESUMED, "stream_resumed", EVENT_INFO,
+      "A client resumes a stream. source: how the version of the software that "
+      "began it is known (own: it began here; only: there is one version; "
+      "lookup: found out since); none: not known, so that the request is "
+      "refused.")
+EVENT(1421, STREAMS_LISTED, "streams_listed", EVENT_INFO,
+      "The streams that instances recorded were read from the store, for "
+      "clients that resume some of them.")
+EVENT(1422, STREAMS_WRITTEN, "streams_written", EVENT_DEBUG,
+      "The streams of this failure domain were written to the store.")
+EVENT(1423, SOFTWARE_MIXED, "software_mixed", EVENT_INFO,
+      "Whether streams are recorded, because endpoints of a service have, or "
+      "had lately, several versions of their software, or because it is not "
+      "known which ones there were.")
 EVENT(1500, PEER_REJECTED, "peer_rejected", EVENT_WARN,
       "A message from a peer was not authentic or a replay. Check that all "
       "instances have the same cluster name and secret, and that their "
--- a/process/object.c
+++ b/process/object.c
@@ -6,6 +6,7 @@
 	[OBJECT_DESIRED] = "desired", [OBJECT_ENDPOINTS] = "endpoints",
 	[OBJECT_WEIGHTS] = "weights", [OBJECT_MEMBERS] = "members",
 	[OBJECT_LEASES] = "leases",   [OBJECT_CRASHES] = "crashes",
+	[OBJECT_STREAMS] = "streams",
 };
 
 const char *object_kind_name(object_kind_t kind)
--- a/process/object.h
+++ b/process/object.h
@@ -18,6 +18,7 @@
 	OBJECT_MEMBERS,	  /**< Instances of this system. */
 	OBJECT_LEASES,	  /**< Leases of this system. */
 	OBJECT_CRASHES,	  /**< Crash evidence of this system. */
+	OBJECT_STREAMS,	  /**< Streams and the software that began them. */
 	OBJECT_KIND_COUNT,
 } object_kind_t;
 
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -85,6 +85,7 @@
 {
 	if (exchange->call)
 		outbound_cancel(exchange->call);
+	stream_lookup_cancel(&exchange->env->stream_lookups, &exchange->lookup);
 	exchange_release_load(exchange);
 	if (exchange->timer)
 		event_free(exchange->timer);
@@ -143,8 +144,10 @@
 	log_end(exchange, "served", exchange->status);
 	metrics_observe_ms(METRIC_GATEWAY_ANSWER_MS,
 			   clock_now_ms() - exchange->started_ms);
-	if (exchange->request)
+	if (exchange->request) {
+		exchange_forget_stream(exchange);
 		inbound_finish(exchange->request);
+	}
 	exchange_free(exchange);
 }
 
@@ -412,7 +415,11 @@
 		&env->retry_budget,
 		hash_string(desired->services[exchange->service].name),
 		exchange->started_ms);
-	exchange_place(exchange);
+	if (exchange->last_event != REQUEST_NO_LAST_EVENT &&
+	    exchange_is_stream(exchange) && exchange_is_repeatable(exchange))
+		exchange_resume(exchange);
+	else
+		exchange_place(exchange);
 }
 
 void exchange_client_gone(inbound_request_t *request)
--- a/request/exchange.h
+++ b/request/exchange.h
@@ -30,6 +30,8 @@
 #include "process/planned_stop.h"
 #include "process/retry_budget.h"
 #include "process/rng.h"
+#include "process/stream_ring.h"
+#include "request/stream_lookup.h"
 
 enum {
 	/** Size of the buffer for a request's id with its NUL, bytes; a longer
@@ -97,6 +99,13 @@
 	crash_snapshot_slot_t *crash_snapshots;
 	uint64_t blocked_shared_ms;
 	bool has_new_blocks; /**< Runs in progress may have blocked keys. */
+	/** Streams that began here and may be resumed, while they are
+	 * recorded. */
+	stream_table_t streams;
+	stream_lookups_t stream_lookups;
+	const stream_policy_t *stream_policy; /**< Of the control thread. */
+	stream_ring_t *own_streams;	      /**< For the control thread. */
+	bool records_streams;		      /**< Policy at the last tick. */
 	/** How long streams may wait for their first token. */
 	first_token_timeout_t first_token_timeout;
 } exchange_env_t;
@@ -118,6 +127,10 @@
  * that were blocked; to be called periodically. */
 void exchange_tick_crash_evidence(exchange_env_t *env);
 
+/** Records the streams in progress once that becomes necessary; to be called
+ * periodically. */
+void exchange_tick_streams(exchange_env_t *env);
+
 /** Withdraws requests that wait at engines whose weights will soon be past
  * their time limit; to be called periodically. */
 void exchange_withdraw_outdated(exchange_env_t *env);
--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -156,8 +156,10 @@
 	exchange_t *exchange = context;
 
 	exchange->has_event = true;
-	if (id != SSE_SPLITTER_NO_ID) {
+	if (exchange->software == SOFTWARE_UNKNOWN)
 		exchange->software = exchange->endpoint->software;
+	exchange_record_stream(exchange);
+	if (id != SSE_SPLITTER_NO_ID) {
 		if (exchange->last_event != REQUEST_NO_LAST_EVENT &&
 		    id <= exchange->last_event)
 			return;
--- a/request/exchange_job.h
+++ b/request/exchange_job.h
@@ -10,6 +10,7 @@
  * - exchange_answer.c: handling of the endpoint's answer;
  * - exchange_cache.c: cache index, budgets for saves and fetches;
  * - exchange_crash.c: requests and parts of prompts that crash endpoints;
+ * - exchange_resume.c: streams and the software version that began them;
  * - exchange_weights.c: time limit for replaced weights.
  */
 #ifndef REQUEST_EXCHANGE_JOB_H
@@ -86,8 +87,12 @@
 			      * REQUEST_NO_LAST_EVENT. */
 	uint64_t first_event_ms; /**< 0: no event was relayed. */
 	/** Version of the endpoints' software at which a stream began that may
-	 * be resumed; it goes on at no other one. SOFTWARE_UNKNOWN: none yet. */
+	 * be resumed; it goes on at no other one. SOFTWARE_UNKNOWN: none yet.
+	 */
 	uint32_t software;
+	uint64_t stream_id; /**< Of a stream that may be resumed; 0: none. */
+	bool recorded;	    /**< The stream is in env->streams. */
+	stream_lookup_t lookup;
 	sse_splitter_t splitter;
 	/** Header lines and body of an answer that is not relayed yet. */
 	struct evbuffer *buffered_head;
@@ -109,6 +114,19 @@
  */
 int exchange_refresh_view(exchange_t *exchange);
 
+/**
+ * Finds out at which version of the endpoints' software a stream began that the
+ * client resumes, then places the request or refuses it. May free the exchange.
+ */
+void exchange_resume(exchange_t *exchange);
+
+/** Records at which version of the software a stream began, if that may be
+ * needed to resume it; to be called with each of its events. */
+void exchange_record_stream(exchange_t *exchange);
+
+/** Removes the record of a stream that the client has whole. */
+void exchange_forget_stream(exchange_t *exchange);
+
 /** Whether the request may run more than once. */
 bool exchange_is_repeatable(const exchange_t *exchange);
 
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -85,6 +85,14 @@
 				      load->id_hash, now_ms));
 }
 
+/* Whether the first event of a stream that may be resumed is still to come. */
+static bool begins_stream(const exchange_t *exchange)
+{
+	return exchange_is_stream(exchange) &&
+	       exchange_is_repeatable(exchange) &&
+	       exchange->software == SOFTWARE_UNKNOWN;
+}
+
 static candidate_state_t candidate_state(const exchange_t *exchange,
 					 const endpoint_entry_t *entry,
 					 uint64_t now_ms)
@@ -97,7 +105,9 @@
 	    !is_within_limit(exchange, load, now_ms))
 		return CANDIDATE_EXCLUDED;
 	if (now_ms < atomic_load(&load->loading_until_ms) ||
-	    now_ms < atomic_load(&load->ejected_until_ms))
+	    now_ms < atomic_load(&load->ejected_until_ms) ||
+	    (begins_stream(exchange) &&
+	     now_ms < atomic_load(&load->streams_from_ms)))
 		return CANDIDATE_AVOIDED;
 	return CANDIDATE_USABLE;
 }
