--- a/cmd/gateway_streams.c
+++ b/cmd/gateway_streams.c
@@ -96,8 +96,7 @@
 			      uint64_t now_ms)
 {
 	const view_t *view = streams->control->view_builder.view;
-	CLEANUP_FREE bool *marked =
-		view ? mark_stream_services(view->desired) : NULL;
+	bool *marked = view ? mark_stream_services(view->desired) : NULL;
 
 	for (size_t s = 0; marked && s < view->desired->service_count; s++) {
 		const view_group_t *group = &view->groups[s];
@@ -108,6 +107,7 @@
 					 group->entries[i]),
 			       now_ms);
 	}
+	free(marked);
 }
 
 static void list_endpoint(gateway_streams_t *streams,
--- a/request/exchange_place.c
+++ b/request/exchange_place.c
@@ -339,71 +339,66 @@
 	return from >= 0 ? candidates->entries[from]->id : "-";
 }
 
-/* The endpoints of the service that the request may be sent to. */
-typedef struct eligible {
-	const endpoint_entry_t *const *entries;
-	const uint64_t *id_hashes;
-	size_t count;
-	/** Owned copies; NULL if all endpoints are eligible. */
-	const endpoint_entry_t **own_entries;
-	uint64_t *own_hashes;
-} eligible_t;
-
-static void eligible_free(eligible_t *eligible)
+/* Key by which the endpoints are ranked. */
+static uint64_t placement_key(const placement_request_t *demand)
 {
-	free(eligible->own_entries);
-	free(eligible->own_hashes);
+	return demand->prefix_key ? demand->prefix_key : demand->tie_break;
 }
 
-#define CLEANUP_ELIGIBLE __attribute__((cleanup(eligible_free)))
-
-/* Keeps the endpoints with the version of the software at which the stream
- * began; none when out of memory. */
-static void keep_software(eligible_t *eligible, uint32_t software)
+/* Lists the endpoints with a version of the software: their positions in the
+ * group and their id hashes. */
+static size_t list_software(const view_group_t *group, uint32_t software,
+			    uint32_t *indexes, uint64_t *id_hashes)
 {
-	size_t count = eligible->count;
+	size_t count = 0;
 
-	eligible->count = 0;
-	eligible->own_entries = calloc(count + 1, sizeof(*eligible->entries));
-	eligible->own_hashes = calloc(count + 1, sizeof(*eligible->id_hashes));
-	if (!eligible->own_entries || !eligible->own_hashes)
-		return;
-	for (size_t i = 0; i < count; i++) {
-		if (eligible->entries[i]->software != software)
+	for (size_t i = 0; i < group->count; i++) {
+		if (group->entries[i]->software != software)
 			continue;
-		eligible->own_entries[eligible->count] = eligible->entries[i];
-		eligible->own_hashes[eligible->count++] =
-			eligible->id_hashes[i];
+		indexes[count] = (uint32_t)i;
+		id_hashes[count++] = group->id_hashes[i];
 	}
-	eligible->entries = eligible->own_entries;
-	eligible->id_hashes = eligible->own_hashes;
+	return count;
 }
 
-static void find_eligible(const exchange_t *exchange, eligible_t *eligible)
+/* Selects among the endpoints with the version of the software at which the
+ * stream began; none when out of memory. */
+static size_t select_of_software(const view_group_t *group, uint32_t software,
+				 const placement_request_t *demand,
+				 uint32_t *selected)
 {
-	const view_group_t *group = &exchange->view->groups[exchange->service];
-
-	eligible->entries = group->entries;
-	eligible->id_hashes = group->id_hashes;
-	eligible->count = group->count;
-	if (exchange->software != SOFTWARE_UNKNOWN)
-		keep_software(eligible, exchange->software);
+	uint32_t *indexes = calloc(group->count + 1, sizeof(uint32_t));
+	uint64_t *id_hashes = calloc(group->count + 1, sizeof(uint64_t));
+	size_t count = 0;
+
+	if (indexes && id_hashes)
+		count = placement_select(
+			id_hashes,
+			list_software(group, software, indexes, id_hashes),
+			placement_key(demand), demand->tie_break, selected);
+	for (size_t i = 0; i < count; i++)
+		selected[i] = indexes[selected[i]];
+	free(indexes);
+	free(id_hashes);
+	return count;
 }
 
 static void select_candidates(const exchange_t *exchange,
 			      const placement_request_t *demand,
 			      candidates_t *candidates)
 {
-	CLEANUP_ELIGIBLE eligible_t eligible = { 0 };
+	const view_group_t *group = &exchange->view->groups[exchange->service];
 	uint32_t selected[PLACEMENT_CANDIDATES_MAX];
 
-	find_eligible(exchange, &eligible);
-	candidates->count = placement_select(
-		eligible.id_hashes, eligible.count,
-		demand->prefix_key ? demand->prefix_key : demand->tie_break,
-		demand->tie_break, selected);
+	if (exchange->software != SOFTWARE_UNKNOWN)
+		candidates->count = select_of_software(
+			group, exchange->software, demand, selected);
+	else
+		candidates->count = placement_select(
+			group->id_hashes, group->count, placement_key(demand),
+			demand->tie_break, selected);
 	for (size_t i = 0; i < candidates->count; i++)
-		candidates->entries[i] = eligible.entries[selected[i]];
+		candidates->entries[i] = group->entries[selected[i]];
 }
 
 /* Target weights of the request's model; NULL if it has none. Only engines have
