exchange_answer: a stream belongs to the endpoint of its head

Cause: the version was fixed at the first event that is relayed, but the head, which is relayed before, already names the endpoint to the client.

Change: the version is fixed when the head is relayed.

Test: /it-software/one-answer/other-version-only/cut-in-first-event failed before (events 1 to 4 of the other version, none expected), and passes now.

--- a/request/exchange_answer.c
+++ b/request/exchange_answer.c
@@ -90,6 +90,9 @@
 	platform_write_answer(lines, head);
 	inbound_begin(exchange->request, head->status, lines, UINT64_MAX);
 	exchange->relay_started = true;
+	/* The client takes the endpoint of the head for that of the events. */
+	if (exchange->software == SOFTWARE_UNKNOWN)
+		exchange->software = exchange->endpoint->software;
 	evbuffer_free(lines);
 }
 
@@ -156,8 +159,6 @@
 	exchange_t *exchange = context;
 
 	exchange->has_event = true;
-	if (exchange->software == SOFTWARE_UNKNOWN)
-		exchange->software = exchange->endpoint->software;
 	exchange_record_stream(exchange);
 	if (id != SSE_SPLITTER_NO_ID) {
 		if (exchange->last_event != REQUEST_NO_LAST_EVENT &&
--- a/t/test-it-software.c
+++ b/t/test-it-software.c
@@ -281,14 +281,22 @@
 typedef struct break_case {
 	const char *name;
 	behaviour_t behaviour;
+	int events; /**< Before it. */
 } break_case_t;
 
 static const break_case_t break_cases[] = {
-	{ "reset", UNFRAMED_RESET },
-	{ "stall", STALL },
-	{ "truncated", TRUNCATE_EVENT },
+	{ "reset", UNFRAMED_RESET, EVENTS_BEFORE_BREAK },
+	{ "stall", STALL, EVENTS_BEFORE_BREAK },
+	{ "truncated", TRUNCATE_EVENT, EVENTS_BEFORE_BREAK },
+	{ "cut-in-first-event", CUT, 0 },
 };
 
+/** Answer that breaks off in its first event. */
+static const char first_event_cut[] = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+				      "Response-Stamp: s\r\n"
+				      "Content-Type: text/event-stream\r\n"
+				      "\r\nid: 1\nda";
+
 /* Sends requests for streams of which each breaks off at its first engine. */
 static void check_one_answer(const break_case_t *c, int engines,
 			     const char *const *software, bool whole)
@@ -297,8 +305,12 @@
 	_Atomic int next = ANSWER;
 
 	start_rig(&rig, 1, engines, software);
-	for (int i = 0; i < engines; i++)
+	for (int i = 0; i < engines; i++) {
 		rig.engines[i].next_behaviour = &next;
+		rig.engines[i].cut_answer = first_event_cut;
+		rig.engines[i].cut_bytes = UINT32_MAX;
+		rig.engines[i].cut_resets = true;
+	}
 	for (int i = 0; i < ONE_ANSWER_STREAMS; i++) {
 		CLEANUP_FREE char *request = make_request("r-1", i + 1, "");
 		CLEANUP_FREE char *answer = NULL;
@@ -308,9 +320,9 @@
 		answer = raw_call(rig.ports[0], request);
 		events = read_events(&rig, answer);
 		g_assert_cmpstr(events.software, !=, MIXED);
-		g_assert_cmpint(events.first, ==, 1);
+		g_assert_cmpint(events.first, ==, whole || c->events);
 		g_assert_cmpint(events.last, ==,
-				whole ? EVENT_COUNT : EVENTS_BEFORE_BREAK);
+				whole ? EVENT_COUNT : c->events);
 		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
 		g_assert_cmpint(raw_is_whole(answer), ==, whole);
 	}
