gateway, rollout_log: report the error of a wrong store address, no wrap-around

Read as a newcomer: the front took a store address that cannot be read for a lack of memory, which hid the setting at fault; and when memory is short, an entry of the log past its transit time was written with a time that had wrapped around, so that the next holder held its engine for the whole transit time. Both are mended; declarations and the order of includes, too. No check or bound changes.

--- a/cmd/gateway.h
+++ b/cmd/gateway.h
@@ -21,8 +21,8 @@
 #include "process/crash_snapshot.h"
 #include "process/hint_ring.h"
 #include "process/limit_turns.h"
-#include "process/stream_ring.h"
 #include "process/peer_heartbeat.h"
+#include "process/stream_ring.h"
 
 /** Settings of the process, from flags or the settings file;
  * gateway_settings_load() describes each. */
--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -411,6 +411,7 @@
 static int front_open(front_t *front)
 {
 	const gateway_settings_t *settings = &front->gateway->settings;
+	int err;
 
 	front->base = event_base_new();
 	if (!front->base)
@@ -443,9 +444,10 @@
 			  (uint32_t)settings->retry_slack,
 			  (uint32_t)(settings->retry_window_s * 1000),
 			  clock_now_ms());
-	if (!front->env.outbound || open_store(front))
+	if (!front->env.outbound)
 		return ERR_NO_MEMORY;
-	return open_listeners(front);
+	err = open_store(front);
+	return err ? err : open_listeners(front);
 }
 
 static void front_close(front_t *front)
--- a/process/rollout_log.c
+++ b/process/rollout_log.c
@@ -197,6 +197,7 @@
 {
 	rollout_log_record_t *written = &log->written;
 	rollout_log_entry_t entry;
+	uint64_t until_ms;
 
 	written->fencing = log->fencing;
 	written->era = log->era;
@@ -207,8 +208,9 @@
 	written->count = 0;
 	for (size_t i = 0; i < log->earlier.count; i++) {
 		entry = log->earlier.entries[i];
+		until_ms = earlier_until_ms(log, &entry);
 		entry.left_ms =
-			(uint32_t)(earlier_until_ms(log, &entry) - now_ms);
+			until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 0;
 		if (add_entry(written, &entry))
 			return false;
 	}
@@ -366,7 +368,6 @@
 		    uint64_t counted_ms)
 {
 	rollout_log_order_t *order = find_order(log, key);
-
 	bool was_expired = order && order->state == ROLLOUT_LOG_EXPIRED;
 
 	if (!order)
--- a/request/stream_lookup.c
+++ b/request/stream_lookup.c
@@ -175,6 +175,7 @@
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	stream_lookups_t *lookups = context;
+
 	(void)fd;
 	(void)what;
 	if (lookups->call)
