--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 flags=(-O1 -g -std=gnu11 -D_GNU_SOURCE -pthread -Wall -Wextra)
 mkdir -p target/review-2
 for folder in 6 7 8 9 10; do
-	source=review/$folder/case.c
+	source=review/$folder/script.c
 	[[ -e $source ]] || continue
 	# shellcheck disable=SC2046
 	"${CC:-cc}" "${flags[@]}" $(pkg-config --cflags jansson) \
--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -872,6 +873,7 @@
 	if (!pid) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, 1);
 		dup2(fd, 2);
 		setenv("AMARANTHVALE_SETTINGS", settings, 1);
