review: case 10, large foreign entries take the memory of all instances

The table of servers keeps the decoded content of entries that name no server, at about 22 times their text; four of almost 1 MB exceed 96 MB (Fault).

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit status 1: the rule was broken; 0: it held; 2: the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-2/case-10 review/10
--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -22,6 +22,9 @@
 	READ_BYTES = 65536,
 	HISTORY_MAX = 100000,
 	READY_MAX_MS = 15000,
+	/** Of a page of a list. */
+	PAGE_ITEMS = 500,
+	PAGE_BYTES = 1048576,
 };
 
 static FILE *record;
@@ -544,17 +547,44 @@
 			    (json_int_t)revision));
 }
 
-static void answer_list(int fd, const char *kind)
+static int compare_names(const void *a, const void *b)
 {
+	return strcmp((*(change_t *const *)a)->name,
+		      (*(change_t *const *)b)->name);
+}
+
+/* A page of at most 500 objects or 1 MB, by name, after the name `after`. */
+static void answer_list(int fd, const char *kind, const char *after)
+{
+	change_t **current = calloc(change_count + 1, sizeof(*current));
 	json_t *items = json_array();
+	size_t bytes = 0;
+	size_t count = 0;
+	size_t i = 0;
 
-	for (size_t i = 0; i < change_count; i++) {
-		if (!strcmp(changes[i].kind, kind) && !changes[i].superseded)
-			json_array_append_new(items, object_json(&changes[i]));
+	for (size_t c = 0; c < change_count; c++) {
+		if (!strcmp(changes[c].kind, kind) && !changes[c].superseded)
+			current[count++] = &changes[c];
+	}
+	qsort(current, count, sizeof(*current), compare_names);
+	while (i < count && after && strcmp(current[i]->name, after) <= 0)
+		i++;
+	for (; i < count && json_array_size(items) < PAGE_ITEMS; i++) {
+		json_t *object = object_json(current[i]);
+		char *text = json_dumps(object, JSON_COMPACT);
+
+		bytes += strlen(text);
+		free(text);
+		if (bytes > PAGE_BYTES && json_array_size(items)) {
+			json_decref(object);
+			break;
+		}
+		json_array_append_new(items, object);
 	}
+	free(current);
 	send_json(fd, 200,
-		  json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0,
-			    "as_of", (json_int_t)revision));
+		  json_pack("{s:o,s:b,s:I}", "items", items, "has_more",
+			    i < count, "as_of", (json_int_t)revision));
 }
 
 static void answer_write(const rig_request_t *request, const char *kind,
@@ -598,6 +628,7 @@
 	char kind[64] = "";
 	char name[128] = "";
 	char query[256] = "";
+	const char *after;
 	const char *path = strstr(request->head, "/v1/objects/");
 
 	(void)context;
@@ -609,6 +640,7 @@
 		path += strcspn(path, "? ");
 		sscanf(path, "?%255[^ ]", query);
 	}
+	after = strncmp(query, "after=", 6) ? NULL : query + 6;
 	pthread_mutex_lock(&store_lock);
 	if (!*kind)
 		send_json(request->fd, 404, NULL);
@@ -622,7 +654,7 @@
 	else if (strstr(query, "watch="))
 		answer_watch(request->fd, kind, query);
 	else
-		answer_list(request->fd, kind);
+		answer_list(request->fd, kind, after);
 	pthread_mutex_unlock(&store_lock);
 	return RIG_KEEP;
 }
