--- a/review/10/script.c
+++ b/review/10/script.c
@@ -121,8 +121,9 @@
 	pthread_t clients[GATEWAYS];
 	int machines = 0;
 
-	(void)argc;
-	rig_begin(argv[1]);
+	if (argc != 3)
+		return RIG_CANNOT_RUN;
+	rig_begin(argv[1], argv[2]);
 	rig_store_start();
 	json_array_append_new(routes, rig_route("order", "non_idempotent",
 						"desk", 800, 1, false));
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Exit status 1: the rule was broken; 0: it held; 2: the case could not run.
+# TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [[ -x target/review-2/case-8 ]] || exit 2
-exec target/review-2/case-8 review/8
+exec target/review-2/case-8 review/8 "${TROUBLE:-1}"
--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -179,9 +179,8 @@
 	_exit(128 + number);
 }
 
-void rig_begin(const char *folder)
+void rig_begin(const char *folder, const char *trouble)
 {
-	const char *trouble = getenv("TROUBLE");
 	const char *tmp = getenv("TMPDIR");
 	char path[600];
 	pthread_t thread;
@@ -194,7 +193,7 @@
 		perror(path);
 		_exit(RIG_CANNOT_RUN);
 	}
-	with_trouble = !trouble || strcmp(trouble, "0") != 0;
+	with_trouble = strcmp(trouble, "0") != 0;
 	snprintf(temp_path, sizeof(temp_path), "%s/review-2-XXXXXX",
 		 tmp ? tmp : "/tmp");
 	if (!mkdtemp(temp_path))
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -55,8 +55,11 @@
 	_Atomic int arrivals; /**< Requests of clients that it ran. */
 } rig_server_t;
 
-/** Opens record.txt, reads TROUBLE and sets the limit for the whole run. */
-void rig_begin(const char *folder);
+/**
+ * Opens record.txt and sets the limit for the whole run.
+ * @param trouble "0" leaves the disruption out
+ */
+void rig_begin(const char *folder, const char *trouble);
 /** Whether the disruption is to be made. */
 bool rig_trouble(void);
 /** Ends all processes, and this one with the status. */
