--- a/t/lib/platform_store.c
+++ b/t/lib/platform_store.c
@@ -11,6 +11,12 @@
 
 #define PATH "/v1/objects/"
 
+enum {
+	/** Largest page of a list. */
+	PAGE_ITEMS = 500,
+	PAGE_BYTES = 1048576,
+};
+
 /* One change; the last one of a kind and name is the current object. */
 typedef struct change {
 	char *kind;
@@ -33,6 +39,7 @@
 	uint32_t ignored_calls;
 	const char *ignored_kind; /**< NULL for none. */
 	bool down;
+	size_t page_items; /**< Largest page of a list. */
 };
 
 /* Returns the current object, or NULL if it does not exist. */
@@ -82,18 +89,58 @@
 	json_decref(value);
 }
 
-static json_t *list_objects(const platform_store_t *store, const char *kind)
+static gint compare_names(gconstpointer a, gconstpointer b)
 {
-	json_t *items = json_array();
+	const change_t *const *first = a;
+	const change_t *const *second = b;
+
+	return strcmp((*first)->name, (*second)->name);
+}
+
+/* Current objects of a kind, by name. */
+static GPtrArray *current_objects(const platform_store_t *store,
+				  const char *kind)
+{
+	GPtrArray *objects = g_ptr_array_new();
 
 	for (guint i = 0; i < store->changes->len; i++) {
 		change_t *change = g_ptr_array_index(store->changes, i);
 
 		if (!strcmp(change->kind, kind) &&
 		    find_object(store, kind, change->name) == change)
-			json_array_append_new(items, object_json(change));
+			g_ptr_array_add(objects, change);
 	}
-	return json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0,
+	g_ptr_array_sort(objects, compare_names);
+	return objects;
+}
+
+/* A page of the objects with a name above `after`, or from the first one on. */
+static json_t *list_page(const platform_store_t *store, const char *kind,
+			 const char *after)
+{
+	GPtrArray *objects = current_objects(store, kind);
+	json_t *items = json_array();
+	size_t bytes = 0;
+	bool more = false;
+
+	for (guint i = 0; i < objects->len && !more; i++) {
+		const change_t *change = g_ptr_array_index(objects, i);
+		json_t *object;
+
+		if (after && strcmp(change->name, after) <= 0)
+			continue;
+		object = object_json(change);
+		bytes += json_dumpb(object, NULL, 0, 0);
+		more = json_array_size(items) &&
+		       (json_array_size(items) == store->page_items ||
+			bytes > PAGE_BYTES);
+		if (more)
+			json_decref(object);
+		else
+			json_array_append_new(items, object);
+	}
+	g_ptr_array_free(objects, TRUE);
+	return json_pack("{s:o,s:b,s:I}", "items", items, "has_more", more,
 			 "as_of", (json_int_t)store->revision);
 }
 
@@ -149,9 +196,25 @@
 			    (json_int_t)store->revision));
 }
 
+/* Value of a parameter of a query; g_free() it. NULL if there is none. */
+static char *query_value(const char *query, const char *name)
+{
+	g_auto(GStrv) parameters = g_strsplit(query, "&", -1);
+
+	for (char **parameter = parameters; *parameter; parameter++) {
+		const char *value = strchr(*parameter, '=');
+
+		if (value && (size_t)(value - *parameter) == strlen(name) &&
+		    g_str_has_prefix(*parameter, name))
+			return g_uri_unescape_string(value + 1, NULL);
+	}
+	return NULL;
+}
+
 static void answer_get(platform_store_t *store, const raw_request_t *request,
 		       const char *kind, const char *name, const char *query)
 {
+	g_autofree char *after = query_value(query, "after");
 	const change_t *change;
 
 	if (*name) {
@@ -161,7 +224,7 @@
 	} else if (strstr(query, "watch=")) {
 		answer_watch(store, request, kind, query);
 	} else {
-		send_json(store, request, 200, list_objects(store, kind));
+		send_json(store, request, 200, list_page(store, kind, after));
 	}
 }
 
@@ -199,33 +262,81 @@
 			    GUINT_TO_POINTER(count + 1));
 }
 
+/* Whether a URL has valid escapes only and no character that must be escaped
+ * (RFC 3986). */
+static bool is_valid_target(const char *target)
+{
+	for (const char *c = target; *c; c++) {
+		if (*c == '%' &&
+		    !(g_ascii_isxdigit(c[1]) && g_ascii_isxdigit(c[2])))
+			return false;
+		if (*c <= ' ' || *c >= 0x7f || strchr("\"<>\\^`{|}", *c))
+			return false;
+	}
+	return true;
+}
+
+/* The parts of a request's target, decoded as far as they are names. */
+typedef struct target {
+	char *kind;
+	char *name; /**< Empty if there is none. */
+	char *query;
+} target_t;
+
+static void clear_target(target_t *target)
+{
+	g_free(target->kind);
+	g_free(target->name);
+	g_free(target->query);
+}
+
+/* Returns false unless the request line has three words, the second of which is
+ * a valid URL. `kind` is empty for a path of no object. */
+static bool read_target(const char *head, target_t *target)
+{
+	g_autofree char *line = g_strndup(head, strcspn(head, "\r\n"));
+	g_auto(GStrv) words = g_strsplit(line, " ", -1);
+	g_auto(GStrv) path = NULL;
+	g_auto(GStrv) parts = NULL;
+
+	if (g_strv_length(words) != 3 || !is_valid_target(words[1]))
+		return false;
+	words[1][strcspn(words[1], "#")] = '\0';
+	path = g_strsplit(words[1], "?", 2);
+	target->query = g_strdup(path[1] ? path[1] : "");
+	if (!g_str_has_prefix(path[0], PATH)) {
+		target->kind = g_strdup("");
+		target->name = g_strdup("");
+		return true;
+	}
+	parts = g_strsplit(path[0] + strlen(PATH), "/", 2);
+	target->kind = g_strdup(parts[0]);
+	target->name = parts[0] && parts[1]
+			       ? g_uri_unescape_string(parts[1], NULL)
+			       : g_strdup("");
+	return target->kind && target->name;
+}
+
 static raw_next_t answer(void *context, const raw_request_t *request)
 {
 	platform_store_t *store = context;
-	const char *path = strstr(request->head, PATH);
-	char kind[64] = "";
-	char name[128] = "";
-	char query[256] = "";
-
-	if (path) {
-		path += strlen(PATH);
-		sscanf(path, "%63[^/? ]", kind);
-		path += strlen(kind);
-		sscanf(path, "/%127[^? ]", name);
-		path += strcspn(path, "? ");
-		sscanf(path, "?%255[^ ]", query);
-	}
+	__attribute__((cleanup(clear_target))) target_t target = { 0 };
+	bool valid = read_target(request->head, &target);
+	const char *kind = valid ? target.kind : "";
+
 	SCOPED_LOCK(guard, &store->lock);
 	store->calls++;
 	count_call(store, kind);
-	if (store->ignored_kind && !strcmp(kind, store->ignored_kind))
+	if (!valid)
+		send_json(store, request, 400, NULL);
+	else if (store->ignored_kind && !strcmp(kind, store->ignored_kind))
 		store->ignored_calls++;
 	else if (store->down || !*kind)
 		send_json(store, request, store->down ? 503 : 404, NULL);
 	else if (g_str_has_prefix(request->head, "GET"))
-		answer_get(store, request, kind, name, query);
+		answer_get(store, request, kind, target.name, target.query);
 	else
-		answer_write(store, request, kind, name);
+		answer_write(store, request, kind, target.name);
 	return RAW_KEEP;
 }
 
@@ -250,6 +361,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->revision = 1;
 	store->era = 1;
+	store->page_items = PAGE_ITEMS;
 	store->server = raw_server_start(answer, store);
 	return store;
 }
@@ -307,6 +419,12 @@
 	pthread_cond_broadcast(&store->changed);
 }
 
+void platform_store_set_page_items(platform_store_t *store, size_t items)
+{
+	SCOPED_LOCK(guard, &store->lock);
+	store->page_items = items;
+}
+
 void platform_store_forget(platform_store_t *store)
 {
 	SCOPED_LOCK(guard, &store->lock);
--- a/t/lib/platform_store.h
+++ b/t/lib/platform_store.h
@@ -1,7 +1,8 @@
 /**
  * @file
- * Simulated object store of the platform: lists, watches and conditional
- * writes, with outages that a test switches on and off.
+ * Simulated object store of the platform: lists in pages, watches and
+ * conditional writes, with outages that a test switches on and off. It answers
+ * 400 to a request whose URL is not valid.
  */
 #ifndef T_LIB_PLATFORM_STORE_H
 #define T_LIB_PLATFORM_STORE_H
@@ -33,6 +34,9 @@
 /** While `down` is set, answers 503 to every request and to open watches. */
 void platform_store_set_down(platform_store_t *store, bool down);
 
+/** Sets the largest number of objects in a page of a list. */
+void platform_store_set_page_items(platform_store_t *store, size_t items);
+
 /** Drops the history of changes: watches must list again. */
 void platform_store_forget(platform_store_t *store);
 
--- a/t/test-it-names.c
+++ b/t/test-it-names.c
@@ -1,4 +1,5 @@
-/* Desired states, endpoints and customers whose names are long. */
+/* Desired states, endpoints and customers whose names are long, and objects of
+ * another writer whose names have special characters. */
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -190,11 +191,48 @@
 	platform_rig_stop(&rig);
 }
 
+static const char *const foreign_names[] = {
+	"a&b",	   "a+b",	"a#b",	 "a%b", "a b",	  "a%2",
+	"a%26b",   "a=b",	"a?b",	 "a/b", "a\"b\\", "a;b,c|d",
+	"a\x7f b", "a\xc3\xa9", "\nb\t", "",	"&&&&",	  "../b",
+};
+
+/* Kinds that an instance has to list before it serves. */
+static const char *const listed_kinds[] = { "servers", "versions" };
+
+/* Failure: instances that had started while an object of another writer, with a
+ * special character in its name, ended a page of a list never served. */
+static void test_foreign_names(const void *kind)
+{
+	platform_rig_t rig;
+
+	platform_rig_start(&rig, GATEWAYS);
+	/* Each name ends a page. */
+	platform_store_set_page_items(rig.store, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(foreign_names); i++)
+		platform_store_put(rig.store, kind, foreign_names[i],
+				   json_pack("{s:s}", "state", "odd"));
+	platform_rig_kill_gateways(&rig);
+	for (int i = 0; i < GATEWAYS; i++)
+		platform_rig_start_gateway(&rig, i);
+	for (int i = 0; i < GATEWAYS; i++)
+		g_assert_true(
+			WAIT_UNTIL(platform_rig_has_status(&rig, i, "200"),
+				   HARNESS_WAIT_MS));
+	platform_rig_stop(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/it-names/desired-state", test_desired_state);
 	g_test_add_func("/it-names/customers", test_customers);
 	g_test_add_func("/it-names/endpoints", test_endpoints);
+	for (size_t i = 0; i < G_N_ELEMENTS(listed_kinds); i++) {
+		g_autofree char *path = g_strconcat("/it-names/foreign/",
+						    listed_kinds[i], NULL);
+
+		g_test_add_data_func(path, listed_kinds[i], test_foreign_names);
+	}
 	return g_test_run();
 }
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -436,6 +436,64 @@
 		==, ERR_BAD_JSON);
 }
 
+static const struct {
+	const char *name;
+	const char *escaped;
+} url_names[] = {
+	{ "i-7.f_3~a", "i-7.f_3~a" }, { "a&b=c", "a%26b%3Dc" },
+	{ "a+b c", "a%2Bb%20c" },     { "a#b?c/d", "a%23b%3Fc%2Fd" },
+	{ "a%2", "a%252" },	      { "\"\\\r\n", "%22%5C%0D%0A" },
+	{ "\xc3\xa9", "%C3%A9" },     { "", "" },
+};
+
+static void assert_request_line(struct evbuffer *message, char *line)
+{
+	g_autofree char *expected = line;
+	size_t len = strlen(line);
+
+	g_assert_cmpmem(evbuffer_pullup(message, (ev_ssize_t)len), len, line,
+			len);
+	evbuffer_drain(message, evbuffer_get_length(message));
+}
+
+/* Failure: a name with a special character in the URL of a call to the store
+ * named another object, or made the call invalid. */
+static void test_url_names(void)
+{
+	struct evbuffer *message = evbuffer_new();
+	CLEANUP_JSON json_t *spec = json_object();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(url_names); i++) {
+		const char *name = url_names[i].name;
+		const char *escaped = url_names[i].escaped;
+
+		platform_write_list(message, OBJECT_STREAMS, name);
+		assert_request_line(
+			message, g_strdup_printf("GET /v1/objects/amv-streams"
+						 "?after=%s HTTP/1.1\r\n",
+						 escaped));
+		platform_write_get(message, OBJECT_CRASHES, name);
+		assert_request_line(
+			message, g_strdup_printf("GET /v1/objects/amv-crashes/"
+						 "%s HTTP/1.1\r\n",
+						 escaped));
+		platform_write_delete(message, OBJECT_MEMBERS, name, 7);
+		assert_request_line(
+			message,
+			g_strdup_printf("DELETE /v1/objects/amv-members/"
+					"%s?rev=7 HTTP/1.1\r\n",
+					escaped));
+		g_assert_cmpint(platform_write_replace(message, OBJECT_LEASES,
+						       name, 7, spec),
+				==, 0);
+		assert_request_line(
+			message, g_strdup_printf("PUT /v1/objects/amv-leases/"
+						 "%s HTTP/1.1\r\n",
+						 escaped));
+	}
+	evbuffer_free(message);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -461,6 +519,7 @@
 	g_test_add_func("/platform/bad-states", test_bad_states);
 	g_test_add_func("/platform/large-numbers", test_large_numbers);
 	g_test_add_func("/platform/request", test_request);
+	g_test_add_func("/platform/url-names", test_url_names);
 	g_test_add_func("/platform/pages", test_pages);
 	g_test_add_func("/platform/revisions", test_revisions);
 	g_test_add_func("/platform/reports", test_reports);
