platform: decode only what is read of the store's objects

Cause: a page was decoded whole, at some 36 bytes of memory for each byte of text, and the table kept all of each entry.

Ruled out: a leak. The memory is that of the decoded contents, and is given back when the entries go.

An entry that names no endpoint keeps no content. The filter of unreadable elements goes, as a page is read element by element. An object that cannot be read still tells its name, for the next page of a list.

--- a/process/object.h
+++ b/process/object.h
@@ -29,7 +29,7 @@
 	uint64_t sequence;
 } object_order_t;
 
-/** One object; strings and `spec` are borrowed from the answer. */
+/** One object; strings and `spec` are borrowed from the page. */
 typedef struct object_item {
 	const char *name;
 	uint64_t revision; /**< See process/store_revision.h. */
@@ -39,11 +39,14 @@
 
 /** Answer to a list or a watch. */
 typedef struct object_page {
-	json_t *root;
+	json_t *root; /**< Owns the strings and contents. */
 	object_item_t *items;
 	size_t count;
 	uint64_t revision; /**< Of the store at this answer. */
 	bool more;	   /**< Of a list: more follow the last name. */
+	/** Of the last object with a name, which may be left out; NULL if there
+	 * is none. */
+	const char *last_name;
 	/** Objects that cannot be read were left out. */
 	bool unreadable;
 } object_page_t;
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -105,7 +105,7 @@
 	}
 	if (page->more && page->count) {
 		free(watch->list_after);
-		watch->list_after = strdup(page->items[page->count - 1].name);
+		watch->list_after = strdup(page->last_name);
 		return watch->list_after ? changed : ERR_NO_MEMORY;
 	}
 	restart_list(watch);
@@ -180,8 +180,8 @@
 
 	watch->call = NULL;
 	if (!err)
-		err = platform_read_page(answer->body, answer->len, answer->era,
-					 &page);
+		err = platform_read_page(watch->options.kind, answer->body,
+					 answer->len, answer->era, &page);
 	if (!err && page.unreadable)
 		event_log(EVENT_ENTRY_REJECTED, "kind=%s why=unreadable",
 			  object_kind_name(watch->options.kind));
--- a/request/stream_lookup.c
+++ b/request/stream_lookup.c
@@ -94,15 +94,15 @@
 	free(lookups->after);
 	lookups->after = NULL;
 	if (!err)
-		err = platform_read_page(answer->body, answer->len, answer->era,
-					 &page);
+		err = platform_read_page(OBJECT_STREAMS, answer->body,
+					 answer->len, answer->era, &page);
 	if (err)
 		return err;
 	for (size_t i = 0; i < page.count; i++)
 		(void)stream_archive_from_json(page.items[i].spec,
 					       clock_now_ms(), &lookups->found);
 	if (page.more && page.count)
-		lookups->after = strdup(page.items[page.count - 1].name);
+		lookups->after = strdup(page.last_name);
 	return 0;
 }
 
--- a/t/fuzz-platform.c
+++ b/t/fuzz-platform.c
@@ -80,7 +80,8 @@
 
 	read_spec(root);
 	(void)platform_read_report((const char *)data, size, "m", &report);
-	if (!platform_read_page((const char *)data, size, 1, &page)) {
+	if (!platform_read_page(OBJECT_ENDPOINTS, (const char *)data, size, 1,
+				&page)) {
 		(void)object_table_apply(&table, &page, 1);
 		for (size_t i = 0; i < page.count; i++)
 			read_spec(page.items[i].spec);
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -118,16 +118,18 @@
 		spec);
 	object_page_t page;
 
-	g_assert_cmpint(platform_read_page(list, strlen(list), 1, &page), ==,
-			0);
+	g_assert_cmpint(platform_read_page(OBJECT_ENDPOINTS, list, strlen(list),
+					   1, &page),
+			==, 0);
 	g_assert_cmpuint(page.count, ==, 2);
 	g_assert_cmpstr(page.items[0].name, ==, "a");
 	g_assert_cmpstr(page.items[1].name, ==, "b");
 	g_assert_cmpuint(store_revision_number(page.revision), ==, 9);
 	g_assert_true(page.unreadable);
 	object_page_free(&page);
-	g_assert_cmpint(platform_read_page(watch, strlen(watch), 1, &page), ==,
-			0);
+	g_assert_cmpint(platform_read_page(OBJECT_ENDPOINTS, watch,
+					   strlen(watch), 1, &page),
+			==, 0);
 	g_assert_cmpuint(page.count, ==, 1);
 	g_assert_true(page.items[0].deleted);
 	g_assert_true(page.unreadable);
@@ -146,8 +148,9 @@
 	for (size_t len = 0; len < strlen(body); len++) {
 		object_page_t page;
 
-		g_assert_cmpint(platform_read_page(body, len, 1, &page), ==,
-				ERR_BAD_JSON);
+		g_assert_cmpint(platform_read_page(OBJECT_ENDPOINTS, body, len,
+						   1, &page),
+				==, ERR_BAD_JSON);
 	}
 }
 
@@ -381,8 +384,9 @@
 	CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
 	const char *text;
 
-	g_assert_cmpint(platform_read_page(body, strlen(body), 3, &page), ==,
-			0);
+	g_assert_cmpint(platform_read_page(OBJECT_ENDPOINTS, body, strlen(body),
+					   3, &page),
+			==, 0);
 	g_assert_cmpuint(page.items[0].revision, >,
 			 store_revision_make(2, STORE_REVISION_MASK));
 	g_assert_cmpuint(page.items[0].revision, <, page.revision);
@@ -403,10 +407,10 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
 		CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
 
-		g_assert_cmpint(platform_read_page(pages[i].body,
-						   strlen(pages[i].body), 3,
-						   &page),
-				==, pages[i].err);
+		g_assert_cmpint(
+			platform_read_page(OBJECT_ENDPOINTS, pages[i].body,
+					   strlen(pages[i].body), 3, &page),
+			==, pages[i].err);
 		g_assert_cmpuint(page.count, ==, pages[i].count);
 	}
 }
@@ -436,6 +440,112 @@
 		==, ERR_BAD_JSON);
 }
 
+/** Memory that the JSON library has allocated, bytes. */
+static size_t json_bytes;
+static size_t json_bytes_most;
+
+static void *count_malloc(size_t size)
+{
+	size_t *block = malloc(size + sizeof(max_align_t));
+
+	g_assert_nonnull(block);
+	*block = size;
+	json_bytes += size;
+	json_bytes_most = MAX(json_bytes_most, json_bytes);
+	return (char *)block + sizeof(max_align_t);
+}
+
+static void count_free(void *memory)
+{
+	size_t *block =
+		memory ? (void *)((char *)memory - sizeof(max_align_t)) : NULL;
+
+	json_bytes -= block ? *block : 0;
+	free(block);
+}
+
+enum {
+	/** `value_bytes` of the platform. */
+	VALUE_BYTES = 1048576,
+	/** Entries of that size in one answer. */
+	LARGE_ENTRIES = 3,
+	/** For the memory of the smallest instance: what the contents of a page
+	 * may take while it is read, bytes. */
+	PAGE_DECODED_MAX_BYTES = 4 * 1024 * 1024,
+};
+
+#define READY ENTRY("ready", "\"10.0.0.1:80\"", "6")
+
+/** An entry whose text is `begin`, as many times `part` as fit, and `end`. */
+static const struct {
+	const char *name;
+	const char *begin;
+	const char *part;
+	const char *end;
+	bool usable; /**< It names an endpoint. */
+} large_entries[] = {
+	{ "list-as-service", "{\"zone\":\"z\",\"service\":[0", ",{\"a\":1}",
+	  "]}", false },
+	{ "empty-objects", "{\"service\":[0", ",{}", "]}", false },
+	{ "empty-lists", "{\"x\":[0", ",[]", "]}", false },
+	{ "many-members", "{\"x\":0", ",\"y\":{\"z\":[]}", "}", false },
+	{ "not-an-object", "[0", ",{}", "]", false },
+	{ "long-state", READY ",\"state\":\"x", "xxxxxxxx", "\"}", false },
+	{ "unknown-field", READY ",\"x\":[0", ",{}", "]}", true },
+	{ "models", READY ",\"models\":[0", ",{}", "]}", true },
+};
+
+static char *large_list(const char *begin, const char *part, const char *end)
+{
+	GString *list = g_string_new("{\"items\":[");
+
+	for (int i = 0; i < LARGE_ENTRIES; i++) {
+		size_t from = list->len;
+
+		g_string_append_printf(list,
+				       "%s{\"metadata\":{\"name\":\"e%d\","
+				       "\"rev\":%d},\"spec\":%s",
+				       i ? "," : "", i, i + 1, begin);
+		while (list->len - from < VALUE_BYTES)
+			g_string_append(list, part);
+		g_string_append_printf(list, "%s,\"status\":null}", end);
+	}
+	g_string_append(list, "],\"as_of\":9}");
+	return g_string_free(list, FALSE);
+}
+
+/* Failure: large entries of another writer took the memory of all instances
+ * that read the list. */
+static void test_large_entries(void)
+{
+	json_set_alloc_funcs(count_malloc, count_free);
+	for (size_t i = 0; i < G_N_ELEMENTS(large_entries); i++) {
+		g_autofree char *body =
+			large_list(large_entries[i].begin,
+				   large_entries[i].part, large_entries[i].end);
+		CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
+		size_t before = json_bytes;
+
+		json_bytes_most = before;
+		g_assert_cmpint(platform_read_page(OBJECT_ENDPOINTS, body,
+						   strlen(body), 1, &page),
+				==, 0);
+		g_assert_cmpuint(json_bytes_most - before, <,
+				 PAGE_DECODED_MAX_BYTES);
+		g_assert_cmpuint(page.count, ==, LARGE_ENTRIES);
+		for (size_t k = 0; k < page.count; k++) {
+			endpoint_entry_t entry;
+			int err = platform_read_endpoint(
+				"e", page.items[k].spec, &entry);
+
+			g_assert_true((err == 0) == large_entries[i].usable);
+			if (!err)
+				free(entry.models);
+		}
+	}
+	json_set_alloc_funcs(malloc, free);
+}
+
 static const struct {
 	const char *name;
 	const char *escaped;
@@ -519,6 +629,7 @@
 	g_test_add_func("/platform/bad-states", test_bad_states);
 	g_test_add_func("/platform/large-numbers", test_large_numbers);
 	g_test_add_func("/platform/request", test_request);
+	g_test_add_func("/platform/large-entries", test_large_entries);
 	g_test_add_func("/platform/url-names", test_url_names);
 	g_test_add_func("/platform/pages", test_pages);
 	g_test_add_func("/platform/revisions", test_revisions);
