object_watch: go on behind a page that cannot be read

What callers saw: with an entry of another writer that cannot be read and fills a page of a list, requests found no endpoint of those behind it, at instances that read the list.

Cause: a page without readable objects counted as the last one, and the end of a list removes what it did not contain. The lookup of streams did the same.

Evidence: /object-watch/odd-page/content and /status failed before (endpoints behind the page were missing); /number, /no-metadata and /unreadable-name failed too, as the list ended where it could not go on.

Change: object_page_next() gives the name behind which a list continues, that of the last object with a name. Without one, the list is begun again later, and the table stays as it is.

--- a/process/object.h
+++ b/process/object.h
@@ -54,6 +54,15 @@
 /** Name of a kind, for logs and metrics. */
 const char *object_kind_name(object_kind_t kind);
 
+/**
+ * Finds the name after which a list continues behind a page.
+ * @param after name after which this page began; NULL for the first page
+ * @param next a copy, to be freed; NULL if this is the last page
+ * @return 0, ERR_NO_MEMORY, or ERR_BAD_JSON if the page has no name that leads
+ *         on
+ */
+int object_page_next(const object_page_t *page, const char *after, char **next);
+
 /** Frees the contents of an answer. */
 void object_page_free(object_page_t *page);
 
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "platform/platform_objects.h"
+#include "process/cleanup.h"
 #include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
@@ -87,7 +88,9 @@
 			  watch->options.table->revision));
 }
 
-static int apply_list_page(object_watch_t *watch, const object_page_t *page)
+/* Takes ownership of the name `*next` after which the list continues. */
+static int apply_list_page(object_watch_t *watch, const object_page_t *page,
+			   char **next)
 {
 	object_table_t *table = watch->options.table;
 	int changed = 0;
@@ -103,12 +106,11 @@
 			return result;
 		changed |= result;
 	}
-	if (page->more && page->count) {
-		free(watch->list_after);
-		watch->list_after = strdup(page->last_name);
-		return watch->list_after ? changed : ERR_NO_MEMORY;
-	}
-	restart_list(watch);
+	free(watch->list_after);
+	watch->list_after = *next;
+	*next = NULL;
+	if (watch->list_after)
+		return changed;
 	watch->listing = false;
 	return changed | object_table_list_end(table, watch->list_revision,
 					       clock_now_ms());
@@ -124,13 +126,14 @@
 				    : watch->sent_boot_ms;
 }
 
-static void apply_page(object_watch_t *watch, const object_page_t *page)
+static void apply_page(object_watch_t *watch, const object_page_t *page,
+		       char **next)
 {
 	int changed;
 
 	update_contact(watch, 0);
 	if (watch->listing)
-		changed = apply_list_page(watch, page);
+		changed = apply_list_page(watch, page, next);
 	else
 		changed = object_table_apply(watch->options.table, page,
 					     clock_now_ms());
@@ -176,6 +179,7 @@
 {
 	object_watch_t *watch = context;
 	CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
+	CLEANUP_FREE char *next = NULL;
 	int err = answer->err;
 
 	watch->call = NULL;
@@ -194,11 +198,15 @@
 		send_call(watch);
 		return;
 	}
+	if (!err && watch->listing)
+		err = object_page_next(&page, watch->list_after, &next);
 	if (err) {
+		if (err == ERR_BAD_JSON)
+			restart_list(watch);
 		retry_later(watch, err);
 		return;
 	}
-	apply_page(watch, &page);
+	apply_page(watch, &page, &next);
 }
 
 static void send_call(object_watch_t *watch)
--- a/request/stream_lookup.c
+++ b/request/stream_lookup.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "platform/platform_objects.h"
+#include "process/cleanup.h"
 #include "process/clock.h"
 #include "process/error.h"
 #include "process/event.h"
@@ -89,9 +90,9 @@
 static int read_page(stream_lookups_t *lookups, const store_answer_t *answer)
 {
 	CLEANUP_OBJECT_PAGE object_page_t page = { 0 };
+	CLEANUP_FREE char *after = lookups->after;
 	int err = answer->err;
 
-	free(lookups->after);
 	lookups->after = NULL;
 	if (!err)
 		err = platform_read_page(OBJECT_STREAMS, answer->body,
@@ -101,9 +102,7 @@
 	for (size_t i = 0; i < page.count; i++)
 		(void)stream_archive_from_json(page.items[i].spec,
 					       clock_now_ms(), &lookups->found);
-	if (page.more && page.count)
-		lookups->after = strdup(page.last_name);
-	return 0;
+	return object_page_next(&page, after, &lookups->after);
 }
 
 static void on_answer(void *context, const store_answer_t *answer)
--- a/t/lib/platform_store.c
+++ b/t/lib/platform_store.c
@@ -24,6 +24,8 @@
 	uint64_t revision;
 	bool deleted;
 	json_t *spec;
+	char *text; /**< Of the whole object; NULL: it is made of the others. */
+	char *mark; /**< Text that stands for it. */
 } change_t;
 
 struct platform_store {
@@ -72,15 +74,34 @@
 
 static json_t *object_json(const change_t *change)
 {
+	if (change->text)
+		return json_sprintf("object of revision %llu",
+				    (unsigned long long)change->revision);
 	return json_pack("{s:{s:s,s:I},s:O?}", "metadata", "name", change->name,
 			 "rev", (json_int_t)change->revision, "spec",
 			 change->spec);
 }
 
+/* Puts the texts of objects in the place of what stands for them. */
+static char *insert_texts(const platform_store_t *store, const char *text)
+{
+	GString *all = g_string_new(text);
+
+	for (guint i = 0; i < store->changes->len; i++) {
+		const change_t *change = g_ptr_array_index(store->changes, i);
+
+		if (change->text)
+			g_string_replace(all, change->mark, change->text, 0);
+	}
+	return g_string_free(all, FALSE);
+}
+
 static void send_json(const platform_store_t *store,
 		      const raw_request_t *request, int status, json_t *value)
 {
-	CLEANUP_FREE char *text = value ? json_dumps(value, 0) : strdup("{}");
+	CLEANUP_FREE char *printed =
+		value ? json_dumps(value, 0) : strdup("{}");
+	g_autofree char *text = insert_texts(store, printed);
 
 	raw_send(request,
 		 "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
@@ -347,6 +368,8 @@
 	g_free(change->kind);
 	g_free(change->name);
 	json_decref(change->spec);
+	g_free(change->text);
+	g_free(change->mark);
 	g_free(change);
 }
 
@@ -390,6 +413,17 @@
 	json_decref(spec);
 }
 
+void platform_store_put_text(platform_store_t *store, const char *kind,
+			     const char *name, const char *text)
+{
+	SCOPED_LOCK(guard, &store->lock);
+	change_t *change = append_change(store, kind, name, NULL, false);
+
+	change->text = g_strdup(text);
+	change->mark = g_strdup_printf("\"object of revision %llu\"",
+				       (unsigned long long)change->revision);
+}
+
 void platform_store_remove(platform_store_t *store, const char *kind,
 			   const char *name)
 {
--- a/t/lib/platform_store.h
+++ b/t/lib/platform_store.h
@@ -21,6 +21,9 @@
  * `spec`. */
 void platform_store_put(platform_store_t *store, const char *kind,
 			const char *name, json_t *spec);
+/** Writes an object whose whole JSON text, with the metadata, is `text`. */
+void platform_store_put_text(platform_store_t *store, const char *kind,
+			     const char *name, const char *text);
 void platform_store_remove(platform_store_t *store, const char *kind,
 			   const char *name);
 
--- a/t/test-object-watch.c
+++ b/t/test-object-watch.c
@@ -288,6 +288,55 @@
 	rig_close(&rig);
 }
 
+/* Whole objects of another writer. */
+static const struct {
+	const char *name;
+	const char *text;
+	bool has_name;
+} odd_objects[] = {
+	{ "content",
+	  "{\"metadata\":{\"name\":\"b&1\",\"rev\":9},\"spec\":{\"seq\":1e999}}",
+	  true },
+	{ "status",
+	  "{\"spec\":{},\"status\":\"\\ud800\","
+	  "\"metadata\":{\"rev\":9,\"name\":\"b&1\"}}",
+	  true },
+	{ "number", "7", false },
+	{ "no-metadata", "{\"spec\":{}}", false },
+	{ "unreadable-name",
+	  "{\"metadata\":{\"name\":\"\\ud800\",\"rev\":9},\"spec\":{}}",
+	  false },
+};
+
+/* Failure: a page of which no object could be read ended the list, and all that
+ * was behind it was taken for removed. */
+static void test_odd_page(const void *data)
+{
+	size_t i = GPOINTER_TO_SIZE(data);
+	rig_t rig;
+
+	rig_open(&rig);
+	put_endpoint(&rig, "c");
+	g_assert_true(RUN_UNTIL(&rig, has_endpoint(&rig, "c")));
+	object_watch_set_active(rig.watch, false);
+	platform_store_set_page_items(rig.store, 1);
+	platform_store_put_text(rig.store, "servers", "b&1",
+				odd_objects[i].text);
+	put_endpoint(&rig, "d");
+	platform_store_forget(rig.store);
+	object_watch_set_active(rig.watch, true);
+	if (!odd_objects[i].has_name) {
+		/* The list cannot go on behind it; nothing is lost. */
+		g_assert_true(RUN_UNTIL(&rig, rig.failing));
+		g_assert_true(has_endpoint(&rig, "c"));
+		platform_store_remove(rig.store, "servers", "b&1");
+	}
+	g_assert_true(RUN_UNTIL(&rig, has_endpoint(&rig, "d")));
+	g_assert_true(has_endpoint(&rig, "c"));
+	g_assert_false(has_endpoint(&rig, "b&1"));
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const bool answered[] = { false, true };
@@ -306,5 +355,11 @@
 			     test_handover);
 	g_test_add_data_func("/object-watch/handover/listed", &answered[1],
 			     test_handover);
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_objects); i++) {
+		g_autofree char *path = g_strconcat("/object-watch/odd-page/",
+						    odd_objects[i].name, NULL);
+
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_odd_page);
+	}
 	return g_test_run();
 }
