platform: write error answers with ids of any length

Cause: the header lines were printed into 256 bytes. The line of an id that did not fit stayed there without its line end.

Ruled out: the answers of endpoints, which are written to a buffer that grows (/it-names/request-id/served passed before), and the errors of the product's own interface, which contain fixed words only.

Change: the lines go into an evbuffer. inbound_answer_buffer() sends them.

--- a/connection/inbound.c
+++ b/connection/inbound.c
@@ -670,6 +670,17 @@
 		evbuffer_add_printf(output, "Connection: close\r\n");
 }
 
+static void finish_with_body(inbound_request_t *request, const void *body,
+			     size_t len)
+{
+	connection_t *connection = to_connection(request);
+
+	if (len && request->head->method != HTTP_HEAD)
+		evbuffer_add(bufferevent_get_output(connection->stream), body,
+			     len);
+	inbound_finish(request);
+}
+
 void inbound_answer(inbound_request_t *request, uint16_t status,
 		    const char *headers, const void *body, size_t body_len)
 {
@@ -678,9 +689,15 @@
 
 	write_head(connection, status, body_len);
 	evbuffer_add_printf(output, "%s\r\n", headers ? headers : "");
-	if (body_len && request->head->method != HTTP_HEAD)
-		evbuffer_add(output, body, body_len);
-	inbound_finish(request);
+	finish_with_body(request, body, body_len);
+}
+
+void inbound_answer_buffer(inbound_request_t *request, uint16_t status,
+			   struct evbuffer *headers, const void *body,
+			   size_t body_len)
+{
+	inbound_begin(request, status, headers, body_len);
+	finish_with_body(request, body, body_len);
 }
 
 void inbound_begin(inbound_request_t *request, uint16_t status,
--- a/connection/inbound.h
+++ b/connection/inbound.h
@@ -138,6 +138,11 @@
 void inbound_answer(inbound_request_t *request, uint16_t status,
 		    const char *headers, const void *body, size_t body_len);
 
+/** The same for header lines in a buffer, whose bytes are moved out of it. */
+void inbound_answer_buffer(inbound_request_t *request, uint16_t status,
+			   struct evbuffer *headers, const void *body,
+			   size_t body_len);
+
 /**
  * Starts an answer whose body follows.
  * @param headers complete header lines; its bytes are moved out of the buffer
--- a/request/exchange.c
+++ b/request/exchange.c
@@ -131,10 +131,26 @@
 		log_end(exchange, error_type(err), status);
 }
 
+static void answer_error(exchange_t *exchange, int err)
+{
+	const error_answer_t *answer = error_answer(err);
+	struct evbuffer *lines = evbuffer_new();
+
+	if (!lines) {
+		inbound_abort(exchange->request);
+		return;
+	}
+	platform_write_error_headers(
+		lines, exchange->headers.id, retry_after_ms(exchange, err),
+		exchange->forwarded && answer->run_state == RUN_STATE_NOT_RUN);
+	inbound_answer_buffer(exchange->request, answer->http_status, lines,
+			      answer->text, strlen(answer->text));
+	evbuffer_free(lines);
+}
+
 void exchange_refuse(exchange_t *exchange, int err)
 {
 	const error_answer_t *answer = error_answer(err);
-	char lines[256];
 
 	metrics_count_error(err);
 	if (!exchange->request) {
@@ -144,17 +160,10 @@
 	}
 	log_refused(exchange, err,
 		    exchange->relay_started ? 0 : answer->http_status);
-	if (exchange->relay_started) {
+	if (exchange->relay_started)
 		inbound_abort(exchange->request);
-	} else {
-		platform_write_error_headers(
-			lines, sizeof(lines), exchange->headers.id,
-			retry_after_ms(exchange, err),
-			exchange->forwarded &&
-				answer->run_state == RUN_STATE_NOT_RUN);
-		inbound_answer(exchange->request, answer->http_status, lines,
-			       answer->text, strlen(answer->text));
-	}
+	else
+		answer_error(exchange, err);
 	exchange_free(exchange);
 }
 
--- a/t/lib/platform_store.c
+++ b/t/lib/platform_store.c
@@ -99,10 +99,10 @@
 static void send_json(const platform_store_t *store,
 		      const raw_request_t *request, int status, json_t *value)
 {
-	CLEANUP_FREE char *printed =
-		value ? json_dumps(value, 0) : strdup("{}");
+	char *printed = value ? json_dumps(value, 0) : strdup("{}");
 	g_autofree char *text = insert_texts(store, printed);
 
+	free(printed);
 	raw_send(request,
 		 "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
 		 "Store-Era: %llu\r\nContent-Length: %zu\r\n\r\n%s",
--- a/t/test-it-names.c
+++ b/t/test-it-names.c
@@ -13,6 +13,9 @@
 	SPLIT_COUNT = 40,
 	ENDPOINT_REQUESTS = 40,
 	GATEWAYS = 2,
+	/** Largest head of a request (max_header_bytes). */
+	HEAD_MAX_BYTES = 16384,
+	ROUTE_TIMEOUT_MS = 300,
 };
 
 /* A name that differs from others of this function in its last byte only. */
@@ -191,6 +194,63 @@
 	platform_rig_stop(&rig);
 }
 
+/* How requests end; all but the first are answers of the gateway's own. */
+static const struct {
+	const char *name;
+	const char *path;
+	const char *key;
+	int behaviour; /**< Of the endpoints. */
+	const char *status;
+} ends[] = {
+	{ "served", "/get/1", "key-1", ANSWER, "HTTP/1.1 200" },
+	{ "no-route", "/none", "key-1", ANSWER, "HTTP/1.1 404" },
+	{ "no-key", "/get/1", "key-x", ANSWER, "HTTP/1.1 401" },
+	{ "refused", "/order/1", "key-1", REFUSE, "HTTP/1.1 503" },
+	{ "lost", "/order/1", "key-1", RESET_CONNECTION, "HTTP/1.1 502" },
+	{ "unanswered", "/order/1", "key-1", HOLD, "HTTP/1.1 504" },
+};
+
+/** Lengths of ids; 0: as long as a request's head may be. */
+static const size_t id_lengths[] = { 1, 200, 241, 242, 255, 256, 300, 8000, 0 };
+
+static void check_request_id(const platform_rig_t *rig, size_t end,
+			     const char *method, size_t id_bytes)
+{
+	g_autofree char *rest = g_strdup_printf(
+		"%s %s HTTP/1.1\r\nHost: h.example\r\nKey: %s\r\n"
+		"Deadline-Ms: 2500\r\nContent-Length: 0\r\n"
+		"Connection: close\r\nRequest-Id: ",
+		method, ends[end].path, ends[end].key);
+	g_autofree char *id = g_strnfill(
+		id_bytes ? id_bytes : HEAD_MAX_BYTES - strlen(rest) - 4, 'i');
+	g_autofree char *request = g_strconcat(rest, id, "\r\n\r\n", NULL);
+	g_autofree char *answer = raw_call(rig->ports[0], request);
+	CLEANUP_FREE char *answer_id = raw_header(answer, "Request-Id");
+
+	g_assert_true(g_str_has_prefix(answer, ends[end].status));
+	g_assert_true(raw_is_whole(answer));
+	g_assert_cmpstr(answer_id, ==, id);
+}
+
+/* Failure: clients whose request's id had 242 bytes or more got bytes that are
+ * no answer where the gateway answered by itself. */
+static void test_request_ids(const void *data)
+{
+	size_t end = GPOINTER_TO_SIZE(data);
+	const char *method =
+		g_str_has_prefix(ends[end].path, "/order") ? "POST" : "GET";
+	platform_rig_t rig;
+
+	platform_rig_start_with(
+		&rig, 1,
+		&(platform_rig_options_t){ .timeout_ms = ROUTE_TIMEOUT_MS });
+	platform_rig_set_behaviour(rig.services, ends[end].behaviour);
+	for (size_t i = 0; i < G_N_ELEMENTS(id_lengths); i++)
+		check_request_id(&rig, end, method, id_lengths[i]);
+	platform_rig_release(rig.services);
+	platform_rig_stop(&rig);
+}
+
 static const char *const foreign_names[] = {
 	"a&b",	   "a+b",	"a#b",	 "a%b", "a b",	  "a%2",
 	"a%26b",   "a=b",	"a?b",	 "a/b", "a\"b\\", "a;b,c|d",
@@ -228,6 +288,13 @@
 	g_test_add_func("/it-names/desired-state", test_desired_state);
 	g_test_add_func("/it-names/customers", test_customers);
 	g_test_add_func("/it-names/endpoints", test_endpoints);
+	for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
+		g_autofree char *path = g_strconcat("/it-names/request-id/",
+						    ends[i].name, NULL);
+
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i),
+				     test_request_ids);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(listed_kinds); i++) {
 		g_autofree char *path = g_strconcat("/it-names/foreign/",
 						    listed_kinds[i], NULL);
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -546,6 +546,32 @@
 	json_set_alloc_funcs(malloc, free);
 }
 
+/* Failure: an id that did not fit into a buffer left a header line of an error
+ * answer without its end. */
+static void test_error_headers(void)
+{
+	static const size_t id_bytes[] = { 0, 1, 241, 242, 243, 256, 16000 };
+	static const uint32_t retry_ms[] = { 0, 1250 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(id_bytes) * 4; i++) {
+		g_autofree char *id = g_strnfill(id_bytes[i / 4], 'i');
+		bool not_run = i % 2;
+		uint32_t retry_after_ms = retry_ms[i / 2 % 2];
+		g_autofree char *expected = g_strdup_printf(
+			"Request-Id: %s\r\n%s%s", id,
+			not_run ? "Not-Executed: 1\r\n" : "",
+			retry_after_ms ? "Retry-After: 1.250\r\n" : "");
+		struct evbuffer *lines = evbuffer_new();
+
+		platform_write_error_headers(lines, id, retry_after_ms,
+					     not_run);
+		g_assert_cmpmem(evbuffer_pullup(lines, -1),
+				evbuffer_get_length(lines), expected,
+				strlen(expected));
+		evbuffer_free(lines);
+	}
+}
+
 static const struct {
 	const char *name;
 	const char *escaped;
@@ -629,6 +655,7 @@
 	g_test_add_func("/platform/bad-states", test_bad_states);
 	g_test_add_func("/platform/large-numbers", test_large_numbers);
 	g_test_add_func("/platform/request", test_request);
+	g_test_add_func("/platform/error-headers", test_error_headers);
 	g_test_add_func("/platform/large-entries", test_large_entries);
 	g_test_add_func("/platform/url-names", test_url_names);
 	g_test_add_func("/platform/pages", test_pages);
