object_watch: list again after changes too long for an answer

What callers saw: after several large entries had been written at once, instances took no change of the list any more, and requests went to endpoints that were gone, until the store had dropped its history.

Cause: an answer to a watch of more than 4 MB was given up, and the same watch was sent again. The pages bound a page of a list (1 MB), but no watch.

Evidence: /object-watch/large-changes, five entries of 1 MB behind the watch's revision: no change was taken within 5 s before, all are taken now.

Change: such an answer is followed by a list, and logged (store_list result=limit). Ruled out: a larger limit, which is memory of every instance.

--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -189,11 +189,12 @@
 	if (!err && page.unreadable)
 		event_log(EVENT_ENTRY_REJECTED, "kind=%s why=unreadable",
 			  object_kind_name(watch->options.kind));
-	/* A list tells which object a change that cannot be read was of. */
-	if (err == ERR_STORE_GONE ||
+	/* A list tells which object a change that cannot be read was of, and
+	 * its pages are never too long. */
+	if (err == ERR_STORE_GONE || (answer->too_long && !watch->listing) ||
 	    (!err && (is_from_other_era(watch, &page) ||
 		      (page.unreadable && !watch->listing)))) {
-		log_list(watch, err);
+		log_list(watch, answer->too_long ? ERR_LIMIT : err);
 		restart_list(watch);
 		send_call(watch);
 		return;
@@ -201,7 +202,7 @@
 	if (!err && watch->listing)
 		err = object_page_next(&page, watch->list_after, &next);
 	if (err) {
-		if (err == ERR_BAD_JSON)
+		if (err == ERR_BAD_JSON && watch->listing)
 			restart_list(watch);
 		retry_later(watch, err);
 		return;
--- a/process/store_link.c
+++ b/process/store_link.c
@@ -44,6 +44,7 @@
 	store_link_t *link = call->link;
 	store_answer_t answer = {
 		.err = store_error(err, status),
+		.too_long = err == ERR_LIMIT,
 		.era = call->era,
 		.body = body,
 		.len = len,
--- a/process/store_link.h
+++ b/process/store_link.h
@@ -10,6 +10,7 @@
 #define PROCESS_STORE_LINK_H
 
 #include <event2/event.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -30,7 +31,8 @@
 	/** 0, ERR_NOT_FOUND, ERR_STORE_*, or ERR_BAD_FIELD if the era cannot
 	 * be read. A late answer of an earlier era is ERR_STORE_UNKNOWN. */
 	int err;
-	uint64_t era; /**< 0 if the answer does not state one. */
+	bool too_long; /**< It is ERR_STORE_UNKNOWN: not all was received. */
+	uint64_t era;  /**< 0 if the answer does not state one. */
 	const char *body;
 	size_t len;
 } store_answer_t;
--- a/t/test-object-watch.c
+++ b/t/test-object-watch.c
@@ -23,6 +23,10 @@
 	LATER_CHANGES = 10,
 	/** Time for which removals are held after the return. */
 	HOLD_MS = 600,
+	/** `value_bytes` of the platform, less the rest of an object. */
+	VALUE_BYTES = 1048000,
+	/** More than an answer may have. */
+	LARGE_CHANGES = 5,
 };
 
 typedef struct rig {
@@ -337,6 +341,30 @@
 	rig_close(&rig);
 }
 
+/* Failure: changes that were too long for one answer were asked for again and
+ * again, and none was taken. */
+static void test_large_changes(void)
+{
+	rig_t rig;
+
+	rig_open(&rig);
+	object_watch_set_active(rig.watch, false);
+	for (int i = 0; i < LARGE_CHANGES; i++) {
+		g_autofree char *name = g_strdup_printf("large-%d", i);
+		g_autofree char *text = g_strnfill(VALUE_BYTES, 'x');
+
+		platform_store_put(rig.store, "servers", name,
+				   json_pack("{s:s}", "text", text));
+	}
+	put_endpoint(&rig, "b");
+	platform_store_remove(rig.store, "servers", "a");
+	object_watch_set_active(rig.watch, true);
+	g_assert_true(RUN_UNTIL(&rig, has_endpoint(&rig, "b")));
+	g_assert_true(RUN_UNTIL(&rig, !has_endpoint(&rig, "a")));
+	g_assert_false(rig.failing);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const bool answered[] = { false, true };
@@ -355,6 +383,7 @@
 			     test_handover);
 	g_test_add_data_func("/object-watch/handover/listed", &answered[1],
 			     test_handover);
+	g_test_add_func("/object-watch/large-changes", test_large_changes);
 	for (size_t i = 0; i < G_N_ELEMENTS(odd_objects); i++) {
 		g_autofree char *path = g_strconcat("/object-watch/odd-page/",
 						    odd_objects[i].name, NULL);
