object_table: bound the memory of a list

Cause: the pages set no number of entries, and the table kept all.

Change: a table has a largest size, counted as text or by its values; beyond it the largest entries are left out first, logged (entries_left_out), and listed again once others have gone. Peers accept as much as the tables may hold; the answers of the store keep their limit of 4 MB.

--- a/cmd/gateway_control.c
+++ b/cmd/gateway_control.c
@@ -367,6 +367,8 @@
 	for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
 		control->view_builder.tables[i].kind = (object_kind_t)i;
 		control->view_builder.tables[i].order = platform_object_order;
+		control->view_builder.tables[i].max_bytes =
+			object_table_max_bytes((object_kind_t)i);
 	}
 	control->view_builder.tables[OBJECT_ENDPOINTS].hold_ms =
 		EXPIRED_KEEP_MS;
--- a/cmd/gateway_state.c
+++ b/cmd/gateway_state.c
@@ -20,6 +20,9 @@
 	 * ms: enough for several fetches from others. */
 	FETCH_FAILED_PENALTY_MS = 3000,
 	STATE_HEAD_BYTES = 4096,
+	/** Largest answer of a peer, bytes: all of its tables. */
+	STATE_MAX_BYTES =
+		OBJECT_ENDPOINTS_MAX_BYTES + 2 * OBJECT_OTHERS_MAX_BYTES,
 };
 
 /** Path of the state that instances fetch from each other. It is followed by
@@ -110,6 +113,18 @@
 			      : -1;
 }
 
+static int import_table(object_table_t *table, const json_t *peer_table,
+			uint64_t now_ms)
+{
+	int result = object_table_import(table, peer_table, now_ms);
+
+	if (table->left_out)
+		event_log(EVENT_ENTRIES_LEFT_OUT, "kind=%s count=%u bytes=%zu",
+			  object_kind_name(table->kind), table->left_out,
+			  table->bytes);
+	return result;
+}
+
 static void import_state(state_fetch_t *fetch, const json_t *state, size_t len,
 			 uint64_t now_ms)
 {
@@ -124,9 +139,8 @@
 		int result = 0;
 
 		if (table)
-			result = object_table_import(
-				&control->view_builder.tables[i], table,
-				now_ms);
+			result = import_table(&control->view_builder.tables[i],
+					      table, now_ms);
 		if (result > 0 && i == OBJECT_WEIGHTS &&
 		    peers->behind_since_ms[i])
 			view_builder_fetched_weights(&control->view_builder,
@@ -198,8 +212,8 @@
 	snprintf(target.key, sizeof(target.key), "peer/%s",
 		 peer->heartbeat.name);
 	fetch->call = http_call_send(control->outbound, control->base, &target,
-				     message, HTTP_CALL_STATE_MAX_BYTES,
-				     FETCH_TIMEOUT_MS, done, fetch);
+				     message, STATE_MAX_BYTES, FETCH_TIMEOUT_MS,
+				     done, fetch);
 	if (fetch->call)
 		http_call_on_head(fetch->call, on_state_head);
 	fetch->peer = peer;
--- a/connection/http_call.h
+++ b/connection/http_call.h
@@ -15,9 +15,9 @@
 #include "connection/outbound.h"
 
 enum {
-	/** Largest answer body of the store and of peers, bytes; a page of a
-	 * store listing has about 1 MB. */
-	HTTP_CALL_STATE_MAX_BYTES = 4 * 1024 * 1024,
+	/** Largest answer body of the store, bytes; a page of a list has about
+	 * 1 MB. */
+	HTTP_CALL_STORE_MAX_BYTES = 4 * 1024 * 1024,
 	/** Largest answer body of an engine, bytes: a report lists its runs. */
 	HTTP_CALL_ENGINE_MAX_BYTES = 64 * 1024,
 	/** Minimum rate of an answer, bytes per ms: a fifth of a link of 10
--- a/process/event_list.h
+++ b/process/event_list.h
@@ -262,3 +262,7 @@
 EVENT(1924, ENDPOINT_REFUSALS_MAX, "endpoint_refusals_max", EVENT_WARN,
       "An endpoint has named another number of refusals that it withstands in a "
       "second, or none any more (-1).")
+EVENT(1925, ENTRIES_LEFT_OUT, "entries_left_out", EVENT_ERROR,
+      "A list has more than an instance holds in memory; its largest entries "
+      "were left out, and are read again when others go. bytes: of those that "
+      "are held.")
--- a/process/object_table.c
+++ b/process/object_table.c
@@ -8,6 +8,24 @@
 #include "process/hash.h"
 #include "process/store_revision.h"
 
+size_t object_table_max_bytes(object_kind_t kind)
+{
+	switch (kind) {
+	case OBJECT_ENDPOINTS:
+		return OBJECT_ENDPOINTS_MAX_BYTES;
+	case OBJECT_WEIGHTS:
+	case OBJECT_MEMBERS:
+		return OBJECT_OTHERS_MAX_BYTES;
+	case OBJECT_DESIRED:
+	case OBJECT_LEASES:
+	case OBJECT_CRASHES:
+	case OBJECT_STREAMS:
+	case OBJECT_KIND_COUNT:
+		break;
+	}
+	return 0;
+}
+
 static void clear_entry(object_entry_t *entry)
 {
 	free(entry->name);
@@ -70,12 +88,71 @@
 	removed->order = table->order(table->kind, entry->spec);
 }
 
+/* Takes an entry out of the table; the last one gets its place. */
+static void drop_entry(object_table_t *table, object_entry_t *entry)
+{
+	table->bytes -= entry->bytes;
+	clear_entry(entry);
+	*entry = table->entries[--table->count];
+}
+
 static void remove_entry(object_table_t *table, object_entry_t *entry)
 {
 	if (table->order && table->kind == OBJECT_ENDPOINTS)
 		remember_removed(table, entry);
-	clear_entry(entry);
-	*entry = table->entries[--table->count];
+	drop_entry(table, entry);
+	table->has_room = table->left_out > 0;
+}
+
+static size_t count_values(const json_t *value)
+{
+	const char *key;
+	json_t *item;
+	size_t index;
+	size_t count = 1;
+
+	json_array_foreach (value, index, item)
+		count += count_values(item);
+	json_object_foreach ((json_t *)value, key, item)
+		count += count_values(item);
+	return count;
+}
+
+static size_t entry_bytes(const object_entry_t *entry)
+{
+	CLEANUP_JSON json_t *row =
+		json_pack("[s,O?]", entry->name, entry->spec);
+	size_t text_bytes = json_dumpb(row, NULL, 0, JSON_COMPACT);
+	size_t value_bytes = count_values(row) * OBJECT_VALUE_BYTES;
+
+	return OBJECT_ROW_BYTES +
+	       (text_bytes > value_bytes ? text_bytes : value_bytes);
+}
+
+/* Whether an entry is left out before another one. */
+static bool is_larger(const object_entry_t *a, const object_entry_t *b)
+{
+	return a->bytes != b->bytes ? a->bytes > b->bytes
+				    : strcmp(a->name, b->name) > 0;
+}
+
+/* Counts an entry whose content is new, and leaves out the largest entries if
+ * there are too many bytes. */
+static void update_bytes(object_table_t *table, object_entry_t *entry)
+{
+	table->bytes -= entry->bytes;
+	entry->bytes = entry_bytes(entry);
+	table->bytes += entry->bytes;
+	while (table->max_bytes && table->bytes > table->max_bytes) {
+		object_entry_t *largest = &table->entries[0];
+
+		for (size_t i = 1; i < table->count; i++) {
+			if (is_larger(&table->entries[i], largest))
+				largest = &table->entries[i];
+		}
+		drop_entry(table, largest);
+		table->left_out++;
+	}
 }
 
 void object_table_hold(object_table_t *table, uint64_t now_ms)
@@ -141,9 +218,11 @@
 	return false;
 }
 
+/* The entry, and others, may be left out for want of room. */
 static int put_item(object_table_t *table, const object_item_t *item)
 {
 	object_entry_t *entry = find_entry(table, item->name);
+	bool resized = !entry;
 	bool suspect =
 		(!entry || entry->suspect) && is_copy_of_removed(table, item);
 
@@ -161,12 +240,15 @@
 		entry->content_revision = item->revision;
 		json_decref(entry->spec);
 		entry->spec = json_incref(item->spec);
+		resized = true;
 	}
 	entry->revision = item->revision;
 	entry->suspect = suspect;
 	entry->suspect_until_ms = 0;
 	entry->drop_at_ms = 0;
 	entry->listed = true;
+	if (resized)
+		update_bytes(table, entry);
 	return 1;
 }
 
@@ -174,6 +256,8 @@
 {
 	for (size_t i = 0; i < table->count; i++)
 		table->entries[i].listed = false;
+	table->left_out = 0;
+	table->has_room = false;
 }
 
 int object_table_list_add(object_table_t *table, const object_item_t *item)
@@ -374,6 +458,8 @@
 	if (result < 0)
 		return result;
 	current = find_entry(table, item.name);
+	if (!current)
+		return result;
 	if (result && current->spec == item.spec)
 		current->content_revision = content_revision;
 	if (held_ms)
--- a/process/object_table.h
+++ b/process/object_table.h
@@ -27,6 +27,17 @@
 	 * the store removes it again after three missing heartbeats of 1.2 s.
 	 * If it stays, the endpoint is alive. */
 	OBJECT_SUSPECT_MS = 4000,
+	/** Contents of the endpoint list, bytes as object_entry counts them: a
+	 * tenth of the memory of the smallest instance (96 MB). 12,000
+	 * endpoints take 9 MB. */
+	OBJECT_ENDPOINTS_MAX_BYTES = 10 * 1024 * 1024,
+	/** Likewise of the lists of weights and of members: a hundred models,
+	 * and over a thousand instances, take less than half of it. */
+	OBJECT_OTHERS_MAX_BYTES = 1024 * 1024,
+	/** What a decoded value counts for at least, bytes. */
+	OBJECT_VALUE_BYTES = 48,
+	/** Revisions and times of an entry in the text for peers, bytes. */
+	OBJECT_ROW_BYTES = 64,
 };
 
 typedef struct object_entry {
@@ -43,6 +54,9 @@
 	 * 0: not removed. */
 	uint64_t drop_at_ms;
 	bool listed; /**< Contained in the list that is being read. */
+	/** Size of the name and the content: of their text for peers, but at
+	 * least OBJECT_VALUE_BYTES for each value. */
+	size_t bytes;
 } object_entry_t;
 
 /** See platform_object_order(). */
@@ -70,8 +84,19 @@
 	uint64_t updated_ms;	/**< Monotonic time of the last update. */
 	removed_object_t removed[OBJECT_REMOVED_MAX]; /**< Ring. */
 	uint32_t removed_count; /**< Objects put into the ring so far. */
+	size_t bytes;		/**< Of all entries. */
+	/** Largest size of all entries, beyond which the largest ones are left
+	 * out; 0: no limit. */
+	size_t max_bytes;
+	/** Entries left out since the last list began. */
+	uint32_t left_out;
+	/** One was removed since then, so that a list may find room. */
+	bool has_room;
 } object_table_t;
 
+/** Default of `max_bytes` for tables of a kind; 0 for what is no list. */
+size_t object_table_max_bytes(object_kind_t kind);
+
 /** Frees the entries and clears the table. */
 void object_table_free(object_table_t *table);
 
--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -126,17 +126,39 @@
 				    : watch->sent_boot_ms;
 }
 
+static int apply_changes(object_watch_t *watch, const object_page_t *page)
+{
+	object_table_t *table = watch->options.table;
+	int changed = object_table_apply(table, page, clock_now_ms());
+
+	/* A list has the entries that were left out. */
+	if (table->has_room)
+		restart_list(watch);
+	return changed;
+}
+
+static void log_left_out(const object_watch_t *watch, uint32_t before)
+{
+	const object_table_t *table = watch->options.table;
+
+	if (table->left_out > before)
+		event_log(EVENT_ENTRIES_LEFT_OUT, "kind=%s count=%u bytes=%zu",
+			  object_kind_name(table->kind), table->left_out,
+			  table->bytes);
+}
+
 static void apply_page(object_watch_t *watch, const object_page_t *page,
 		       char **next)
 {
+	uint32_t left_out = watch->list_after || !watch->listing
+				    ? watch->options.table->left_out
+				    : 0;
 	int changed;
 
 	update_contact(watch, 0);
-	if (watch->listing)
-		changed = apply_list_page(watch, page, next);
-	else
-		changed = object_table_apply(watch->options.table, page,
-					     clock_now_ms());
+	changed = watch->listing ? apply_list_page(watch, page, next)
+				 : apply_changes(watch, page);
+	log_left_out(watch, left_out);
 	if (changed < 0) {
 		restart_list(watch);
 		retry_later(watch, changed);
--- a/process/store_link.c
+++ b/process/store_link.c
@@ -71,7 +71,7 @@
 	call->done = done;
 	call->context = context;
 	call->call = http_call_send(link->outbound, link->base, &link->target,
-				    message, HTTP_CALL_STATE_MAX_BYTES,
+				    message, HTTP_CALL_STORE_MAX_BYTES,
 				    timeout_ms, on_done, call);
 	if (!call->call) {
 		free(call);
--- a/t/test-object-table.c
+++ b/t/test-object-table.c
@@ -448,6 +448,105 @@
 	object_table_free(&follower);
 }
 
+static const struct {
+	const char *name;
+	size_t text_bytes; /**< Of each foreign entry's content. */
+	int values;	   /**< Likewise. */
+	int name_bytes;
+} large_cases[] = {
+	{ "text", 1048576, 1, 10 },
+	{ "values", 1, 40000, 10 },
+	{ "name", 1, 1, 1000000 },
+	{ "many-small", 100, 10, 100 },
+};
+
+enum {
+	ENDPOINTS = 50,
+	/** Smaller than the limit of the program, so that the test is short. */
+	TABLE_MAX_BYTES = 300000,
+	/** Size of all foreign entries, bytes. */
+	FOREIGN_BYTES = 4 * TABLE_MAX_BYTES,
+};
+
+static size_t list_foreign(object_table_t *table, size_t c)
+{
+	g_autofree char *text = g_strnfill(large_cases[c].text_bytes, 'x');
+	CLEANUP_JSON json_t *values = json_array();
+	CLEANUP_JSON json_t *spec =
+		json_pack("{s:s,s:O}", "service", text, "models", values);
+	size_t count = 0;
+
+	for (int i = 0; i < large_cases[c].values; i++)
+		json_array_append_new(values, json_integer(i));
+	for (size_t bytes = 0; bytes < FOREIGN_BYTES; count++) {
+		g_autofree char *name = g_strdup_printf(
+			"%0*zu", large_cases[c].name_bytes, count);
+		object_item_t item = { name, 5, false, spec };
+
+		g_assert_cmpint(object_table_list_add(table, &item), ==, 1);
+		g_assert_cmpuint(table->bytes, <=, TABLE_MAX_BYTES);
+		bytes += large_cases[c].text_bytes +
+			 (size_t)large_cases[c].name_bytes +
+			 (size_t)large_cases[c].values * OBJECT_VALUE_BYTES;
+	}
+	return count;
+}
+
+static void list_endpoints(object_table_t *table)
+{
+	for (int i = 0; i < ENDPOINTS; i++) {
+		g_autofree char *name = g_strdup_printf("e%d", i);
+
+		add_to_list(table, name, 5);
+	}
+}
+
+static size_t count_endpoints(const object_table_t *table)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < table->count; i++)
+		count += *table->entries[i].name == 'e';
+	return count;
+}
+
+/* Failure: entries of another writer took the memory of an instance without
+ * limit. The endpoints' own are smaller, and stay. */
+static void test_large_entries(const void *data)
+{
+	size_t c = GPOINTER_TO_SIZE(data);
+	object_table_t table = { .max_bytes = TABLE_MAX_BYTES };
+	object_table_t peer = { .max_bytes = TABLE_MAX_BYTES };
+	CLEANUP_JSON json_t *state = NULL;
+	size_t foreign;
+
+	object_table_list_begin(&table);
+	foreign = list_foreign(&table, c);
+	list_endpoints(&table);
+	object_table_list_end(&table, 5, 1000);
+	g_assert_cmpuint(count_endpoints(&table), ==, ENDPOINTS);
+	g_assert_cmpuint(table.left_out, >, 0);
+	g_assert_cmpuint(table.left_out + table.count, ==, ENDPOINTS + foreign);
+	g_assert_false(table.has_room);
+	state = object_table_export(&table, 0, 1000);
+	g_assert_cmpuint(json_dumpb(state, NULL, 0, JSON_COMPACT), <,
+			 TABLE_MAX_BYTES);
+	g_assert_cmpint(object_table_import(&peer, state, 1000), ==, 1);
+	g_assert_cmpuint(object_table_digest(&peer), ==,
+			 object_table_digest(&table));
+	object_table_free(&peer);
+	/* Once one has gone, a list may find room. */
+	g_assert_cmpint(apply_change(&table, "e0", 6, true, 2000), ==, 1);
+	g_assert_true(table.has_room);
+	object_table_list_begin(&table);
+	list_endpoints(&table);
+	object_table_list_end(&table, 7, 3000);
+	g_assert_cmpuint(table.count, ==, ENDPOINTS);
+	g_assert_cmpuint(table.left_out, ==, 0);
+	object_table_free(&table);
+	g_assert_cmpuint(table.bytes, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -481,5 +580,13 @@
 		g_test_add_data_func(path, &gone_cases[i], test_gone_endpoint);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(large_cases); i++) {
+		g_autofree char *path =
+			g_strconcat("/object-table/large-entries/",
+				    large_cases[i].name, NULL);
+
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i),
+				     test_large_entries);
+	}
 	return g_test_run();
 }
