--- a/t/test-it-foreign.c
+++ b/t/test-it-foreign.c
@@ -32,6 +32,8 @@
 	"\"state\":\"ready\",\"service\":\"" service
 
 static const foreign_case_t foreign_cases[] = {
+	{ "no-content", 3, "null", NULL, NULL },
+	{ "list", 3, "[]", NULL, NULL },
 	{ "large-service-list", 12, "{\"service\":[0", ",{\"a\":1}", "]}" },
 	{ "large-unknown-field", 12, VALID("x") "\",\"x\":[0", ",{}", "]}" },
 	{ "large-service-name", 24, VALID(""), "xxxxxxxx", "\"}" },
