--- a/t/test-it-names.c
+++ b/t/test-it-names.c
@@ -258,7 +258,7 @@
 };
 
 /* Kinds that an instance has to list before it serves. */
-static const char *const listed_kinds[] = { "servers", "versions" };
+static const char *const listed_kinds[] = { "config", "servers", "versions" };
 
 /* Failure: instances that had started while an object of another writer, with a
  * special character in its name, ended a page of a list never served. */
