--- a/t/test-it-names.c
+++ b/t/test-it-names.c
@@ -16,6 +16,8 @@
 	/** Largest head of a request (max_header_bytes). */
 	HEAD_MAX_BYTES = 16384,
 	ROUTE_TIMEOUT_MS = 300,
+	/** Further header of the endpoints' answers. */
+	MORE_HEADER_BYTES = 2000,
 };
 
 /* A name that differs from others of this function in its last byte only. */
@@ -239,12 +241,16 @@
 	size_t end = GPOINTER_TO_SIZE(data);
 	const char *method =
 		g_str_has_prefix(ends[end].path, "/order") ? "POST" : "GET";
+	g_autofree char *value = g_strnfill(MORE_HEADER_BYTES, 'm');
+	g_autofree char *more_headers =
+		g_strdup_printf("X-More: %s\r\n", value);
 	platform_rig_t rig;
 
 	platform_rig_start_with(
 		&rig, 1,
 		&(platform_rig_options_t){ .timeout_ms = ROUTE_TIMEOUT_MS });
 	platform_rig_set_behaviour(rig.services, ends[end].behaviour);
+	platform_rig_set_headers(rig.services, more_headers);
 	for (size_t i = 0; i < G_N_ELEMENTS(id_lengths); i++)
 		check_request_id(&rig, end, method, id_lengths[i]);
 	platform_rig_release(rig.services);
