--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -66,6 +66,29 @@
 	}
 }
 
+/* Failure: an id with a line break in it added header lines to the requests for
+ * its endpoint. */
+static void test_endpoint_ids(void)
+{
+	static const struct {
+		const char *id;
+		bool usable;
+	} ids[] = {
+		{ "i-1", true },	  { "a&b c#%\xc3\xa9", true },
+		{ "i\r\nKey: x", false }, { "i\n", false },
+		{ "i\x7f", false },
+	};
+	CLEANUP_JSON json_t *spec =
+		json_loads(ENTRY("ready", "\"10.0.0.1:80\"", "6") "}", 0, NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		endpoint_entry_t entry;
+
+		g_assert_true(!platform_read_endpoint(ids[i].id, spec,
+						      &entry) == ids[i].usable);
+	}
+}
+
 #define OBJECT(name, spec) \
 	"{\"metadata\":{\"name\":\"" name "\",\"rev\":5},\"spec\":" spec "}"
 
@@ -650,6 +673,7 @@
 	}
 	g_test_add_func("/platform/cut-page", test_cut_page);
 	g_test_add_func("/platform/entries", test_entries);
+	g_test_add_func("/platform/endpoint-ids", test_endpoint_ids);
 	g_test_add_func("/platform/routes", test_routes);
 	g_test_add_func("/platform/keys", test_keys);
 	g_test_add_func("/platform/bad-states", test_bad_states);
