object_watch: list again when a list has made room

Cause: entries that a list no longer contains are removed at its end, so that others were left out for want of room that was there a moment later.

Change: the list is read once more if entries were left out and others removed.

--- a/process/object_watch.c
+++ b/process/object_watch.c
@@ -111,9 +111,10 @@
 	*next = NULL;
 	if (watch->list_after)
 		return changed;
-	watch->listing = false;
-	return changed | object_table_list_end(table, watch->list_revision,
-					       clock_now_ms());
+	changed |= object_table_list_end(table, watch->list_revision,
+					 clock_now_ms());
+	watch->listing = table->has_room;
+	return changed;
 }
 
 /* The store has held a call without changes for its wait time. */
--- a/t/test-object-watch.c
+++ b/t/test-object-watch.c
@@ -27,6 +27,8 @@
 	VALUE_BYTES = 1048000,
 	/** More than an answer may have. */
 	LARGE_CHANGES = 5,
+	/** Of a table with little room. */
+	TABLE_MAX_BYTES = 20000,
 };
 
 typedef struct rig {
@@ -365,6 +367,46 @@
 	rig_close(&rig);
 }
 
+static void put_text(rig_t *rig, const char *name, size_t bytes)
+{
+	g_autofree char *text = g_strnfill(bytes, 'x');
+
+	platform_store_put(rig->store, "servers", name,
+			   json_pack("{s:s,s:s,s:s,s:i,s:s}", "service", text,
+				     "addr", "127.0.0.1:9", "zone", "z",
+				     "slots", 1, "state", "ready"));
+}
+
+/* Failure: an entry that was left out for want of room stayed away after others
+ * had made room. */
+static void test_room(const void *data)
+{
+	bool listed = *(const bool *)data;
+	rig_t rig;
+
+	rig_open(&rig);
+	object_watch_set_active(rig.watch, false);
+	rig.table.max_bytes = TABLE_MAX_BYTES;
+	put_text(&rig, "large", TABLE_MAX_BYTES / 2);
+	object_watch_set_active(rig.watch, true);
+	g_assert_true(RUN_UNTIL(&rig, has_endpoint(&rig, "large")));
+	if (listed)
+		object_watch_set_active(rig.watch, false);
+	put_text(&rig, "larger", TABLE_MAX_BYTES / 3 * 2);
+	if (!listed)
+		g_assert_true(RUN_UNTIL(&rig, rig.table.left_out == 1));
+	g_assert_false(has_endpoint(&rig, "larger"));
+	platform_store_remove(rig.store, "servers", "large");
+	if (listed) {
+		platform_store_forget(rig.store);
+		object_watch_set_active(rig.watch, true);
+	}
+	g_assert_true(RUN_UNTIL(&rig, has_endpoint(&rig, "larger")));
+	g_assert_true(has_endpoint(&rig, "a"));
+	g_assert_false(has_endpoint(&rig, "large"));
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const bool answered[] = { false, true };
@@ -384,6 +426,10 @@
 	g_test_add_data_func("/object-watch/handover/listed", &answered[1],
 			     test_handover);
 	g_test_add_func("/object-watch/large-changes", test_large_changes);
+	g_test_add_data_func("/object-watch/room/watched", &answered[0],
+			     test_room);
+	g_test_add_data_func("/object-watch/room/listed", &answered[1],
+			     test_room);
 	for (size_t i = 0; i < G_N_ELEMENTS(odd_objects); i++) {
 		g_autofree char *path = g_strconcat("/object-watch/odd-page/",
 						    odd_objects[i].name, NULL);
