gateway_front: accept forwarded heads of full length

What callers saw: a request with a head of nearly the allowed 16 KiB, at an instance that had lost the paths to all endpoints, was answered as too large.

Cause: two lines are added to a forwarded request, and the other instance applied the clients' limit to it.

Evidence: /it-cut-paths/long-head (a head of 16,384 bytes, without headers that are left out on the way) failed before, and passes now.

Change: the limit for forwarded requests is FORWARD_HEADERS_MAX_BYTES higher.

--- a/cmd/gateway_front.c
+++ b/cmd/gateway_front.c
@@ -101,6 +101,16 @@
 	.refused = on_request_rejected,
 };
 
+/* Another instance has added lines to the head. */
+static inbound_limits_t forward_limits(void *context)
+{
+	const front_t *front = context;
+	inbound_limits_t limits = front->limits;
+
+	limits.head_max_bytes += FORWARD_HEADERS_MAX_BYTES;
+	return limits;
+}
+
 static void on_forwarded_request(void *context, inbound_request_t *request)
 {
 	front_t *front = context;
@@ -109,7 +119,7 @@
 }
 
 static const inbound_callbacks_t forward_callbacks = {
-	.limits = current_limits,
+	.limits = forward_limits,
 	.request = on_forwarded_request,
 	.client_gone = on_client_gone,
 	.drained = on_client_drained,
--- a/t/test-it-cut-paths.c
+++ b/t/test-it-cut-paths.c
@@ -34,6 +34,8 @@
 	BACK_MS = 2000,
 	/** Time until the third event of a stream during which a peer dies. */
 	EVENT_PAUSE_MS = 1000,
+	/** Largest head of a request (max_header_bytes). */
+	HEAD_MAX_BYTES = 16384,
 	/** Gateways: the first has its paths cut. */
 	CUT_OFF = 0,
 	OTHER = 1,
@@ -424,6 +426,31 @@
 	platform_rig_open_stream(stream, &paths->rig, CUT_OFF, text);
 }
 
+/* Failure: a request whose head was as long as allowed was refused as too long
+ * by the instance that it was forwarded to. */
+static void test_long_head(void)
+{
+	static const char rest[] =
+		"POST /order/1 HTTP/1.0\r\nHost: h.example\r\n"
+		"Key: key-1\r\nContent-Length: 0\r\n"
+		"Request-Id: ";
+	g_autofree char *id =
+		g_strnfill(HEAD_MAX_BYTES - strlen(rest) - 4, 'i');
+	g_autofree char *request = g_strconcat(rest, id, "\r\n\r\n", NULL);
+	g_autofree char *answer = NULL;
+	paths_t paths;
+	uint32_t before;
+
+	start_forwarding(&paths, &cut_cases[0]);
+	before = forwards(&paths, CUT_OFF);
+	answer = raw_call(paths.rig.ports[CUT_OFF], request);
+	g_assert_cmpuint(forwards(&paths, CUT_OFF), >, before);
+	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+	g_assert_nonnull(strstr(answer, id));
+	g_assert_true(raw_is_whole(answer));
+	stop(&paths);
+}
+
 typedef struct leave_case {
 	const char *name;
 	kind_t kind;
@@ -548,6 +575,7 @@
 			 test_paths_back);
 	}
 	g_test_add_func("/it-cut-paths/all-cut-off", test_all_cut_off);
+	g_test_add_func("/it-cut-paths/long-head", test_long_head);
 	for (size_t i = 0; i < G_N_ELEMENTS(leave_cases); i++)
 		add_case("client-leaves", leave_cases[i].name, &leave_cases[i],
 			 test_client_leaves);
