--- a/connection/http_head.h
+++ b/connection/http_head.h
@@ -20,9 +20,9 @@
 enum {
 	/** Most header lines of a message; a typical one has about ten. */
 	HTTP_HEADERS_MAX = 64,
-	/** Largest head of an answer from an endpoint or the store, bytes: 16 KiB
-	 * and the id of a request, which may be nearly as long as a request's
-	 * head (16 KiB). */
+	/** Largest head of an answer from an endpoint or the store, bytes: 16
+	 * KiB and the id of a request, which may be nearly as long as a
+	 * request's head (16 KiB). */
 	HTTP_ANSWER_HEAD_MAX_BYTES = 32768,
 	HTTP_STATUS_MIN = 100,
 	HTTP_STATUS_MAX = 599,
