--- a/process/json_span.c
+++ b/process/json_span.c
@@ -153,6 +153,26 @@
 	return json_is_string(key) && !strcmp(json_string_value(key), name);
 }
 
+bool json_span_find_members(json_span_t object, const char *const *names,
+			    json_span_t *values)
+{
+	json_walk_t walk = json_walk_begin(object);
+	json_span_t key;
+	json_span_t value;
+
+	for (size_t i = 0; names[i]; i++)
+		values[i] = (json_span_t){ 0 };
+	if (walk.close != '}')
+		return false;
+	while (json_walk_next(&walk, &key, &value)) {
+		for (size_t i = 0; names[i]; i++) {
+			if (json_span_is_key(key, names[i]))
+				values[i] = value;
+		}
+	}
+	return !walk.failed;
+}
+
 static bool is_deeper(const json_t *value, uint32_t levels)
 {
 	const char *key;
--- a/process/json_span.h
+++ b/process/json_span.h
@@ -57,6 +57,16 @@
 /** Whether a span is the key with this name; `name` needs no escapes. */
 bool json_span_is_key(json_span_t span, const char *name);
 
+/**
+ * Finds members of an object in one pass; the last one of several with the same
+ * name.
+ * @param names ends with NULL
+ * @param values one for each name; without text where there is no such member
+ * @return false if the text is not that of an object
+ */
+bool json_span_find_members(json_span_t object, const char *const *names,
+			    json_span_t *values);
+
 /** Decodes a whole value; NULL if it is invalid or when out of memory. */
 json_t *json_span_decode(json_span_t span);
 
--- a/process/store_client.c
+++ b/process/store_client.c
@@ -14,6 +14,7 @@
 #include "process/error.h"
 #include "process/event.h"
 #include "process/metrics.h"
+#include "process/percent.h"
 
 enum {
 	/** Most idle curl handles kept, each with one connection. */
@@ -403,29 +404,6 @@
 	return err;
 }
 
-/** Percent-encodes a text; `keep_slash` is for use in a path. */
-static int percent_encode(const char *text, bool keep_slash, char *out,
-			  size_t size)
-{
-	static const char unreserved[] =
-		"ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-		"abcdefghijklmnopqrstuvwxyz0123456789-._~";
-	size_t used = 0;
-
-	for (; *text; text++) {
-		if (used + 4 > size)
-			return ERR_BAD_FIELD;
-		if (strchr(unreserved, *text) || (keep_slash && *text == '/')) {
-			out[used++] = *text;
-			continue;
-		}
-		snprintf(out + used, 4, "%%%02X", (unsigned char)*text);
-		used += 3;
-	}
-	out[used] = '\0';
-	return 0;
-}
-
 static int object_path(const char *key, char path[URL_MAX_BYTES])
 {
 	size_t used = (size_t)snprintf(path, URL_MAX_BYTES, "/objects/");
