json_span: take a missing part for no container

Cause: since members are found in one function, an element without an object was walked as a text at address 0, with a length of 0.

--- a/process/json_span.c
+++ b/process/json_span.c
@@ -83,11 +83,13 @@
 
 json_walk_t json_walk_begin(json_span_t container)
 {
-	const char *end = container.text + container.len;
-	json_walk_t walk = { .end = end, .is_first = true, .failed = true };
+	json_walk_t walk = { .is_first = true, .failed = true };
 
-	walk.at = container.text ? skip_space(container.text, end) : NULL;
-	if (!walk.at || walk.at == end || !opens(*walk.at))
+	if (!container.text)
+		return walk;
+	walk.end = container.text + container.len;
+	walk.at = skip_space(container.text, walk.end);
+	if (walk.at == walk.end || !opens(*walk.at))
 		return walk;
 	walk.close = *walk.at++ == '{' ? '}' : ']';
 	walk.failed = false;
--- a/t/test-json-span.c
+++ b/t/test-json-span.c
@@ -131,10 +131,27 @@
 	}
 }
 
+/* Failure: a part that an answer lacks was read as a text at address 0. */
+static void test_missing(void)
+{
+	static const char *const names[] = { "a", "b", NULL };
+	static const char text[] = "{\"a\":1,\"a\":[2]}";
+	json_span_t values[2];
+
+	g_assert_false(
+		json_span_find_members((json_span_t){ 0 }, names, values));
+	g_assert_null(values[0].text);
+	g_assert_true(json_span_find_members(
+		(json_span_t){ text, strlen(text) }, names, values));
+	g_assert_cmpmem(values[0].text, values[0].len, "[2]", 3);
+	g_assert_null(values[1].text);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/json-span/readable", test_readable);
 	g_test_add_func("/json-span/members", test_members);
+	g_test_add_func("/json-span/missing", test_missing);
 	return g_test_run();
 }
