weights_rollout: read the report of an engine that has the weights

Seen in a test: an engine that did not take an order kept its old weights for good, if bytes of no request ("200 OK") came where the answer to the order was expected.

Cause: status 200 ("the order already holds") was taken as proof, and the engine's report was not read. After 202 it is.

Now the report is read at once after 200 too. It costs one report for each order that already held.

--- a/process/weights_rollout.c
+++ b/process/weights_rollout.c
@@ -364,8 +364,9 @@
 			    ROLLOUT_FIRST_POLL_MS);
 		return;
 	case 200:
+		/* It says that it has the weights; its report tells whether the
+		 * answer was one to this order. */
 		enter_state(entry, ROLLOUT_LOADING, now_ms, 0);
-		entry->confirmed = entry->ordered_version;
 		return;
 	case 0:
 		enter_state(entry, ROLLOUT_LOADING, now_ms, ROLLOUT_RETRY_MS);
--- a/t/lib/platform_rig.c
+++ b/t/lib/platform_rig.c
@@ -337,6 +337,8 @@
 
 		bool delayed = delay_order(endpoint);
 
+		if (endpoint->behaviour == EXTRA_FIRST)
+			raw_send(request, "%s", endpoint->extra_bytes);
 		endpoint->orders++;
 		check_order_fencing(endpoint, order);
 		if (delayed)
--- a/t/lib/platform_rig.h
+++ b/t/lib/platform_rig.h
@@ -35,7 +35,8 @@
 	FAIL,		  /**< Runs it and answers 500. */
 	RESET_CONNECTION, /**< Runs it and resets the connection. */
 	WRONG_ID_FIRST,	  /**< Sends an answer to another request first. */
-	EXTRA_FIRST,	  /**< Sends `extra_bytes` first. */
+	EXTRA_FIRST,	  /**< Sends `extra_bytes` first,
+			   * also before the answer to an order. */
 	STALE_REFUSAL,	  /**< Sends an earlier refusal first, then runs it. */
 	NAMELESS_REFUSAL, /**< Likewise, but without the request's id. */
 	NAMELESS_MISDIRECTED, /**< Likewise, with status 421. */
--- a/t/test-it-extra-bytes.c
+++ b/t/test-it-extra-bytes.c
@@ -184,6 +184,38 @@
 	platform_rig_stop(&rig.rig);
 }
 
+static bool have_weights(const platform_rig_t *rig, uint64_t version)
+{
+	for (int i = 0; i < ENDPOINT_COUNT; i++) {
+		if (rig->engines[i].weights != version)
+			return false;
+	}
+	return true;
+}
+
+/* Failure: an engine kept old weights, as bytes that belong to no request were
+ * taken for its answer to an order that it did not take. */
+static void test_order_to_engine(void)
+{
+	platform_rig_t rig;
+
+	platform_rig_start(&rig, 1);
+	for (int i = 0; i < ENDPOINT_COUNT; i++) {
+		rig.engines[i].extra_bytes = extra_cases[0].bytes;
+		rig.engines[i].drops_orders = true;
+	}
+	platform_rig_set_behaviour(rig.engines, EXTRA_FIRST);
+	platform_rig_put_target_weights(&rig, 2);
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		g_assert_true(
+			WAIT_UNTIL(rig.engines[i].orders > 0, HARNESS_WAIT_MS));
+	for (int i = 0; i < ENDPOINT_COUNT; i++)
+		rig.engines[i].drops_orders = false;
+	platform_rig_set_behaviour(rig.engines, ANSWER);
+	g_assert_true(WAIT_UNTIL(have_weights(&rig, 2), HARNESS_WAIT_MS));
+	platform_rig_stop(&rig);
+}
+
 static void add_test(const char *name, const request_case_t *request,
 		     const extra_case_t *extra, GTestDataFunc function)
 {
@@ -214,5 +246,7 @@
 	}
 	g_test_add_func("/it-extra-bytes/endpoint-state", test_endpoint_state);
 	g_test_add_func("/it-extra-bytes/client-error", test_client_error);
+	g_test_add_func("/it-extra-bytes/order-to-engine",
+			test_order_to_engine);
 	return g_test_run();
 }
