outbound: discard a request that is given up

Callers had long been answered when servers still got their requests: a request that is sent while a path is cut stays in the system's send buffer, and arrives once the path is back.

Cause: the connection of a call that is cancelled, or ends without a whole answer, was closed in order, and the system then goes on sending what it holds. Only calls of the weights rollout were closed with a reset.

Now the connection of each call that ends so is reset. Idle connections are closed in order as before.

Evidence: /outbound/abandoned/* (cancelled before and within an answer, a malformed answer, a server's half close) failed 4 of 4 before, and pass now.

--- a/connection/outbound.c
+++ b/connection/outbound.c
@@ -129,8 +129,19 @@
 	return OUTBOUND_LOST;
 }
 
+/* Makes the close discard what has not arrived of the request: the server would
+ * begin to run it when the path is back, though it has been given up. */
+static void abandon_request(connection_t *connection)
+{
+	if (connection->connected)
+		socket_option_reset_on_close(
+			bufferevent_getfd(connection->stream));
+}
+
 static void close_connection(connection_t *connection, outbound_result_t result)
 {
+	if (connection->call && result != OUTBOUND_COMPLETE)
+		abandon_request(connection);
 	if (connection->call)
 		end_call(connection, result);
 	connection_free(connection);
@@ -525,6 +536,7 @@
 {
 	connection_t *connection = call->connection;
 
+	abandon_request(connection);
 	connection->call = NULL;
 	free(call);
 	if (connection->in_read_input)
--- a/connection/outbound.h
+++ b/connection/outbound.h
@@ -123,7 +123,8 @@
 /** Sends the message of a call that was started without one. */
 void outbound_write(outbound_call_t *call, struct evbuffer *message);
 
-/** Ends a call without a callback and closes its connection. */
+/** Ends a call without a callback and resets its connection, so that what has
+ * not arrived of the request never does. */
 void outbound_cancel(outbound_call_t *call);
 
 /** Pauses and resumes reading the answer. */
--- a/t/test-outbound.c
+++ b/t/test-outbound.c
@@ -1,4 +1,5 @@
 /* Connections to endpoints; the loop runs on the test's thread. */
+#include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <signal.h>
@@ -418,31 +419,40 @@
 		*received += (size_t)len;
 }
 
-/* Failure: a request was given up because the server did not read for a second,
- * after which it went on. */
-static void test_reading_stops(void)
+/* Listens on a free port, which becomes that of the rig's calls. */
+static int listen_for_calls(rig_t *rig)
 {
-	static const char answer_bytes[] =
-		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 	};
 	socklen_t address_len = sizeof(address);
 	int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	g_assert_cmpint(
+		bind(listener, (struct sockaddr *)&address, address_len), ==,
+		0);
+	g_assert_cmpint(listen(listener, 1), ==, 0);
+	getsockname(listener, (struct sockaddr *)&address, &address_len);
+	rig->target.address.v4.sin_port = address.sin_port;
+	return listener;
+}
+
+/* Failure: a request was given up because the server did not read for a second,
+ * after which it went on. */
+static void test_reading_stops(void)
+{
+	static const char answer_bytes[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 	char *message = g_malloc0(LARGE_MESSAGE_BYTES + 1);
 	size_t received = 0;
 	gint64 silent_until;
 	rig_t rig;
+	int listener;
 	int fd;
 
 	rig_open(&rig);
-	g_assert_cmpint(
-		bind(listener, (struct sockaddr *)&address, address_len), ==,
-		0);
-	g_assert_cmpint(listen(listener, 1), ==, 0);
-	getsockname(listener, (struct sockaddr *)&address, &address_len);
-	rig.target.address.v4.sin_port = address.sin_port;
+	listener = listen_for_calls(&rig);
 	rig.target.user_timeout_ms = EXCHANGE_USER_TIMEOUT_MS;
 	memset(message, 'x', LARGE_MESSAGE_BYTES);
 	g_assert_cmpint(begin_call(&rig, message), ==, 0);
@@ -466,6 +476,72 @@
 	rig_close(&rig);
 }
 
+/** How a call ends whose request has not arrived yet. */
+typedef struct abandon_case {
+	const char *name;
+	const char *answer; /**< That the server sends; NULL: none. */
+	bool half_close;    /**< The server goes on reading. */
+	bool cancels;
+} abandon_case_t;
+
+static const abandon_case_t abandon_cases[] = {
+	{ "cancelled", NULL, false, true },
+	{ "cancelled-in-answer",
+	  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", false, true },
+	{ "malformed", "no answer\r\n\r\n", false, false },
+	{ "half-closed", NULL, true, false },
+};
+
+/* Reads what has arrived; returns whether that is all. `err` is EAGAIN at
+ * first, and then why the connection ended, 0 if in order. */
+static bool has_ended(int fd, char *bytes, int *err)
+{
+	ssize_t len = 1;
+
+	while (*err == EAGAIN && len > 0)
+		len = recv(fd, bytes, LARGE_MESSAGE_BYTES, MSG_DONTWAIT);
+	if (*err == EAGAIN)
+		*err = len ? errno : 0;
+	return *err != EAGAIN;
+}
+
+/* Failure: a request that had been given up arrived when its path was back, and
+ * the server began to run it (rule DRAIN, review/7). */
+static void test_abandoned(const void *data)
+{
+	const abandon_case_t *test_case = data;
+	const char *answer = test_case->answer;
+	g_autofree char *message = g_strnfill(LARGE_MESSAGE_BYTES, 'x');
+	rig_t rig;
+	int listener;
+	int err = EAGAIN;
+	int fd;
+
+	rig_open(&rig);
+	listener = listen_for_calls(&rig);
+	g_assert_cmpint(begin_call(&rig, message), ==, 0);
+	fd = accept(listener, NULL, NULL);
+	wait_for(&rig, outbound_was_sent(rig.call));
+	if (answer)
+		g_assert_cmpint(send(fd, answer, strlen(answer), MSG_NOSIGNAL),
+				>, 0);
+	if (test_case->half_close)
+		shutdown(fd, SHUT_WR);
+	if (test_case->cancels && answer)
+		wait_for(&rig, rig.body_bytes);
+	if (test_case->cancels)
+		outbound_cancel(rig.call);
+	else
+		wait_for(&rig, rig.end_count);
+	g_assert_cmpuint(outbound_connection_count(rig.outbound), ==, 0);
+	/* A close in order would have let all arrive that the system holds. */
+	wait_for(&rig, has_ended(fd, message, &err));
+	g_assert_cmpint(err, ==, ECONNRESET);
+	close(fd);
+	close(listener);
+	rig_close(&rig);
+}
+
 enum {
 	/** What the sockets of both sides hold, and what they do not. */
 	UPLOAD_HELD_BYTES = 512 * 1024,
@@ -576,6 +652,12 @@
 	g_test_add_func("/outbound/limit", test_limit);
 	g_test_add_func("/outbound/silence", test_silence);
 	g_test_add_func("/outbound/reading-stops", test_reading_stops);
+	for (size_t i = 0; i < G_N_ELEMENTS(abandon_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/outbound/abandoned/%s", abandon_cases[i].name);
+
+		g_test_add_data_func(path, &abandon_cases[i], test_abandoned);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(endless_cases); i++) {
 		g_autofree char *path = g_strdup_printf("/outbound/endless/%s",
 							endless_cases[i].name);
