--- a/t/run-tests.sh
+++ b/t/run-tests.sh
@@ -3,7 +3,8 @@
 #
 # UNIT_ONLY=1 leaves out the programs named test-it-*, which start processes.
 # Tests listed in KNOWN-RED.txt as "test: <program> <test path>" run too; their
-# failures are printed but not counted.
+# failures are printed but not counted. The failures that count are printed
+# again at the end, so that the last lines name them.
 set -u
 cd "$(dirname "$0")/.."
 export BUILD=${BUILD:-build}
@@ -15,12 +16,22 @@
 }
 
 passed=0 failed=0 known=0
+failures=()
+
+# Counts a failure and prints it with the time that the program has taken.
+add_failure() {
+	failed=$((failed + 1))
+	failures+=("FAILED: $1 (after $((SECONDS - started_s)) s)")
+	echo "${failures[-1]}"
+}
+
 for program in "$@"; do
 	name=$(basename "$program")
 	if [ "${UNIT_ONLY:-0}" = 1 ] && [[ $name == test-it-* ]]; then
 		continue
 	fi
 	log=$log_dir/$name.log
+	started_s=$SECONDS
 	timeout --kill-after=10 "${TEST_TIMEOUT_S:-240}" "$program" --tap -k \
 		>"$log" 2>&1 </dev/null
 	status=$?
@@ -33,8 +44,7 @@
 			echo "known red: $name $path"
 			known=$((known + 1))
 		else
-			echo "FAILED: $name $path"
-			failed=$((failed + 1))
+			add_failure "$name $path"
 		fi
 	done < <(sed -n 's/^not ok [0-9]* \(\/[^ ]*\).*/\1/p' "$log")
 	# After a crash or a timeout, fewer tests are reported than the TAP plan
@@ -42,18 +52,19 @@
 	plan=$(sed -n 's/^1\.\.\([0-9]*\).*/\1/p' "$log" | tail -n 1)
 	if [ $((ok + bad)) -lt "${plan:-0}" ] ||
 	   { [ $status -ne 0 ] && [ $bad -eq 0 ]; }; then
-		echo "FAILED: $name ended with status $status"
-		failed=$((failed + 1))
+		add_failure "$name ended with status $status"
 		bad=1
 	fi
 	if [ "$ok" -eq 0 ] && [ $bad -eq 0 ]; then
-		echo "FAILED: $name ran no test"
-		failed=$((failed + 1))
+		add_failure "$name ran no test"
 		bad=1
 	fi
 	[ $bad -gt 0 ] && tail -n 40 "$log"
 	echo "$name: $ok ok, $bad not ok"
 done
 [ $known -gt 0 ] && echo "known red tests: $known (see KNOWN-RED.txt)"
+for failure in "${failures[@]}"; do
+	echo "$failure"
+done
 echo "$passed passed, $failed failed"
 [ $failed -eq 0 ]
