--- a/review/lib-3/deployment.c
+++ b/review/lib-3/deployment.c
@@ -243,6 +243,32 @@
 	raw_send(request, "0\r\n\r\n");
 }
 
+/* Runs a request that is no generation, as a server does that is named in
+ * Expect-Instance. Takes the lock. */
+static raw_next_t run_order(deployment_t *deployment, const char *service,
+			    const char *server, const raw_request_t *request)
+{
+	g_autofree char *id = header(request, "Request-Id");
+	g_autofree char *instance = header(request, "Expect-Instance");
+
+	if (!id || (instance && strcmp(instance, server) != 0)) {
+		reject(request, id ? id : "", 421, server);
+		return RAW_KEEP;
+	}
+	pthread_mutex_lock(&deployment->lock);
+	deployment->orders_run++;
+	deployment->orders_misrouted += strcmp(service, "desk") != 0;
+	pthread_mutex_unlock(&deployment->lock);
+	deployment_note(deployment, "order %s is run by %s of service %s%s",
+			id, server, service,
+			strcmp(service, "desk") != 0 ? " NOT ALLOWED" : "");
+	raw_send(request,
+		 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s-%s\r\n"
+		 "Content-Length: 4\r\nKeep-Alive: timeout=15\r\n\r\ndone",
+		 id, id);
+	return RAW_KEEP;
+}
+
 static raw_next_t answer_run(engine_t *engine, const raw_request_t *request)
 {
 	deployment_t *deployment = engine->deployment;
@@ -281,6 +307,8 @@
 	deployment_t *deployment = engine->deployment;
 	raw_next_t next;
 
+	if (strstr(request->head, " /order/"))
+		return run_order(deployment, "llm", engine->id, request);
 	if (!strstr(request->head, " /v1/"))
 		return answer_run(engine, request);
 	pthread_mutex_lock(&deployment->lock);
@@ -307,6 +335,31 @@
 	return all;
 }
 
+static raw_next_t answer_desk(void *context, const raw_request_t *request)
+{
+	const desk_t *desk = context;
+
+	return run_order(desk->deployment, "desk", desk->id, request);
+}
+
+static void start_desk(deployment_t *deployment, int index)
+{
+	desk_t *desk = &deployment->desks[index];
+	g_autofree char *address = NULL;
+
+	desk->deployment = deployment;
+	g_snprintf(desk->id, sizeof(desk->id), "d-%d", index + 1);
+	desk->server = raw_server_start(answer_desk, desk);
+	address = g_strdup_printf("127.0.0.1:%u",
+				  raw_server_port(desk->server));
+	platform_store_put(
+		deployment->store, "servers", desk->id,
+		json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service",
+			  "desk", "addr", address, "zone", "z1", "version",
+			  "v1", "slots", 6, "state", "ready", "cold_left_ms", 0,
+			  "seq", 1, "born", (json_int_t)1700000000000));
+}
+
 /* The store of kept KV cache is called by model servers only. */
 static raw_next_t answer_kv(void *context, const raw_request_t *request)
 {
@@ -323,21 +376,28 @@
 		deployment->store, "config", "main",
 		json_pack(
 			"{s:i,s:[{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:b,"
-			"s:b,s:i}],s:[{s:s,s:s,s:i,s:s,s:b,s:{s:i,s:i,s:i,s:f}}"
-			",{s:s,s:s,s:s,s:i,s:f,s:i}],s:{s:i,s:i,s:i,s:i},"
-			"s:[{s:s,s:[s]}]}",
+			"s:b,s:i},{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b}],"
+			"s:[{s:s,s:s,s:i,s:s,s:b,s:{s:i,s:i,s:i,s:f}}"
+			",{s:s,s:s,s:s,s:i,s:f,s:i},{s:s,s:s,s:i,s:s,s:b}],"
+			"s:{s:i,s:i,s:i,s:i},s:[{s:s,s:[s]}]}",
 			"version", 1, "routes", "name", "verdict", "host",
 			"h.example", "path_prefix", "/verdict/", "kind",
 			"stream", "timeout_ms", 5000, "target_latency_ms", 600,
 			"priority", 1, "service", "llm", "max_attempts", 2,
 			"anonymous", 0, "sticky", 1, "resumable", 1,
-			"gap_aim_ms", 400, "services", "name", "llm",
+			"gap_aim_ms", 400, "name", "order", "host", "h.example",
+			"path_prefix", "/order/", "kind", "non_idempotent",
+			"timeout_ms", 800, "target_latency_ms", 150, "priority",
+			2, "service", "desk", "max_attempts", 1, "anonymous", 0,
+			"services", "name", "llm",
 			"health_path", "/healthz", "max_conns", 600, "protocol",
 			"h1", "tls", 0, "engine", "slots", SLOTS, "kv_capacity",
 			98960, "kv_token_bytes", 163840, "link_mbps", 1100000.0,
 			"name", "kept", "kv_store_addr", deployment->kv_address,
 			"zone", "z1", "kv_capacity", 1638587, "link_mbps",
-			280000.0, "max_inflight", 12, "limits",
+			280000.0, "max_inflight", 12, "name", "desk",
+			"health_path", "/healthz", "max_conns", 200, "protocol",
+			"h1", "tls", 0, "limits",
 			"max_header_bytes", 16384, "max_body_bytes", 4194304,
 			"header_timeout_ms", 3000, "idle_timeout_ms", 15000,
 			"tenants", "name", "t1", "api_keys", "key-1"));
@@ -365,6 +425,12 @@
 	g_string_replace(text, placeholder, value, 0);
 }
 
+/* Four zones, the last of which has two machines, as in the small sites. */
+static int zone_of(int index)
+{
+	return index < 12 ? index % 3 : 3;
+}
+
 /* Fills in the settings template as the platform does. */
 static char *write_settings(const deployment_t *deployment, int index)
 {
@@ -377,8 +443,9 @@
 				 NULL))
 		return NULL;
 	text = g_string_new(template);
-	replace(text, "node_name", "front-z%d-1", index + 1);
-	replace(text, "zone", "z%d", index + 1);
+	replace(text, "node_name", "front-z%d-%d", zone_of(index) + 1,
+		index + 1);
+	replace(text, "zone", "z%d", zone_of(index) + 1);
 	replace(text, "listen.front", "%s:%u", ip, deployment->front_port);
 	replace(text, "listen.ready", "%s:%u", ip, deployment->ready_port);
 	replace(text, "ip", "%s", ip);
@@ -388,7 +455,7 @@
 	replace(text, "platform.addr", "127.0.0.1:%u",
 		platform_store_port(deployment->store));
 	replace(text, "seeds", "%s", "");
-	replace(text, "limits.memory_mb", "96");
+	replace(text, "limits.memory_mb", "%d", MEMORY_MB);
 	replace(text, "limits.max_fds", "2940");
 	replace(text, "limits.link_mbps", "700.0");
 	replace(text, "bounds.grace_s", "8");
@@ -447,7 +514,7 @@
 	return g_str_has_prefix(answer, "HTTP/1.1 200");
 }
 
-static bool start_gateway(deployment_t *deployment, int index)
+bool deployment_start_gateway(deployment_t *deployment, int index)
 {
 	g_autofree char *path = write_settings(deployment, index);
 
@@ -494,6 +561,8 @@
 		deployment->engine_count++;
 		deployment_put_entry(engine);
 	}
+	for (int i = 0; i < DESKS_3; i++)
+		start_desk(deployment, i);
 	deployment->front_port = harness_free_port();
 	deployment->ready_port = harness_free_port();
 	deployment->first_port = 30000 + (uint16_t)(net % 1000) * 20;
@@ -502,7 +571,7 @@
 			   sizeof(deployment->gateway_ip[i]), "127.%u.%u.%d",
 			   64 + net % 64, 1 + (net >> 6) % 250, i + 1);
 		deployment->gateway_count++;
-		if (!start_gateway(deployment, i))
+		if (!deployment_start_gateway(deployment, i))
 			return false;
 	}
 	for (int i = 0; i < gateways; i++) {
@@ -520,13 +589,17 @@
 		char *path = g_strdup_printf("%s/boot-%d", deployment->folder,
 					     i);
 
-		program_signal(deployment->gateways[i], SIGKILL);
-		program_free(deployment->gateways[i]);
+		if (deployment->gateways[i]) {
+			program_signal(deployment->gateways[i], SIGKILL);
+			program_free(deployment->gateways[i]);
+		}
 		g_unlink(path);
 		g_free(path);
 	}
 	for (int i = 0; i < deployment->engine_count; i++)
 		raw_server_stop(deployment->engines[i].server);
+	for (int i = 0; i < DESKS_3; i++)
+		raw_server_stop(deployment->desks[i].server);
 	raw_server_stop(deployment->kv_server);
 	platform_store_stop(deployment->store);
 	g_rmdir(deployment->folder);
@@ -562,3 +635,28 @@
 	deployment->served += whole;
 	return whole;
 }
+
+bool deployment_order(deployment_t *deployment, int gateway)
+{
+	uint32_t number = ++deployment->sent;
+	g_autofree char *request = g_strdup_printf(
+		"POST /order/x HTTP/1.1\r\nHost: h.example\r\n"
+		"Request-Id: r-%u\r\nDeadline-Ms: 1500\r\nKey: key-1\r\n"
+		"Connection: close\r\nContent-Length: 2\r\n\r\nhi",
+		number);
+	g_autofree char *answer = NULL;
+	bool whole;
+
+	deployment_note(deployment, "send order r-%u to gateway %d", number,
+			gateway + 1);
+	answer = exchange_text(deployment->gateway_ip[gateway],
+			       deployment->front_port, request);
+	whole = g_str_has_prefix(answer, "HTTP/1.1 200") &&
+		strstr(answer, "\r\nResponse-Stamp: s-") &&
+		g_str_has_suffix(answer, "\r\n\r\ndone");
+	deployment_note(deployment, "answer to r-%u: %.12s %s", number,
+			*answer ? answer : "none",
+			whole ? "whole" : "not whole");
+	deployment->served += whole;
+	return whole;
+}
--- a/review/lib-3/deployment.h
+++ b/review/lib-3/deployment.h
@@ -24,7 +24,10 @@
 	/** A server takes so long to load new weights. */
 	LOAD_MS = 630,
 	ENGINES_MAX_3 = 8,
-	GATEWAYS_MAX_3 = 4,
+	GATEWAYS_MAX_3 = 14,
+	DESKS_3 = 2,
+	/** `memory_mb` of the small sites. */
+	MEMORY_MB = 96,
 	PARTS_MAX_3 = 16,
 };
 
@@ -56,6 +59,13 @@
 	kv_cache_t cache;
 } engine_t;
 
+/** A server of the plain service. */
+typedef struct desk {
+	deployment_t *deployment;
+	raw_server_t *server;
+	char id[32];
+} desk_t;
+
 struct deployment {
 	pthread_mutex_t lock; /**< Guards all below. */
 	FILE *record;
@@ -66,6 +76,7 @@
 	kv_cache_t kv_store;
 	engine_t engines[ENGINES_MAX_3];
 	int engine_count;
+	desk_t desks[DESKS_3];
 	char *folder; /**< Of the settings files. */
 	program_t *gateways[GATEWAYS_MAX_3];
 	char gateway_ip[GATEWAYS_MAX_3][32];
@@ -77,6 +88,9 @@
 	/** Runs that used a part made under another version. */
 	uint32_t stale_runs;
 	uint32_t runs;
+	uint32_t orders_run;
+	/** Orders that a model server ran. */
+	uint32_t orders_misrouted;
 	uint32_t served; /**< Complete answers to consumers. */
 	uint32_t sent;
 };
@@ -87,6 +101,9 @@
 		      int engines, int gateways);
 void deployment_stop(deployment_t *deployment);
 
+/** Starts a gateway, or starts it again after its end. */
+bool deployment_start_gateway(deployment_t *deployment, int index);
+
 /** Appends a line to the record, with the time since the start. */
 void deployment_note(deployment_t *deployment, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
@@ -108,4 +125,8 @@
 bool deployment_request(deployment_t *deployment, int gateway,
 			const char *model_line, const char *prefix);
 
+/** Sends one order, which may run once at most, and reads the answer.
+ * @return whether the answer is a complete success */
+bool deployment_order(deployment_t *deployment, int gateway);
+
 #endif
