--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,7 @@
 make BUILD=target target/t/libtest.a target/cmd/libcmd.a target/libamaranthvale.a
 mkdir -p "$out"
 packages="liburcu-bp popt log4c glib-2.0 libtirpc libcurl jansson libxxhash libsodium openssl libevent libevent_openssl libzstd"
-for case in review/1[1-5]/case.c; do
+for case in review/1[1-5]/play.c; do
 	number=$(basename "$(dirname "$case")")
 	# shellcheck disable=SC2046
 	${CC:-cc} -I. -D_GNU_SOURCE -O2 -g -std=gnu11 -pthread -Wall -Wextra \
