--- a/review/lib-3/deployment.c
+++ b/review/lib-3/deployment.c
@@ -583,7 +583,7 @@
 	return true;
 }
 
-void deployment_stop(deployment_t *deployment)
+void deployment_stop_gateways(deployment_t *deployment)
 {
 	for (int i = 0; i < deployment->gateway_count; i++) {
 		char *path = g_strdup_printf("%s/boot-%d", deployment->folder,
@@ -592,17 +592,23 @@
 		if (deployment->gateways[i]) {
 			program_signal(deployment->gateways[i], SIGKILL);
 			program_free(deployment->gateways[i]);
+			deployment->gateways[i] = NULL;
 		}
 		g_unlink(path);
 		g_free(path);
 	}
+	g_rmdir(deployment->folder);
+}
+
+void deployment_stop(deployment_t *deployment)
+{
+	deployment_stop_gateways(deployment);
 	for (int i = 0; i < deployment->engine_count; i++)
 		raw_server_stop(deployment->engines[i].server);
 	for (int i = 0; i < DESKS_3; i++)
 		raw_server_stop(deployment->desks[i].server);
 	raw_server_stop(deployment->kv_server);
 	platform_store_stop(deployment->store);
-	g_rmdir(deployment->folder);
 	fclose(deployment->record);
 }
 
--- a/review/lib-3/deployment.h
+++ b/review/lib-3/deployment.h
@@ -101,6 +101,9 @@
 		      int engines, int gateways);
 void deployment_stop(deployment_t *deployment);
 
+/** Ends the gateways only, and removes their settings. */
+void deployment_stop_gateways(deployment_t *deployment);
+
 /** Starts a gateway, or starts it again after its end. */
 bool deployment_start_gateway(deployment_t *deployment, int index);
 
