--- a/review/lib-3/deployment.c
+++ b/review/lib-3/deployment.c
@@ -43,8 +43,7 @@
 			    const char *id)
 {
 	for (guint i = 0; i < cache->parts->len; i++) {
-		kv_part_t *part =
-			&g_array_index(cache->parts, kv_part_t, i);
+		kv_part_t *part = &g_array_index(cache->parts, kv_part_t, i);
 
 		if (!strcmp(part->salt, salt) && !strcmp(part->id, id))
 			return part;
@@ -97,8 +96,8 @@
 			  "s:I,s:I}",
 			  "service", "llm", "addr", engine->address, "zone",
 			  "z1", "version", "v1", "slots", SLOTS, "state",
-			  "ready", "cold_left_ms", 0, "stage",
-			  "prefill_decode", "models", "name", "m", "version",
+			  "ready", "cold_left_ms", 0, "stage", "prefill_decode",
+			  "models", "name", "m", "version",
 			  (json_int_t)engine->version, "adapters", "seq",
 			  (json_int_t)++engine->entries, "born",
 			  (json_int_t)1700000000000));
@@ -145,12 +144,12 @@
 {
 	json_t *order = json_loads(request->body, 0, NULL);
 	const json_t *expected = json_object_get(order, "expected");
-	uint64_t version = (uint64_t)json_integer_value(
-		json_object_get(order, "version"));
+	uint64_t version =
+		(uint64_t)json_integer_value(json_object_get(order, "version"));
 
 	if (engine->loading ||
-	    (expected && (uint64_t)json_integer_value(expected) !=
-				 engine->orders)) {
+	    (expected &&
+	     (uint64_t)json_integer_value(expected) != engine->orders)) {
 		send_json(request, 409, "{}");
 	} else if (engine->version == version) {
 		send_json(request, 200, "{}");
@@ -181,8 +180,7 @@
 /* Reads the prompt: each part is found in the server's own cache, fetched, or
  * prefilled, as long as all parts before it were found. Notes the run. */
 static void read_prompt(engine_t *engine, const char *id, const char *salt,
-			const char *prefix, const char *fetch,
-			const char *save)
+			const char *prefix, const char *fetch, const char *save)
 {
 	deployment_t *deployment = engine->deployment;
 	const kv_cache_t *source = cache_at(deployment, fetch);
@@ -218,8 +216,7 @@
 	}
 	deployment->runs++;
 	deployment->stale_runs += stale;
-	deployment_note(deployment,
-			"run %s at %s weights=%llu salt=%s%s%s", id,
+	deployment_note(deployment, "run %s at %s weights=%llu salt=%s%s%s", id,
 			engine->id, (unsigned long long)engine->version, salt,
 			used->str, stale ? " STALE" : "");
 	g_string_free(used, TRUE);
@@ -259,8 +256,8 @@
 	deployment->orders_run++;
 	deployment->orders_misrouted += strcmp(service, "desk") != 0;
 	pthread_mutex_unlock(&deployment->lock);
-	deployment_note(deployment, "order %s is run by %s of service %s%s",
-			id, server, service,
+	deployment_note(deployment, "order %s is run by %s of service %s%s", id,
+			server, service,
 			strcmp(service, "desk") != 0 ? " NOT ALLOWED" : "");
 	raw_send(request,
 		 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s-%s\r\n"
@@ -350,14 +347,14 @@
 	desk->deployment = deployment;
 	g_snprintf(desk->id, sizeof(desk->id), "d-%d", index + 1);
 	desk->server = raw_server_start(answer_desk, desk);
-	address = g_strdup_printf("127.0.0.1:%u",
-				  raw_server_port(desk->server));
-	platform_store_put(
-		deployment->store, "servers", desk->id,
-		json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service",
-			  "desk", "addr", address, "zone", "z1", "version",
-			  "v1", "slots", 6, "state", "ready", "cold_left_ms", 0,
-			  "seq", 1, "born", (json_int_t)1700000000000));
+	address =
+		g_strdup_printf("127.0.0.1:%u", raw_server_port(desk->server));
+	platform_store_put(deployment->store, "servers", desk->id,
+			   json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}",
+				     "service", "desk", "addr", address, "zone",
+				     "z1", "version", "v1", "slots", 6, "state",
+				     "ready", "cold_left_ms", 0, "seq", 1,
+				     "born", (json_int_t)1700000000000));
 }
 
 /* The store of kept KV cache is called by model servers only. */
@@ -389,18 +386,18 @@
 			"path_prefix", "/order/", "kind", "non_idempotent",
 			"timeout_ms", 800, "target_latency_ms", 150, "priority",
 			2, "service", "desk", "max_attempts", 1, "anonymous", 0,
-			"services", "name", "llm",
-			"health_path", "/healthz", "max_conns", 600, "protocol",
-			"h1", "tls", 0, "engine", "slots", SLOTS, "kv_capacity",
-			98960, "kv_token_bytes", 163840, "link_mbps", 1100000.0,
-			"name", "kept", "kv_store_addr", deployment->kv_address,
-			"zone", "z1", "kv_capacity", 1638587, "link_mbps",
-			280000.0, "max_inflight", 12, "name", "desk",
-			"health_path", "/healthz", "max_conns", 200, "protocol",
-			"h1", "tls", 0, "limits",
-			"max_header_bytes", 16384, "max_body_bytes", 4194304,
-			"header_timeout_ms", 3000, "idle_timeout_ms", 15000,
-			"tenants", "name", "t1", "api_keys", "key-1"));
+			"services", "name", "llm", "health_path", "/healthz",
+			"max_conns", 600, "protocol", "h1", "tls", 0, "engine",
+			"slots", SLOTS, "kv_capacity", 98960, "kv_token_bytes",
+			163840, "link_mbps", 1100000.0, "name", "kept",
+			"kv_store_addr", deployment->kv_address, "zone", "z1",
+			"kv_capacity", 1638587, "link_mbps", 280000.0,
+			"max_inflight", 12, "name", "desk", "health_path",
+			"/healthz", "max_conns", 200, "protocol", "h1", "tls",
+			0, "limits", "max_header_bytes", 16384,
+			"max_body_bytes", 4194304, "header_timeout_ms", 3000,
+			"idle_timeout_ms", 15000, "tenants", "name", "t1",
+			"api_keys", "key-1"));
 }
 
 void deployment_name_weights(deployment_t *deployment, int version)
@@ -586,8 +583,8 @@
 void deployment_stop_gateways(deployment_t *deployment)
 {
 	for (int i = 0; i < deployment->gateway_count; i++) {
-		char *path = g_strdup_printf("%s/boot-%d", deployment->folder,
-					     i);
+		char *path =
+			g_strdup_printf("%s/boot-%d", deployment->folder, i);
 
 		if (deployment->gateways[i]) {
 			program_signal(deployment->gateways[i], SIGKILL);
