--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -12,7 +12,7 @@
 	# shellcheck disable=SC2046
 	${CC:-cc} -I. -D_GNU_SOURCE -O2 -g -std=gnu11 -pthread -Wall -Wextra \
 		$(pkg-config --cflags $packages) \
-		-o "$out/case-$number" "$case" review/lib-3/*.c \
+		-o "$out/case-$number" "$case" review/standin-3/*.c \
 		target/t/libtest.a target/cmd/libcmd.a \
 		target/libamaranthvale.a \
 		$(pkg-config --libs $packages) -lcivetweb -lhttp_parser \
--- a/review/lib-3/deployment.c
+++ b/review/standin-3/deployment.c
@@ -1,4 +1,4 @@
-#include "review/lib-3/deployment.h"
+#include "review/standin-3/deployment.h"
 
 #include <arpa/inet.h>
 #include <glib/gstdio.h>
--- a/review/lib-3/deployment.h
+++ b/review/standin-3/deployment.h
@@ -4,8 +4,8 @@
  * with the deploy file's command and settings template, model servers with a
  * KV cache, and consumers. All on loopback addresses.
  */
-#ifndef REVIEW_LIB_3_DEPLOYMENT_H
-#define REVIEW_LIB_3_DEPLOYMENT_H
+#ifndef REVIEW_STANDIN_3_DEPLOYMENT_H
+#define REVIEW_STANDIN_3_DEPLOYMENT_H
 
 #include <pthread.h>
 #include <stdbool.h>
